Add a thin end-to-end path of separate processes

Cause: the repository was empty. Change: two Maven modules, the store adapter for etcd's JSON mapping, versioned settings in content-addressed blobs, a caller service that forwards to a random host in service, an operator route that applies settings, the command line, and stand-ins for the store and for target hosts. bin/quickstart runs them as processes. Interfaces between packages and peer messages are defined. Ruled out: one store key per item, which cannot be committed atomically for a whole fleet. Conclusion: the path works without limits, queues, health or peers; those follow.

--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Keys, queues and the local order in which requests start. */
+package org.marigoldturn.admission;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The marigoldturn command line. */
+package org.marigoldturn.cli;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Filter chain that serves callers' requests over HTTP. */
+package org.marigoldturn.entry;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/membership/package-info.java
@@ -0,0 +1,2 @@
+/** The member set, confirmation of the version in force, and roles. */
+package org.marigoldturn.membership;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/package-info.java
@@ -0,0 +1,2 @@
+/** Root of the marigoldturn fleet capacity and maintenance manager. */
+package org.marigoldturn;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Transport and messages between entry daemons. */
+package org.marigoldturn.peer;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/platform/StoreOutcomeUnknownException.java
@@ -0,0 +1,10 @@
+package org.marigoldturn.platform;
+
+/** The answer was lost; a write may have taken effect or may still do so. */
+public class StoreOutcomeUnknownException extends StoreException {
+    private static final long serialVersionUID = 1L;
+
+    public StoreOutcomeUnknownException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/platform/StoreUnavailableException.java
@@ -0,0 +1,10 @@
+package org.marigoldturn.platform;
+
+/** The service could not be reached; the request has certainly had no effect. */
+public class StoreUnavailableException extends StoreException {
+    private static final long serialVersionUID = 1L;
+
+    public StoreUnavailableException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/platform/Transaction.java
@@ -0,0 +1,21 @@
+package org.marigoldturn.platform;
+
+import java.util.List;
+
+/**
+ * An atomic transaction: if all compares hold {@code onSuccess} is executed, else {@code
+ * onFailure}.
+ */
+public record Transaction(
+        List<Compare> compares, List<Operation> onSuccess, List<Operation> onFailure) {
+    public Transaction {
+        compares = List.copyOf(compares);
+        onSuccess = List.copyOf(onSuccess);
+        onFailure = List.copyOf(onFailure);
+    }
+
+    /** Returns a transaction without conditions. */
+    public static Transaction unconditional(List<Operation> operations) {
+        return new Transaction(List.of(), operations, List.of());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Target selection, attempts, retries and the outcome of each request. */
+package org.marigoldturn.routing;
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/FleetSettings.java
@@ -0,0 +1,38 @@
+package org.marigoldturn.settings;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * All operator settings at one version. Immutable.
+ *
+ * @param zones availability zones by name
+ * @param pools pools by name
+ * @param services services by name
+ * @param teams teams by name
+ * @param hosts hosts by name
+ */
+public record FleetSettings(
+        Map<String, ZoneSettings> zones,
+        Map<String, PoolSettings> pools,
+        Map<String, ServiceSettings> services,
+        Map<String, TeamSettings> teams,
+        Map<String, HostSettings> hosts) {
+    /** Settings without any entry. */
+    public static final FleetSettings EMPTY =
+            new FleetSettings(Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+
+    public FleetSettings {
+        zones = sorted(zones);
+        pools = sorted(pools);
+        services = sorted(services);
+        teams = sorted(teams);
+        hosts = sorted(hosts);
+    }
+
+    private static <V> Map<String, V> sorted(Map<String, V> entries) {
+        return entries == null
+                ? Map.of()
+                : java.util.Collections.unmodifiableMap(new TreeMap<>(entries));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/LoadedState.java
@@ -0,0 +1,12 @@
+package org.marigoldturn.settings;
+
+import java.util.Map;
+
+/**
+ * A state as read from the store.
+ *
+ * @param contents content by hash, for reuse at the next read
+ * @param manifestRevision store revision of the manifest, for the next commit
+ */
+public record LoadedState(
+        VersionedState state, Map<String, byte[]> contents, long manifestRevision) {}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/PoolSettings.java
@@ -0,0 +1,12 @@
+package org.marigoldturn.settings;
+
+/**
+ * A pool of hosts.
+ *
+ * @param spare whether other pools may borrow its hosts
+ */
+public record PoolSettings(String name, boolean spare) {
+    public PoolSettings {
+        Names.require("pool", name);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/StateCodec.java
@@ -0,0 +1,126 @@
+package org.marigoldturn.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Converts a versioned state to one content per path and back.
+ *
+ * <p>Equal subtrees give equal bytes, so that unchanged paths keep their hash. Stateless.
+ */
+public final class StateCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String TEAM_PREFIX = "teams/";
+    private static final String HOST_PREFIX = "hosts/";
+
+    private StateCodec() {}
+
+    /** Returns the content of each path. */
+    public static Map<String, byte[]> encode(
+            FleetSettings settings, MemberSet members, RightsDivision rights) {
+        Map<String, byte[]> contents = new TreeMap<>();
+        contents.put("zones", write(settings.zones()));
+        contents.put("pools", write(settings.pools()));
+        contents.put("services", write(settings.services()));
+        settings.teams().forEach((name, team) -> contents.put(TEAM_PREFIX + name, write(team)));
+        Map<String, Map<String, HostSettings>> shards = new TreeMap<>();
+        for (HostSettings host : settings.hosts().values()) {
+            String path = "%s%02d".formatted(HOST_PREFIX, ContentHash.hostShard(host.name()));
+            shards.computeIfAbsent(path, p -> new TreeMap<>()).put(host.name(), host);
+        }
+        shards.forEach((path, hosts) -> contents.put(path, write(hosts)));
+        contents.put("system/members", write(members));
+        contents.put("system/rights", write(rights));
+        return contents;
+    }
+
+    /**
+     * Builds the state that a manifest names.
+     *
+     * @param blobs content by hash; must hold each hash of the manifest
+     * @throws SettingsException if a content is missing or invalid
+     */
+    public static VersionedState decode(Manifest manifest, Map<String, byte[]> blobs) {
+        Map<String, TeamSettings> teams = new HashMap<>();
+        Map<String, HostSettings> hosts = new HashMap<>();
+        for (Map.Entry<String, String> entry : manifest.entries().entrySet()) {
+            byte[] content = blobs.get(entry.getValue());
+            if (entry.getKey().startsWith(TEAM_PREFIX)) {
+                TeamSettings team = read(entry.getKey(), content, new TypeReference<>() {});
+                teams.put(team.name(), team);
+            } else if (entry.getKey().startsWith(HOST_PREFIX)) {
+                hosts.putAll(
+                        read(
+                                entry.getKey(),
+                                content,
+                                new TypeReference<Map<String, HostSettings>>() {}));
+            }
+        }
+        FleetSettings settings =
+                new FleetSettings(
+                        readPath(manifest, blobs, "zones", new TypeReference<>() {}, Map.of()),
+                        readPath(manifest, blobs, "pools", new TypeReference<>() {}, Map.of()),
+                        readPath(manifest, blobs, "services", new TypeReference<>() {}, Map.of()),
+                        teams,
+                        hosts);
+        return new VersionedState(
+                manifest,
+                settings,
+                readPath(
+                        manifest,
+                        blobs,
+                        "system/members",
+                        new TypeReference<>() {},
+                        MemberSet.EMPTY),
+                readPath(
+                        manifest,
+                        blobs,
+                        "system/rights",
+                        new TypeReference<>() {},
+                        RightsDivision.EMPTY));
+    }
+
+    /** Writes a manifest as JSON. */
+    public static byte[] encodeManifest(Manifest manifest) {
+        return write(manifest);
+    }
+
+    /** Reads a manifest from JSON. */
+    public static Manifest decodeManifest(byte[] content) {
+        return read("manifest", content, new TypeReference<>() {});
+    }
+
+    private static <T> T readPath(
+            Manifest manifest,
+            Map<String, byte[]> blobs,
+            String path,
+            TypeReference<T> type,
+            T absent) {
+        String hash = manifest.entries().get(path);
+        return hash == null ? absent : read(path, blobs.get(hash), type);
+    }
+
+    private static <T> T read(String path, byte[] content, TypeReference<T> type) {
+        if (content == null) {
+            throw new SettingsException("content of path \"" + path + "\" is missing", null);
+        }
+        try {
+            return JSON.readValue(content, type);
+        } catch (IOException e) {
+            throw new SettingsException("content of path \"" + path + "\" is invalid", e);
+        }
+    }
+
+    private static byte[] write(Object value) {
+        try {
+            return JSON.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot encode " + value.getClass(), e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -0,0 +1,106 @@
+package org.marigoldturn.standins;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A Java process that prints a line starting with {@code ready} once it serves. */
+public final class ChildProcess implements AutoCloseable {
+    private final Process mProcess;
+    private final BufferedReader mOutput;
+    private final String mReadyLine;
+
+    private ChildProcess(Process process, BufferedReader output, String readyLine) {
+        mProcess = process;
+        mOutput = output;
+        mReadyLine = readyLine;
+    }
+
+    /** Starts a main class with this process's class path and waits until it is ready. */
+    public static ChildProcess start(Path log, String mainClass, String... args)
+            throws IOException {
+        Process process = launch(log, mainClass, args);
+        BufferedReader output = process.inputReader(StandardCharsets.UTF_8);
+        String line = output.readLine();
+        while (line != null && !line.startsWith("ready")) {
+            line = output.readLine();
+        }
+        if (line == null) {
+            throw new IOException(mainClass + " ended before it was ready; see " + log);
+        }
+        return new ChildProcess(process, output, line);
+    }
+
+    /** Runs a main class to its end and returns its standard output. */
+    public static String run(Path log, String mainClass, String... args) throws IOException {
+        Process process = launch(log, mainClass, args);
+        try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
+            String text = String.join("\n", output.lines().toList());
+            int code = process.waitFor();
+            if (code != 0) {
+                throw new IOException(mainClass + " exited with code " + code + "; see " + log);
+            }
+            return text;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static Process launch(Path log, String mainClass, String... args) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx192m");
+        command.add("-XX:TieredStopAtLevel=1");
+        command.add("-cp");
+        command.add(System.getProperty("java.class.path"));
+        command.add(mainClass);
+        command.addAll(List.of(args));
+        return new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(new File(log.toString())))
+                .start();
+    }
+
+    /** Returns the value of {@code name=value} in the ready line. */
+    public int port(String name) {
+        for (String word : mReadyLine.split(" ")) {
+            if (word.startsWith(name + "=")) {
+                return Integer.parseInt(word.substring(name.length() + 1));
+            }
+        }
+        throw new IllegalArgumentException("no " + name + " in \"" + mReadyLine + "\"");
+    }
+
+    /** Returns the process id. */
+    public long pid() {
+        return mProcess.pid();
+    }
+
+    /** Sends SIGTERM and returns the exit code. */
+    public int terminate() throws InterruptedException {
+        mProcess.destroy();
+        return mProcess.waitFor();
+    }
+
+    @Override
+    public void close() {
+        mProcess.destroy();
+        try {
+            if (!mProcess.waitFor(10, TimeUnit.SECONDS)) {
+                mProcess.destroyForcibly();
+            }
+            mOutput.close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            mProcess.destroyForcibly();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -0,0 +1,143 @@
+package org.marigoldturn.standins;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.marigoldturn.admission.KeyAuthenticator;
+
+/** Runs stand-ins and three entry daemons as processes, and checks requests over all of them. */
+final class Quickstart {
+    private static final int DAEMONS = 3;
+    private static final int HOSTS = 4;
+    private static final int REQUESTS = 60;
+    private static final String MAIN = "org.marigoldturn.cli.Main";
+    private static final String STAND_IN = StandInMain.class.getName();
+
+    private final Path mDirectory;
+    private final List<ChildProcess> mProcesses = new ArrayList<>();
+
+    private Quickstart(Path directory) {
+        mDirectory = directory;
+    }
+
+    static void run() throws Exception {
+        Path directory = Files.createTempDirectory("marigoldturn-quickstart");
+        Quickstart quickstart = new Quickstart(directory);
+        try {
+            quickstart.execute();
+            System.out.println("quickstart: all checks passed");
+        } finally {
+            quickstart.mProcesses.forEach(ChildProcess::close);
+        }
+        System.exit(0);
+    }
+
+    private void execute() throws IOException, InterruptedException {
+        ChildProcess store = start("store", STAND_IN, "store");
+        KeyAuthenticator.IssuedKey key =
+                new KeyAuthenticator()
+                        .issue("club", "k1", new SecureRandom(), System.currentTimeMillis());
+        Path settings = mDirectory.resolve("fleet.yaml");
+        Files.writeString(settings, settings(key));
+        List<ChildProcess> daemons = new ArrayList<>();
+        for (int i = 0; i < DAEMONS; i++) {
+            Path config = mDirectory.resolve("entry-" + i + ".yaml");
+            Files.writeString(
+                    config,
+                    """
+                    name: entry-%d
+                    zone: z%d
+                    address: 127.0.0.1
+                    storeEndpoint: http://127.0.0.1:%d
+                    operatorToken: quickstart
+                    """
+                            .formatted(i, i, store.port("port")));
+            daemons.add(start("entry-" + i, MAIN, "entry", "--config", config.toString()));
+        }
+        String operator = "http://127.0.0.1:" + daemons.get(0).port("operators");
+        String answer =
+                ChildProcess.run(
+                        log("cli"),
+                        MAIN,
+                        "--operator",
+                        operator,
+                        "settings",
+                        "apply",
+                        settings.toString());
+        System.out.println("quickstart: settings applied: " + answer);
+        Thread.sleep(2_000);
+        Map<String, Integer> served = new TreeMap<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            ChildProcess daemon = daemons.get(i % DAEMONS);
+            served.merge(request(daemon, key.presentedKey(), "body-" + i), 1, Integer::sum);
+        }
+        System.out.println("quickstart: requests served by host: " + served);
+        for (ChildProcess daemon : daemons) {
+            daemon.terminate();
+        }
+    }
+
+    private static String request(ChildProcess daemon, String key, String body) {
+        AggregatedHttpResponse response =
+                WebClient.of("http://127.0.0.1:" + daemon.port("callers"))
+                        .execute(
+                                HttpRequest.of(
+                                        RequestHeaders.of(
+                                                HttpMethod.POST,
+                                                "/services/entries/echo",
+                                                HttpHeaderNames.of("marigoldturn-key"),
+                                                key),
+                                        com.linecorp.armeria.common.HttpData.ofUtf8(body)))
+                        .aggregate()
+                        .join();
+        if (response.status().code() != 200 || !response.contentUtf8().equals(body)) {
+            throw new IllegalStateException(
+                    "unexpected answer " + response.status() + ": " + response.contentUtf8());
+        }
+        return response.headers().get("x-host");
+    }
+
+    private String settings(KeyAuthenticator.IssuedKey key) throws IOException {
+        StringBuilder yaml = new StringBuilder();
+        yaml.append("zones:\n");
+        for (int i = 0; i < DAEMONS; i++) {
+            yaml.append("  z%d: {name: z%d, region: r1}%n".formatted(i, i));
+        }
+        yaml.append("pools:\n  desk: {name: desk, spare: false}\n");
+        yaml.append("services:\n  entries: {name: entries, pool: desk, open: false}\n");
+        yaml.append(
+                "teams:\n  club: {name: club, shareWeight: 1, runningLimit: 20, keys: [{id: k1,"
+                        + " saltHex: %s, hashHex: %s, createdAtMillis: 0}]}%n"
+                                .formatted(key.stored().saltHex(), key.stored().hashHex()));
+        yaml.append("hosts:\n");
+        for (int i = 0; i < HOSTS; i++) {
+            ChildProcess host = start("host-" + i, STAND_IN, "target", "host-" + i, "8");
+            yaml.append(
+                    ("  host-%d: {name: host-%d, pool: desk, zone: z%d, "
+                                    + "address: 127.0.0.1, port: %d}%n")
+                            .formatted(i, i, i % DAEMONS, host.port("port")));
+        }
+        return yaml.toString();
+    }
+
+    private ChildProcess start(String name, String mainClass, String... args) throws IOException {
+        ChildProcess process = ChildProcess.start(log(name), mainClass, args);
+        mProcesses.add(process);
+        return process;
+    }
+
+    private Path log(String name) {
+        return mDirectory.resolve(name + ".log");
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/StandInMain.java
@@ -0,0 +1,27 @@
+package org.marigoldturn.standins;
+
+import java.util.Arrays;
+
+/** Runs one stand-in as a process; prints {@code ready port=PORT} once it serves. */
+public final class StandInMain {
+    private StandInMain() {}
+
+    /** Entry point: {@code store}, {@code target NAME SLOTS}, {@code quickstart}. */
+    public static void main(String[] args) throws Exception {
+        if (args.length == 0) {
+            throw new IllegalArgumentException("expected: store | target | quickstart");
+        }
+        switch (args[0]) {
+            case "store" -> announce(new StoreServer(0).start());
+            case "target" ->
+                    announce(new TargetServer(args[1], Integer.parseInt(args[2]), 0).start());
+            case "quickstart" -> Quickstart.run();
+            default ->
+                    throw new IllegalArgumentException("unknown command " + Arrays.toString(args));
+        }
+    }
+
+    private static void announce(int port) {
+        System.out.println("ready port=" + port);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreState.java
@@ -0,0 +1,106 @@
+package org.marigoldturn.standins;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Keys, revisions and leases of the store stand-in.
+ *
+ * <p>Not thread safe; the server calls it under one lock.
+ */
+final class StoreState {
+    /** Stored entry of one key. */
+    record Entry(byte[] value, long createRevision, long modRevision, long leaseId) {}
+
+    private static final class Lease {
+        final long mTtlMillis;
+        long mEndsAtMillis;
+
+        Lease(long ttlMillis, long endsAtMillis) {
+            mTtlMillis = ttlMillis;
+            mEndsAtMillis = endsAtMillis;
+        }
+    }
+
+    private final TreeMap<String, Entry> mEntries = new TreeMap<>();
+    private final Map<Long, Lease> mLeases = new HashMap<>();
+    private long mRevision = 1;
+    private long mNextLeaseId = 1000;
+
+    long revision() {
+        return mRevision;
+    }
+
+    /** Starts a new revision for a transaction that writes. */
+    void nextRevision() {
+        mRevision++;
+    }
+
+    Entry get(String key) {
+        return mEntries.get(key);
+    }
+
+    /** Returns the entries from {@code key} up to {@code end}, exclusive; only key if no end. */
+    Map<String, Entry> range(String key, String end) {
+        if (end == null) {
+            Entry entry = mEntries.get(key);
+            return entry == null ? Map.of() : Map.of(key, entry);
+        }
+        return mEntries.subMap(key, true, end, false);
+    }
+
+    Entry put(String key, byte[] value, long leaseId) {
+        if (leaseId != 0 && !mLeases.containsKey(leaseId)) {
+            throw new IllegalArgumentException("lease " + leaseId + " does not exist");
+        }
+        Entry old = mEntries.get(key);
+        long created = old == null ? mRevision : old.createRevision();
+        Entry entry = new Entry(value, created, mRevision, leaseId);
+        mEntries.put(key, entry);
+        return entry;
+    }
+
+    boolean delete(String key) {
+        return mEntries.remove(key) != null;
+    }
+
+    long grantLease(long ttlMillis, long nowMillis) {
+        long id = mNextLeaseId++;
+        mLeases.put(id, new Lease(ttlMillis, nowMillis + ttlMillis));
+        return id;
+    }
+
+    /** Renews a lease and returns its time to live in milliseconds, or 0 if it has ended. */
+    long keepAlive(long leaseId, long nowMillis) {
+        Lease lease = mLeases.get(leaseId);
+        if (lease == null) {
+            return 0;
+        }
+        lease.mEndsAtMillis = nowMillis + lease.mTtlMillis;
+        return lease.mTtlMillis;
+    }
+
+    void revoke(long leaseId) {
+        mLeases.remove(leaseId);
+        List<String> attached =
+                mEntries.entrySet().stream()
+                        .filter(e -> e.getValue().leaseId() == leaseId)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        if (!attached.isEmpty()) {
+            nextRevision();
+            attached.forEach(mEntries::remove);
+        }
+    }
+
+    void expireLeases(long nowMillis) {
+        List<Long> ended =
+                mLeases.entrySet().stream()
+                        .filter(e -> e.getValue().mEndsAtMillis <= nowMillis)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        ended.forEach(this::revoke);
+    }
+}
