--- a/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
+++ b/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
@@ -1,6 +1,6 @@
 package org.marigoldturn;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -43,7 +43,7 @@
                 collectViolations(file, violations);
             }
         }
-        assertEquals(List.of(), violations);
+        assertThat(violations).isEmpty();
     }
 
     private static void collectViolations(Path file, List<String> violations) throws IOException {
