--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.daemon;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
@@ -20,7 +21,13 @@
  * @param storeEndpoint base URI of the key-value service
  * @param storePrefix key prefix in the store, ending in a slash
  * @param storeTimeoutMillis time limit of each store call
+ * @param hostListEndpoint base URI of the platform's host list
  * @param operatorToken credential that operators present
+ * @param peerToken secret that the daemons share
+ * @param tls certificate for the ports of callers and operators
+ * @param plaintext true to serve without TLS
+ * @param maxConnections largest number of open caller connections
+ * @param drainDelayMillis time from failing readiness to refusing requests in a shutdown
  */
 public record EntryConfig(
         String name,
@@ -32,23 +39,52 @@
         URI storeEndpoint,
         String storePrefix,
         long storeTimeoutMillis,
-        String operatorToken) {
+        URI hostListEndpoint,
+        String operatorToken,
+        String peerToken,
+        TlsConfig tls,
+        boolean plaintext,
+        int maxConnections,
+        long drainDelayMillis) {
     private static final String DEFAULT_PREFIX = "/marigoldturn/";
     private static final long DEFAULT_STORE_TIMEOUT_MILLIS = 1_000;
+    private static final int DEFAULT_MAX_CONNECTIONS = 10_000;
+    private static final long DEFAULT_DRAIN_DELAY_MILLIS = 5_000;
     private static final ObjectMapper YAML =
             YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
 
+    /**
+     * Files of the TLS certificate.
+     *
+     * @param certificateFile certificate chain in PEM
+     * @param keyFile private key in PEM
+     */
+    public record TlsConfig(Path certificateFile, Path keyFile) {
+        public TlsConfig {
+            if (certificateFile == null || keyFile == null) {
+                throw new IllegalArgumentException("tls needs certificateFile and keyFile");
+            }
+        }
+    }
+
     public EntryConfig {
         require("name", name);
         require("zone", zone);
         require("address", address);
         require("operatorToken", operatorToken);
+        require("peerToken", peerToken);
         if (storeEndpoint == null) {
             throw new IllegalArgumentException("storeEndpoint is missing");
         }
+        if ((tls == null) != plaintext) {
+            throw new IllegalArgumentException("give either tls or plaintext: true");
+        }
         storePrefix = storePrefix == null ? DEFAULT_PREFIX : storePrefix;
         storeTimeoutMillis =
                 storeTimeoutMillis == 0 ? DEFAULT_STORE_TIMEOUT_MILLIS : storeTimeoutMillis;
+        hostListEndpoint = hostListEndpoint == null ? storeEndpoint : hostListEndpoint;
+        maxConnections = maxConnections == 0 ? DEFAULT_MAX_CONNECTIONS : maxConnections;
+        drainDelayMillis = drainDelayMillis == 0 ? DEFAULT_DRAIN_DELAY_MILLIS : drainDelayMillis;
     }
 
     /**
@@ -59,9 +95,13 @@
     public static EntryConfig read(Path file) {
         try {
             return YAML.readValue(Files.readAllBytes(file), EntryConfig.class);
+        } catch (JsonProcessingException e) {
+            String reason = String.valueOf(e.getOriginalMessage()).lines().findFirst().orElse("");
+            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+            throw new ConfigException(
+                    "configuration " + file + ", line " + line + ": " + reason, e);
         } catch (IOException e) {
-            String reason = String.valueOf(e.getMessage()).lines().findFirst().orElse("unreadable");
-            throw new ConfigException("configuration " + file + " is invalid: " + reason, e);
+            throw new ConfigException("configuration " + file + " can't be read", e);
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -7,9 +7,6 @@
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.Map;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.marigoldturn.admission.KeyAuthenticator;
 import org.marigoldturn.entry.CallerService;
 import org.marigoldturn.operator.OperatorService;
@@ -32,8 +29,7 @@
     private final EntryConfig mConfig;
     private final KeyValueStore mStore;
     private final SettingsRepository mRepository;
-    private final ScheduledExecutorService mControl =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+    private final ControlLoop mControl = new ControlLoop();
     private final ClientFactory mClientFactory = ClientFactory.builder().build();
     private final Server mCallerServer;
     private final Server mOperatorServer;
@@ -63,8 +59,7 @@
     public void start() {
         mCallerServer.start().join();
         mOperatorServer.start().join();
-        mControl.scheduleWithFixedDelay(
-                this::refresh, 0, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        mControl.every("refresh", REFRESH_INTERVAL_MILLIS, this::refresh);
         System.out.printf(
                 "ready callers=%d operators=%d%n",
                 mCallerServer.activeLocalPort(), mOperatorServer.activeLocalPort());
@@ -72,7 +67,7 @@
 
     @Override
     public void close() {
-        mControl.shutdownNow();
+        mControl.close();
         mCallerServer.stop().join();
         mOperatorServer.stop().join();
         mClientFactory.close();
--- a/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -61,6 +61,8 @@
                     address: 127.0.0.1
                     storeEndpoint: http://127.0.0.1:%d
                     operatorToken: quickstart
+                    peerToken: quickstart-peers
+                    plaintext: true
                     """
                             .formatted(i, i, store.port("port")));
             daemons.add(start("entry-" + i, MAIN, "entry", "--config", config.toString()));
