Add a process fleet for tests and measurements

Cause: process tests and measurements need the same store, hosts and daemons. Ruled out: a separate process per stand-in, which costs start time in each test. Conclusion: scaffolding only.

--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -82,6 +82,29 @@
         return mProcess.pid();
     }
 
+    /** Ends the process at once (SIGKILL). */
+    public void kill() throws InterruptedException {
+        mProcess.destroyForcibly();
+        mProcess.waitFor();
+    }
+
+    /** Suspends the process (SIGSTOP). */
+    public void pause() throws IOException, InterruptedException {
+        signal("-STOP");
+    }
+
+    /** Resumes a suspended process (SIGCONT). */
+    public void resume() throws IOException, InterruptedException {
+        signal("-CONT");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", name, Long.toString(mProcess.pid())).start();
+        if (kill.waitFor() != 0) {
+            throw new IOException("cannot send " + name + " to process " + mProcess.pid());
+        }
+    }
+
     /** Sends SIGTERM and returns the exit code. */
     public int terminate() throws InterruptedException {
         mProcess.destroy();
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -0,0 +1,176 @@
+package org.marigoldturn.standins;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.admission.KeyAuthenticator;
+import org.marigoldturn.admission.KeyAuthenticator.IssuedKey;
+
+/**
+ * A small fleet for tests and measurements: the store and the hosts run in this process, each entry
+ * daemon is a process of its own.
+ *
+ * <p>Not thread safe, except for {@link #call}.
+ */
+public final class ProcessFleet implements AutoCloseable {
+    /** Credential of operators. */
+    public static final String OPERATOR_TOKEN = "operator-token";
+
+    private static final String MAIN = "org.marigoldturn.cli.Main";
+
+    private final Path mDirectory;
+    private final StoreServer mStore = new StoreServer(0);
+    private final int mStorePort;
+    private final Map<String, TargetServer> mHosts = new HashMap<>();
+    private final List<ChildProcess> mDaemons = new ArrayList<>();
+    private final Map<String, IssuedKey> mKeys = new HashMap<>();
+    private final ClientFactory mClients =
+            ClientFactory.builder().connectTimeoutMillis(2_000).build();
+
+    /** Starts the store. */
+    public ProcessFleet(String name) throws IOException {
+        mDirectory = Files.createTempDirectory("marigoldturn-" + name);
+        mStorePort = mStore.start();
+    }
+
+    /** Returns the store stand-in. */
+    public StoreServer store() {
+        return mStore;
+    }
+
+    /** Returns the port of the store. */
+    public int storePort() {
+        return mStorePort;
+    }
+
+    /** Returns the directory with logs and configuration files. */
+    public Path directory() {
+        return mDirectory;
+    }
+
+    /** Starts a host and returns its port. */
+    public int startHost(String name, int slots) {
+        TargetServer host = new TargetServer(name, slots, 0);
+        mHosts.put(name, host);
+        return host.start();
+    }
+
+    /** Returns a host by name. */
+    public TargetServer host(String name) {
+        return mHosts.get(name);
+    }
+
+    /** Returns all hosts by name. */
+    public Map<String, TargetServer> hosts() {
+        return Map.copyOf(mHosts);
+    }
+
+    /** Issues a key for a team, remembered for {@link #call}. */
+    public IssuedKey issueKey(String team) {
+        IssuedKey key =
+                new KeyAuthenticator()
+                        .issue(team, "k1", new SecureRandom(), System.currentTimeMillis());
+        mKeys.put(team, key);
+        return key;
+    }
+
+    /** Starts one more entry daemon and returns its index. */
+    public int startDaemon() throws IOException {
+        return startDaemon("");
+    }
+
+    /** Starts an entry daemon with further lines in its configuration and returns its index. */
+    public int startDaemon(String furtherConfig) throws IOException {
+        int index = mDaemons.size();
+        Path config = mDirectory.resolve("entry-" + index + ".yaml");
+        Files.writeString(
+                config,
+                """
+                name: entry-%d
+                zone: z%d
+                address: 127.0.0.1
+                storeEndpoint: http://127.0.0.1:%d
+                storeTimeoutMillis: 500
+                operatorToken: %s
+                peerToken: peer-token
+                plaintext: true
+                drainDelayMillis: 500
+                """
+                                .formatted(index, index % 3, mStorePort, OPERATOR_TOKEN)
+                        + furtherConfig);
+        Path log = mDirectory.resolve("entry-" + index + ".log");
+        mDaemons.add(ChildProcess.start(log, MAIN, "entry", "--config", config.toString()));
+        return index;
+    }
+
+    /** Returns the process of a daemon. */
+    public ChildProcess daemon(int index) {
+        return mDaemons.get(index);
+    }
+
+    /** Returns the number of daemons ever started. */
+    public int daemons() {
+        return mDaemons.size();
+    }
+
+    /** Sends a request of a team to a service through a daemon. */
+    public CompletableFuture<AggregatedHttpResponse> call(
+            int daemon, String team, String service, String body, Map<String, String> headers) {
+        RequestHeadersBuilder builder =
+                RequestHeaders.builder(HttpMethod.POST, "/services/" + service + "/run")
+                        .add("marigoldturn-key", mKeys.get(team).presentedKey());
+        headers.forEach(builder::set);
+        return client("callers", daemon)
+                .execute(HttpRequest.of(builder.build(), HttpData.ofUtf8(body)))
+                .aggregate();
+    }
+
+    /** Sends a request to the operator port of a daemon. */
+    public AggregatedHttpResponse operate(int daemon, HttpMethod method, String path, String body) {
+        RequestHeaders headers =
+                RequestHeaders.builder(method, path)
+                        .add("authorization", "Bearer " + OPERATOR_TOKEN)
+                        .build();
+        return client("operators", daemon)
+                .execute(HttpRequest.of(headers, HttpData.ofUtf8(body)))
+                .aggregate()
+                .join();
+    }
+
+    /** Returns the records of all hosts. */
+    public List<TargetServer.Record> records() {
+        List<TargetServer.Record> records = new ArrayList<>();
+        mHosts.values().forEach(host -> records.addAll(host.records()));
+        return records;
+    }
+
+    @Override
+    public void close() {
+        mDaemons.forEach(ChildProcess::close);
+        mHosts.values().forEach(TargetServer::close);
+        mStore.close();
+        mClients.close();
+    }
+
+    private WebClient client(String port, int daemon) {
+        return WebClient.builder("http://127.0.0.1:" + mDaemons.get(daemon).port(port))
+                .factory(mClients)
+                .responseTimeoutMillis(120_000)
+                .maxResponseLength(16L << 20)
+                .build();
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -48,7 +48,7 @@
                         .http(StoreServer.loopback(port))
                         .maxNumConnections(MAX_CONNECTIONS)
                         .requestTimeoutMillis(0)
-                        .service("/records", (ctx, req) -> records())
+                        .service("/records", (ctx, req) -> recordsAsJson())
                         .serviceUnder("/", this::run)
                         .build();
     }
@@ -64,7 +64,14 @@
         mServer.stop().join();
     }
 
-    private HttpResponse records() throws IOException {
+    /** Returns a copy of the records. */
+    public List<Record> records() {
+        synchronized (mRecords) {
+            return List.copyOf(mRecords);
+        }
+    }
+
+    private HttpResponse recordsAsJson() throws IOException {
         synchronized (mRecords) {
             return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsBytes(mRecords));
         }
