Commit settings through one checked and repeatable path

The repository could only put a prepared state under a known manifest revision. Conflicts were not named, lost answers were not settled, rights were never created, and YAML repeated each name and accepted unknown keys.

ChangeCommitter applies edits to the newest state, checks the complete result, and writes manifest, history and change id in one transaction that compares the manifest revision and the absence of the change id. Lost answers are settled by repeating that transaction; its failure branch reads changes/<changeId>. Conflicts and invalid results are reported only after a write (key "fence") has proved the base to be the newest state, because a read may come from a lagging replica. RightsMinting runs in every commit. StoreCleanUp deletes only contents last written before the newest manifest.

Ruled out: deciding conflicts by comparing values, since a path that was changed and changed back would go unnoticed and the winner could not be named; the history entries name both. Deleting the division of a deleted team, since a team created again would run its full limit beside work that is still running.

--- a/core/src/main/java/org/marigoldturn/operator/OperatorService.java
+++ b/core/src/main/java/org/marigoldturn/operator/OperatorService.java
@@ -2,27 +2,27 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.ServerBuilder;
-import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.marigoldturn.settings.ChangeResult;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.LoadedState;
-import org.marigoldturn.settings.Manifest;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.SettingsError;
+import org.marigoldturn.settings.SettingsParser;
 import org.marigoldturn.settings.SettingsRepository;
-import org.marigoldturn.settings.StateCodec;
-import org.marigoldturn.settings.VersionedState;
 
 /** HTTP service for operators. Thread safe. */
 public final class OperatorService {
-    private static final ObjectMapper YAML = new YAMLMapper();
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final SettingsRepository mRepository;
@@ -46,43 +46,53 @@
     }
 
     private CompletableFuture<HttpResponse> settings(AggregatedHttpRequest request) {
-        try {
-            FleetSettings settings = YAML.readValue(request.content().array(), FleetSettings.class);
-            return apply(settings);
-        } catch (IOException e) {
-            return CompletableFuture.completedFuture(
-                    HttpResponse.of(
-                            HttpStatus.BAD_REQUEST,
-                            MediaType.PLAIN_TEXT_UTF_8,
-                            String.valueOf(e.getMessage())));
-        }
+        return SettingsParser.parse(request.contentUtf8())
+                .fold(
+                        errors ->
+                                CompletableFuture.completedFuture(
+                                        text(HttpStatus.BAD_REQUEST, describe(errors))),
+                        this::apply);
     }
 
     private CompletableFuture<HttpResponse> apply(FleetSettings settings) {
-        LoadedState current = mState.get();
-        Map<String, byte[]> contents =
-                StateCodec.encode(settings, current.state().members(), current.state().rights());
-        Map<String, String> entries = new java.util.TreeMap<>();
-        contents.forEach(
-                (path, content) ->
-                        entries.put(path, org.marigoldturn.settings.ContentHash.of(content)));
-        Manifest manifest =
-                new Manifest(
-                        current.state().version() + 1,
+        SettingsChange change =
+                new SettingsChange(
                         UUID.randomUUID().toString(),
                         "operator",
-                        mNowMillis.get(),
-                        entries);
-        VersionedState next =
-                new VersionedState(
-                        manifest, settings, current.state().members(), current.state().rights());
-        return mRepository
-                .commit(next, contents, current.manifestRevision())
-                .thenApply(
-                        done ->
-                                done
-                                        ? HttpResponse.of("version " + manifest.version() + "\n")
-                                        : HttpResponse.of(HttpStatus.CONFLICT));
+                        SettingsChange.ANY_VERSION,
+                        List.of(new SettingsEdit.ReplaceAll(settings)));
+        return mRepository.commit(change, mNowMillis.get()).thenApply(OperatorService::respond);
+    }
+
+    private static HttpResponse respond(ChangeResult result) {
+        if (result instanceof ChangeResult.Committed committed) {
+            long version = committed.state().state().version();
+            return text(HttpStatus.OK, "version " + version + "\n");
+        }
+        if (result instanceof ChangeResult.Conflict conflict) {
+            return text(
+                    HttpStatus.CONFLICT,
+                    "change %s of %s was committed first as version %d%n"
+                            .formatted(
+                                    conflict.winner().changeId(),
+                                    conflict.winner().author(),
+                                    conflict.winner().version()));
+        }
+        ChangeResult.Invalid invalid = (ChangeResult.Invalid) result;
+        return text(HttpStatus.BAD_REQUEST, describe(invalid.errors()));
+    }
+
+    private static String describe(List<SettingsError> errors) {
+        StringBuilder lines = new StringBuilder();
+        for (SettingsError error : errors) {
+            lines.append(
+                    "line %d, %s: %s%n".formatted(error.line(), error.path(), error.message()));
+        }
+        return lines.toString();
+    }
+
+    private static HttpResponse text(HttpStatus status, String content) {
+        return HttpResponse.of(status, MediaType.PLAIN_TEXT_UTF_8, content);
     }
 
     private HttpResponse status() {
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/ChangeOutcomeUnknownException.java
@@ -0,0 +1,10 @@
+package org.marigoldturn.settings;
+
+/** The change may have been committed; sending it again with the same change id settles it. */
+public class ChangeOutcomeUnknownException extends SettingsException {
+    private static final long serialVersionUID = 1L;
+
+    public ChangeOutcomeUnknownException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/HistoryEntry.java
@@ -0,0 +1,31 @@
+package org.marigoldturn.settings;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Summary of the change that produced one version.
+ *
+ * @param manifest manifest of the version
+ * @param changedPaths paths that the change named or changed, such as {@code teams/club}; the empty
+ *     path stands for all operator settings
+ * @param entriesBefore hashes before the change, by content path, where the change replaced or
+ *     removed them
+ */
+public record HistoryEntry(
+        Manifest manifest, List<String> changedPaths, Map<String, String> entriesBefore) {
+    public HistoryEntry {
+        changedPaths = List.copyOf(changedPaths);
+        entriesBefore = java.util.Collections.unmodifiableMap(new TreeMap<>(entriesBefore));
+    }
+
+    /** Builds the entry of a change from the state before it to the state after it. */
+    static HistoryEntry of(VersionedState before, VersionedState after, List<String> touched) {
+        java.util.TreeSet<String> paths = new java.util.TreeSet<>(touched);
+        paths.addAll(SettingsPaths.changed(before, after));
+        Map<String, String> replaced = new TreeMap<>(before.manifest().entries());
+        replaced.entrySet().removeAll(after.manifest().entries().entrySet());
+        return new HistoryEntry(after.manifest(), List.copyOf(paths), replaced);
+    }
+}
--- a/core/src/main/java/org/marigoldturn/settings/Names.java
+++ b/core/src/main/java/org/marigoldturn/settings/Names.java
@@ -8,8 +8,16 @@
 
     private Names() {}
 
+    static boolean isValid(String name) {
+        return name != null && VALID.matcher(name).matches();
+    }
+
+    static String pattern() {
+        return VALID.pattern();
+    }
+
     static void require(String kind, String name) {
-        if (name == null || !VALID.matcher(name).matches()) {
+        if (!isValid(name)) {
             throw new IllegalArgumentException(
                     kind + " name \"" + name + "\" must match " + VALID.pattern());
         }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/RecordBinder.java
@@ -0,0 +1,208 @@
+package org.marigoldturn.settings;
+
+import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Builds settings records from YAML nodes and collects every fault. Used by one thread.
+ *
+ * <p>The name of an entry is the key of its mapping; it is not repeated among the fields.
+ */
+final class RecordBinder {
+    private static final String NAME = "name";
+
+    private final List<SettingsError> mErrors;
+
+    RecordBinder(List<SettingsError> errors) {
+        mErrors = errors;
+    }
+
+    /**
+     * Builds the entry at {@code path}.
+     *
+     * @param section section whose field ranges apply
+     * @param name name of the entry, or null if the record has none
+     * @return the record, or empty if a fault was added
+     */
+    <R extends Record> Optional<R> bind(
+            Class<R> type, String section, String path, String name, YamlTree.Node node) {
+        if (node instanceof YamlTree.Scalar scalar && scalar.text() == null && name != null) {
+            node = new YamlTree.Mapping(scalar.line(), Map.of());
+        }
+        if (!(node instanceof YamlTree.Mapping mapping)) {
+            add(path, node.line(), "expected a mapping");
+            return Optional.empty();
+        }
+        int errorsBefore = mErrors.size();
+        RecordComponent[] components = type.getRecordComponents();
+        rejectUnknown(components, path, name, mapping);
+        Object[] values = new Object[components.length];
+        for (int i = 0; i < components.length; i++) {
+            String field = components[i].getName();
+            boolean isName = field.equals(NAME) && name != null;
+            YamlTree.Node value = isName ? null : mapping.values().get(field);
+            values[i] =
+                    isName
+                            ? name
+                            : value == null
+                                    ? absent(components[i].getType())
+                                    : value(components[i], section, path + "/" + field, value);
+        }
+        return mErrors.size() > errorsBefore
+                ? Optional.empty()
+                : construct(type, components, values, path, mapping.line());
+    }
+
+    private void rejectUnknown(
+            RecordComponent[] components, String path, String name, YamlTree.Mapping mapping) {
+        TreeSet<String> known = new TreeSet<>();
+        Arrays.stream(components).map(RecordComponent::getName).forEach(known::add);
+        if (name != null) {
+            known.remove(NAME);
+        }
+        mapping.values()
+                .forEach(
+                        (key, value) -> {
+                            if (!known.contains(key)) {
+                                add(
+                                        path + "/" + key,
+                                        value.line(),
+                                        "expected one of " + known + ", found \"" + key + "\"");
+                            }
+                        });
+    }
+
+    private <R extends Record> Optional<R> construct(
+            Class<R> type, RecordComponent[] components, Object[] values, String path, int line) {
+        Class<?>[] types =
+                Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+        try {
+            Constructor<R> constructor = type.getDeclaredConstructor(types);
+            return Optional.of(constructor.newInstance(values));
+        } catch (InvocationTargetException e) {
+            add(path, line, String.valueOf(e.getCause().getMessage()));
+            return Optional.empty();
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("cannot construct " + type, e);
+        }
+    }
+
+    private Object value(
+            RecordComponent component, String section, String path, YamlTree.Node node) {
+        if (component.getType() == List.class) {
+            return list(component, section, path, node);
+        }
+        if (!(node instanceof YamlTree.Scalar scalar)) {
+            add(path, node.line(), "expected a single value");
+            return absent(component.getType());
+        }
+        return scalar(component.getType(), section, component.getName(), path, scalar);
+    }
+
+    private Object scalar(
+            Class<?> type, String section, String field, String path, YamlTree.Scalar scalar) {
+        String text = scalar.text();
+        if (text == null) {
+            add(path, scalar.line(), "expected a value, found none");
+            return absent(type);
+        }
+        if (type == String.class) {
+            return text;
+        }
+        if (type == boolean.class) {
+            if (!text.equals("true") && !text.equals("false")) {
+                add(path, scalar.line(), "expected true or false, found \"" + text + "\"");
+            }
+            return text.equals("true");
+        }
+        return type.isEnum()
+                ? constant(type, path, scalar)
+                : number(type, section, field, path, scalar);
+    }
+
+    private Object number(
+            Class<?> type, String section, String field, String path, YamlTree.Scalar scalar) {
+        long value;
+        try {
+            value =
+                    type == long.class
+                            ? Long.parseLong(scalar.text())
+                            : Integer.parseInt(scalar.text());
+        } catch (NumberFormatException e) {
+            add(path, scalar.line(), "expected an integer, found \"" + scalar.text() + "\"");
+            return absent(type);
+        }
+        FieldRanges.Range range = FieldRanges.of(section, field);
+        if (!range.contains(value)) {
+            add(path, scalar.line(), SettingsChecker.rangeMessage(range, value));
+        }
+        return type == long.class ? (Object) value : (Object) (int) value;
+    }
+
+    private Object constant(Class<?> type, String path, YamlTree.Scalar scalar) {
+        List<String> expected = new ArrayList<>();
+        for (Object constant : type.getEnumConstants()) {
+            String text = enumText((Enum<?>) constant);
+            if (text.equals(scalar.text())) {
+                return constant;
+            }
+            expected.add(text);
+        }
+        add(
+                path,
+                scalar.line(),
+                "expected one of " + expected + ", found \"" + scalar.text() + "\"");
+        return null;
+    }
+
+    private Object list(
+            RecordComponent component, String section, String path, YamlTree.Node node) {
+        if (!(node instanceof YamlTree.Items items)) {
+            add(path, node.line(), "expected a sequence");
+            return List.of();
+        }
+        Type element = ((ParameterizedType) component.getGenericType()).getActualTypeArguments()[0];
+        List<Object> values = new ArrayList<>();
+        for (int i = 0; i < items.values().size(); i++) {
+            YamlTree.Node item = items.values().get(i);
+            String itemPath = path + "/" + i;
+            if (element == TeamKey.class) {
+                bind(TeamKey.class, section, itemPath, null, item).ifPresent(values::add);
+            } else if (item instanceof YamlTree.Scalar scalar) {
+                values.add(number(int.class, section, component.getName(), itemPath, scalar));
+            } else {
+                add(itemPath, item.line(), "expected a single value");
+            }
+        }
+        return values;
+    }
+
+    /** Returns the form of a constant in YAML, such as {@code in-service}. */
+    static String enumText(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static Object absent(Class<?> type) {
+        if (type == int.class) {
+            return 0;
+        }
+        if (type == long.class) {
+            return 0L;
+        }
+        return type == boolean.class ? (Object) false : null;
+    }
+
+    private void add(String path, int line, String message) {
+        mErrors.add(new SettingsError(path, line, message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsChecker.java
@@ -0,0 +1,198 @@
+package org.marigoldturn.settings;
+
+import io.netty.util.NetUtil;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** Checks complete settings: ranges, formats and references between entries. Stateless. */
+public final class SettingsChecker {
+    /** Team to which work without a key on an open service is attributed. */
+    public static final String OPEN_TEAM = "open";
+
+    private static final Pattern SHA_256_HEX = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern SALT_HEX = Pattern.compile("([0-9a-f]{2}){1,64}");
+
+    private final FleetSettings mSettings;
+    private final Set<String> mKnownPaths;
+    private final List<SettingsError> mErrors = new ArrayList<>();
+
+    private SettingsChecker(FleetSettings settings, Set<String> knownPaths) {
+        mSettings = settings;
+        mKnownPaths = knownPaths;
+    }
+
+    /** Returns all faults of the settings, without lines; empty if they are valid. */
+    public static List<SettingsError> check(FleetSettings settings) {
+        return check(settings, Set.of());
+    }
+
+    /**
+     * Returns all faults of the settings.
+     *
+     * @param knownPaths paths of entries that exist but could not be read, so that references to
+     *     them are not reported as well
+     */
+    static List<SettingsError> check(FleetSettings settings, Set<String> knownPaths) {
+        SettingsChecker checker = new SettingsChecker(settings, knownPaths);
+        checker.checkNames();
+        settings.services().values().forEach(checker::checkService);
+        settings.teams().values().forEach(checker::checkTeam);
+        settings.hosts().values().forEach(checker::checkHost);
+        settings.zones()
+                .values()
+                .forEach(
+                        zone ->
+                                checker.range(
+                                        "zones",
+                                        zone.name(),
+                                        "stateSinceMillis",
+                                        zone.stateSinceMillis()));
+        checker.checkOpenTeam();
+        checker.checkAddresses();
+        return List.copyOf(checker.mErrors);
+    }
+
+    private void checkNames() {
+        mSettings.zones().forEach((key, zone) -> name("zones", key, zone.name()));
+        mSettings.pools().forEach((key, pool) -> name("pools", key, pool.name()));
+        mSettings.services().forEach((key, service) -> name("services", key, service.name()));
+        mSettings.teams().forEach((key, team) -> name("teams", key, team.name()));
+        mSettings.hosts().forEach((key, host) -> name("hosts", key, host.name()));
+    }
+
+    private void name(String section, String key, String name) {
+        if (!key.equals(name)) {
+            add(section + "/" + key, "expected the name \"" + key + "\", found \"" + name + "\"");
+        }
+    }
+
+    private void checkService(ServiceSettings service) {
+        String name = service.name();
+        reference("services", name, "pool", service.pool());
+        range("services", name, "queueCapacity", service.queueCapacity());
+        range("services", name, "defaultDeadlineMillis", service.defaultDeadlineMillis());
+        range("services", name, "maxBodyBytes", service.maxBodyBytes());
+        for (int status : service.notRunStatuses()) {
+            range("services", name, "notRunStatuses", status);
+        }
+    }
+
+    private void checkTeam(TeamSettings team) {
+        String name = team.name();
+        if (name.contains(".")) {
+            // A presented key has the form team.secret and is split at the first dot.
+            add("teams/" + name, "expected a team name without \".\", found \"" + name + "\"");
+        }
+        range("teams", name, "shareWeight", team.shareWeight());
+        range("teams", name, "runningLimit", team.runningLimit());
+        Set<String> ids = new HashSet<>();
+        for (TeamKey key : team.keys()) {
+            String path = "teams/" + name + "/keys/" + key.id();
+            if (!ids.add(key.id())) {
+                add(path, "expected unique key ids, found \"" + key.id() + "\" more than once");
+            }
+            if (key.saltHex() == null || !SALT_HEX.matcher(key.saltHex()).matches()) {
+                add(path + "/saltHex", "expected 2 to 128 hexadecimal digits in pairs");
+            }
+            if (key.hashHex() == null || !SHA_256_HEX.matcher(key.hashHex()).matches()) {
+                add(path + "/hashHex", "expected 64 lower-case hexadecimal digits");
+            }
+        }
+    }
+
+    private void checkHost(HostSettings host) {
+        String name = host.name();
+        reference("hosts", name, "pool", host.pool());
+        reference("hosts", name, "zone", host.zone());
+        range("hosts", name, "slots", host.slots());
+        range("hosts", name, "connections", host.connections());
+        range("hosts", name, "cores", host.cores());
+        range("hosts", name, "memoryMegabytes", host.memoryMegabytes());
+        range("hosts", name, "accelerators", host.accelerators());
+        range("hosts", name, "maintainedAtMillis", host.maintainedAtMillis());
+        if (!Names.isValid(host.rack())) {
+            String expected = "expected a name matching " + Names.pattern();
+            add("hosts/" + name + "/rack", expected + ", found \"" + host.rack() + "\"");
+        }
+        if (!isIpAddress(host.address())) {
+            add(
+                    "hosts/" + name + "/address",
+                    "expected an IP address, found \"" + host.address() + "\"");
+        }
+    }
+
+    private void checkOpenTeam() {
+        if (exists("teams", OPEN_TEAM)) {
+            return;
+        }
+        for (ServiceSettings service : mSettings.services().values()) {
+            if (service.open()) {
+                add(
+                        "services/" + service.name() + "/open",
+                        "expected a team \"open\" for work without a key, found none");
+            }
+        }
+    }
+
+    private void checkAddresses() {
+        Map<String, String> hostByAddress = new HashMap<>();
+        for (HostSettings host : mSettings.hosts().values()) {
+            String address = host.address() + ":" + host.port();
+            String other = hostByAddress.putIfAbsent(address, host.name());
+            if (other != null) {
+                add(
+                        "hosts/" + host.name() + "/address",
+                        "expected a unique address and port, found "
+                                + address
+                                + " of host \""
+                                + other
+                                + "\"");
+            }
+        }
+    }
+
+    private void reference(String section, String name, String field, String target) {
+        if (!exists(field + "s", target)) {
+            add(
+                    section + "/" + name + "/" + field,
+                    "expected an existing " + field + ", found \"" + target + "\"");
+        }
+    }
+
+    private boolean exists(String section, String name) {
+        Map<String, ?> entries =
+                switch (section) {
+                    case "pools" -> mSettings.pools();
+                    case "zones" -> mSettings.zones();
+                    case "teams" -> mSettings.teams();
+                    default -> throw new IllegalArgumentException("no references to " + section);
+                };
+        return entries.containsKey(name) || mKnownPaths.contains(section + "/" + name);
+    }
+
+    private void range(String section, String name, String field, long value) {
+        FieldRanges.Range range = FieldRanges.of(section, field);
+        if (!range.contains(value)) {
+            add(section + "/" + name + "/" + field, rangeMessage(range, value));
+        }
+    }
+
+    static String rangeMessage(FieldRanges.Range range, long value) {
+        return range.max() == Long.MAX_VALUE
+                ? "expected at least " + range.min() + ", found " + value
+                : "expected " + range.min() + " to " + range.max() + ", found " + value;
+    }
+
+    private static boolean isIpAddress(String address) {
+        return NetUtil.isValidIpV4Address(address) || NetUtil.isValidIpV6Address(address);
+    }
+
+    private void add(String path, String message) {
+        mErrors.add(new SettingsError(path, 0, message));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsHistory.java
@@ -0,0 +1,123 @@
+package org.marigoldturn.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.platform.Operation;
+import org.marigoldturn.platform.StoredValue;
+import org.marigoldturn.platform.Transaction;
+
+/** Reads earlier versions. Thread safe. */
+final class SettingsHistory {
+    private final StoreCalls mCalls;
+    private final StoreKeys mKeys;
+    private final StateReader mReader;
+
+    SettingsHistory(StoreCalls calls, StoreKeys keys, StateReader reader) {
+        mCalls = calls;
+        mKeys = keys;
+        mReader = reader;
+    }
+
+    /** Returns the kept entries of {@code count} versions from {@code from}, in order. */
+    CompletableFuture<List<HistoryEntry>> entries(long from, int count) {
+        if (count < 0) {
+            throw new IllegalArgumentException("count must not be negative: " + count);
+        }
+        List<HistoryEntry> entries = new ArrayList<>();
+        return collect(Math.max(1, from), from + count, entries).thenApply(done -> entries);
+    }
+
+    /** Reads the state of one version. */
+    CompletableFuture<LoadedState> state(long version) {
+        LoadedState held = mReader.held();
+        if (held.state().version() == version) {
+            return CompletableFuture.completedFuture(held);
+        }
+        return mReader.historyValue(version)
+                .thenCompose(
+                        found -> {
+                            StoredValue value =
+                                    found.orElseThrow(
+                                            () ->
+                                                    new SettingsException(
+                                                            "version " + version + " is not kept",
+                                                            null));
+                            Manifest manifest = decode(value).manifest();
+                            return mReader.materialize(manifest, value.modRevision(), Map.of());
+                        });
+    }
+
+    /** Returns the entries that differ between two versions. */
+    CompletableFuture<List<SettingsDifference>> diff(long versionA, long versionB) {
+        return state(versionA)
+                .thenCombine(state(versionB), (a, b) -> differences(a.state(), b.state()));
+    }
+
+    /**
+     * Returns the newest change in {@code (after, last]} that touched one of the paths.
+     *
+     * @param after version before the first one to look at; at most the kept versions are read
+     */
+    CompletableFuture<Optional<ChangeResult.Conflict>> lastTouching(
+            long after, long last, List<String> paths) {
+        long from = Math.max(after, last - StoreCleanUp.KEPT_VERSIONS) + 1;
+        return entries(from, (int) (last - from + 1))
+                .thenApply(
+                        entries -> {
+                            Optional<ChangeResult.Conflict> newest = Optional.empty();
+                            for (HistoryEntry entry : entries) {
+                                Optional<String> path =
+                                        SettingsPaths.firstOverlap(paths, entry.changedPaths());
+                                if (path.isPresent()) {
+                                    newest =
+                                            Optional.of(
+                                                    new ChangeResult.Conflict(
+                                                            entry.manifest(), path.get()));
+                                }
+                            }
+                            return newest;
+                        });
+    }
+
+    static HistoryEntry decode(StoredValue value) {
+        return StateCodec.decodeHistory(value.value().toByteArray());
+    }
+
+    private CompletableFuture<Void> collect(long from, long end, List<HistoryEntry> entries) {
+        if (from >= end) {
+            return CompletableFuture.completedFuture(null);
+        }
+        long to = Math.min(end, from + BlobStore.MAX_OPERATIONS);
+        List<Operation> reads = new ArrayList<>();
+        for (long version = from; version < to; version++) {
+            reads.add(new Operation.Read(mKeys.history(version)));
+        }
+        return mCalls.repeat(Transaction.unconditional(reads))
+                .thenCompose(
+                        result -> {
+                            result.reads().forEach(v -> v.forEach(e -> entries.add(decode(e))));
+                            return collect(to, end, entries);
+                        });
+    }
+
+    private static List<SettingsDifference> differences(VersionedState a, VersionedState b) {
+        Map<String, Record> before = SettingsPaths.all(a);
+        Map<String, Record> after = SettingsPaths.all(b);
+        TreeSet<String> paths = new TreeSet<>(before.keySet());
+        paths.addAll(after.keySet());
+        return paths.stream()
+                .filter(path -> !Objects.equals(before.get(path), after.get(path)))
+                .map(
+                        path ->
+                                new SettingsDifference(
+                                        path,
+                                        Optional.ofNullable(before.get(path)),
+                                        Optional.ofNullable(after.get(path))))
+                .toList();
+    }
+}
--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -1,29 +1,30 @@
 package org.marigoldturn.settings;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.marigoldturn.platform.Compare;
 import org.marigoldturn.platform.KeyValueStore;
 import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
 import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.platform.TransactionResult;
 
 /**
- * Reads and commits versioned states in the platform's store.
+ * Reads, confirms and commits versioned states in the platform's store.
  *
- * <p>Thread safe; holds no state but the store.
+ * <p>Remembers the newest state it has seen and never returns an older one as the newest. Thread
+ * safe. Futures fail with a {@link SettingsException}, or with a store exception for a
+ * confirmation.
  */
-public final class SettingsRepository {
-    /** Largest number of operations in one transaction, the usual limit of the service. */
-    private static final int MAX_OPERATIONS = 100;
-
-    private final KeyValueStore mStore;
-    private final String mPrefix;
+public final class SettingsRepository implements SettingsCommitter {
+    private final StoreKeys mKeys;
+    private final StoreCalls mCalls;
+    private final StateReader mReader;
+    private final SettingsHistory mHistory;
+    private final ChangeCommitter mCommitter;
+    private final StoreCleanUp mCleanUp;
 
     /**
      * Creates a repository.
@@ -31,117 +32,118 @@
      * @param prefix key prefix, ending in a slash
      */
     public SettingsRepository(KeyValueStore store, String prefix) {
-        if (!prefix.endsWith("/")) {
-            throw new IllegalArgumentException("prefix \"" + prefix + "\" must end in a slash");
-        }
-        mStore = store;
-        mPrefix = prefix;
+        mKeys = new StoreKeys(prefix);
+        mCalls = new StoreCalls(store);
+        BlobStore blobs = new BlobStore(mCalls, mKeys);
+        mReader = new StateReader(mCalls, mKeys, blobs);
+        mHistory = new SettingsHistory(mCalls, mKeys, mReader);
+        mCommitter = new ChangeCommitter(mCalls, mKeys, blobs, mReader, mHistory);
+        mCleanUp = new StoreCleanUp(mCalls, mKeys, mHistory);
     }
 
     /** Reads the newest state, fetching only contents that {@code known} lacks. */
     public CompletableFuture<LoadedState> load(Map<String, byte[]> known) {
-        Operation read = new Operation.Read(manifestKey());
-        return mStore.commit(Transaction.unconditional(List.of(read)))
-                .thenCompose(result -> loadContents(result.reads().get(0), known));
+        return asSettings(mReader.load(known));
+    }
+
+    @Override
+    public CompletableFuture<ChangeResult> commit(SettingsChange change, long nowMillis) {
+        return mCommitter.commit(StateChange.of(change), nowMillis);
     }
 
     /**
-     * Commits {@code next} if the manifest still has the given revision.
+     * Commits a change of the member set or of the division of rights.
+     *
+     * <p>Rights that teams lack are minted in the same version, as with every change.
      *
-     * @return whether the commit took place
+     * @param step computes the system's part from the newest state; called again after a lost race
+     * @param baseVersion version on which the caller decided, or {@link SettingsChange#ANY_VERSION}
+     * @param nowMillis present wall clock time, recorded in the manifest
+     * @return the result as of {@link #commit}
      */
-    public CompletableFuture<Boolean> commit(
-            VersionedState next, Map<String, byte[]> contents, long manifestRevision) {
-        List<Operation> blobs = new ArrayList<>();
-        contents.forEach(
-                (path, content) ->
-                        blobs.add(
-                                new Operation.Put(
-                                        blobKey(ContentHash.of(content)),
-                                        ByteString.copyFrom(content))));
-        return writeBlobs(blobs, 0).thenCompose(done -> commitManifest(next, manifestRevision));
-    }
-
-    /** Returns the key of the manifest, for a watch. */
-    public String manifestKey() {
-        return mPrefix + "manifest";
+    public CompletableFuture<ChangeResult> commitSystem(
+            String changeId,
+            String author,
+            Function<VersionedState, SystemState> step,
+            long baseVersion,
+            long nowMillis) {
+        return mCommitter.commit(
+                StateChange.ofSystem(changeId, author, baseVersion, step), nowMillis);
     }
 
-    private CompletableFuture<Void> writeBlobs(List<Operation> blobs, int from) {
-        if (from >= blobs.size()) {
-            return CompletableFuture.completedFuture(null);
-        }
-        int to = Math.min(blobs.size(), from + MAX_OPERATIONS);
-        return mStore.commit(Transaction.unconditional(blobs.subList(from, to)))
-                .thenCompose(result -> writeBlobs(blobs, to));
-    }
-
-    private CompletableFuture<Boolean> commitManifest(VersionedState next, long revision) {
-        Manifest manifest = next.manifest();
-        ByteString content = ByteString.copyFrom(StateCodec.encodeManifest(manifest));
-        String changeKey = mPrefix + "changes/" + manifest.changeId();
-        String version = Long.toString(manifest.version());
+    /**
+     * Confirms through the store that {@code held} is the newest state, by a write.
+     *
+     * <p>The confirmation counts from the time of the call, which the caller takes before it.
+     *
+     * @param leaseId lease to which the record of the confirmation is attached
+     * @return the result; fails with a store exception if the store does not answer
+     */
+    public CompletableFuture<ConfirmResult> confirm(
+            String daemonId, LoadedState held, long leaseId) {
+        String version = Long.toString(held.state().version());
         Transaction transaction =
                 new Transaction(
-                        List.of(new Compare(manifestKey(), revision), Compare.absent(changeKey)),
+                        List.of(new Compare(mKeys.manifest(), held.manifestRevision())),
                         List.of(
-                                new Operation.Put(manifestKey(), content),
-                                new Operation.Put(mPrefix + "history/" + version, content),
-                                new Operation.Put(changeKey, ByteString.copyFromUtf8(version))),
-                        List.of());
-        return mStore.commit(transaction).thenApply(TransactionResult::succeeded);
+                                new Operation.Put(
+                                        mKeys.confirmation(daemonId),
+                                        ByteString.copyFromUtf8(version),
+                                        leaseId)),
+                        List.of(new Operation.Read(mKeys.manifest())));
+        return mCalls.once(transaction).thenCompose(result -> confirmed(held, result));
     }
 
-    private CompletableFuture<LoadedState> loadContents(
-            List<StoredValue> found, Map<String, byte[]> known) {
-        if (found.isEmpty()) {
-            return CompletableFuture.completedFuture(
-                    new LoadedState(VersionedState.INITIAL, Map.of(), Compare.ABSENT));
+    private CompletableFuture<ConfirmResult> confirmed(LoadedState held, TransactionResult result) {
+        if (result.succeeded()) {
+            return CompletableFuture.completedFuture(new ConfirmResult.Confirmed());
         }
-        StoredValue stored = found.get(0);
-        Manifest manifest = StateCodec.decodeManifest(stored.value().toByteArray());
-        List<String> missing =
-                manifest.entries().values().stream()
-                        .filter(hash -> !known.containsKey(hash))
-                        .distinct()
-                        .toList();
-        Map<String, byte[]> contents = new HashMap<>();
-        manifest.entries().values().stream()
-                .filter(known::containsKey)
-                .forEach(hash -> contents.put(hash, known.get(hash)));
-        return readBlobs(missing, 0, contents)
+        return mReader.newest(result.reads().get(0), held.contents())
                 .thenApply(
-                        done ->
-                                new LoadedState(
-                                        StateCodec.decode(manifest, contents),
-                                        Map.copyOf(contents),
-                                        stored.modRevision()));
-    }
-
-    private CompletableFuture<Void> readBlobs(
-            List<String> hashes, int from, Map<String, byte[]> contents) {
-        if (from >= hashes.size()) {
-            return CompletableFuture.completedFuture(null);
-        }
-        int to = Math.min(hashes.size(), from + MAX_OPERATIONS);
-        List<Operation> reads = new ArrayList<>();
-        for (String hash : hashes.subList(from, to)) {
-            reads.add(new Operation.Read(blobKey(hash)));
-        }
-        return mStore.commit(Transaction.unconditional(reads))
-                .thenCompose(
-                        result -> {
-                            for (List<StoredValue> values : result.reads()) {
-                                for (StoredValue value : values) {
-                                    byte[] content = value.value().toByteArray();
-                                    contents.put(ContentHash.of(content), content);
-                                }
+                        newest -> {
+                            if (newest.state().version() <= held.state().version()) {
+                                throw new SettingsException(
+                                        "store returned no newer version than "
+                                                + held.state().version()
+                                                + " but did not confirm it",
+                                        null);
                             }
-                            return readBlobs(hashes, to, contents);
+                            return new ConfirmResult.Newer(newest);
                         });
     }
 
-    private String blobKey(String hash) {
-        return mPrefix + "blobs/" + hash;
+    /** Returns the change summaries of {@code count} versions from {@code from}, if kept. */
+    public CompletableFuture<List<HistoryEntry>> history(long from, int count) {
+        return asSettings(mHistory.entries(from, count));
+    }
+
+    /** Returns the entries that differ between two kept versions, by path. */
+    public CompletableFuture<List<SettingsDifference>> diff(long versionA, long versionB) {
+        return asSettings(mHistory.diff(versionA, versionB));
+    }
+
+    /** Reads the state of a kept version. */
+    public CompletableFuture<LoadedState> version(long version) {
+        return asSettings(mHistory.state(version));
+    }
+
+    /**
+     * Deletes history and change ids older than 1,000 versions, and contents that no kept version
+     * names.
+     *
+     * @return number of deleted versions and contents
+     */
+    public CompletableFuture<Integer> cleanUp() {
+        return asSettings(mReader.load(Map.of()).thenCompose(mCleanUp::run));
+    }
+
+    /** Returns the key of the manifest, for a watch. */
+    public String manifestKey() {
+        return mKeys.manifest();
+    }
+
+    private static <T> CompletableFuture<T> asSettings(CompletableFuture<T> future) {
+        return future.exceptionallyCompose(
+                failure -> CompletableFuture.failedFuture(StoreCalls.readFailure(failure)));
     }
 }
--- a/core/src/main/java/org/marigoldturn/settings/StateCodec.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateCodec.java
@@ -43,9 +43,10 @@
      * Builds the state that a manifest names.
      *
      * @param blobs content by hash; must hold each hash of the manifest
-     * @throws SettingsException if a content is missing or invalid
+     * @throws SettingsException if a content is missing, invalid, or differs from its hash
      */
     public static VersionedState decode(Manifest manifest, Map<String, byte[]> blobs) {
+        verify(manifest, blobs);
         Map<String, TeamSettings> teams = new HashMap<>();
         Map<String, HostSettings> hosts = new HashMap<>();
         for (Map.Entry<String, String> entry : manifest.entries().entrySet()) {
@@ -95,6 +96,34 @@
         return read("manifest", content, new TypeReference<>() {});
     }
 
+    /** Writes a history entry as JSON. */
+    static byte[] encodeHistory(HistoryEntry entry) {
+        return write(entry);
+    }
+
+    /** Reads a history entry from JSON. */
+    static HistoryEntry decodeHistory(byte[] content) {
+        return read("history", content, new TypeReference<>() {});
+    }
+
+    private static void verify(Manifest manifest, Map<String, byte[]> blobs) {
+        manifest.entries()
+                .forEach(
+                        (path, hash) -> {
+                            byte[] content = blobs.get(hash);
+                            if (content != null && !ContentHash.of(content).equals(hash)) {
+                                throw new SettingsException(
+                                        "content of path \"%s\" in version %d has hash %s, not %s"
+                                                .formatted(
+                                                        path,
+                                                        manifest.version(),
+                                                        ContentHash.of(content),
+                                                        hash),
+                                        null);
+                            }
+                        });
+    }
+
     private static <T> T readPath(
             Manifest manifest,
             Map<String, byte[]> blobs,
--- a/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -112,21 +112,20 @@
         StringBuilder yaml = new StringBuilder();
         yaml.append("zones:\n");
         for (int i = 0; i < DAEMONS; i++) {
-            yaml.append("  z%d: {name: z%d, region: r1}%n".formatted(i, i));
+            yaml.append("  z%d: {region: r1}%n".formatted(i));
         }
-        yaml.append("pools:\n  desk: {name: desk, spare: false}\n");
-        yaml.append("services:\n  entries: {name: entries, pool: desk, open: false}\n");
+        yaml.append("pools:\n  desk: {spare: false}\n");
+        yaml.append("services:\n  entries: {pool: desk, open: false}\n");
         yaml.append(
-                "teams:\n  club: {name: club, shareWeight: 1, runningLimit: 20, keys: [{id: k1,"
+                "teams:\n  club: {shareWeight: 1, runningLimit: 20, keys: [{id: k1,"
                         + " saltHex: %s, hashHex: %s, createdAtMillis: 0}]}%n"
                                 .formatted(key.stored().saltHex(), key.stored().hashHex()));
         yaml.append("hosts:\n");
         for (int i = 0; i < HOSTS; i++) {
             ChildProcess host = start("host-" + i, STAND_IN, "target", "host-" + i, "8");
             yaml.append(
-                    ("  host-%d: {name: host-%d, pool: desk, zone: z%d, "
-                                    + "address: 127.0.0.1, port: %d}%n")
-                            .formatted(i, i, i % DAEMONS, host.port("port")));
+                    ("  host-%d: {pool: desk, zone: z%d, " + "address: 127.0.0.1, port: %d}%n")
+                            .formatted(i, i % DAEMONS, host.port("port")));
         }
         return yaml.toString();
     }
