--- a/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
+++ b/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
@@ -66,15 +66,10 @@
                             long first = observed.loaded().state().version();
                             return step(new Run(change, nowMillis, first, 0), observed);
                         })
-                .handle((result, failure) -> settled(change, result, failure))
-                .thenCompose(settled -> settled);
+                .exceptionallyCompose(failure -> failed(change, failure));
     }
 
-    private static CompletableFuture<ChangeResult> settled(
-            StateChange change, ChangeResult result, Throwable failure) {
-        if (failure == null) {
-            return CompletableFuture.completedFuture(result);
-        }
+    private static CompletableFuture<ChangeResult> failed(StateChange change, Throwable failure) {
         Throwable cause = StoreCalls.unwrap(failure);
         if (cause instanceof SettingsException) {
             return CompletableFuture.failedFuture(cause);
--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -32,8 +32,13 @@
      * @param prefix key prefix, ending in a slash
      */
     public SettingsRepository(KeyValueStore store, String prefix) {
+        this(store, prefix, StoreCalls.FIRST_DELAY_MILLIS);
+    }
+
+    /** Creates a repository with another wait before the first repetition of a lost call. */
+    SettingsRepository(KeyValueStore store, String prefix, long firstDelayMillis) {
         mKeys = new StoreKeys(prefix);
-        mCalls = new StoreCalls(store);
+        mCalls = new StoreCalls(store, firstDelayMillis);
         BlobStore blobs = new BlobStore(mCalls, mKeys);
         mReader = new StateReader(mCalls, mKeys, blobs);
         mHistory = new SettingsHistory(mCalls, mKeys, mReader);
--- a/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
+++ b/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
@@ -21,12 +21,19 @@
     private static final int MAX_ATTEMPTS = 6;
 
     /** Doubled at each attempt, so that all attempts wait 1550 ms in total. */
-    private static final long FIRST_DELAY_MILLIS = 50;
+    static final long FIRST_DELAY_MILLIS = 50;
 
     private final KeyValueStore mStore;
+    private final long mFirstDelayMillis;
 
-    StoreCalls(KeyValueStore store) {
+    /**
+     * Creates a caller.
+     *
+     * @param firstDelayMillis wait before the first repetition, doubled at each further one
+     */
+    StoreCalls(KeyValueStore store, long firstDelayMillis) {
         mStore = store;
+        mFirstDelayMillis = firstDelayMillis;
     }
 
     /**
@@ -47,21 +54,12 @@
     private CompletableFuture<TransactionResult> attempt(
             Transaction transaction, int attempt, boolean lostBefore) {
         return mStore.commit(transaction)
-                .handle(
-                        (result, failure) ->
-                                next(transaction, attempt, lostBefore, result, failure))
-                .thenCompose(next -> next);
+                .exceptionallyCompose(
+                        failure -> afterFailure(transaction, attempt, lostBefore, failure));
     }
 
-    private CompletableFuture<TransactionResult> next(
-            Transaction transaction,
-            int attempt,
-            boolean lostBefore,
-            TransactionResult result,
-            Throwable failure) {
-        if (failure == null) {
-            return CompletableFuture.completedFuture(result);
-        }
+    private CompletableFuture<TransactionResult> afterFailure(
+            Transaction transaction, int attempt, boolean lostBefore, Throwable failure) {
         Throwable cause = unwrap(failure);
         boolean lost = lostBefore || cause instanceof StoreOutcomeUnknownException;
         if (!lost || !isLossOrOutage(cause)) {
@@ -74,9 +72,9 @@
         }
         Executor later =
                 CompletableFuture.delayedExecutor(
-                        FIRST_DELAY_MILLIS << attempt, TimeUnit.MILLISECONDS);
-        return CompletableFuture.supplyAsync(() -> attempt(transaction, attempt + 1, true), later)
-                .thenCompose(next -> next);
+                        mFirstDelayMillis << attempt, TimeUnit.MILLISECONDS);
+        return CompletableFuture.runAsync(() -> {}, later)
+                .thenCompose(waited -> attempt(transaction, attempt + 1, true));
     }
 
     private static boolean isLossOrOutage(Throwable cause) {
