Add the host list port and faults of the store stand-in

The store stand-in could not fail, so the adapter's behaviour under the failures of the design was untested, and the platform's host list had no port. A connection whose state a device has dropped stayed in use until HTTP/2 PING ended it, up to 10 s, while every confirmation timed out.

The stand-in takes faults, call counts and host reports on a second port that connection faults do not affect; faults of connections are a Netty handler in front of Armeria's pipeline. It now rejects what etcd rejects: unknown leases, more than 128 operations, values over 1 MiB, and a transaction is checked before any of its operations takes effect. EtcdJsonStore opens new connections after the first call without an answer and closes the old ones one timeout later, which also ends their watches. EtcdWatch reports its end once, survives failing listeners, and ends on an error status, a cancel by the store, invalid JSON, or an endless line.

Ruled out: treating an accepted and then closed connection as "certainly no effect"; the client sees a broken pipe after it began to write, so the outcome stays unknown. Only a refused connection is certain.

--- a/core/src/main/java/org/marigoldturn/platform/EtcdJsonStore.java
+++ b/core/src/main/java/org/marigoldturn/platform/EtcdJsonStore.java
@@ -5,23 +5,30 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.RequestHeaders;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * Key-value store reached through etcd's v3 HTTP/JSON mapping.
  *
  * <p>Thread safe. A request that certainly did not leave this process fails with {@link
- * StoreUnavailableException}; every other failure is a {@link StoreOutcomeUnknownException}.
+ * StoreUnavailableException}; every other failure is a {@link StoreOutcomeUnknownException}. After
+ * a call without an answer, later calls use a new connection: a device on the way may have dropped
+ * the state of the old one, which HTTP/2 PING notices only after its interval.
  */
 public final class EtcdJsonStore implements KeyValueStore {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -29,9 +36,16 @@
     private static final long IDLE_TIMEOUT_MILLIS = 30_000;
     private static final long MAX_RESPONSE_BYTES = 32L << 20;
 
-    private final ClientFactory mClientFactory;
-    private final WebClient mClient;
+    /** Part of etcd's message for an unknown lease, which it answers with HTTP 404. */
+    private static final String LEASE_NOT_FOUND = "lease not found";
+
+    /** One pool of connections with its clients. */
+    private record Connection(ClientFactory factory, WebClient calls, WebClient watches) {}
+
+    private final URI mEndpoint;
     private final long mTimeoutMillis;
+    private final AtomicReference<Connection> mConnection;
+    private volatile boolean mClosed;
 
     /**
      * Creates an adapter.
@@ -43,19 +57,31 @@
         if (timeoutMillis <= 0) {
             throw new IllegalArgumentException("store timeout must be positive: " + timeoutMillis);
         }
+        mEndpoint = endpoint;
         mTimeoutMillis = timeoutMillis;
-        mClientFactory =
+        mConnection = new AtomicReference<>(connect());
+    }
+
+    private Connection connect() {
+        ClientFactory factory =
                 ClientFactory.builder()
-                        .connectTimeoutMillis(timeoutMillis)
+                        .connectTimeoutMillis(mTimeoutMillis)
                         .pingIntervalMillis(PING_INTERVAL_MILLIS)
                         .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
                         .build();
-        mClient =
-                WebClient.builder(endpoint)
-                        .factory(mClientFactory)
-                        .responseTimeout(Duration.ofMillis(timeoutMillis))
+        WebClient calls =
+                WebClient.builder(mEndpoint)
+                        .factory(factory)
+                        .responseTimeout(Duration.ofMillis(mTimeoutMillis))
                         .maxResponseLength(MAX_RESPONSE_BYTES)
                         .build();
+        WebClient watches =
+                WebClient.builder(mEndpoint)
+                        .factory(factory)
+                        .responseTimeoutMillis(0)
+                        .maxResponseLength(0)
+                        .build();
+        return new Connection(factory, calls, watches);
     }
 
     @Override
@@ -93,13 +119,7 @@
         create.put("start_revision", Long.toString(afterRevision + 1));
         ObjectNode body = JSON.createObjectNode();
         body.set("create_request", create);
-        WebClient client =
-                WebClient.builder(mClient.uri())
-                        .factory(mClientFactory)
-                        .responseTimeoutMillis(0)
-                        .maxResponseLength(0)
-                        .build();
-        HttpResponse response = client.execute(post("/v3/watch", body));
+        HttpResponse response = mConnection.get().watches().execute(post("/v3/watch", body));
         EtcdWatch watch = new EtcdWatch(key, listener);
         response.subscribe(watch);
         return watch;
@@ -107,7 +127,8 @@
 
     @Override
     public void close() {
-        mClientFactory.close();
+        mClosed = true;
+        mConnection.get().factory().close();
     }
 
     private static ObjectNode leaseBody(long leaseId) {
@@ -129,27 +150,49 @@
     }
 
     private CompletableFuture<JsonNode> call(String path, ObjectNode body) {
-        return mClient.execute(post(path, body))
+        Connection connection = mConnection.get();
+        return connection
+                .calls()
+                .execute(post(path, body))
                 .aggregate()
                 .handle(
                         (response, failure) -> {
                             if (failure != null) {
-                                throw convert(path, failure);
+                                throw convert(path, connection, failure);
                             }
                             if (response.status().code() != 200) {
-                                throw new StoreOutcomeUnknownException(
-                                        "store answered "
-                                                + response.status()
-                                                + " to "
-                                                + path
-                                                + ": "
-                                                + response.contentUtf8(),
-                                        null);
+                                throw rejected(path, response);
                             }
                             return parse(path, response.content().array());
                         });
     }
 
+    private static StoreException rejected(String path, AggregatedHttpResponse response) {
+        String content = response.contentUtf8();
+        if (response.status().equals(HttpStatus.NOT_FOUND) && content.contains(LEASE_NOT_FOUND)) {
+            return new LeaseExpiredException("lease of a call to " + path + " has ended");
+        }
+        return new StoreOutcomeUnknownException(
+                "store answered " + response.status() + " to " + path + ": " + content, null);
+    }
+
+    /** Replaces a connection; the old one is closed when its other calls have timed out. */
+    private void replace(Connection silent) {
+        if (mClosed) {
+            return;
+        }
+        Connection fresh = connect();
+        if (!mConnection.compareAndSet(silent, fresh)) {
+            fresh.factory().close();
+            return;
+        }
+        if (mClosed) {
+            fresh.factory().close();
+        }
+        CompletableFuture.delayedExecutor(mTimeoutMillis, TimeUnit.MILLISECONDS)
+                .execute(silent.factory()::close);
+    }
+
     private static JsonNode parse(String path, byte[] content) {
         try {
             return JSON.readTree(content);
@@ -158,7 +201,7 @@
         }
     }
 
-    private StoreException convert(String path, Throwable failure) {
+    private StoreException convert(String path, Connection connection, Throwable failure) {
         Throwable cause =
                 failure instanceof CompletionException && failure.getCause() != null
                         ? failure.getCause()
@@ -166,7 +209,11 @@
         if (cause instanceof UnprocessedRequestException) {
             return new StoreUnavailableException("store is unreachable for " + path, cause);
         }
+        if (cause instanceof ResponseTimeoutException) {
+            replace(connection);
+        }
         return new StoreOutcomeUnknownException(
-                "store did not answer " + path + " within " + mTimeoutMillis + " ms", cause);
+                "store gave no answer to " + path + " (time limit " + mTimeoutMillis + " ms)",
+                cause);
     }
 }
--- a/core/src/main/java/org/marigoldturn/platform/EtcdWatch.java
+++ b/core/src/main/java/org/marigoldturn/platform/EtcdWatch.java
@@ -4,24 +4,33 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
+import org.tinylog.Logger;
 
 /**
  * Reads the newline-delimited JSON messages of one watch.
  *
- * <p>Called by one event loop thread; {@link #cancel} may be called from any thread.
+ * <p>Called by one event loop thread; {@link #cancel} may be called from any thread, also by the
+ * listener, and any number of times. The end is reported once. A watch whose connection delivers
+ * nothing is not recognized here; the caller compares it with its confirmations.
  */
 final class EtcdWatch implements Subscriber<HttpObject>, KeyValueStore.Watch {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** A value has at most one megabyte, which takes a third more in Base64. */
+    private static final int MAX_LINE_BYTES = 4 << 20;
+
     private final String mKey;
     private final KeyValueStore.WatchListener mListener;
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
     private volatile Subscription mSubscription;
-    private volatile boolean mCancelled;
+    private final AtomicBoolean mCancelled = new AtomicBoolean();
 
     EtcdWatch(String key, KeyValueStore.WatchListener listener) {
         mKey = key;
@@ -31,7 +40,7 @@
     @Override
     public void onSubscribe(Subscription subscription) {
         mSubscription = subscription;
-        if (mCancelled) {
+        if (mCancelled.get()) {
             subscription.cancel();
             return;
         }
@@ -40,14 +49,34 @@
 
     @Override
     public void onNext(HttpObject object) {
-        if (mCancelled || !(object instanceof HttpData data)) {
-            return;
+        if (object instanceof ResponseHeaders headers) {
+            checkStatus(headers);
+        } else if (object instanceof HttpData data) {
+            read(data.array());
+        }
+    }
+
+    private void checkStatus(ResponseHeaders headers) {
+        if (!headers.status().isInformational() && !headers.status().equals(HttpStatus.OK)) {
+            end(
+                    new StoreUnavailableException(
+                            "watch of " + mKey + " was answered with " + headers.status(), null));
         }
-        for (byte b : data.array()) {
+    }
+
+    private void read(byte[] bytes) {
+        for (byte b : bytes) {
+            if (mCancelled.get()) {
+                return;
+            }
             if (b == '\n') {
                 deliverLine();
-            } else {
+            } else if (mLine.size() < MAX_LINE_BYTES) {
                 mLine.write(b);
+            } else {
+                end(
+                        new StoreUnavailableException(
+                                "watch of " + mKey + " sent more than 4 MiB in one line", null));
             }
         }
     }
@@ -64,11 +93,8 @@
 
     @Override
     public void cancel() {
-        mCancelled = true;
-        Subscription subscription = mSubscription;
-        if (subscription != null) {
-            subscription.cancel();
-        }
+        mCancelled.set(true);
+        cancelSubscription();
     }
 
     private void deliverLine() {
@@ -78,18 +104,49 @@
             return;
         }
         try {
-            for (JsonNode event : JSON.readTree(line).path("result").path("events")) {
-                mListener.onValue(EtcdJson.decodeValue(event.path("kv")));
-            }
-        } catch (IOException e) {
+            deliver(JSON.readTree(line).path("result"));
+        } catch (IOException | IllegalArgumentException e) {
             end(new StoreUnavailableException("watch of " + mKey + " sent invalid JSON", e));
         }
     }
 
+    private void deliver(JsonNode result) {
+        if (result.path("canceled").asBoolean()) {
+            String reason = result.path("cancel_reason").asText("no reason given");
+            end(
+                    new StoreUnavailableException(
+                            "watch of " + mKey + " was cancelled by the store: " + reason, null));
+            return;
+        }
+        for (JsonNode event : result.path("events")) {
+            StoredValue value = EtcdJson.decodeValue(event.path("kv"));
+            if (mCancelled.get()) {
+                return;
+            }
+            notifyListener(value);
+        }
+    }
+
+    /** A failing listener must not end the connection, which other watches may share. */
+    private void notifyListener(StoredValue value) {
+        try {
+            mListener.onValue(value);
+        } catch (RuntimeException e) {
+            Logger.error(e, "store: listener of watch {} failed.", mKey);
+        }
+    }
+
     private void end(StoreException cause) {
-        if (!mCancelled) {
-            cancel();
+        if (mCancelled.compareAndSet(false, true)) {
+            cancelSubscription();
             mListener.onEnd(cause);
         }
     }
+
+    private void cancelSubscription() {
+        Subscription subscription = mSubscription;
+        if (subscription != null) {
+            subscription.cancel();
+        }
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/platform/HostDirectory.java
@@ -0,0 +1,17 @@
+package org.marigoldturn.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Port to the platform's list of hosts, which lags behind the actual state.
+ *
+ * <p>Implementations are thread safe and never block.
+ */
+public interface HostDirectory extends AutoCloseable {
+    /** Reads the list; fails with {@link HostDirectoryException} if it cannot be read. */
+    CompletableFuture<List<HostReport>> list();
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/platform/HostReport.java
@@ -0,0 +1,31 @@
+package org.marigoldturn.platform;
+
+import java.util.Collections;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/**
+ * What the platform reports about one host.
+ *
+ * @param host name of the host
+ * @param presence state of the host at the time of the report
+ * @param reportedAtMillis wall clock time at which the platform observed the host
+ * @param runningByOwner running requests by id of the daemon that owns them
+ */
+public record HostReport(
+        String host,
+        HostPresence presence,
+        long reportedAtMillis,
+        Map<String, Integer> runningByOwner) {
+    public HostReport {
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(presence, "presence");
+        runningByOwner = Collections.unmodifiableMap(new TreeMap<>(runningByOwner));
+    }
+
+    /** Returns the number of running requests that the daemon owns. */
+    public int runningOf(String daemonId) {
+        return runningByOwner.getOrDefault(daemonId, 0);
+    }
+}
--- a/core/src/test/java/org/marigoldturn/settings/FakeStore.java
+++ b/core/src/test/java/org/marigoldturn/settings/FakeStore.java
@@ -37,8 +37,8 @@
     final Deque<Fault> mFaults = new ArrayDeque<>();
     final List<Transaction> mCalls = new ArrayList<>();
 
-    /** Runs before a call takes effect; used to interleave a second operator. */
-    Runnable mBeforeWrite = () -> {};
+    /** Runs once before the next conditional write takes effect, to interleave another actor. */
+    Runnable mBeforeCommit = () -> {};
 
     private TreeMap<String, StoredValue> mStale;
     private final List<Transaction> mLate = new ArrayList<>();
@@ -51,9 +51,9 @@
 
     @Override
     public CompletableFuture<TransactionResult> commit(Transaction transaction) {
-        if (isWrite(transaction)) {
-            Runnable before = mBeforeWrite;
-            mBeforeWrite = () -> {};
+        if (isWrite(transaction) && !transaction.compares().isEmpty()) {
+            Runnable before = mBeforeCommit;
+            mBeforeCommit = () -> {};
             before.run();
         }
         synchronized (this) {
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -106,17 +106,44 @@
         assertThat(fresh.commit(wrong, 1).join()).isInstanceOf(ChangeResult.Invalid.class);
     }
 
+    @Example
+    void staleReadOfTheChangeIdCausesNoSecondEffectAndNoConflictWithItself() {
+        importFleet(1);
+        mStore.setStaleReads(true);
+        SettingsChange any = change("any", ANY, team("a", 1));
+        assertThat(version(mRepository.commit(any, 1).join())).isEqualTo(2);
+        assertThat(version(mRepository.commit(any, 1).join())).isEqualTo(2);
+        SettingsChange based = change("based", 2, team("a", 2));
+        assertThat(version(mRepository.commit(based, 1).join())).isEqualTo(3);
+        assertThat(version(mRepository.commit(based, 1).join())).isEqualTo(3);
+    }
+
+    @Example
+    void changeThatIsInvalidOnlyInAStaleReadIsNotReportedAsInvalid() {
+        importFleet(1);
+        mOther.load(Map.of()).join();
+        mStore.setStaleReads(true);
+        SettingsEdit pool = new SettingsEdit.PutPool(new PoolSettings("spare", true));
+        mRepository.commit(change("p", ANY, pool), 1).join();
+        SettingsEdit service = new SettingsEdit.PutService(SampleSettings.service("s", "spare"));
+        SettingsChange change = change("s", ANY, service);
+        assertThatThrownBy(() -> mOther.commit(change, 1).join())
+                .hasCauseInstanceOf(SettingsException.class);
+        mStore.setStaleReads(false);
+        assertThat(version(mOther.commit(change, 1).join())).isEqualTo(3);
+    }
+
     @Example
     void samePathConflictsWithTheNameOfTheWinnerAndOtherPathsAreRetried() {
         importFleet(1);
-        mStore.mBeforeWrite = () -> mOther.commit(change("win", ANY, team("a", 1)), 1).join();
+        mStore.mBeforeCommit = () -> mOther.commit(change("win", ANY, team("a", 1)), 1).join();
         ChangeResult lost = mRepository.commit(change("c", ANY, team("a", 2)), 1).join();
         assertThat(lost).isInstanceOf(ChangeResult.Conflict.class);
         ChangeResult.Conflict conflict = (ChangeResult.Conflict) lost;
         assertThat(conflict.path()).isEqualTo("teams/a");
         assertThat(conflict.winner().changeId()).isEqualTo("win");
         assertThat(conflict.winner().author()).isEqualTo("author-of-win");
-        mStore.mBeforeWrite = () -> mOther.commit(change("x", ANY, team("b", 1)), 1).join();
+        mStore.mBeforeCommit = () -> mOther.commit(change("x", ANY, team("b", 1)), 1).join();
         ChangeResult.Committed retried =
                 (ChangeResult.Committed)
                         mRepository.commit(change("d", ANY, team("c", 2)), 1).join();
@@ -143,7 +170,7 @@
                         1)
                 .join();
         SettingsChange delete = change("del", ANY, new SettingsEdit.Delete("pools/spare"));
-        mStore.mBeforeWrite = () -> mOther.commit(delete, 1).join();
+        mStore.mBeforeCommit = () -> mOther.commit(delete, 1).join();
         ChangeResult result = mRepository.commit(change("c", ANY, service), 1).join();
         assertThat(((ChangeResult.Invalid) result).errors())
                 .extracting(SettingsError::path)
@@ -258,7 +285,7 @@
             mRepository.commit(change("c" + i, ANY, team("a", i)), 1).join();
         }
         SettingsChange running = change("r", ANY, team("a", 3));
-        mStore.mBeforeWrite = () -> mOther.cleanUp().join();
+        mStore.mBeforeCommit = () -> mOther.cleanUp().join();
         assertThat(version(mRepository.commit(running, 1).join())).isEqualTo(1_107);
         mOther.cleanUp().join();
         assertThat(mStore.mValues).doesNotContainKey(PREFIX + "history/107");
--- a/standins/src/main/java/org/marigoldturn/standins/StandInMain.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StandInMain.java
@@ -12,7 +12,10 @@
             throw new IllegalArgumentException("expected: store | target | quickstart");
         }
         switch (args[0]) {
-            case "store" -> announce(new StoreServer(0).start());
+            case "store" -> {
+                StoreServer store = new StoreServer(0);
+                System.out.println("ready port=" + store.start() + " admin=" + store.adminPort());
+            }
             case "target" ->
                     announce(new TargetServer(args[1], Integer.parseInt(args[2]), 0).start());
             case "quickstart" -> Quickstart.run();
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.stream.AbortedStreamException;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import java.io.IOException;
@@ -20,36 +21,68 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.tinylog.Logger;
 
 /**
  * In-memory stand-in for the platform's key-value service, serving a subset of etcd's v3 HTTP/JSON
- * mapping: range, txn, lease and watch.
+ * mapping: range, txn, lease and watch. It also serves the platform's host list at {@code /hosts}.
  *
- * <p>Thread safe; all state changes happen under one lock.
+ * <p>A second port, without connection faults, serves the same and {@code /standin/faults}, {@code
+ * /standin/calls} and {@code /standin/hosts}. Thread safe; all state changes happen under one lock.
  */
 public final class StoreServer implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Default limit of etcd. */
+    private static final int MAX_OPERATIONS = 128;
+
+    /** Largest value that the platform's service holds. */
+    private static final int MAX_VALUE_BYTES = 1 << 20;
+
     /** One open watch. */
     private record Watcher(String key, HttpResponseWriter writer) {}
 
     private final Object mLock = new Object();
     private final StoreState mState = new StoreState();
     private final List<Watcher> mWatchers = new ArrayList<>();
-    private final AtomicLong mCalls = new AtomicLong();
+    private final Map<String, LongAdder> mCalls = new ConcurrentSkipListMap<>();
+    private final ConnectionFaults mConnections = new ConnectionFaults();
+    private final StoreFaults mFaults = new StoreFaults(mConnections);
+    private final HostList mHosts = new HostList();
     private final Server mServer;
+    private StoreState mStaleState = mState;
+    private final int mWantedPort;
+    private int mPort;
+    private int mAdminPort;
 
     /** Creates a server on a loopback port; 0 takes a free one. */
     public StoreServer(int port) {
-        ServerBuilder builder = Server.builder().http(loopback(port)).requestTimeoutMillis(0);
-        builder.maxRequestLength(8L << 20);
-        builder.service("/v3/kv/txn", (ctx, req) -> json(req, this::transaction));
-        builder.service("/v3/lease/grant", (ctx, req) -> json(req, this::grant));
-        builder.service("/v3/lease/keepalive", (ctx, req) -> json(req, this::keepAlive));
-        builder.service("/v3/lease/revoke", (ctx, req) -> json(req, this::revoke));
+        mWantedPort = port;
+        ServerBuilder builder =
+                Server.builder()
+                        .http(loopback(port))
+                        .http(loopback(0))
+                        .requestTimeoutMillis(0)
+                        .idleTimeoutMillis(0)
+                        .maxRequestLength(8L << 20)
+                        .childChannelPipelineCustomizer(mConnections::install);
+        builder.service("/v3/kv/txn", (ctx, req) -> json(req, this::transactionKind));
+        builder.service("/v3/lease/grant", (ctx, req) -> json(req, body -> call("grant", body)));
+        builder.service(
+                "/v3/lease/keepalive", (ctx, req) -> json(req, body -> call("keepalive", body)));
+        builder.service("/v3/lease/revoke", (ctx, req) -> json(req, body -> call("revoke", body)));
         builder.service("/v3/watch", (ctx, req) -> watch(req));
+        builder.service("/hosts", (ctx, req) -> json(req, body -> call("hosts", body)));
+        builder.service("/standin/faults", (ctx, req) -> admin(req, this::setFaults));
+        builder.service("/standin/calls", (ctx, req) -> admin(req, body -> callCounts()));
+        builder.service(
+                "/standin/hosts",
+                (ctx, req) -> admin(req, body -> mHosts.apply(body, System.currentTimeMillis())));
         mServer = builder.build();
     }
 
@@ -57,15 +90,30 @@
         return new java.net.InetSocketAddress("127.0.0.1", port);
     }
 
-    /** Starts the server and returns its port. */
+    /** Starts the server and returns its port for calls. */
     public int start() {
         mServer.start().join();
-        return mServer.activeLocalPort();
+        List<Integer> ports =
+                mServer.activePorts().keySet().stream().map(a -> a.getPort()).toList();
+        mPort = ports.contains(mWantedPort) ? mWantedPort : ports.get(0);
+        mAdminPort = ports.get(0) == mPort ? ports.get(1) : ports.get(0);
+        mConnections.exempt(mAdminPort);
+        return mPort;
+    }
+
+    /** Returns the port that connection faults do not affect. */
+    public int adminPort() {
+        return mAdminPort;
     }
 
     /** Returns the number of calls served, an opened watch counting as one. */
     public long calls() {
-        return mCalls.get();
+        return mCalls.values().stream().mapToLong(LongAdder::sum).sum();
+    }
+
+    /** Sets faults; see {@link StoreFaults} for the fields. */
+    public void faults(String json) throws IOException {
+        setFaults(JSON.readTree(json));
     }
 
     @Override
@@ -73,68 +121,174 @@
         mServer.stop().join();
     }
 
-    private interface Handler {
-        ObjectNode handle(JsonNode body);
+    /** Kind of a call, whether it writes, and its execution under the lock. */
+    private record Call(String kind, boolean writes, Supplier<ObjectNode> execution) {}
+
+    /** An error answer of the service. */
+    private static final class Rejection extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+        private final HttpStatus mStatus;
+
+        Rejection(HttpStatus status, String message) {
+            super(message);
+            mStatus = status;
+        }
+    }
+
+    private Call call(String kind, JsonNode body) {
+        return switch (kind) {
+            case "grant" -> new Call(kind, true, () -> grant(body));
+            case "keepalive" -> new Call(kind, true, () -> keepAlive(body));
+            case "revoke" -> new Call(kind, true, () -> revoke(body));
+            default -> new Call(kind, false, () -> mHosts.list(System.currentTimeMillis()));
+        };
     }
 
-    private HttpResponse json(HttpRequest request, Handler handler) {
-        mCalls.incrementAndGet();
+    private Call transactionKind(JsonNode body) {
+        boolean writes = writes(body.path("success")) || writes(body.path("failure"));
+        return new Call(writes ? "write" : "read", writes, () -> transaction(body));
+    }
+
+    private HttpResponse json(HttpRequest request, Function<JsonNode, Call> decoder) {
         CompletableFuture<HttpResponse> response =
                 request.aggregate()
-                        .thenApply(
+                        .thenCompose(
                                 aggregated -> {
-                                    try {
-                                        JsonNode body = JSON.readTree(aggregated.content().array());
-                                        ObjectNode reply;
-                                        synchronized (mLock) {
-                                            mState.expireLeases(System.currentTimeMillis());
-                                            reply = handler.handle(body);
-                                        }
-                                        return HttpResponse.of(
-                                                HttpStatus.OK,
-                                                MediaType.JSON,
-                                                JSON.writeValueAsBytes(reply));
-                                    } catch (IOException | IllegalArgumentException e) {
-                                        return HttpResponse.of(
-                                                HttpStatus.BAD_REQUEST,
-                                                MediaType.PLAIN_TEXT_UTF_8,
-                                                String.valueOf(e.getMessage()));
-                                    }
-                                });
+                                    Call call = decoder.apply(parse(aggregated.content().array()));
+                                    count(call.kind());
+                                    return delayed().thenApply(waited -> answer(call));
+                                })
+                        .exceptionally(StoreServer::error);
         return HttpResponse.of(response);
     }
 
+    private CompletableFuture<Void> delayed() {
+        long delayMillis = mFaults.delayMillis();
+        return delayMillis == 0
+                ? CompletableFuture.completedFuture(null)
+                : CompletableFuture.runAsync(
+                        () -> {},
+                        CompletableFuture.delayedExecutor(delayMillis, TimeUnit.MILLISECONDS));
+    }
+
+    private HttpResponse answer(Call call) {
+        ObjectNode reply;
+        synchronized (mLock) {
+            mState.expireLeases(System.currentTimeMillis());
+            reply = call.execution().get();
+        }
+        return call.writes() && mFaults.takeLostAnswer()
+                ? HttpResponse.ofFailure(AbortedStreamException.get())
+                : ok(reply);
+    }
+
+    private HttpResponse admin(HttpRequest request, Function<JsonNode, ObjectNode> handler) {
+        return HttpResponse.of(
+                request.aggregate()
+                        .thenApply(
+                                aggregated ->
+                                        ok(handler.apply(parse(aggregated.content().array()))))
+                        .exceptionally(StoreServer::error));
+    }
+
+    private static HttpResponse error(Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        HttpStatus status =
+                cause instanceof Rejection rejection ? rejection.mStatus : HttpStatus.BAD_REQUEST;
+        String message = String.valueOf(cause.getMessage());
+        return HttpResponse.of(
+                status, MediaType.JSON, JSON.createObjectNode().put("error", message).toString());
+    }
+
+    private static HttpResponse ok(ObjectNode reply) {
+        return HttpResponse.of(HttpStatus.OK, MediaType.JSON, reply.toString());
+    }
+
+    private static JsonNode parse(byte[] content) {
+        try {
+            return content.length == 0 ? JSON.createObjectNode() : JSON.readTree(content);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("invalid JSON: " + e.getMessage(), e);
+        }
+    }
+
+    private ObjectNode setFaults(JsonNode body) {
+        synchronized (mLock) {
+            if (body.has("staleReadsMillis")) {
+                mStaleState = mState.copy();
+            }
+            return mFaults.apply(body, System.currentTimeMillis());
+        }
+    }
+
+    private ObjectNode callCounts() {
+        ObjectNode counts = JSON.createObjectNode();
+        mCalls.forEach((kind, count) -> counts.put(kind, count.sum()));
+        return counts;
+    }
+
+    private void count(String kind) {
+        mCalls.computeIfAbsent(kind, k -> new LongAdder()).increment();
+    }
+
+    private static boolean writes(JsonNode branch) {
+        for (JsonNode operation : branch) {
+            if (operation.has("request_put") || operation.has("request_delete_range")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Rejects what etcd rejects with its default limits, before any operation takes effect. */
+    private void checkBranch(JsonNode branch) {
+        if (branch.size() > MAX_OPERATIONS) {
+            throw new Rejection(
+                    HttpStatus.BAD_REQUEST, "etcdserver: too many operations in txn request");
+        }
+        for (JsonNode operation : branch) {
+            JsonNode put = operation.path("request_put");
+            long leaseId = put.path("lease").asLong();
+            if (leaseId != 0 && !mState.hasLease(leaseId)) {
+                throw new Rejection(HttpStatus.NOT_FOUND, "etcdserver: requested lease not found");
+            }
+            if (put.path("value").asText().length() / 4 * 3 > MAX_VALUE_BYTES) {
+                throw new Rejection(HttpStatus.BAD_REQUEST, "etcdserver: request is too large");
+            }
+        }
+    }
+
     private ObjectNode transaction(JsonNode body) {
+        boolean writes = writes(body.path("success")) || writes(body.path("failure"));
+        StoreState state =
+                !writes && mFaults.readsAreStale(System.currentTimeMillis()) ? mStaleState : mState;
         boolean succeeded = true;
         for (JsonNode compare : body.path("compare")) {
-            StoreState.Entry entry = mState.get(key(compare.path("key")));
+            StoreState.Entry entry = state.get(key(compare.path("key")));
             long actual = entry == null ? 0 : entry.modRevision();
             succeeded &= actual == compare.path("mod_revision").asLong();
         }
         JsonNode branch = body.path(succeeded ? "success" : "failure");
-        boolean writes = false;
-        for (JsonNode operation : branch) {
-            writes |= operation.has("request_put") || operation.has("request_delete_range");
-        }
-        if (writes) {
+        checkBranch(branch);
+        if (writes(branch)) {
             mState.nextRevision();
         }
         ObjectNode reply = JSON.createObjectNode();
         reply.put("succeeded", succeeded);
         ArrayNode responses = reply.putArray("responses");
         for (JsonNode operation : branch) {
-            execute(operation, responses.addObject());
+            execute(state, operation, responses.addObject());
         }
-        reply.putObject("header").put("revision", Long.toString(mState.revision()));
+        reply.putObject("header").put("revision", Long.toString(state.revision()));
         return reply;
     }
 
-    private void execute(JsonNode operation, ObjectNode response) {
+    private void execute(StoreState state, JsonNode operation, ObjectNode response) {
         if (operation.has("request_range")) {
             JsonNode range = operation.path("request_range");
             String end = range.has("range_end") ? key(range.path("range_end")) : null;
             ArrayNode kvs = response.putObject("response_range").putArray("kvs");
-            Map<String, StoreState.Entry> found = mState.range(key(range.path("key")), end);
+            Map<String, StoreState.Entry> found = state.range(key(range.path("key")), end);
             found.forEach((key, entry) -> write(kvs.addObject(), key, entry));
         } else if (operation.has("request_put")) {
             JsonNode put = operation.path("request_put");
@@ -172,19 +326,17 @@
     }
 
     private HttpResponse watch(HttpRequest request) {
-        mCalls.incrementAndGet();
+        count("watch");
         HttpResponseWriter writer = HttpResponse.streaming();
         writer.write(ResponseHeaders.builder(HttpStatus.OK).contentType(MediaType.JSON).build());
-        request.aggregate()
-                .thenAccept(
-                        aggregated -> {
-                            try {
-                                openWatch(JSON.readTree(aggregated.content().array()), writer);
-                            } catch (IOException e) {
-                                writer.close(e);
-                            }
-                        });
-        return writer;
+        return HttpResponse.of(
+                request.aggregate()
+                        .thenApply(
+                                aggregated -> {
+                                    openWatch(parse(aggregated.content().array()), writer);
+                                    return (HttpResponse) writer;
+                                })
+                        .exceptionally(StoreServer::error));
     }
 
     private void openWatch(JsonNode body, HttpResponseWriter writer) {
--- a/standins/src/main/java/org/marigoldturn/standins/StoreState.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreState.java
@@ -29,6 +29,18 @@
     private long mRevision = 1;
     private long mNextLeaseId = 1000;
 
+    /** Returns a state with the present entries, for reads only. */
+    StoreState copy() {
+        StoreState copy = new StoreState();
+        copy.mEntries.putAll(mEntries);
+        copy.mRevision = mRevision;
+        return copy;
+    }
+
+    boolean hasLease(long leaseId) {
+        return mLeases.containsKey(leaseId);
+    }
+
     long revision() {
         return mRevision;
     }
@@ -52,9 +64,6 @@
     }
 
     Entry put(String key, byte[] value, long leaseId) {
-        if (leaseId != 0 && !mLeases.containsKey(leaseId)) {
-            throw new IllegalArgumentException("lease " + leaseId + " does not exist");
-        }
         Entry old = mEntries.get(key);
         long created = old == null ? mRevision : old.createRevision();
         Entry entry = new Entry(value, created, mRevision, leaseId);
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
@@ -0,0 +1,274 @@
+package org.marigoldturn.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import com.linecorp.armeria.client.WebClient;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.platform.EtcdJsonStore;
+import org.marigoldturn.platform.HostPresence;
+import org.marigoldturn.platform.HostReport;
+import org.marigoldturn.platform.HttpHostDirectory;
+import org.marigoldturn.platform.KeyValueStore;
+import org.marigoldturn.platform.LeaseExpiredException;
+import org.marigoldturn.platform.Operation;
+import org.marigoldturn.platform.StoreException;
+import org.marigoldturn.platform.StoreOutcomeUnknownException;
+import org.marigoldturn.platform.StoreUnavailableException;
+import org.marigoldturn.platform.StoredValue;
+import org.marigoldturn.platform.Transaction;
+import org.marigoldturn.settings.ChangeNotCommittedException;
+import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.ConfirmResult;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.LoadedState;
+import org.marigoldturn.settings.PoolSettings;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.SettingsRepository;
+import org.marigoldturn.settings.ZoneSettings;
+
+/** Guards against faults of the store service that its adapter or the repository mishandle. */
+class StoreFaultsTest {
+    private static final int TIMEOUT_MILLIS = 500;
+    private static final String PREFIX = "/marigoldturn/";
+
+    private final StoreServer mServer = new StoreServer(0);
+    private final URI mEndpoint = URI.create("http://127.0.0.1:" + mServer.start());
+    private final EtcdJsonStore mStore = new EtcdJsonStore(mEndpoint, TIMEOUT_MILLIS);
+    private final SettingsRepository mRepository = new SettingsRepository(mStore, PREFIX);
+
+    @AfterTry
+    void close() {
+        mStore.close();
+        mServer.close();
+    }
+
+    private static SettingsChange putPool(String id) {
+        SettingsEdit edit = new SettingsEdit.PutPool(new PoolSettings(id, false));
+        return new SettingsChange(id, "test", SettingsChange.ANY_VERSION, List.of(edit));
+    }
+
+    private long commit(String id) {
+        ChangeResult result = mRepository.commit(putPool(id), 1).join();
+        return ((ChangeResult.Committed) result).state().state().version();
+    }
+
+    private static Transaction put(String key, String value) {
+        return Transaction.unconditional(
+                List.of(new Operation.Put(key, ByteString.copyFromUtf8(value))));
+    }
+
+    @Example
+    void lostAnswersAreSettledWithoutASecondEffect() throws IOException {
+        assertThat(commit("p1")).isEqualTo(1);
+        mServer.faults("{\"loseAnswers\": 3}");
+        assertThat(commit("p2")).isEqualTo(2);
+        assertThat(commit("p2")).isEqualTo(2);
+        assertThat(commit("p3")).isEqualTo(3);
+    }
+
+    @Example
+    void slowStoreSettlesChangesWhoseAnswersComeTooLate() throws Exception {
+        mServer.faults("{\"delayMillis\": 700}");
+        CompletableFuture<ChangeResult> change = mRepository.commit(putPool("slow"), 1);
+        TimeUnit.MILLISECONDS.sleep(1_500);
+        mServer.faults("{\"delayMillis\": 0}");
+        assertThat(change.get(10, TimeUnit.SECONDS)).isInstanceOf(ChangeResult.Committed.class);
+        TimeUnit.MILLISECONDS.sleep(800);
+        assertThat(mRepository.load(Map.of()).join().state().version()).isEqualTo(1);
+    }
+
+    @Example
+    void storeThatClosesConnectionsFailsCallsAndIsUsedAgainAfterwards() throws IOException {
+        assertThat(commit("p1")).isEqualTo(1);
+        mServer.faults("{\"down\": true}");
+        for (int i = 0; i < 3; i++) {
+            assertThatThrownBy(() -> mStore.commit(put("k", "v")).join())
+                    .hasCauseInstanceOf(StoreException.class);
+        }
+        mServer.faults("{\"down\": false}");
+        assertThat(commit("p2")).isEqualTo(2);
+    }
+
+    @Example
+    void refusedConnectionIsReportedAsCertainlyWithoutEffect() {
+        mServer.close();
+        assertThatThrownBy(() -> mStore.commit(put("k", "v")).join())
+                .hasCauseInstanceOf(StoreUnavailableException.class);
+        assertThatThrownBy(() -> mRepository.commit(putPool("p"), 1).join())
+                .hasCauseInstanceOf(ChangeNotCommittedException.class);
+    }
+
+    @Example
+    void silentConnectionIsReplacedAfterOneTimeoutAndItsWatchEnds() throws Exception {
+        CompletableFuture<StoreException> ended = new CompletableFuture<>();
+        commit("p1");
+        mStore.watch(PREFIX + "manifest", Long.MAX_VALUE / 2, listener(v -> {}, ended));
+        mServer.faults("{\"silent\": true}");
+        long start = System.nanoTime();
+        assertThatThrownBy(() -> mStore.commit(put("k", "v")).join())
+                .hasCauseInstanceOf(StoreOutcomeUnknownException.class);
+        assertThat(commit("p2")).isEqualTo(2);
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(2_000);
+        assertThat(ended.get(5, TimeUnit.SECONDS)).isInstanceOf(StoreUnavailableException.class);
+    }
+
+    @Example
+    void staleReadsNeverTakeTheRepositoryBack() throws IOException {
+        commit("p1");
+        SettingsRepository other = new SettingsRepository(mStore, PREFIX);
+        LoadedState old = other.load(Map.of()).join();
+        mServer.faults("{\"staleReadsMillis\": 60000}");
+        commit("p2");
+        assertThat(mRepository.load(Map.of()).join().state().version()).isEqualTo(2);
+        assertThat(other.load(Map.of()).join().state().version()).isEqualTo(1);
+        long lease = mStore.grantLease(5_000).join();
+        assertThatThrownBy(() -> other.confirm("d1", old, lease).join())
+                .hasMessageContaining("content of path");
+        mServer.faults("{\"staleReadsMillis\": 0}");
+        ConfirmResult result = other.confirm("d1", old, lease).join();
+        assertThat(((ConfirmResult.Newer) result).state().state().version()).isEqualTo(2);
+    }
+
+    @Example
+    void confirmationWithAnEndedLeaseSaysSo() {
+        commit("p1");
+        LoadedState held = mRepository.load(Map.of()).join();
+        long lease = mStore.grantLease(5_000).join();
+        assertThat(mRepository.confirm("d1", held, lease).join())
+                .isInstanceOf(ConfirmResult.Confirmed.class);
+        mStore.revokeLease(lease).join();
+        assertThatThrownBy(() -> mRepository.confirm("d1", held, lease).join())
+                .hasCauseInstanceOf(LeaseExpiredException.class);
+    }
+
+    @Example
+    void cancelledWatchDeliversNothingMoreAndIsCountedOnce() throws Exception {
+        AtomicInteger values = new AtomicInteger();
+        CompletableFuture<StoreException> ended = new CompletableFuture<>();
+        CompletableFuture<Void> first = new CompletableFuture<>();
+        KeyValueStore.Watch watch =
+                mStore.watch(
+                        "k",
+                        0,
+                        listener(
+                                v -> {
+                                    values.incrementAndGet();
+                                    first.complete(null);
+                                    throw new IllegalStateException("failing listener");
+                                },
+                                ended));
+        mStore.commit(put("k", "1")).join();
+        first.get(5, TimeUnit.SECONDS);
+        watch.cancel();
+        watch.cancel();
+        mStore.commit(put("k", "2")).join();
+        TimeUnit.MILLISECONDS.sleep(100);
+        assertThat(values).hasValue(1);
+        assertThat(ended).isNotDone();
+        assertThat(admin("/standin/calls", "")).contains("\"watch\":1", "\"write\":2");
+    }
+
+    @Example
+    void importOf1700HostsTakesEffectAsOneVersion() {
+        Map<String, HostSettings> hosts = new TreeMap<>();
+        for (int i = 0; i < 1_700; i++) {
+            String address = "10.1." + i / 256 + "." + i % 256;
+            HostSettings host =
+                    new HostSettings(
+                            "h" + i,
+                            "p",
+                            "z",
+                            "r",
+                            address,
+                            80,
+                            8,
+                            64,
+                            32,
+                            131_072,
+                            4,
+                            HostState.IN_SERVICE,
+                            0);
+            hosts.put(host.name(), host);
+        }
+        FleetSettings fleet =
+                new FleetSettings(
+                        Map.of("z", new ZoneSettings("z", "r", null, 0)),
+                        Map.of("p", new PoolSettings("p", false)),
+                        Map.of(),
+                        Map.of(),
+                        hosts);
+        SettingsChange change =
+                new SettingsChange("i", "test", -1, List.of(new SettingsEdit.ReplaceAll(fleet)));
+        mRepository.commit(change, 1).join();
+        LoadedState read = new SettingsRepository(mStore, PREFIX).load(Map.of()).join();
+        assertThat(read.state().settings()).isEqualTo(fleet);
+        assertThat(mServer.calls()).isLessThan(10);
+    }
+
+    @Example
+    void hostListShowsReportsAfterTheLag() throws Exception {
+        try (HttpHostDirectory directory = new HttpHostDirectory(mEndpoint, TIMEOUT_MILLIS)) {
+            admin(
+                    "/standin/hosts",
+                    """
+                    {"hosts": [{"name": "h1", "state": "leaving", "reportedAtMillis": 7,
+                                "running": {"d1": 2}}]}
+                    """);
+            assertThat(directory.list().join())
+                    .containsExactly(
+                            new HostReport("h1", HostPresence.LEAVING, 7, Map.of("d1", 2)));
+            TimeUnit.MILLISECONDS.sleep(350);
+            admin(
+                    "/standin/hosts",
+                    "{\"lagMillis\": 300, \"hosts\": [{\"name\": \"h2\", \"state\": \"ended\"}]}");
+            assertThat(directory.list().join()).hasSize(1);
+            TimeUnit.MILLISECONDS.sleep(350);
+            assertThat(directory.list().join())
+                    .extracting(HostReport::presence)
+                    .containsExactly(HostPresence.LEAVING, HostPresence.ENDED);
+        }
+    }
+
+    @Example
+    void unknownFaultIsRejected() {
+        assertThat(admin("/standin/faults", "{\"dwon\": true}")).contains("expected one of");
+    }
+
+    private String admin(String path, String body) {
+        return WebClient.of("http://127.0.0.1:" + mServer.adminPort())
+                .post(path, body)
+                .aggregate()
+                .join()
+                .contentUtf8();
+    }
+
+    private static KeyValueStore.WatchListener listener(
+            java.util.function.Consumer<StoredValue> onValue,
+            CompletableFuture<StoreException> ended) {
+        return new KeyValueStore.WatchListener() {
+            @Override
+            public void onValue(StoredValue value) {
+                onValue.accept(value);
+            }
+
+            @Override
+            public void onEnd(StoreException cause) {
+                ended.complete(cause);
+            }
+        };
+    }
+}
