--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -1,15 +1,10 @@
 package org.marigoldturn.settings;
 
-import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.marigoldturn.platform.Compare;
 import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.Transaction;
-import org.marigoldturn.platform.TransactionResult;
 
 /**
  * Reads, confirms and commits versioned states in the platform's store.
@@ -20,11 +15,11 @@
  */
 public final class SettingsRepository implements SettingsCommitter {
     private final StoreKeys mKeys;
-    private final StoreCalls mCalls;
     private final StateReader mReader;
     private final SettingsHistory mHistory;
     private final ChangeCommitter mCommitter;
     private final StoreCleanUp mCleanUp;
+    private final StoreConfirmation mConfirmation;
 
     /**
      * Creates a repository.
@@ -38,12 +33,13 @@
     /** Creates a repository with another wait before the first repetition of a lost call. */
     SettingsRepository(KeyValueStore store, String prefix, long firstDelayMillis) {
         mKeys = new StoreKeys(prefix);
-        mCalls = new StoreCalls(store, firstDelayMillis);
-        BlobStore blobs = new BlobStore(mCalls, mKeys);
-        mReader = new StateReader(mCalls, mKeys, blobs);
-        mHistory = new SettingsHistory(mCalls, mKeys, mReader);
-        mCommitter = new ChangeCommitter(mCalls, mKeys, blobs, mReader, mHistory);
-        mCleanUp = new StoreCleanUp(mCalls, mKeys, mHistory);
+        StoreCalls calls = new StoreCalls(store, firstDelayMillis);
+        BlobStore blobs = new BlobStore(calls, mKeys);
+        mReader = new StateReader(calls, mKeys, blobs);
+        mHistory = new SettingsHistory(calls, mKeys, mReader);
+        mCommitter = new ChangeCommitter(calls, mKeys, blobs, mReader, mHistory);
+        mCleanUp = new StoreCleanUp(calls, mKeys, mHistory);
+        mConfirmation = new StoreConfirmation(calls, mKeys, mReader);
     }
 
     /** Reads the newest state, fetching only contents that {@code known} lacks. */
@@ -79,42 +75,17 @@
     /**
      * Confirms through the store that {@code held} is the newest state, by a write.
      *
-     * <p>The confirmation counts from the time of the call, which the caller takes before it.
+     * <p>The confirmation counts from the time of the call, which the caller takes before it. A
+     * state that came from another daemon may lack the revision of its manifest (0); it is then
+     * looked up and compared in a second transaction.
      *
      * @param leaseId lease to which the record of the confirmation is attached
-     * @return the result; fails with a store exception if the store does not answer
+     * @return the result; fails with a store exception if the store does not answer, and with a
+     *     {@link SettingsException} if the store's answer is older than {@code held}
      */
     public CompletableFuture<ConfirmResult> confirm(
             String daemonId, LoadedState held, long leaseId) {
-        String version = Long.toString(held.state().version());
-        Transaction transaction =
-                new Transaction(
-                        List.of(new Compare(mKeys.manifest(), held.manifestRevision())),
-                        List.of(
-                                new Operation.Put(
-                                        mKeys.confirmation(daemonId),
-                                        ByteString.copyFromUtf8(version),
-                                        leaseId)),
-                        List.of(new Operation.Read(mKeys.manifest())));
-        return mCalls.once(transaction).thenCompose(result -> confirmed(held, result));
-    }
-
-    private CompletableFuture<ConfirmResult> confirmed(LoadedState held, TransactionResult result) {
-        if (result.succeeded()) {
-            return CompletableFuture.completedFuture(new ConfirmResult.Confirmed());
-        }
-        return mReader.newest(result.reads().get(0), held.contents())
-                .thenApply(
-                        newest -> {
-                            if (newest.state().version() <= held.state().version()) {
-                                throw new SettingsException(
-                                        "store returned no newer version than "
-                                                + held.state().version()
-                                                + " but did not confirm it",
-                                        null);
-                            }
-                            return new ConfirmResult.Newer(newest);
-                        });
+        return mConfirmation.confirm(daemonId, held, leaseId);
     }
 
     /** Returns the change summaries of {@code count} versions from {@code from}, if kept. */
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -256,6 +256,15 @@
         assertThat(((ConfirmResult.Newer) result).state().state().version()).isEqualTo(2);
     }
 
+    @Example
+    void stateFromAPeerWithoutRevisionIsConfirmedAndGetsItsRevision() {
+        importFleet(1);
+        LoadedState held = mOther.load(Map.of()).join();
+        LoadedState fromPeer = new LoadedState(held.state(), held.contents(), 0);
+        assertThat(mOther.confirm("d1", fromPeer, 7).join())
+                .isEqualTo(new ConfirmResult.Confirmed(held));
+    }
+
     @Example
     void alteredContentIsRejectedWithItsPath() {
         importFleet(1);
