Add the ledger of rights and their redistribution

Change: RightsLedger keeps cumulative totals by resource, epoch and peer; a packed atomic counter holds allowance and running requests, so traffic threads and transfers share no lock. Redistribution divides anew from frozen records, EndedDaemons collects the evidence for ended daemons.

Decided where the design is open: a hint for rights in use is a promise of 2 s that lowers the allowance, since a full giver would otherwise reuse each right; the epoch of a redistribution is the version of its commit, so that a team created again cannot repeat an epoch; the epoch of a host includes its slot count.

--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/rights/HostSlots.java
@@ -0,0 +1,42 @@
+package org.marigoldturn.rights;
+
+import java.util.List;
+import org.marigoldturn.hashing.RendezvousHash;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.ZoneSettings;
+import org.marigoldturn.settings.ZoneState;
+
+/** Initial division of host slots among daemons, derived by rendezvous hashing. */
+final class HostSlots {
+    private static final int SLOT_BITS = 20;
+
+    private HostSlots() {}
+
+    /**
+     * Returns the epoch of a host's division. It includes the number of slots: totals transferred
+     * under another number of slots belong to another derived basis.
+     */
+    static long epoch(long slotEpoch, int slots) {
+        return (slotEpoch << SLOT_BITS) | slots;
+    }
+
+    /** Returns how many slots of the host belong to the daemon at the start of the epoch. */
+    static int basis(String host, int slots, String daemon, List<String> slotDaemons) {
+        int owned = 0;
+        for (int slot = 0; slot < slots; slot++) {
+            String owner = RendezvousHash.owner(host + '/' + slot, slotDaemons).orElse("");
+            if (owner.equals(daemon)) {
+                owned++;
+            }
+        }
+        return owned;
+    }
+
+    /** Returns whether work may start on the host at this version. */
+    static boolean inService(FleetSettings settings, HostSettings host) {
+        ZoneSettings zone = settings.zones().get(host.zone());
+        boolean zoneServes = zone == null || zone.state() != ZoneState.OUT_OF_SERVICE;
+        return zoneServes && host.state().acceptsWork();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/rights/Redistribution.java
@@ -0,0 +1,203 @@
+package org.marigoldturn.rights;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.marigoldturn.peer.wire.FreezeReply;
+import org.marigoldturn.peer.wire.FreezeRequest;
+import org.marigoldturn.peer.wire.FrozenResource;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.ResourceDivision;
+import org.marigoldturn.settings.TeamSettings;
+import org.marigoldturn.settings.VersionedState;
+
+/**
+ * One attempt to divide the rights of teams anew, based on one manifest version.
+ *
+ * <p>The result is valid only for a commit whose compare names the base version: members resume
+ * transfers as soon as they hold a later one. It covers the rights of all members, so every member
+ * must have answered or must certainly run nothing. Not thread safe; belongs to the control thread.
+ */
+public final class Redistribution {
+    private final VersionedState mBase;
+    private final Set<String> mTeams;
+    private final Map<String, Map<String, FrozenResource>> mReplies = new TreeMap<>();
+    private boolean mRefused;
+
+    /** Starts an attempt for the teams, which must have a division at the base version. */
+    public Redistribution(VersionedState base, Collection<String> teams) {
+        mBase = base;
+        mTeams = new TreeSet<>(teams);
+        if (!base.rights().teams().keySet().containsAll(mTeams)) {
+            throw new IllegalArgumentException(
+                    "teams "
+                            + mTeams
+                            + " include one without division at version "
+                            + base.version());
+        }
+    }
+
+    /**
+     * Returns the teams whose division needs a redistribution: the rights differ from the limit, or
+     * a daemon with a part in the division has ended.
+     */
+    public static Set<String> needed(VersionedState state, EndedDaemons ended) {
+        Set<String> teams = new TreeSet<>();
+        state.rights()
+                .teams()
+                .forEach(
+                        (team, division) -> {
+                            TeamSettings settings = state.settings().teams().get(team);
+                            boolean differs =
+                                    settings != null
+                                            && settings.runningLimit() != division.minted();
+                            if (differs || hasEndedHolder(state, division, ended)) {
+                                teams.add(team);
+                            }
+                        });
+        return teams;
+    }
+
+    /** Returns the request for all members, including the coordinator itself. */
+    public FreezeRequest request() {
+        FreezeRequest.Builder request = FreezeRequest.newBuilder().setBaseVersion(mBase.version());
+        mTeams.forEach(team -> request.addResources(Resources.team(team)));
+        return request.build();
+    }
+
+    /** Takes a reply; replies to other attempts and repeated ones are ignored. */
+    public void onReply(String member, FreezeReply reply) {
+        if (reply.getBaseVersion() != mBase.version()) {
+            return;
+        }
+        Map<String, FrozenResource> resources = new HashMap<>();
+        reply.getResourcesList().forEach(r -> resources.put(r.getResource(), r));
+        if (!reply.getFrozen() || !complete(resources)) {
+            mRefused = true;
+            return;
+        }
+        mReplies.put(member, resources);
+    }
+
+    /** Returns whether a member refused, so that this attempt cannot succeed any more. */
+    public boolean refused() {
+        return mRefused;
+    }
+
+    /**
+     * Returns the daemons that still have to answer, or to be cleared by evidence.
+     *
+     * @param clear daemons of which certainly nothing runs, see {@link EndedDaemons#clear}
+     */
+    public Set<String> pending(Set<String> clear) {
+        Set<String> pending = new TreeSet<>();
+        mBase.members().members().stream().map(Member::id).forEach(pending::add);
+        for (String team : mTeams) {
+            // Former members may have work running on rights that nobody has received.
+            if (unaccounted(team) > 0) {
+                pending.addAll(division(team).basis().keySet());
+                records(team).values().forEach(r -> pending.addAll(r.getSentMap().keySet()));
+                records(team).values().forEach(r -> pending.addAll(r.getReceivedMap().keySet()));
+            }
+        }
+        pending.removeAll(mReplies.keySet());
+        pending.removeAll(clear);
+        return pending;
+    }
+
+    /** Returns the new divisions by team, or empty while answers or evidence are missing. */
+    public Optional<Map<String, ResourceDivision>> result(Set<String> clear) {
+        if (mRefused || mReplies.isEmpty() || !pending(clear).isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, ResourceDivision> divisions = new TreeMap<>();
+        mTeams.forEach(team -> divisions.put(team, divide(team)));
+        return Optional.of(divisions);
+    }
+
+    private static boolean hasEndedHolder(
+            VersionedState state, ResourceDivision division, EndedDaemons ended) {
+        return division.basis().entrySet().stream()
+                .filter(entry -> entry.getValue() > 0)
+                .map(Map.Entry::getKey)
+                .anyMatch(id -> ended.hasEnded(id) || state.members().find(id).isEmpty());
+    }
+
+    private boolean complete(Map<String, FrozenResource> resources) {
+        return mTeams.stream()
+                .allMatch(
+                        team -> {
+                            FrozenResource record = resources.get(Resources.team(team));
+                            return record != null && record.getEpoch() == division(team).epoch();
+                        });
+    }
+
+    private ResourceDivision division(String team) {
+        return mBase.rights().teams().get(team);
+    }
+
+    private Map<String, FrozenResource> records(String team) {
+        Map<String, FrozenResource> records = new TreeMap<>();
+        mReplies.forEach(
+                (member, resources) -> records.put(member, resources.get(Resources.team(team))));
+        return records;
+    }
+
+    /** Rights of each member that answered, with transfers in flight credited to the receiver. */
+    private Map<String, Long> holdings(String team) {
+        Map<String, FrozenResource> records = records(team);
+        Map<String, Long> holdings = new TreeMap<>();
+        records.forEach(
+                (member, record) -> {
+                    Map<String, Long> received = new HashMap<>(record.getReceivedMap());
+                    records.forEach(
+                            (giver, given) -> {
+                                long sent = given.getSentMap().getOrDefault(member, 0L);
+                                received.merge(giver, sent, Math::max);
+                            });
+                    long held = division(team).basis().getOrDefault(member, 0);
+                    held += received.values().stream().mapToLong(Long::longValue).sum();
+                    held -= record.getSentMap().values().stream().mapToLong(Long::longValue).sum();
+                    holdings.put(member, held);
+                });
+        return holdings;
+    }
+
+    /** Rights that no member that answered holds. */
+    private long unaccounted(String team) {
+        long held = holdings(team).values().stream().mapToLong(Long::longValue).sum();
+        return division(team).minted() - held;
+    }
+
+    private ResourceDivision divide(String team) {
+        ResourceDivision old = division(team);
+        TeamSettings settings = mBase.settings().teams().get(team);
+        int limit = settings == null ? 0 : settings.runningLimit();
+        Map<String, Integer> basis = new TreeMap<>();
+        long scale = Math.min(limit, old.minted());
+        holdings(team)
+                .forEach(
+                        (member, held) -> {
+                            long kept = old.minted() == 0 ? 0 : held * scale / old.minted();
+                            basis.put(member, (int) Math.max(0, kept));
+                        });
+        int sum = basis.values().stream().mapToInt(Integer::intValue).sum();
+        addRemainder(basis, limit - sum);
+        // The version of the commit, so that a team created again never repeats an epoch.
+        long epoch = Math.max(old.epoch(), mBase.version()) + 1;
+        return new ResourceDivision(epoch, limit, basis);
+    }
+
+    private static void addRemainder(Map<String, Integer> basis, int remainder) {
+        List<String> members = List.copyOf(basis.keySet());
+        for (int i = 0; i < members.size(); i++) {
+            int part = remainder / members.size() + (i < remainder % members.size() ? 1 : 0);
+            basis.merge(members.get(i), part, Integer::sum);
+        }
+    }
+}
--- a/core/src/main/java/org/marigoldturn/rights/Resources.java
+++ b/core/src/main/java/org/marigoldturn/rights/Resources.java
@@ -13,4 +13,9 @@
     public static String host(String hostName) {
         return "host:" + hostName;
     }
+
+    /** Returns the name of the slots of all hosts of a pool, in reports and hints. */
+    public static String pool(String poolName) {
+        return "pool:" + poolName;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
@@ -0,0 +1,438 @@
+package org.marigoldturn.rights;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToIntFunction;
+import org.marigoldturn.hashing.RendezvousHash;
+import org.marigoldturn.peer.wire.FreezeReply;
+import org.marigoldturn.peer.wire.FreezeRequest;
+import org.marigoldturn.peer.wire.RightsTotal;
+import org.marigoldturn.peer.wire.RightsTotals;
+import org.marigoldturn.peer.wire.TransferHint;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.ResourceDivision;
+import org.marigoldturn.settings.TeamSettings;
+import org.marigoldturn.settings.VersionedState;
+
+/**
+ * All rights that one daemon holds.
+ *
+ * <p>Invariants: the holdings of all daemons of one resource and epoch add up to at most its minted
+ * rights; a request starts only within the allowance that follows from the holding. The methods of
+ * {@link RightsHolder} are lock-free and may be called by any thread; all others belong to the
+ * control thread.
+ */
+public final class RightsLedger implements RightsHolder {
+    /**
+     * Time for which rights in use stay promised to the taker of a hint. Twice the interval of the
+     * coordinator, which repeats a hint while it is still wanted.
+     */
+    public static final long RESERVATION_MILLIS = 2000;
+
+    private static final String POOL_PREFIX = Resources.pool("");
+
+    private final String mSelf;
+    private final Map<String, Holding> mHoldings = new ConcurrentHashMap<>();
+
+    /** Holdings of the hosts that may start work, by pool resource. */
+    private Map<String, List<Holding>> mPools = Map.of();
+
+    /** Totals of epochs that this daemon does not know yet, by sender and resource. */
+    private final Map<String, Map<String, RightsTotal>> mEarlyTotals = new HashMap<>();
+
+    /** Resources that are frozen at the version held; any later version resumes transfers. */
+    private final Set<String> mFrozen = new HashSet<>();
+
+    private final Set<String> mUnacknowledged = new TreeSet<>();
+    private final Set<String> mReserved = new TreeSet<>();
+    private long mVersion = -1;
+    private boolean mClosed;
+
+    /** Creates a ledger without rights for the daemon with the given member id. */
+    public RightsLedger(String self) {
+        mSelf = self;
+    }
+
+    @Override
+    public boolean tryAcquire(String resource) {
+        Holding holding = mHoldings.get(resource);
+        return holding != null && holding.permits().tryAcquire();
+    }
+
+    @Override
+    public void release(String resource) {
+        Holding holding = mHoldings.get(resource);
+        if (holding == null) {
+            throw new IllegalStateException("no right of " + resource + " is in use");
+        }
+        holding.permits().release(resource);
+    }
+
+    @Override
+    public int free(String resource) {
+        Holding holding = mHoldings.get(resource);
+        return holding == null ? 0 : holding.permits().free();
+    }
+
+    /** Returns the running requests that use a right of the resource. */
+    public int running(String resource) {
+        return total(resource, Holding::running);
+    }
+
+    /** Returns the rights of a team, or of the usable hosts of a pool, that this daemon holds. */
+    public int held(String resource) {
+        return total(resource, holding -> (int) Math.max(0, holding.held()));
+    }
+
+    /** Returns the rights of a team or pool that this daemon could transfer now. */
+    public int givable(String resource) {
+        return total(resource, Holding::givable);
+    }
+
+    /** Takes over a version; versions not later than the one held are ignored. */
+    public void adopt(VersionedState state) {
+        if (state.version() <= mVersion) {
+            return;
+        }
+        mVersion = state.version();
+        mFrozen.clear();
+        Set<String> known = new HashSet<>();
+        state.rights().teams().forEach((team, division) -> adoptTeam(state, team, division, known));
+        for (HostSettings host : state.settings().hosts().values()) {
+            adoptHost(state, host, known);
+        }
+        retire(known);
+        indexPools(state.settings());
+        acceptEarlyTotals();
+    }
+
+    /**
+     * Gives free rights to the taker of a hint, and promises it further ones of those in use, which
+     * {@link #serveReservations} gives when their requests have ended.
+     */
+    public List<AddressedTotals> onHint(TransferHint hint, long nowMillis) {
+        if (hint.getTaker().equals(mSelf) || hint.getCount() <= 0) {
+            return List.of();
+        }
+        List<Holding> candidates = transferable(hint.getResource());
+        candidates.forEach(holding -> holding.cancelReservation(hint.getTaker()));
+        Outbox outbox = new Outbox();
+        int rest = giveEvenly(candidates, hint.getTaker(), hint.getCount(), outbox);
+        reserveEvenly(candidates, hint.getTaker(), rest, nowMillis + RESERVATION_MILLIS);
+        return outbox.messages();
+    }
+
+    /** Gives promised rights that have become free. To be called every few tens of milliseconds. */
+    public List<AddressedTotals> serveReservations(long nowMillis) {
+        Outbox outbox = new Outbox();
+        for (String resource : List.copyOf(mReserved)) {
+            Holding holding = mHoldings.get(resource);
+            if (holding != null && !mFrozen.contains(resource)) {
+                for (String taker : holding.serveReservations(nowMillis)) {
+                    outbox.add(holding, taker);
+                }
+            }
+            if (holding == null || !holding.hasReservations()) {
+                mReserved.remove(resource);
+            }
+        }
+        return outbox.messages();
+    }
+
+    /** Takes over the totals of a sender; returns the acknowledgement of those accepted. */
+    public RightsTotals onTotals(String sender, RightsTotals totals) {
+        RightsTotals.Builder accepted = RightsTotals.newBuilder();
+        for (RightsTotal total : totals.getTotalsList()) {
+            if (acceptTotal(sender, total)) {
+                accepted.addTotals(total);
+            }
+        }
+        return accepted.build();
+    }
+
+    /** Records that the receiver has taken over totals. */
+    public void onAck(String receiver, RightsTotals accepted) {
+        for (RightsTotal total : accepted.getTotalsList()) {
+            Holding holding = mHoldings.get(total.getResource());
+            if (holding != null && holding.epoch() == total.getEpoch()) {
+                holding.acknowledge(receiver, total.getTotal());
+                if (holding.unacknowledgedTakers().isEmpty()) {
+                    mUnacknowledged.remove(total.getResource());
+                }
+            }
+        }
+    }
+
+    /** Returns all totals that were not acknowledged, to be sent again about once a second. */
+    public List<AddressedTotals> unacknowledged() {
+        Outbox outbox = new Outbox();
+        for (String resource : List.copyOf(mUnacknowledged)) {
+            Holding holding = mHoldings.get(resource);
+            if (holding == null || holding.unacknowledgedTakers().isEmpty()) {
+                mUnacknowledged.remove(resource);
+            } else if (!mFrozen.contains(resource)) {
+                holding.unacknowledgedTakers().forEach(taker -> outbox.add(holding, taker));
+            }
+        }
+        return outbox.messages();
+    }
+
+    /** Stops transfers of the resources until a later version, and reports what was transferred. */
+    public FreezeReply onFreeze(FreezeRequest request) {
+        FreezeReply.Builder reply =
+                FreezeReply.newBuilder().setBaseVersion(request.getBaseVersion());
+        if (request.getBaseVersion() != mVersion) {
+            return reply.build();
+        }
+        for (String resource : request.getResourcesList()) {
+            Holding holding = mHoldings.get(resource);
+            if (holding != null) {
+                mFrozen.add(resource);
+                reply.addResources(holding.freezeRecord());
+            }
+        }
+        return reply.setFrozen(true).build();
+    }
+
+    /** Stops all starts for good; used before the final shutdown message. */
+    public void close() {
+        mClosed = true;
+        mHoldings.values().forEach(Holding::close);
+    }
+
+    /** Gives all free rights to the takers, spread over them by resource and count. */
+    public List<AddressedTotals> giveAll(Collection<String> takers) {
+        List<String> others = takers.stream().filter(t -> !t.equals(mSelf)).sorted().toList();
+        Outbox outbox = new Outbox();
+        for (Holding holding : mHoldings.values()) {
+            if (!others.isEmpty() && !mFrozen.contains(holding.resource())) {
+                giveAll(holding, others, outbox);
+            }
+        }
+        return outbox.messages();
+    }
+
+    /**
+     * Returns whether nothing runs and all rights have been taken over by others.
+     *
+     * @param ended daemons that have certainly ended; their acknowledgement is not waited for
+     */
+    public boolean handedOver(Collection<String> ended) {
+        return mHoldings.values().stream()
+                .allMatch(
+                        holding ->
+                                holding.running() == 0
+                                        && holding.held() <= 0
+                                        && ended.containsAll(holding.unacknowledgedTakers()));
+    }
+
+    private void adoptTeam(
+            VersionedState state, String team, ResourceDivision division, Set<String> known) {
+        TeamSettings settings = state.settings().teams().get(team);
+        if (settings == null) {
+            return;
+        }
+        int basis = division.basis().getOrDefault(mSelf, 0);
+        String resource = Resources.team(team);
+        known.add(resource);
+        Holding holding = enterEpoch(resource, division.epoch());
+        holding.configure(basis, division.minted(), settings.runningLimit());
+    }
+
+    private void adoptHost(VersionedState state, HostSettings host, Set<String> known) {
+        String resource = Resources.host(host.name());
+        known.add(resource);
+        long epoch = HostSlots.epoch(state.rights().slotEpoch(), host.slots());
+        Holding existing = mHoldings.get(resource);
+        if (existing == null || existing.epoch() != epoch) {
+            List<String> daemons = state.rights().slotDaemons();
+            int basis = HostSlots.basis(host.name(), host.slots(), mSelf, daemons);
+            enterEpoch(resource, epoch).configure(basis, host.slots(), host.slots());
+        }
+    }
+
+    private Holding enterEpoch(String resource, long epoch) {
+        Holding holding = mHoldings.computeIfAbsent(resource, Holding::new);
+        if (holding.epoch() != epoch) {
+            holding.startEpoch(epoch);
+        }
+        if (mClosed) {
+            holding.close();
+        }
+        return holding;
+    }
+
+    /** Keeps a deleted resource, without rights, until the last of its running requests ends. */
+    private void retire(Set<String> known) {
+        for (Holding holding : List.copyOf(mHoldings.values())) {
+            if (!known.contains(holding.resource())) {
+                holding.startEpoch(-1);
+                holding.configure(0, 0, 0);
+                if (holding.running() == 0) {
+                    mHoldings.remove(holding.resource());
+                }
+            }
+        }
+    }
+
+    private void indexPools(FleetSettings settings) {
+        Map<String, List<Holding>> pools = new TreeMap<>();
+        for (HostSettings host : settings.hosts().values()) {
+            if (HostSlots.inService(settings, host)) {
+                Holding holding = mHoldings.get(Resources.host(host.name()));
+                String pool = Resources.pool(host.pool());
+                pools.computeIfAbsent(pool, name -> new ArrayList<>()).add(holding);
+            }
+        }
+        mPools = pools;
+    }
+
+    private void acceptEarlyTotals() {
+        Map<String, Map<String, RightsTotal>> early = new TreeMap<>(mEarlyTotals);
+        mEarlyTotals.clear();
+        early.forEach(
+                (sender, totals) -> totals.values().forEach(total -> acceptTotal(sender, total)));
+    }
+
+    private boolean acceptTotal(String sender, RightsTotal total) {
+        Holding holding = mHoldings.get(total.getResource());
+        if (holding == null || holding.epoch() < total.getEpoch()) {
+            mEarlyTotals
+                    .computeIfAbsent(sender, name -> new HashMap<>())
+                    .merge(total.getResource(), total, RightsLedger::later);
+            return false;
+        }
+        if (holding.epoch() > total.getEpoch() || mFrozen.contains(total.getResource())) {
+            return false;
+        }
+        holding.receive(sender, total.getTotal());
+        return true;
+    }
+
+    private static RightsTotal later(RightsTotal a, RightsTotal b) {
+        Comparator<RightsTotal> order =
+                Comparator.comparingLong(RightsTotal::getEpoch)
+                        .thenComparingLong(RightsTotal::getTotal);
+        return order.compare(a, b) >= 0 ? a : b;
+    }
+
+    private List<Holding> transferable(String resource) {
+        return named(resource).stream().filter(h -> !mFrozen.contains(h.resource())).toList();
+    }
+
+    private List<Holding> named(String resource) {
+        if (resource.startsWith(POOL_PREFIX)) {
+            return mPools.getOrDefault(resource, List.of());
+        }
+        Holding holding = mHoldings.get(resource);
+        return holding == null ? List.of() : List.of(holding);
+    }
+
+    private int total(String resource, ToIntFunction<Holding> amount) {
+        return named(resource).stream().mapToInt(amount).sum();
+    }
+
+    /** Gives from the holding with the most free rights first; returns the count not given. */
+    private int giveEvenly(List<Holding> holdings, String taker, int count, Outbox outbox) {
+        int rest = count;
+        while (rest > 0) {
+            Holding fullest = largest(holdings, Holding::givable);
+            if (fullest == null) {
+                return rest;
+            }
+            int given = fullest.give(taker, holdings.size() == 1 ? rest : 1);
+            rest -= given;
+            if (given > 0) {
+                outbox.add(fullest, taker);
+            }
+        }
+        return rest;
+    }
+
+    private void reserveEvenly(List<Holding> holdings, String taker, int count, long expiryMillis) {
+        Map<Holding, Integer> counts = new HashMap<>();
+        int rest = count;
+        while (rest > 0) {
+            Holding busiest = largest(holdings, h -> h.reservable() - counts.getOrDefault(h, 0));
+            if (busiest == null) {
+                break;
+            }
+            int open = busiest.reservable() - counts.getOrDefault(busiest, 0);
+            int step = holdings.size() == 1 ? Math.min(rest, open) : 1;
+            counts.merge(busiest, step, Integer::sum);
+            rest -= step;
+        }
+        counts.forEach(
+                (holding, reserved) -> {
+                    holding.reserve(taker, reserved, expiryMillis);
+                    mReserved.add(holding.resource());
+                });
+    }
+
+    private static Holding largest(List<Holding> holdings, ToIntFunction<Holding> amount) {
+        Holding best = null;
+        int bestAmount = 0;
+        for (Holding holding : holdings) {
+            int current = amount.applyAsInt(holding);
+            if (current > bestAmount) {
+                best = holding;
+                bestAmount = current;
+            }
+        }
+        return best;
+    }
+
+    private static int ceilingDivide(int dividend, int divisor) {
+        return (dividend + divisor - 1) / divisor;
+    }
+
+    private void giveAll(Holding holding, List<String> takers, Outbox outbox) {
+        String first = RendezvousHash.owner(holding.resource(), takers).orElseThrow();
+        int offset = takers.indexOf(first);
+        int part = ceilingDivide(Math.max(1, holding.givable()), takers.size());
+        for (int i = 0; i < takers.size(); i++) {
+            String taker = takers.get((offset + i) % takers.size());
+            if (holding.give(taker, part) > 0) {
+                outbox.add(holding, taker);
+            }
+        }
+    }
+
+    /** Collects the totals to send, once for each receiver and resource. */
+    private final class Outbox {
+        private final Map<String, Set<Holding>> mByReceiver = new TreeMap<>();
+
+        void add(Holding holding, String receiver) {
+            mByReceiver.computeIfAbsent(receiver, name -> new HashSet<>()).add(holding);
+            mUnacknowledged.add(holding.resource());
+        }
+
+        List<AddressedTotals> messages() {
+            List<AddressedTotals> messages = new ArrayList<>();
+            mByReceiver.forEach((receiver, holdings) -> messages.add(message(receiver, holdings)));
+            return messages;
+        }
+
+        private AddressedTotals message(String receiver, Set<Holding> holdings) {
+            RightsTotals.Builder totals = RightsTotals.newBuilder();
+            for (Holding holding : holdings) {
+                totals.addTotals(
+                        RightsTotal.newBuilder()
+                                .setResource(holding.resource())
+                                .setEpoch(holding.epoch())
+                                .setTotal(holding.sentTo(receiver)));
+            }
+            return new AddressedTotals(receiver, totals.build());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/rights/RightsLedgerTest.java
@@ -0,0 +1,171 @@
+package org.marigoldturn.rights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marigoldturn.rights.TestStates.TEAM;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import org.marigoldturn.peer.wire.RightsTotals;
+import org.marigoldturn.peer.wire.TransferHint;
+import org.marigoldturn.settings.ResourceDivision;
+import org.marigoldturn.settings.VersionedState;
+
+/** Guards the rules of a single ledger. */
+class RightsLedgerTest {
+    private static final List<String> MEMBERS = List.of("a", "b", "c");
+
+    private static VersionedState version(long version, int limit, long epoch) {
+        Map<String, Integer> basis = Map.of("a", 4, "b", 4, "c", 4);
+        ResourceDivision division = new ResourceDivision(epoch, 12, basis);
+        return TestStates.state(version, limit, division, MEMBERS, 4, 1, MEMBERS);
+    }
+
+    private static RightsLedger ledger(String id) {
+        RightsLedger ledger = new RightsLedger(id);
+        ledger.adopt(version(1, 12, 1));
+        return ledger;
+    }
+
+    private static TransferHint hint(String resource, String taker, int count) {
+        return TransferHint.newBuilder()
+                .setResource(resource)
+                .setTaker(taker)
+                .setCount(count)
+                .build();
+    }
+
+    /** A limit below the number of daemons would otherwise leave every daemon with zero. */
+    @Example
+    void fractionsOfALowLimitBecomeUsableAtOneDaemon() {
+        RightsLedger a = ledger("a");
+        RightsLedger b = ledger("b");
+        a.adopt(version(2, 2, 1));
+        b.adopt(version(2, 2, 1));
+        assertThat(a.free(TEAM)).isZero();
+        b.onTotals("a", a.onHint(hint(TEAM, "b", 4), 0).get(0).totals());
+        assertThat(b.free(TEAM)).isEqualTo(1);
+    }
+
+    /** A promised right must not be reused for the giver's own queue. */
+    @Example
+    void rightInUseGoesToTheTakerWhenItsRequestEnds() {
+        RightsLedger a = ledger("a");
+        for (int i = 0; i < 4; i++) {
+            a.tryAcquire(TEAM);
+        }
+        assertThat(a.onHint(hint(TEAM, "b", 2), 0)).isEmpty();
+        a.release(TEAM);
+        assertThat(a.tryAcquire(TEAM)).isFalse();
+        AddressedTotals sent = a.serveReservations(10).get(0);
+        assertThat(sent.totals().getTotals(0).getTotal()).isEqualTo(1);
+        a.serveReservations(RightsLedger.RESERVATION_MILLIS);
+        a.release(TEAM);
+        assertThat(a.tryAcquire(TEAM)).as("an expired promise frees the right").isTrue();
+    }
+
+    /** A total that arrives before its epoch must not be lost or counted in the old epoch. */
+    @Example
+    void totalsOfALaterEpochAreKeptUntilItIsKnown() {
+        RightsLedger a = new RightsLedger("a");
+        a.adopt(version(2, 12, 2));
+        RightsLedger b = ledger("b");
+        RightsTotals totals = a.onHint(hint(TEAM, "b", 3), 0).get(0).totals();
+        assertThat(b.onTotals("a", totals).getTotalsCount()).isZero();
+        assertThat(b.held(TEAM)).isEqualTo(4);
+        b.adopt(version(2, 12, 2));
+        assertThat(b.held(TEAM)).isEqualTo(7);
+        assertThat(b.onTotals("a", totals)).as("repeated total").isEqualTo(totals);
+        assertThat(b.held(TEAM)).isEqualTo(7);
+    }
+
+    @Example
+    void leavingDaemonHandsOverEverythingAndWaitsForAcknowledgement() {
+        RightsLedger a = ledger("a");
+        a.tryAcquire(TEAM);
+        a.giveAll(MEMBERS);
+        assertThat(a.handedOver(Set.of())).as("one request still runs").isFalse();
+        a.release(TEAM);
+        a.close();
+        a.giveAll(MEMBERS);
+        assertThat(a.held(TEAM)).isZero();
+        assertThat(a.handedOver(Set.of())).as("nothing is acknowledged").isFalse();
+        a.unacknowledged().forEach(m -> a.onAck(m.receiver(), m.totals()));
+        assertThat(a.handedOver(Set.of())).isTrue();
+        assertThat(a.unacknowledged()).isEmpty();
+    }
+
+    @Example
+    void slotsOfHostsAreDividedCompletely() {
+        int slots = MEMBERS.stream().mapToInt(id -> ledger(id).held("pool:p")).sum();
+        assertThat(slots).isEqualTo(32);
+        RightsLedger a = ledger("a");
+        int before = a.held("pool:p");
+        a.onHint(hint("pool:p", "b", 3), 0);
+        assertThat(a.held("pool:p")).isEqualTo(before - 3);
+    }
+
+    /** Work that runs while its team is deleted still returns its right. */
+    @Example
+    void deletedTeamStartsNothingAndReleasesWhatRuns() {
+        RightsLedger a = ledger("a");
+        a.tryAcquire(TEAM);
+        VersionedState full = version(2, 12, 1);
+        a.adopt(
+                new VersionedState(
+                        full.manifest(),
+                        org.marigoldturn.settings.FleetSettings.EMPTY,
+                        full.members(),
+                        org.marigoldturn.settings.RightsDivision.EMPTY));
+        assertThat(a.tryAcquire(TEAM)).isFalse();
+        a.release(TEAM);
+        assertThat(a.running(TEAM)).isZero();
+    }
+
+    /** Traffic threads and transfers race for the same rights. */
+    @Example
+    void concurrentStartsAndTransfersNeverUseARightTwice() throws InterruptedException {
+        RightsLedger a = ledger("a");
+        AtomicInteger worst = new AtomicInteger();
+        AtomicInteger given = new AtomicInteger();
+        AtomicInteger running = new AtomicInteger();
+        Runnable traffic =
+                () -> {
+                    for (int i = 0; i < 20_000; i++) {
+                        if (a.tryAcquire(TEAM)) {
+                            worst.accumulateAndGet(running.incrementAndGet(), Math::max);
+                            running.decrementAndGet();
+                            a.release(TEAM);
+                        }
+                    }
+                };
+        List<Thread> threads = List.of(new Thread(traffic), new Thread(traffic));
+        threads.forEach(Thread::start);
+        while (given.get() < 3) {
+            given.addAndGet(a.onHint(hint(TEAM, "b", 1), 0).size());
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertThat(worst.get()).isLessThanOrEqualTo(4);
+        assertThat(a.held(TEAM)).isEqualTo(1);
+        assertThat(a.free(TEAM)).isEqualTo(1);
+    }
+
+    /** Elapsed time and reports made before the end say nothing about an ended daemon. */
+    @Example
+    void onlyReportsOfAllHostsAfterTheEndClearADaemon() {
+        EndedDaemons ended = new EndedDaemons();
+        ended.onUsageReport("h0", 5, Set.of());
+        ended.onEnded("x", 10);
+        ended.onUsageReport("h0", 9, Set.of());
+        ended.onUsageReport("h1", 11, Set.of());
+        assertThat(ended.clear(Set.of("h0", "h1"))).isEmpty();
+        ended.onUsageReport("h0", 12, Set.of("x"));
+        assertThat(ended.clear(Set.of("h0", "h1"))).isEmpty();
+        ended.onUsageReport("h0", 13, Set.of());
+        assertThat(ended.clear(Set.of("h0", "h1"))).containsExactly("x");
+    }
+}
