Add share allocation, demand reports and the share coordinator

Cause: a full pool is divided by weighted max-min, and rights must follow the demand of the daemons (design 5.3 and 6).

Change: MaxMinAllocator fills levels in integers; ShareCoordinator turns demand reports into entitlements and hints; DemandReporter sends changes at once, small ones after 2 s, everything every 15 s.

Decided where the design is open: hints count rights as minted, so that fractions lost to rounding can be moved together; hints sent count as carried out for 2 s or until the giver reports; 1% of the rights is a reserve for daemons with little traffic; parts below the number of daemons with demand rotate among them.

--- a/core/src/main/java/org/marigoldturn/rights/HostSlots.java
+++ b/core/src/main/java/org/marigoldturn/rights/HostSlots.java
@@ -8,7 +8,7 @@
 import org.marigoldturn.settings.ZoneState;
 
 /** Initial division of host slots among daemons, derived by rendezvous hashing. */
-final class HostSlots {
+public final class HostSlots {
     private static final int SLOT_BITS = 20;
 
     private HostSlots() {}
@@ -34,9 +34,17 @@
     }
 
     /** Returns whether work may start on the host at this version. */
-    static boolean inService(FleetSettings settings, HostSettings host) {
+    public static boolean inService(FleetSettings settings, HostSettings host) {
         ZoneSettings zone = settings.zones().get(host.zone());
         boolean zoneServes = zone == null || zone.state() != ZoneState.OUT_OF_SERVICE;
         return zoneServes && host.state().acceptsWork();
     }
+
+    /** Returns the slots of all hosts of the pool on which work may start. */
+    public static int poolSlots(FleetSettings settings, String pool) {
+        return settings.hosts().values().stream()
+                .filter(host -> host.pool().equals(pool) && inService(settings, host))
+                .mapToInt(HostSettings::slots)
+                .sum();
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/shares/CoordinatorOutput.java
@@ -0,0 +1,25 @@
+package org.marigoldturn.shares;
+
+import java.util.List;
+import org.marigoldturn.peer.wire.Entitlements;
+import org.marigoldturn.peer.wire.TransferHint;
+
+/**
+ * Messages of a coordinator; receivers are member ids, possibly of this daemon.
+ *
+ * @param entitlements entitlements by daemon
+ * @param hints hints to daemons that hold more than they need
+ */
+public record CoordinatorOutput(
+        List<AddressedEntitlements> entitlements, List<AddressedHint> hints) {
+    /** Entitlements of one daemon. */
+    public record AddressedEntitlements(String receiver, Entitlements entitlements) {}
+
+    /** Hint to the giver of rights. */
+    public record AddressedHint(String receiver, TransferHint hint) {}
+
+    public CoordinatorOutput {
+        entitlements = List.copyOf(entitlements);
+        hints = List.copyOf(hints);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/shares/EntitlementTable.java
@@ -0,0 +1,44 @@
+package org.marigoldturn.shares;
+
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.marigoldturn.peer.wire.Entitlement;
+import org.marigoldturn.peer.wire.Entitlements;
+import org.marigoldturn.rights.Resources;
+
+/**
+ * Entitlements of this daemon by pool.
+ *
+ * <p>The control thread writes, any thread reads; each pool is replaced as a whole.
+ */
+public final class EntitlementTable implements EntitlementSource {
+    /** Three times the interval at which coordinators repeat entitlements. */
+    public static final long VALIDITY_MILLIS = 30_000;
+
+    private record PoolEntitlements(Map<String, Integer> running, long receivedAtMillis) {}
+
+    private final Map<String, PoolEntitlements> mPools = new ConcurrentHashMap<>();
+
+    @Override
+    public OptionalInt entitlement(String pool, String team) {
+        PoolEntitlements entitlements = mPools.get(Resources.pool(pool));
+        Integer running = entitlements == null ? null : entitlements.running().get(team);
+        return running == null ? OptionalInt.empty() : OptionalInt.of(running);
+    }
+
+    /** Replaces the entitlements of a pool; an empty list means that the pool is not full. */
+    public void onEntitlements(Entitlements entitlements, long nowMillis) {
+        Map<String, Integer> running = new TreeMap<>();
+        for (Entitlement entitlement : entitlements.getEntitlementsList()) {
+            running.put(entitlement.getTeam(), entitlement.getRunning());
+        }
+        mPools.put(entitlements.getResource(), new PoolEntitlements(running, nowMillis));
+    }
+
+    /** Drops entitlements that no coordinator has repeated; to be called every few seconds. */
+    public void expire(long nowMillis) {
+        mPools.values().removeIf(e -> nowMillis - e.receivedAtMillis() > VALIDITY_MILLIS);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
@@ -0,0 +1,156 @@
+package org.marigoldturn.shares;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.marigoldturn.peer.wire.DemandReport;
+import org.marigoldturn.peer.wire.TeamDemand;
+import org.marigoldturn.shares.MaxMinAllocator.TeamClaim;
+import org.marigoldturn.shares.TransferPlanner.Move;
+import org.marigoldturn.shares.TransferPlanner.Position;
+
+/** Soft state of the coordinator of one pool or team limit. Not thread safe. */
+final class ResourceCoordinator {
+    /** A daemon is silent when it has missed two complete reports. */
+    private static final long SILENT_MILLIS = 2 * DemandReporter.COMPLETE_INTERVAL_MILLIS + 1000;
+
+    /** Time for which a hint counts as carried out while the giver has not reported since. */
+    private static final long HINT_PENDING_MILLIS = 2000;
+
+    /** Up to 1% of the rights is kept at daemons with little traffic. */
+    private static final int RESERVE_DIVISOR = 100;
+
+    /** Demand and holding of one daemon, as reported. */
+    private static final class DaemonState {
+        private final Map<String, Integer> mDemands = new TreeMap<>();
+        private int mHeld;
+        private long mReportedAtMillis;
+    }
+
+    private record PendingHint(Move move, long sentAtMillis) {}
+
+    private final Map<String, DaemonState> mDaemons = new TreeMap<>();
+    private final Map<String, RotatingSplit> mSplits = new HashMap<>();
+    private final List<PendingHint> mPending = new ArrayList<>();
+
+    void onReport(String sender, DemandReport report, long nowMillis) {
+        DaemonState daemon = mDaemons.computeIfAbsent(sender, id -> new DaemonState());
+        if (report.getComplete()) {
+            daemon.mDemands.clear();
+        }
+        daemon.mHeld = report.getHeld();
+        daemon.mReportedAtMillis = nowMillis;
+        for (TeamDemand team : report.getTeamsList()) {
+            int demand = team.getRunning() + team.getQueued();
+            if (demand == 0) {
+                daemon.mDemands.remove(team.getTeam());
+            } else {
+                daemon.mDemands.put(team.getTeam(), demand);
+            }
+        }
+        mPending.removeIf(hint -> hint.move().giver().equals(sender));
+    }
+
+    void forgetSilent(Collection<String> answering, long nowMillis) {
+        mDaemons.keySet().retainAll(answering);
+        mDaemons.values().removeIf(d -> nowMillis - d.mReportedAtMillis > SILENT_MILLIS);
+        mPending.removeIf(hint -> nowMillis - hint.sentAtMillis() >= HINT_PENDING_MILLIS);
+    }
+
+    Set<String> daemons() {
+        return mDaemons.keySet();
+    }
+
+    /** Returns the running and queued requests of each team at all daemons. */
+    Map<String, Integer> demands() {
+        Map<String, Integer> demands = new TreeMap<>();
+        for (DaemonState daemon : mDaemons.values()) {
+            daemon.mDemands.forEach((team, demand) -> demands.merge(team, demand, Integer::sum));
+        }
+        return demands;
+    }
+
+    /**
+     * Returns the part of each daemon and team, by daemon and then team.
+     *
+     * @param claims demand of the teams of this resource
+     */
+    Map<String, Map<String, Integer>> divide(int capacitySlots, List<TeamClaim> claims) {
+        Map<String, Map<String, Integer>> parts = new TreeMap<>();
+        mDaemons.keySet().forEach(daemon -> parts.put(daemon, new TreeMap<>()));
+        mSplits.keySet().retainAll(demands().keySet());
+        MaxMinAllocator.allocate(capacitySlots, claims)
+                .forEach(
+                        (team, running) ->
+                                split(team, running)
+                                        .forEach((d, part) -> parts.get(d).put(team, part)));
+        return parts;
+    }
+
+    /** Returns the transfers that bring the holdings closer to the needs of the daemons. */
+    List<Move> planMoves(int rights, Map<String, Integer> needs, long nowMillis) {
+        if (mDaemons.isEmpty()) {
+            return List.of();
+        }
+        Map<String, Integer> held = effectiveHoldings();
+        // Rights at daemons that do not report cannot be moved.
+        int movable = Math.min(rights, held.values().stream().mapToInt(h -> Math.max(0, h)).sum());
+        Map<String, Integer> fitted = withReserve(needs, movable);
+        int spare = movable - fitted.values().stream().mapToInt(Integer::intValue).sum();
+        Map<String, Integer> equal = new TreeMap<>();
+        mDaemons.keySet().forEach(daemon -> equal.put(daemon, 1));
+        Map<String, Integer> spareParts = LargestRemainder.split(spare, equal);
+        Map<String, Position> positions = new TreeMap<>();
+        fitted.forEach(
+                (daemon, need) ->
+                        positions.put(
+                                daemon,
+                                new Position(
+                                        held.get(daemon), need, need + spareParts.get(daemon))));
+        List<Move> moves = TransferPlanner.plan(positions);
+        moves.forEach(move -> mPending.add(new PendingHint(move, nowMillis)));
+        return moves;
+    }
+
+    private Map<String, Integer> split(String team, int running) {
+        Map<String, Integer> demands = new TreeMap<>();
+        mDaemons.forEach(
+                (id, daemon) -> {
+                    int demand = daemon.mDemands.getOrDefault(team, 0);
+                    if (demand > 0) {
+                        demands.put(id, demand);
+                    }
+                });
+        return mSplits.computeIfAbsent(team, name -> new RotatingSplit()).split(running, demands);
+    }
+
+    private Map<String, Integer> effectiveHoldings() {
+        Map<String, Integer> held = new TreeMap<>();
+        mDaemons.forEach((id, daemon) -> held.put(id, daemon.mHeld));
+        for (PendingHint hint : mPending) {
+            held.computeIfPresent(hint.move().giver(), (id, n) -> n - hint.move().count());
+            held.computeIfPresent(hint.move().taker(), (id, n) -> n + hint.move().count());
+        }
+        return held;
+    }
+
+    private Map<String, Integer> withReserve(Map<String, Integer> needs, int rights) {
+        int reserve = rights / RESERVE_DIVISOR / mDaemons.size();
+        Map<String, Integer> fitted = new TreeMap<>();
+        mDaemons.keySet().forEach(d -> fitted.put(d, Math.max(reserve, needs.getOrDefault(d, 0))));
+        int excess = fitted.values().stream().mapToInt(Integer::intValue).sum() - rights;
+        List<String> order = new ArrayList<>(new TreeSet<>(fitted.keySet()));
+        order.sort((a, b) -> Integer.compare(fitted.get(b), fitted.get(a)));
+        for (String daemon : order) {
+            int cut = Math.max(0, Math.min(excess, fitted.get(daemon) - reserve));
+            fitted.merge(daemon, -cut, Integer::sum);
+            excess -= cut;
+        }
+        return fitted;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/shares/ResourceDemand.java
@@ -0,0 +1,31 @@
+package org.marigoldturn.shares;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Demand at one daemon for the slots of a pool or for a team's limit.
+ *
+ * @param held rights held, see {@code RightsLedger.held}
+ * @param free rights that could be transferred, see {@code RightsLedger.givable}
+ * @param slots slots of the pool, or the limit of the team
+ * @param loads active teams by name; for a team limit only the team itself
+ */
+public record ResourceDemand(int held, int free, int slots, Map<String, TeamLoad> loads) {
+    /**
+     * Work of one team at one daemon.
+     *
+     * @param running running requests
+     * @param queued queued requests
+     */
+    public record TeamLoad(int running, int queued) {
+        /** Returns the requests that would run at unlimited capacity. */
+        public int demand() {
+            return running + queued;
+        }
+    }
+
+    public ResourceDemand {
+        loads = java.util.Collections.unmodifiableMap(new TreeMap<>(loads));
+    }
+}
--- a/core/src/test/java/org/marigoldturn/rights/RightsLedgerTest.java
+++ b/core/src/test/java/org/marigoldturn/rights/RightsLedgerTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
+import org.marigoldturn.peer.wire.FreezeRequest;
 import org.marigoldturn.peer.wire.RightsTotals;
 import org.marigoldturn.peer.wire.TransferHint;
 import org.marigoldturn.settings.ResourceDivision;
@@ -168,4 +169,22 @@
         ended.onUsageReport("h0", 13, Set.of());
         assertThat(ended.clear(Set.of("h0", "h1"))).containsExactly("x");
     }
+
+    /** Rights of an ended giver that arrive after the reply would exist in both epochs. */
+    @Example
+    void frozenDaemonNeitherAcceptsNorSends() {
+        RightsLedger a = ledger("a");
+        RightsLedger b = ledger("b");
+        RightsTotals late = a.onHint(hint(TEAM, "b", 2), 0).get(0).totals();
+        FreezeRequest request =
+                FreezeRequest.newBuilder().setBaseVersion(1).addResources(TEAM).build();
+        assertThat(b.onFreeze(request).getFrozen()).isTrue();
+        assertThat(b.onTotals("a", late).getTotalsCount()).isZero();
+        assertThat(b.onHint(hint(TEAM, "c", 1), 0)).isEmpty();
+        assertThat(b.held(TEAM)).isEqualTo(4);
+        b.adopt(version(2, 12, 1));
+        b.onTotals("a", late);
+        assertThat(b.held(TEAM)).as("a later version resumes transfers").isEqualTo(6);
+        assertThat(b.onFreeze(request).getFrozen()).as("based on an old version").isFalse();
+    }
 }
