Add the measurement of shares with in-memory daemons

Cause: share error, use of limits and control bytes must be measured at several sizes, next to local fair queueing with a static division.

--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
@@ -0,0 +1,241 @@
+package org.marigoldturn.standins.measure;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.rights.AddressedTotals;
+import org.marigoldturn.rights.Resources;
+import org.marigoldturn.rights.RightsLedger;
+import org.marigoldturn.settings.TeamSettings;
+import org.marigoldturn.settings.VersionedState;
+import org.marigoldturn.shares.CoordinatorOutput;
+import org.marigoldturn.shares.DemandReporter;
+import org.marigoldturn.shares.EntitlementTable;
+import org.marigoldturn.shares.ResourceDemand;
+import org.marigoldturn.shares.ResourceDemand.TeamLoad;
+import org.marigoldturn.shares.ShareCoordinator;
+
+/** One daemon of a {@link SimulatedFleet}: real rights and shares, counters in place of queues. */
+final class SimulatedDaemon {
+    private static final int QUEUE_CAPACITY = 1000;
+    private static final int TICK_MILLIS = 1000;
+    private static final int COORDINATOR_OFFSET_MILLIS = 300;
+
+    /** A request that has started. */
+    record Start(String pool, String team, String host) {}
+
+    /** Work of one team in one pool. */
+    private static final class Work {
+        private int mQueued;
+        private int mRunning;
+    }
+
+    /** Sends messages to other daemons. */
+    interface Network {
+        void send(String receiver, Envelope.Builder message);
+    }
+
+    private final String mId;
+    private final VersionedState mState;
+    private final List<String> mMembers;
+    private final Network mNetwork;
+    private final boolean mCoordinated;
+    private final int mPhaseMillis;
+    private final RightsLedger mLedger;
+    private final DemandReporter mReporter = new DemandReporter();
+    private final ShareCoordinator mCoordinator;
+    private final EntitlementTable mEntitlements = new EntitlementTable();
+    private final Map<String, Map<String, Work>> mPools = new TreeMap<>();
+    private final Map<String, List<String>> mHosts = new TreeMap<>();
+    private final Map<String, Integer> mPoolSlots = new TreeMap<>();
+
+    SimulatedDaemon(
+            String id,
+            VersionedState state,
+            boolean coordinated,
+            int phaseMillis,
+            Network network) {
+        mId = id;
+        mState = state;
+        mMembers = state.members().members().stream().map(m -> m.id()).toList();
+        mNetwork = network;
+        mCoordinated = coordinated;
+        mPhaseMillis = phaseMillis;
+        mLedger = new RightsLedger(id);
+        mLedger.adopt(state);
+        mCoordinator = new ShareCoordinator(id);
+        state.settings().pools().keySet().forEach(pool -> mPools.put(pool, new TreeMap<>()));
+        state.settings()
+                .hosts()
+                .values()
+                .forEach(
+                        h -> {
+                            mHosts.computeIfAbsent(h.pool(), p -> new ArrayList<>()).add(h.name());
+                            mPoolSlots.merge(h.pool(), h.slots(), Integer::sum);
+                        });
+    }
+
+    void arrive(String pool, String team, int requests) {
+        Work work = mPools.get(pool).computeIfAbsent(team, name -> new Work());
+        work.mQueued = Math.min(QUEUE_CAPACITY, work.mQueued + requests);
+    }
+
+    int running(String pool, String team) {
+        Work work = mPools.get(pool).get(team);
+        return work == null ? 0 : work.mRunning;
+    }
+
+    int demand(String pool, String team) {
+        Work work = mPools.get(pool).get(team);
+        return work == null ? 0 : work.mRunning + work.mQueued;
+    }
+
+    void end(Start start) {
+        mPools.get(start.pool()).get(start.team()).mRunning--;
+        mLedger.release(Resources.team(start.team()));
+        mLedger.release(Resources.host(start.host()));
+    }
+
+    /** Starts all requests that may start now. */
+    List<Start> dispatch() {
+        List<Start> starts = new ArrayList<>();
+        mPools.forEach(
+                (pool, teams) -> {
+                    Optional<Start> start = startOne(pool, teams);
+                    while (start.isPresent()) {
+                        starts.add(start.get());
+                        start = startOne(pool, teams);
+                    }
+                });
+        return starts;
+    }
+
+    void tick(long nowMillis) {
+        if (!mCoordinated) {
+            return;
+        }
+        sendTotals(mLedger.serveReservations(nowMillis));
+        long phase = (nowMillis + mPhaseMillis) % TICK_MILLIS;
+        if (phase == 0) {
+            mReporter
+                    .tick(demands(), mMembers, nowMillis)
+                    .forEach(
+                            r ->
+                                    mNetwork.send(
+                                            r.receiver(),
+                                            Envelope.newBuilder().setDemandReport(r.report())));
+            sendTotals(mLedger.unacknowledged());
+        } else if (phase == COORDINATOR_OFFSET_MILLIS) {
+            sendDecisions(mCoordinator.tick(mState, mMembers, nowMillis));
+        }
+    }
+
+    void onMessage(String sender, Envelope message, long nowMillis) {
+        switch (message.getBodyCase()) {
+            case DEMAND_REPORT ->
+                    mCoordinator.onReport(sender, message.getDemandReport(), nowMillis);
+            case ENTITLEMENTS -> mEntitlements.onEntitlements(message.getEntitlements(), nowMillis);
+            case TRANSFER_HINT -> sendTotals(mLedger.onHint(message.getTransferHint(), nowMillis));
+            case RIGHTS_ACK -> mLedger.onAck(sender, message.getRightsAck());
+            case RIGHTS_TOTALS -> {
+                var accepted = mLedger.onTotals(sender, message.getRightsTotals());
+                mNetwork.send(sender, Envelope.newBuilder().setRightsAck(accepted));
+            }
+            default -> throw new IllegalArgumentException("unexpected " + message.getBodyCase());
+        }
+    }
+
+    private Optional<Start> startOne(String pool, Map<String, Work> teams) {
+        Optional<String> team =
+                teams.keySet().stream()
+                        .filter(t -> teams.get(t).mQueued > 0)
+                        .filter(t -> mLedger.free(Resources.team(t)) > 0)
+                        .min(Comparator.comparingDouble(t -> load(pool, t, teams.get(t))));
+        if (team.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<String> host =
+                mHosts.get(pool).stream()
+                        .filter(h -> mLedger.tryAcquire(Resources.host(h)))
+                        .findFirst();
+        if (host.isEmpty()) {
+            return Optional.empty();
+        }
+        mLedger.tryAcquire(Resources.team(team.get()));
+        Work work = teams.get(team.get());
+        work.mQueued--;
+        work.mRunning++;
+        return Optional.of(new Start(pool, team.get(), host.get()));
+    }
+
+    private double load(String pool, String team, Work work) {
+        OptionalInt entitlement = mEntitlements.entitlement(pool, team);
+        TeamSettings settings = mState.settings().teams().get(team);
+        return (double) work.mRunning / entitlement.orElse(settings.shareWeight());
+    }
+
+    private Map<String, ResourceDemand> demands() {
+        Map<String, ResourceDemand> demands = new TreeMap<>();
+        Map<String, TeamLoad> teamLoads = new TreeMap<>();
+        mPools.forEach(
+                (pool, teams) -> {
+                    Map<String, TeamLoad> loads = new TreeMap<>();
+                    teams.forEach(
+                            (team, work) -> {
+                                TeamLoad load = new TeamLoad(work.mRunning, work.mQueued);
+                                if (load.demand() > 0) {
+                                    loads.put(team, load);
+                                    teamLoads.merge(team, load, SimulatedDaemon::sum);
+                                }
+                            });
+                    String resource = Resources.pool(pool);
+                    demands.put(resource, demand(resource, mPoolSlots.get(pool), loads));
+                });
+        for (TeamSettings team : mState.settings().teams().values()) {
+            TeamLoad load = teamLoads.get(team.name());
+            Map<String, TeamLoad> loads = load == null ? Map.of() : Map.of(team.name(), load);
+            String resource = Resources.team(team.name());
+            demands.put(resource, demand(resource, team.runningLimit(), loads));
+        }
+        return demands;
+    }
+
+    private ResourceDemand demand(String resource, int slots, Map<String, TeamLoad> loads) {
+        return new ResourceDemand(mLedger.held(resource), mLedger.givable(resource), slots, loads);
+    }
+
+    private static TeamLoad sum(TeamLoad a, TeamLoad b) {
+        return new TeamLoad(a.running() + b.running(), a.queued() + b.queued());
+    }
+
+    private void sendDecisions(CoordinatorOutput output) {
+        output.entitlements()
+                .forEach(
+                        e ->
+                                mNetwork.send(
+                                        e.receiver(),
+                                        Envelope.newBuilder().setEntitlements(e.entitlements())));
+        output.hints()
+                .forEach(
+                        h ->
+                                mNetwork.send(
+                                        h.receiver(),
+                                        Envelope.newBuilder().setTransferHint(h.hint())));
+    }
+
+    private void sendTotals(List<AddressedTotals> messages) {
+        messages.forEach(
+                m ->
+                        mNetwork.send(
+                                m.receiver(), Envelope.newBuilder().setRightsTotals(m.totals())));
+    }
+
+    String id() {
+        return mId;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the components with in-memory daemons and virtual time. */
+package org.marigoldturn.standins.measure;
