--- a/core/src/main/java/org/marigoldturn/admission/KeyAuthenticator.java
+++ b/core/src/main/java/org/marigoldturn/admission/KeyAuthenticator.java
@@ -22,8 +22,11 @@
     /** A new key: the secret for the team and the hash for the settings. */
     public record IssuedKey(String presentedKey, TeamKey stored) {}
 
+    /** A presented key that is in force; the key id allows the check to be repeated. */
+    public record Authenticated(TeamSettings team, String keyId) {}
+
     /** Returns the team for which the presented key is in force. */
-    public Optional<TeamSettings> authenticate(FleetSettings settings, String presentedKey) {
+    public Optional<Authenticated> authenticate(FleetSettings settings, String presentedKey) {
         int dot = presentedKey.indexOf('.');
         if (dot < 0) {
             return Optional.empty();
@@ -33,12 +36,20 @@
             return Optional.empty();
         }
         String secret = presentedKey.substring(dot + 1);
-        boolean matches = false;
+        String matching = null;
         for (TeamKey key : team.keys()) {
             byte[] expected = HexFormat.of().parseHex(key.hashHex());
-            matches |= MessageDigest.isEqual(expected, hash(key.saltHex(), secret));
+            if (MessageDigest.isEqual(expected, hash(key.saltHex(), secret))) {
+                matching = key.id();
+            }
         }
-        return matches ? Optional.of(team) : Optional.empty();
+        return Optional.ofNullable(matching).map(id -> new Authenticated(team, id));
+    }
+
+    /** Returns whether a key that was authenticated earlier is still in force. */
+    public boolean isInForce(FleetSettings settings, String teamName, String keyId) {
+        TeamSettings team = settings.teams().get(teamName);
+        return team != null && team.keys().stream().anyMatch(key -> key.id().equals(keyId));
     }
 
     /** Creates a key for a team. */
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/admission/PoolQueue.java
@@ -0,0 +1,237 @@
+package org.marigoldturn.admission;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import org.marigoldturn.rights.Resources;
+import org.marigoldturn.rights.RightsHolder;
+import org.marigoldturn.shares.EntitlementSource;
+
+/**
+ * Waiting requests of one pool at this daemon, and the order in which they start.
+ *
+ * <p>Invariants: a request is queued at most once; a started request counts as running for its team
+ * until {@link #ended}; the queue of a team never exceeds the capacity given with its requests,
+ * apart from repetitions. Thread safe; the lock is held for one pass over the active teams.
+ *
+ * @param <T> type of the attachment of the requests
+ */
+public final class PoolQueue<T> {
+    /** Percentage of the daemon's slots in the pool up to which urgent work has priority. */
+    public static final int URGENT_SHARE_PERCENT = 25;
+
+    /** Requests expire at most this much later than stated. */
+    static final long EXPIRY_STEP_NANOS = 10_000_000;
+
+    private final String mPool;
+    private final RightsHolder mRights;
+    private final EntitlementSource mEntitlements;
+    private final Map<String, TeamQueue<T>> mTeams = new HashMap<>();
+    private final TreeMap<Long, Set<QueuedRequest<T>>> mExpiry = new TreeMap<>();
+    private long mNextSequence;
+    private int mUrgentRunning;
+    private final AtomicInteger mQueued = new AtomicInteger();
+
+    private record Candidate<T>(
+            TeamQueue<T> team, QueuedRequest<T> request, double ratio, boolean urgent) {}
+
+    /** Creates an empty queue. */
+    public PoolQueue(String pool, RightsHolder rights, EntitlementSource entitlements) {
+        mPool = pool;
+        mRights = rights;
+        mEntitlements = entitlements;
+    }
+
+    /**
+     * Queues a request.
+     *
+     * @param capacity largest number of queued requests of the team in this pool
+     */
+    public synchronized Either<AdmissionError, QueuedRequest<T>> offer(
+            QueuedRequest<T> request, int capacity, long nowNanos) {
+        if (request.mLane != null) {
+            throw new IllegalArgumentException("the request is already queued");
+        }
+        if (request.expiresNanos() - nowNanos <= 0) {
+            return Either.left(AdmissionError.DEADLINE_PASSED);
+        }
+        TeamTerms terms = request.terms();
+        TeamQueue<T> team = mTeams.computeIfAbsent(terms.team(), t -> new TeamQueue<>(terms));
+        if (!request.repeated() && team.queued() >= capacity) {
+            dropIfIdle(terms.team());
+            return Either.left(AdmissionError.QUEUE_FULL);
+        }
+        request.mSequence = mNextSequence++;
+        if (!team.add(request)) {
+            return Either.left(AdmissionError.TOO_MANY_SIZES);
+        }
+        long bucket = Math.floorDiv(request.expiresNanos(), EXPIRY_STEP_NANOS) + 1;
+        request.mExpiryBucket = mExpiry.computeIfAbsent(bucket, b -> new LinkedHashSet<>());
+        request.mExpiryBucket.add(request);
+        mQueued.incrementAndGet();
+        return Either.right(request);
+    }
+
+    /** Removes a queued request in constant time; returns false if it was no longer queued. */
+    public synchronized boolean cancel(QueuedRequest<T> request) {
+        if (request.mLane == null) {
+            return false;
+        }
+        remove(request);
+        dropIfIdle(request.terms().team());
+        return true;
+    }
+
+    /**
+     * Finds the request that starts next and takes one limit right of its team. The caller either
+     * starts it with {@link #start} or gives the right back with {@link #pass}.
+     *
+     * @param localSlots slots of the pool that this daemon uses or may use
+     * @param filter accepts the requests that may start now
+     */
+    public synchronized Optional<QueuedRequest<T>> next(
+            int localSlots, Predicate<QueuedRequest<T>> filter) {
+        List<Candidate<T>> candidates = candidates(localSlots, filter);
+        candidates.sort(
+                Comparator.comparing((Candidate<T> c) -> !c.urgent())
+                        .thenComparingDouble(Candidate::ratio)
+                        .thenComparingLong(c -> c.request().mSequence));
+        for (Candidate<T> candidate : candidates) {
+            if (acquire(candidate.team().terms())) {
+                candidate.request().mCountsAsUrgent = candidate.urgent();
+                return Optional.of(candidate.request());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Gives back the limit right that {@link #next} took; the request stays queued. */
+    public void pass(QueuedRequest<T> request) {
+        release(request.terms());
+    }
+
+    /**
+     * Takes a request that {@link #next} returned out of the queue and counts it as running.
+     * Returns false, and gives its limit right back, if it was cancelled in the meantime.
+     */
+    public synchronized boolean start(QueuedRequest<T> request) {
+        if (request.mLane == null) {
+            release(request.terms());
+            return false;
+        }
+        remove(request);
+        mTeams.get(request.terms().team()).started();
+        mUrgentRunning += request.mCountsAsUrgent ? 1 : 0;
+        return true;
+    }
+
+    /** Counts a started request as ended and gives its limit right back. */
+    public synchronized void ended(QueuedRequest<T> request) {
+        mTeams.get(request.terms().team()).ended();
+        mUrgentRunning -= request.mCountsAsUrgent ? 1 : 0;
+        release(request.terms());
+        dropIfIdle(request.terms().team());
+    }
+
+    /** Removes and returns the requests whose time to start has passed. */
+    public synchronized List<QueuedRequest<T>> expire(long nowNanos) {
+        List<QueuedRequest<T>> expired = new ArrayList<>();
+        long due = Math.floorDiv(nowNanos, EXPIRY_STEP_NANOS);
+        while (!mExpiry.isEmpty() && mExpiry.firstKey() <= due) {
+            expired.addAll(mExpiry.pollFirstEntry().getValue());
+        }
+        for (QueuedRequest<T> request : expired) {
+            remove(request);
+            dropIfIdle(request.terms().team());
+        }
+        return expired;
+    }
+
+    /** Returns the number of queued requests without taking the lock. */
+    public int queued() {
+        return mQueued.get();
+    }
+
+    /** Returns running and queued work by team; teams without work are absent. */
+    public synchronized Map<String, TeamDemandSnapshot> demand() {
+        Map<String, TeamDemandSnapshot> demand = new TreeMap<>();
+        mTeams.forEach(
+                (name, team) ->
+                        demand.put(name, new TeamDemandSnapshot(team.running(), team.queued())));
+        return demand;
+    }
+
+    private List<Candidate<T>> candidates(int localSlots, Predicate<QueuedRequest<T>> filter) {
+        // At least one, so that urgent work has priority at daemons that hold few slots.
+        int urgentLimit = Math.max(1, localSlots * URGENT_SHARE_PERCENT / 100);
+        boolean urgentFirst = mUrgentRunning < urgentLimit;
+        double slotsPerWeight = slotsPerWeight();
+        List<Candidate<T>> candidates = new ArrayList<>();
+        for (TeamQueue<T> team : mTeams.values()) {
+            if (team.queued() == 0) {
+                continue;
+            }
+            double ratio = ratio(team, slotsPerWeight);
+            QueuedRequest<T> urgent = urgentFirst ? team.oldest(true, filter) : null;
+            QueuedRequest<T> request = urgent == null ? team.oldest(false, filter) : urgent;
+            if (request != null) {
+                candidates.add(new Candidate<>(team, request, ratio, urgent != null));
+            }
+        }
+        return candidates;
+    }
+
+    private double ratio(TeamQueue<T> team, double slotsPerWeight) {
+        OptionalInt known = mEntitlements.entitlement(mPool, team.terms().team());
+        double entitled =
+                known.isPresent() ? known.getAsInt() : team.terms().weight() * slotsPerWeight;
+        return entitled == 0 ? Double.POSITIVE_INFINITY : team.running() / entitled;
+    }
+
+    /** Converts weights to slots by the teams with known entitlements; 1 if there are none. */
+    private double slotsPerWeight() {
+        long slots = 0;
+        long weights = 0;
+        for (TeamQueue<T> team : mTeams.values()) {
+            OptionalInt known = mEntitlements.entitlement(mPool, team.terms().team());
+            if (known.isPresent()) {
+                slots += known.getAsInt();
+                weights += team.terms().weight();
+            }
+        }
+        return slots == 0 ? 1.0 : (double) slots / weights;
+    }
+
+    private boolean acquire(TeamTerms terms) {
+        return !terms.limited() || mRights.tryAcquire(Resources.team(terms.team()));
+    }
+
+    private void release(TeamTerms terms) {
+        if (terms.limited()) {
+            mRights.release(Resources.team(terms.team()));
+        }
+    }
+
+    private void remove(QueuedRequest<T> request) {
+        mTeams.get(request.terms().team()).remove(request);
+        request.mExpiryBucket.remove(request);
+        request.mExpiryBucket = null;
+        mQueued.decrementAndGet();
+    }
+
+    private void dropIfIdle(String team) {
+        if (mTeams.get(team).isIdle()) {
+            mTeams.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/admission/TeamQueue.java
@@ -0,0 +1,105 @@
+package org.marigoldturn.admission;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Waiting requests and running count of one team in one pool; not thread safe.
+ *
+ * <p>Requests wait in one lane for each combination of urgency, repetition and needs, so that a
+ * request that fits no free host does not delay those that do.
+ */
+final class TeamQueue<T> {
+    /** Bounds the time of a selection, which looks at the head of each lane. */
+    static final int MAX_LANES = 32;
+
+    private record LaneKey(boolean urgent, boolean repeated, ResourceNeeds needs) {}
+
+    private final Map<LaneKey, Set<QueuedRequest<T>>> mLanes = new HashMap<>();
+    private TeamTerms mTerms;
+    private int mQueued;
+    private int mRunning;
+
+    TeamQueue(TeamTerms terms) {
+        mTerms = terms;
+    }
+
+    TeamTerms terms() {
+        return mTerms;
+    }
+
+    int queued() {
+        return mQueued;
+    }
+
+    int running() {
+        return mRunning;
+    }
+
+    boolean isIdle() {
+        return mQueued == 0 && mRunning == 0;
+    }
+
+    /** Adds the request; returns false if it would need a lane too many. */
+    boolean add(QueuedRequest<T> request) {
+        LaneKey key = new LaneKey(request.urgent(), request.repeated(), request.needs());
+        if (!request.repeated() && !mLanes.containsKey(key) && mLanes.size() >= MAX_LANES) {
+            removeEmptyLanes();
+            if (mLanes.size() >= MAX_LANES) {
+                return false;
+            }
+        }
+        mTerms = request.terms();
+        Set<QueuedRequest<T>> lane = mLanes.computeIfAbsent(key, k -> new LinkedHashSet<>());
+        lane.add(request);
+        request.mLane = lane;
+        mQueued++;
+        return true;
+    }
+
+    void remove(QueuedRequest<T> request) {
+        request.mLane.remove(request);
+        request.mLane = null;
+        mQueued--;
+    }
+
+    void started() {
+        mRunning++;
+    }
+
+    void ended() {
+        if (mRunning == 0) {
+            throw new IllegalStateException("team " + mTerms.team() + " has no running request");
+        }
+        mRunning--;
+    }
+
+    /** Returns the oldest lane head that passes the filter, or null. */
+    QueuedRequest<T> oldest(boolean urgentOnly, Predicate<QueuedRequest<T>> filter) {
+        QueuedRequest<T> oldest = null;
+        for (Map.Entry<LaneKey, Set<QueuedRequest<T>>> lane : mLanes.entrySet()) {
+            if (lane.getValue().isEmpty() || (urgentOnly && !lane.getKey().urgent())) {
+                continue;
+            }
+            QueuedRequest<T> head = lane.getValue().iterator().next();
+            boolean older = oldest == null || head.mSequence < oldest.mSequence;
+            if (older && filter.test(head)) {
+                oldest = head;
+            }
+        }
+        return oldest;
+    }
+
+    private void removeEmptyLanes() {
+        Iterator<Set<QueuedRequest<T>>> lanes = mLanes.values().iterator();
+        while (lanes.hasNext()) {
+            if (lanes.next().isEmpty()) {
+                lanes.remove();
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -1,21 +1,27 @@
 package org.marigoldturn.daemon;
 
-import com.linecorp.armeria.client.ClientFactory;
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.marigoldturn.admission.KeyAuthenticator;
-import org.marigoldturn.entry.CallerService;
+import org.marigoldturn.entry.DrainState;
+import org.marigoldturn.entry.EntryDependencies;
+import org.marigoldturn.entry.EntryServer;
 import org.marigoldturn.operator.OperatorService;
 import org.marigoldturn.platform.Compare;
 import org.marigoldturn.platform.EtcdJsonStore;
 import org.marigoldturn.platform.KeyValueStore;
+import org.marigoldturn.routing.LocalClaimRegistry;
+import org.marigoldturn.routing.RequestClaims;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.VersionedState;
@@ -27,6 +33,7 @@
  * <p>The control thread is the only writer of the published state.
  */
 public final class EntryDaemon implements AutoCloseable {
+    private static final long DRAIN_DELAY_MILLIS = 5_000;
     private static final long REFRESH_INTERVAL_MILLIS = 500;
 
     private final EntryConfig mConfig;
@@ -34,7 +41,7 @@
     private final SettingsRepository mRepository;
     private final ScheduledExecutorService mControl =
             Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
-    private final ClientFactory mClientFactory = ClientFactory.builder().build();
+    private final EntryServer mEntry;
     private final Server mCallerServer;
     private final Server mOperatorServer;
     private volatile LoadedState mLoaded =
@@ -46,13 +53,10 @@
         mStore = new EtcdJsonStore(config.storeEndpoint(), config.storeTimeoutMillis());
         mRepository = new SettingsRepository(mStore, config.storePrefix());
         String id = config.name() + "-" + HexFormat.of().toHexDigits(new SecureRandom().nextInt());
-        CallerService callers =
-                new CallerService(
-                        () -> mLoaded.state(), new KeyAuthenticator(), mClientFactory, id);
-        mCallerServer =
-                builder(config.callerPort())
-                        .service("/services/{service}/{*rest}", callers)
-                        .build();
+        mEntry = new EntryServer(entryDependencies(id));
+        ServerBuilder callers = builder(config.callerPort());
+        mEntry.register(callers);
+        mCallerServer = callers.build();
         ServerBuilder operators = builder(config.operatorPort());
         new OperatorService(mRepository, () -> mLoaded, System::currentTimeMillis)
                 .register(operators);
@@ -63,8 +67,9 @@
     public void start() {
         mCallerServer.start().join();
         mOperatorServer.start().join();
-        mControl.scheduleWithFixedDelay(
-                this::refresh, 0, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        var unused =
+                mControl.scheduleWithFixedDelay(
+                        this::refresh, 0, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         System.out.printf(
                 "ready callers=%d operators=%d%n",
                 mCallerServer.activeLocalPort(), mOperatorServer.activeLocalPort());
@@ -75,10 +80,29 @@
         mControl.shutdownNow();
         mCallerServer.stop().join();
         mOperatorServer.stop().join();
-        mClientFactory.close();
+        mEntry.close();
         mStore.close();
     }
 
+    /** Local implementations of the parts that need other daemons. */
+    private EntryDependencies entryDependencies(String id) {
+        RequestClaims claims = new RequestClaims(id);
+        claims.onMembersAccepted(List.of(id), System.currentTimeMillis());
+        return new EntryDependencies(
+                id,
+                () -> mLoaded.state(),
+                nowNanos -> true,
+                new UnlimitedRights(),
+                (pool, team) -> OptionalInt.empty(),
+                new LocalClaimRegistry(id, claims, System::currentTimeMillis),
+                host -> false,
+                new DrainState(DRAIN_DELAY_MILLIS),
+                new MetricRegistry(),
+                System::currentTimeMillis,
+                System::nanoTime,
+                () -> ThreadLocalRandom.current().nextLong());
+    }
+
     private ServerBuilder builder(int port) {
         return Server.builder().http(new InetSocketAddress(mConfig.address(), port));
     }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/entry/AuthenticateFilter.java
@@ -0,0 +1,87 @@
+package org.marigoldturn.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.marigoldturn.admission.KeyAuthenticator;
+import org.marigoldturn.admission.KeyAuthenticator.Authenticated;
+import org.marigoldturn.admission.TeamTerms;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.ServiceSettings;
+import org.marigoldturn.settings.TeamSettings;
+
+/** Finds the service and the team of a request. Thread safe. */
+final class AuthenticateFilter {
+    /** Team to which work without a key on open services is attributed. */
+    static final String OPEN_TEAM = "open";
+
+    /** Why a request has no team. */
+    enum AuthenticationError {
+        UNKNOWN_SERVICE,
+        INVALID_KEY;
+
+        EntryProblem problem() {
+            return switch (this) {
+                case UNKNOWN_SERVICE ->
+                        EntryProblem.notRun(
+                                HttpStatus.NOT_FOUND, "unknown-service", "the service is unknown");
+                case INVALID_KEY ->
+                        EntryProblem.notRun(
+                                HttpStatus.UNAUTHORIZED, "invalid-key", "the key is not in force");
+            };
+        }
+    }
+
+    private final KeyAuthenticator mAuthenticator = new KeyAuthenticator();
+    private final FilterMetrics mMetrics;
+
+    AuthenticateFilter(MetricRegistry metrics) {
+        mMetrics = new FilterMetrics(metrics, "authenticate");
+    }
+
+    Either<AuthenticationError, Caller> apply(
+            String serviceName, RequestHeaders headers, FleetSettings settings) {
+        Either<AuthenticationError, Caller> caller = find(serviceName, headers, settings);
+        if (caller.isRight()) {
+            mMetrics.passed();
+        } else {
+            mMetrics.rejected();
+        }
+        return caller;
+    }
+
+    /** Returns whether the key of a waiting request was not revoked in the meantime. */
+    boolean isStillInForce(Caller caller, FleetSettings settings) {
+        return caller.keyId()
+                .map(id -> mAuthenticator.isInForce(settings, caller.terms().team(), id))
+                .orElse(true);
+    }
+
+    private Either<AuthenticationError, Caller> find(
+            String serviceName, RequestHeaders headers, FleetSettings settings) {
+        ServiceSettings service = settings.services().get(serviceName);
+        if (service == null) {
+            return Either.left(AuthenticationError.UNKNOWN_SERVICE);
+        }
+        String presentedKey = headers.get(CallerHeaders.KEY, "");
+        if (presentedKey.isEmpty() && service.open()) {
+            return Either.right(new Caller(service, openTerms(settings), Optional.empty()));
+        }
+        Optional<Authenticated> found = mAuthenticator.authenticate(settings, presentedKey);
+        if (found.isEmpty()) {
+            return Either.left(AuthenticationError.INVALID_KEY);
+        }
+        TeamSettings team = found.get().team();
+        TeamTerms terms = new TeamTerms(team.name(), team.shareWeight(), true);
+        return Either.right(new Caller(service, terms, Optional.of(found.get().keyId())));
+    }
+
+    private static TeamTerms openTerms(FleetSettings settings) {
+        TeamSettings team = settings.teams().get(OPEN_TEAM);
+        return team == null
+                ? new TeamTerms(OPEN_TEAM, 1, false)
+                : new TeamTerms(OPEN_TEAM, team.shareWeight(), true);
+    }
+}
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -1,154 +1,202 @@
 package org.marigoldturn.entry;
 
-import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.client.UnprocessedRequestException;
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.ContentTooLargeException;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import java.util.List;
+import io.vavr.control.Either;
+import java.util.Map;
 import java.util.Optional;
-import java.util.UUID;
-import java.util.concurrent.CompletionException;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Supplier;
-import org.marigoldturn.admission.KeyAuthenticator;
-import org.marigoldturn.settings.FleetSettings;
-import org.marigoldturn.settings.HostSettings;
-import org.marigoldturn.settings.ServiceSettings;
-import org.marigoldturn.settings.TeamSettings;
+import java.util.concurrent.atomic.AtomicReference;
+import org.marigoldturn.admission.QueuedRequest;
+import org.marigoldturn.admission.TeamDemandSnapshot;
+import org.marigoldturn.entry.AdmitFilter.AdmissionProblem;
+import org.marigoldturn.routing.RequestAttempts;
+import org.marigoldturn.routing.RetryBudget;
+import org.marigoldturn.routing.TargetSelector.Selection;
 import org.marigoldturn.settings.VersionedState;
-import org.marigoldturn.settings.ZoneState;
 import org.tinylog.Logger;
 
 /**
- * Serves callers: {@code /services/{service}/...} is forwarded to a host of the service's pool.
- *
- * <p>Thread safe; reads one immutable state per request.
+ * Serves callers: {@code /services/{service}/...} passes through the filters authenticate,
+ * classify, admit, select, dispatch and respond. Thread safe; each request stays on its event loop.
  */
-public final class CallerService implements HttpService {
-    private static final String OPEN_TEAM = "open";
-
-    private final Supplier<VersionedState> mState;
-    private final KeyAuthenticator mAuthenticator;
-    private final ClientFactory mClientFactory;
-    private final String mDaemonId;
-
-    /** Creates the service. */
-    public CallerService(
-            Supplier<VersionedState> state,
-            KeyAuthenticator authenticator,
-            ClientFactory clientFactory,
-            String daemonId) {
-        mState = state;
-        mAuthenticator = authenticator;
-        mClientFactory = clientFactory;
-        mDaemonId = daemonId;
+public final class CallerService implements HttpService, AutoCloseable {
+    private static final String PATH_PREFIX = "/services/";
+
+    private final EntryDependencies mDependencies;
+    private final TargetClients mClients = new TargetClients();
+    private final PendingOutcomes mPending = new PendingOutcomes();
+    private final RetryBudget mBudget = new RetryBudget();
+    private final AtomicReference<FleetView> mView = new AtomicReference<>();
+    private final AuthenticateFilter mAuthenticate;
+    private final ClassifyFilter mClassify;
+    private final AdmitFilter mAdmit;
+    private final SelectFilter mSelect;
+    private final DispatchFilter mDispatch;
+    private final RespondFilter mRespond;
+
+    /** Creates the filter chain. */
+    public CallerService(EntryDependencies dependencies) {
+        mDependencies = dependencies;
+        mAuthenticate = new AuthenticateFilter(dependencies.metrics());
+        mClassify = new ClassifyFilter(dependencies.metrics(), dependencies.random());
+        mSelect = new SelectFilter(dependencies);
+        mRespond = new RespondFilter(dependencies.claims(), dependencies.metrics());
+        mAdmit = new AdmitFilter(dependencies, this::view, mSelect, mRespond, new QueueExits());
+        mDispatch =
+                new DispatchFilter(
+                        dependencies,
+                        this::view,
+                        mClients,
+                        mPending,
+                        new DispatchFilter.Neighbours(mAuthenticate, mSelect, mAdmit, mRespond));
+    }
+
+    /** Hands requests that leave a queue to their event loops. */
+    private final class QueueExits implements PoolDispatcher.Listener {
+        @Override
+        public void onSelected(QueuedRequest<Exchange> request, Selection selection) {
+            request.attachment().execute(() -> mDispatch.begin(request, selection));
+        }
+
+        @Override
+        public void onExpired(QueuedRequest<Exchange> request) {
+            Exchange exchange = request.attachment();
+            exchange.execute(
+                    () -> {
+                        if (!exchange.ended()) {
+                            mDispatch.onDeadline(exchange);
+                        }
+                    });
+        }
     }
 
     @Override
     public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
-        FleetSettings settings = mState.get().settings();
-        String serviceName = ctx.pathParam("service");
-        ServiceSettings service = settings.services().get(serviceName);
-        if (service == null) {
-            return Problems.notRun(
-                    HttpStatus.NOT_FOUND,
-                    "unknown-service",
-                    "service \"" + serviceName + "\" does not exist");
+        long nowMillis = mDependencies.nowMillis().getAsLong();
+        long nowNanos = mDependencies.nowNanos().getAsLong();
+        FleetView view = view();
+        Either<EntryProblem, CallerRequest> classified =
+                mAuthenticate
+                        .apply(ctx.pathParam("service"), request.headers(), view.state().settings())
+                        .mapLeft(AuthenticateFilter.AuthenticationError::problem)
+                        .flatMap(
+                                caller ->
+                                        mClassify
+                                                .apply(
+                                                        request.headers(),
+                                                        caller,
+                                                        targetPath(request.path()),
+                                                        nowMillis,
+                                                        nowNanos)
+                                                .mapLeft(
+                                                        ClassifyFilter.ClassificationError
+                                                                ::problem));
+        if (classified.isLeft()) {
+            return refuse(classified.getLeft());
+        }
+        Optional<AdmissionProblem> refusal = mAdmit.atDoor(classified.get(), view, nowNanos);
+        if (refusal.isPresent()) {
+            return refuse(refusal.get().problem());
         }
-        String presentedKey = request.headers().get("marigoldturn-key", "");
-        Optional<TeamSettings> team = mAuthenticator.authenticate(settings, presentedKey);
-        if (team.isEmpty() && (!service.open() || !presentedKey.isEmpty())) {
-            return Problems.notRun(
-                    HttpStatus.UNAUTHORIZED, "invalid-key", "the key is not in force");
+        if (!mDependencies.drain().tryEnter(nowMillis)) {
+            return refuse(AdmissionProblem.DRAINING.problem());
         }
-        String teamName = team.map(TeamSettings::name).orElse(OPEN_TEAM);
-        return HttpResponse.of(
+        return start(ctx, request, classified.get(), nowNanos);
+    }
+
+    /** Starts what can start now; to be called when rights arrive and at short intervals. */
+    public void wake() {
+        mAdmit.wake();
+    }
+
+    /** Returns running and queued work by pool and team. */
+    public Map<String, Map<String, TeamDemandSnapshot>> demand() {
+        return mAdmit.demand();
+    }
+
+    /** Returns the attempts whose end is not proven; receives the usage reports of hosts. */
+    public PendingOutcomes pendingOutcomes() {
+        return mPending;
+    }
+
+    /** Closes the connections to targets. */
+    @Override
+    public void close() {
+        mClients.close();
+    }
+
+    private HttpResponse start(
+            ServiceRequestContext ctx, HttpRequest request, CallerRequest classified, long now) {
+        HttpResponseWriter writer = HttpResponse.streaming();
+        Exchange exchange =
+                new Exchange(
+                        ctx.eventLoop().withoutContext(),
+                        classified,
+                        new RequestAttempts(classified.idempotent(), mBudget),
+                        writer,
+                        now);
+        exchange.schedule(exchange.remainingMillis(now), () -> mDispatch.onDeadline(exchange));
+        var unusedEnd =
+                writer.whenComplete()
+                        .whenComplete(
+                                (done, gone) -> {
+                                    mDependencies.drain().leave();
+                                    exchange.execute(() -> mDispatch.onCallerGone(exchange));
+                                });
+        ctx.setMaxRequestLength(classified.service().maxBodyBytes());
+        var unusedBody =
                 request.aggregate()
-                        .thenApply(body -> dispatch(ctx, settings, service, teamName, body)));
+                        .whenComplete(
+                                (body, failure) ->
+                                        exchange.execute(() -> onBody(exchange, body, failure)));
+        return writer;
     }
 
-    private HttpResponse dispatch(
-            ServiceRequestContext ctx,
-            FleetSettings settings,
-            ServiceSettings service,
-            String team,
-            AggregatedHttpRequest request) {
-        List<HostSettings> hosts = eligibleHosts(settings, service);
-        if (hosts.isEmpty()) {
-            return Problems.notRunRetryLater(
-                    HttpStatus.SERVICE_UNAVAILABLE,
-                    "no-host",
-                    "pool \"" + service.pool() + "\" has no host in service",
-                    1);
+    private void onBody(Exchange exchange, AggregatedHttpRequest body, Throwable failure) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (failure instanceof ContentTooLargeException) {
+            mRespond.reject(
+                    exchange, ClassifyFilter.bodyTooLarge(exchange.request().caller()).problem());
+        } else if (failure != null) {
+            mDispatch.onCallerGone(exchange);
+        } else {
+            exchange.setBody(body);
+            mAdmit.admit(exchange);
         }
-        HostSettings host = hosts.get(ThreadLocalRandom.current().nextInt(hosts.size()));
-        String requestId =
-                request.headers().get("marigoldturn-request-id", UUID.randomUUID().toString());
-        Logger.info(
-                "routing: selected host. request={} team={} service={} host={} zone={} attempt=1",
-                requestId,
-                team,
-                service.name(),
-                host.name(),
-                host.zone());
-        WebClient client =
-                WebClient.builder(
-                                "%s://%s:%d"
-                                        .formatted(
-                                                service.protocol().uriScheme(),
-                                                host.address(),
-                                                host.port()))
-                        .factory(mClientFactory)
-                        .responseTimeoutMillis(service.defaultDeadlineMillis())
-                        .build();
-        RequestHeadersBuilder headers =
-                RequestHeaders.builder(request.method(), "/" + ctx.pathParam("rest"))
-                        .set("marigoldturn-request-id", requestId)
-                        .set("marigoldturn-owner", mDaemonId)
-                        .set("marigoldturn-team", team);
-        copyHeaders(request.headers(), headers);
-        return client.execute(HttpRequest.of(headers.build(), request.content()))
-                .recover(CallerService::problem);
     }
 
-    private static void copyHeaders(RequestHeaders from, RequestHeadersBuilder to) {
-        from.forEach(
-                (name, value) -> {
-                    String text = name.toString();
-                    boolean internal = text.startsWith(":") || text.startsWith("marigoldturn-");
-                    if (!internal && !HttpHeaderNames.CONTENT_LENGTH.contentEquals(name)) {
-                        to.add(name, value);
-                    }
-                });
+    private static HttpResponse refuse(EntryProblem problem) {
+        Logger.info(
+                "entry: rejected at the door. outcome={} reason={}",
+                problem.outcome().headerValue(),
+                problem.reason());
+        return Problems.response(problem);
     }
 
-    private static List<HostSettings> eligibleHosts(
-            FleetSettings settings, ServiceSettings service) {
-        return settings.hosts().values().stream()
-                .filter(host -> host.pool().equals(service.pool()))
-                .filter(host -> host.state().acceptsWork())
-                .filter(
-                        host ->
-                                settings.zones().get(host.zone()).state()
-                                        != ZoneState.OUT_OF_SERVICE)
-                .toList();
+    @SuppressWarnings("ReferenceEquality") // States are immutable; a comparison would be costly.
+    private FleetView view() {
+        VersionedState state = mDependencies.state().get();
+        FleetView held = mView.get();
+        if (held != null && held.state() == state) {
+            return held;
+        }
+        FleetView view = FleetView.of(state);
+        mView.set(view);
+        mSelect.retain(view);
+        mClients.retain(state.settings().hosts().values());
+        return view;
     }
 
-    private static HttpResponse problem(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        if (cause instanceof UnprocessedRequestException) {
-            return Problems.notRunRetryLater(
-                    HttpStatus.SERVICE_UNAVAILABLE, "host-unreachable", "no host answered", 1);
-        }
-        return Problems.unknown(
-                HttpStatus.BAD_GATEWAY, "target-failed", "the host's answer was not complete");
+    /** Returns the path and query after the service name, as the caller encoded them. */
+    private static String targetPath(String path) {
+        int slash = path.indexOf('/', PATH_PREFIX.length());
+        return slash < 0 ? "/" : path.substring(slash);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -0,0 +1,366 @@
+package org.marigoldturn.entry;
+
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.common.ClosedSessionException;
+import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.stream.ClosedStreamException;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.marigoldturn.admission.QueuedRequest;
+import org.marigoldturn.routing.AttemptDecision;
+import org.marigoldturn.routing.AttemptFailure;
+import org.marigoldturn.routing.RequestState;
+import org.marigoldturn.routing.TargetSelector.Selection;
+import org.marigoldturn.settings.HostSettings;
+import org.tinylog.Logger;
+
+/**
+ * Sends requests to targets and decides what follows from the answers. Runs on the event loops of
+ * the exchanges.
+ */
+final class DispatchFilter implements TargetAttempt.Listener {
+    static final String DEADLINE_PASSED = "deadline-passed";
+    static final String NOT_CONFIRMED = "not-confirmed";
+    static final String INVALID_KEY = "invalid-key";
+    static final String CALLER_GONE = "caller-gone";
+
+    /** 501 and 505 describe the request, not the state of the host. */
+    private static final int NOT_IMPLEMENTED = 501;
+
+    private static final int VERSION_NOT_SUPPORTED = 505;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final EntryDependencies mDependencies;
+    private final Supplier<FleetView> mView;
+    private final TargetClients mClients;
+    private final PendingOutcomes mPending;
+    private final AuthenticateFilter mAuthenticate;
+    private final SelectFilter mSelect;
+    private final AdmitFilter mAdmit;
+    private final RespondFilter mRespond;
+    private final FilterMetrics mMetrics;
+
+    /** The filters that an attempt needs before and after it. */
+    record Neighbours(
+            AuthenticateFilter authenticate,
+            SelectFilter select,
+            AdmitFilter admit,
+            RespondFilter respond) {}
+
+    DispatchFilter(
+            EntryDependencies dependencies,
+            Supplier<FleetView> view,
+            TargetClients clients,
+            PendingOutcomes pending,
+            Neighbours neighbours) {
+        mDependencies = dependencies;
+        mView = view;
+        mClients = clients;
+        mPending = pending;
+        mAuthenticate = neighbours.authenticate();
+        mSelect = neighbours.select();
+        mAdmit = neighbours.admit();
+        mRespond = neighbours.respond();
+        mMetrics = new FilterMetrics(dependencies.metrics(), "dispatch");
+    }
+
+    /** Starts an attempt whose rights are taken. */
+    void begin(QueuedRequest<Exchange> queued, Selection selection) {
+        Exchange exchange = queued.attachment();
+        exchange.setQueued(null);
+        String refusal = refusal(exchange);
+        if (refusal != null) {
+            mSelect.giveBack(exchange.request().service().pool(), selection);
+            mAdmit.ended(queued);
+            mMetrics.rejected();
+            if (!exchange.ended()) {
+                mRespond.finish(exchange, exchange.attempts().abandon(refusal));
+            }
+            return;
+        }
+        exchange.attempts().dispatch(selection.host().name());
+        log("selected host", exchange, selection.host(), selection.reason());
+        mAdmit.started(exchange, mDependencies.nowNanos().getAsLong());
+        send(exchange, queued, selection);
+    }
+
+    /** The deadline of the request has passed. */
+    void onDeadline(Exchange exchange) {
+        TargetAttempt attempt = exchange.current();
+        mAdmit.cancel(exchange);
+        if (exchange.headSent()) {
+            giveUp(attempt, DEADLINE_PASSED);
+            mRespond.abort(exchange, DEADLINE_PASSED, null);
+            return;
+        }
+        if (attempt != null) {
+            giveUp(attempt, DEADLINE_PASSED);
+        }
+        mRespond.finish(exchange, exchange.attempts().abandon(DEADLINE_PASSED));
+    }
+
+    /** The caller has closed its stream. */
+    void onCallerGone(Exchange exchange) {
+        if (exchange.ended()) {
+            return;
+        }
+        mAdmit.cancel(exchange);
+        TargetAttempt attempt = exchange.current();
+        if (attempt != null) {
+            giveUp(attempt, CALLER_GONE);
+        }
+        if (exchange.headSent()) {
+            exchange.end();
+        } else {
+            mRespond.finish(exchange, exchange.attempts().abandon(CALLER_GONE));
+        }
+    }
+
+    @Override
+    public boolean onHead(TargetAttempt attempt, ResponseHeaders headers) {
+        Exchange exchange = attempt.exchange();
+        int status = headers.status().code();
+        if (exchange.request().service().notRunStatuses().contains(status)) {
+            attempt.detach();
+            follow(attempt, AttemptFailure.NOT_PROCESSED, "status-" + status);
+            return false;
+        }
+        if (isServerError(headers) && tryReplace(attempt, "status-" + status)) {
+            return false;
+        }
+        exchange.attempts().answered();
+        return mRespond.head(exchange, headers);
+    }
+
+    @Override
+    public boolean onPart(TargetAttempt attempt, HttpObject part) {
+        return mRespond.part(attempt.exchange(), part);
+    }
+
+    @Override
+    public void onEnd(TargetAttempt attempt, Throwable failure) {
+        boolean complete = failure == null && attempt.isComplete();
+        report(attempt, complete && !isServerError(attempt.head()));
+        if (provesEnd(failure)) {
+            mPending.remove(attempt);
+            release(attempt);
+        } else {
+            awaitProof(attempt);
+        }
+        if (attempt.detached()) {
+            return;
+        }
+        attempt.detach();
+        Exchange exchange = attempt.exchange();
+        if (complete) {
+            mMetrics.passed();
+            mMetrics.took(mDependencies.nowNanos().getAsLong() - attempt.startedNanos());
+            mRespond.complete(exchange);
+        } else if (exchange.headSent()) {
+            mMetrics.rejected();
+            mRespond.abort(exchange, "truncated-answer", failure);
+        } else {
+            follow(attempt, kind(failure), describe(failure));
+        }
+    }
+
+    /** Returns why a selected request must not be sent, or null. */
+    private String refusal(Exchange exchange) {
+        long nowNanos = mDependencies.nowNanos().getAsLong();
+        if (exchange.ended()) {
+            return CALLER_GONE;
+        }
+        if (exchange.remainingMillis(nowNanos) <= 0) {
+            return DEADLINE_PASSED;
+        }
+        FleetView view = mView.get();
+        if (!mAuthenticate.isStillInForce(exchange.request().caller(), view.state().settings())) {
+            return INVALID_KEY;
+        }
+        return mDependencies.gate().mayServe(nowNanos) ? null : NOT_CONFIRMED;
+    }
+
+    private void send(Exchange exchange, QueuedRequest<Exchange> queued, Selection selection) {
+        RequestHeaders headers = targetHeaders(exchange);
+        HttpResponse response =
+                mClients.client(selection.host(), exchange.request().service().protocol())
+                        .execute(HttpRequest.of(headers, exchange.body().content()));
+        long nowNanos = mDependencies.nowNanos().getAsLong();
+        TargetAttempt attempt =
+                new TargetAttempt(
+                        exchange, queued, selection, response, headers.method(), nowNanos, this);
+        exchange.setCurrent(attempt);
+        response.subscribe(attempt, exchange.eventLoop());
+        if (exchange.attempts().hasAttemptsLeft()) {
+            exchange.schedule(exchange.remainingMillis(nowNanos) / 2, () -> onLate(attempt));
+        }
+    }
+
+    private RequestHeaders targetHeaders(Exchange exchange) {
+        RequestHeaders from = exchange.body().headers();
+        RequestHeadersBuilder to =
+                RequestHeaders.builder(from.method(), exchange.request().targetPath())
+                        .set(CallerHeaders.REQUEST_ID, exchange.request().id().toString())
+                        .set(CallerHeaders.OWNER, mDependencies.daemonId())
+                        .set(CallerHeaders.TEAM, exchange.request().team())
+                        .set(
+                                CallerHeaders.IDEMPOTENT,
+                                Boolean.toString(exchange.request().idempotent()));
+        CallerHeaders.copyToTarget(from, to);
+        return to.build();
+    }
+
+    /** Half of the time is over without response headers: another host may be faster. */
+    private void onLate(TargetAttempt attempt) {
+        Exchange exchange = attempt.exchange();
+        boolean waits =
+                exchange.current() == attempt
+                        && exchange.attempts().state() == RequestState.DISPATCHING;
+        if (waits && tryReplace(attempt, "late")) {
+            giveUp(attempt, "late");
+        }
+    }
+
+    /** Repeats an idempotent request on another host if the rules allow it. */
+    private boolean tryReplace(TargetAttempt attempt, String reason) {
+        Exchange exchange = attempt.exchange();
+        OptionalLong delay =
+                exchange.attempts()
+                        .tryReplace(
+                                exchange.remainingMillis(mDependencies.nowNanos().getAsLong()),
+                                hasOtherHost(exchange),
+                                mDependencies.random());
+        if (delay.isEmpty()) {
+            return false;
+        }
+        retry(attempt, delay.getAsLong(), reason);
+        return true;
+    }
+
+    private void follow(TargetAttempt attempt, AttemptFailure failure, String reason) {
+        Exchange exchange = attempt.exchange();
+        mMetrics.rejected();
+        AttemptDecision decision =
+                exchange.attempts()
+                        .failed(
+                                failure,
+                                exchange.remainingMillis(mDependencies.nowNanos().getAsLong()),
+                                hasOtherHost(exchange),
+                                mDependencies.random());
+        if (decision instanceof AttemptDecision.Retry retry) {
+            retry(attempt, retry.delayMillis(), reason);
+        } else {
+            log("attempt failed", exchange, attempt.selection().host(), reason);
+            mRespond.finish(exchange, decision);
+        }
+    }
+
+    private void retry(TargetAttempt attempt, long delayMillis, String reason) {
+        Exchange exchange = attempt.exchange();
+        log("retrying on another host", exchange, attempt.selection().host(), reason);
+        exchange.schedule(delayMillis, () -> mAdmit.admitAgain(exchange));
+    }
+
+    private boolean hasOtherHost(Exchange exchange) {
+        return mSelect.hasOtherHost(
+                mView.get(), exchange.request(), exchange.attempts().triedHosts());
+    }
+
+    /** Leaves an attempt that may still run; its rights stay taken until its end is proven. */
+    private void giveUp(TargetAttempt attempt, String reason) {
+        attempt.detach();
+        awaitProof(attempt);
+        String pool = attempt.exchange().request().service().pool();
+        if (reason.equals(CALLER_GONE)) {
+            if (attempt.selection().trial() && attempt.tryReportHealth()) {
+                mSelect.abandonTrial(pool, attempt.selection().host().name());
+            }
+        } else if (attempt.selection().trial() || wasSlow(attempt)) {
+            report(attempt, false);
+        }
+    }
+
+    /** Short deadlines that callers chose must not eject hosts that others can use. */
+    private boolean wasSlow(TargetAttempt attempt) {
+        long elapsedNanos = mDependencies.nowNanos().getAsLong() - attempt.startedNanos();
+        long defaultMillis = attempt.exchange().request().service().defaultDeadlineMillis();
+        // Half of the default deadline, less a tolerance for the timer that gives up there.
+        return elapsedNanos >= defaultMillis * 1_000_000 * 45 / 100;
+    }
+
+    private void awaitProof(TargetAttempt attempt) {
+        if (attempt.released()) {
+            return;
+        }
+        mPending.add(
+                attempt,
+                new PendingOutcomes.Pending(
+                        attempt.selection().host().name(),
+                        attempt.exchange().request().id().toString(),
+                        mDependencies.nowMillis().getAsLong(),
+                        () -> {
+                            release(attempt);
+                            attempt.stop();
+                        }));
+    }
+
+    private void release(TargetAttempt attempt) {
+        if (attempt.tryRelease()) {
+            mSelect.releaseSlot(attempt.selection().host().name());
+            mAdmit.ended(attempt.queued());
+        }
+    }
+
+    private void report(TargetAttempt attempt, boolean success) {
+        if (attempt.tryReportHealth()) {
+            mSelect.report(
+                    mView.get(),
+                    attempt.exchange().request().service().pool(),
+                    attempt.selection().host().name(),
+                    success);
+        }
+    }
+
+    private static boolean isServerError(ResponseHeaders headers) {
+        int status = headers.status().code();
+        return status >= FIRST_SERVER_ERROR
+                && status != NOT_IMPLEMENTED
+                && status != VERSION_NOT_SUPPORTED;
+    }
+
+    /** A lost connection proves nothing; a complete answer or a reset by the target does. */
+    private static boolean provesEnd(Throwable failure) {
+        return failure == null
+                || failure instanceof UnprocessedRequestException
+                || (failure instanceof ClosedStreamException
+                        && !(failure instanceof ClosedSessionException));
+    }
+
+    private static AttemptFailure kind(Throwable failure) {
+        return failure instanceof UnprocessedRequestException
+                ? AttemptFailure.NOT_PROCESSED
+                : AttemptFailure.MAY_HAVE_RUN;
+    }
+
+    private static String describe(Throwable failure) {
+        return failure == null ? "incomplete-answer" : failure.getClass().getSimpleName();
+    }
+
+    private static void log(String event, Exchange exchange, HostSettings host, String reason) {
+        Logger.info(
+                "routing: {}. request={} team={} service={} host={} zone={} attempt={} reason={}",
+                event,
+                exchange.request().id(),
+                exchange.request().team(),
+                exchange.request().service().name(),
+                host.name(),
+                host.zone(),
+                exchange.attempts().attempts(),
+                reason);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/entry/Exchange.java
@@ -0,0 +1,156 @@
+package org.marigoldturn.entry;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.marigoldturn.admission.QueuedRequest;
+import org.marigoldturn.routing.RequestAttempts;
+
+/**
+ * One request on its way through the filters. Confined to its event loop, apart from {@link
+ * #execute} and {@link #triedHosts}.
+ *
+ * <p>Invariant: the caller gets one answer, and {@link #end} takes effect once.
+ */
+final class Exchange {
+    private final EventLoop mEventLoop;
+    private final CallerRequest mRequest;
+    private final RequestAttempts mAttempts;
+    private final HttpResponseWriter mWriter;
+    private final long mArrivedNanos;
+    private final List<ScheduledFuture<?>> mTimers = new ArrayList<>();
+    private AggregatedHttpRequest mBody;
+    private QueuedRequest<Exchange> mQueued;
+    private TargetAttempt mCurrent;
+    private volatile Set<String> mTriedHosts = Set.of();
+    private boolean mIdGranted;
+    private boolean mHeadSent;
+    private boolean mEnded;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param arrivedNanos monotonic time at which the headers arrived
+     */
+    Exchange(
+            EventLoop eventLoop,
+            CallerRequest request,
+            RequestAttempts attempts,
+            HttpResponseWriter writer,
+            long arrivedNanos) {
+        mEventLoop = eventLoop;
+        mRequest = request;
+        mAttempts = attempts;
+        mWriter = writer;
+        mArrivedNanos = arrivedNanos;
+    }
+
+    CallerRequest request() {
+        return mRequest;
+    }
+
+    RequestAttempts attempts() {
+        return mAttempts;
+    }
+
+    HttpResponseWriter writer() {
+        return mWriter;
+    }
+
+    EventLoop eventLoop() {
+        return mEventLoop;
+    }
+
+    AggregatedHttpRequest body() {
+        return mBody;
+    }
+
+    void setBody(AggregatedHttpRequest body) {
+        mBody = body;
+    }
+
+    QueuedRequest<Exchange> queued() {
+        return mQueued;
+    }
+
+    void setQueued(QueuedRequest<Exchange> queued) {
+        mQueued = queued;
+    }
+
+    TargetAttempt current() {
+        return mCurrent;
+    }
+
+    void setCurrent(TargetAttempt attempt) {
+        mCurrent = attempt;
+    }
+
+    boolean idGranted() {
+        return mIdGranted;
+    }
+
+    void setIdGranted() {
+        mIdGranted = true;
+    }
+
+    boolean headSent() {
+        return mHeadSent;
+    }
+
+    void setHeadSent() {
+        mHeadSent = true;
+    }
+
+    /** Returns the hosts of earlier attempts; safe from any thread while the exchange waits. */
+    Set<String> triedHosts() {
+        return mTriedHosts;
+    }
+
+    /** Publishes the hosts of the attempts so far to the dispatcher of the pool. */
+    void publishTriedHosts() {
+        mTriedHosts = mAttempts.triedHosts();
+    }
+
+    long arrivedNanos() {
+        return mArrivedNanos;
+    }
+
+    boolean ended() {
+        return mEnded;
+    }
+
+    long remainingMillis(long nowNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(mRequest.deadlineNanos() - nowNanos);
+    }
+
+    /** Runs a task on the event loop; safe from any thread. */
+    void execute(Runnable task) {
+        mEventLoop.execute(task);
+    }
+
+    /** Runs a task later, unless the exchange has ended by then. */
+    void schedule(long delayMillis, Runnable task) {
+        Runnable guarded =
+                () -> {
+                    if (!mEnded) {
+                        task.run();
+                    }
+                };
+        mTimers.add(mEventLoop.schedule(guarded, delayMillis, TimeUnit.MILLISECONDS));
+    }
+
+    /** Ends the exchange. */
+    void end() {
+        if (mEnded) {
+            return;
+        }
+        mEnded = true;
+        mTimers.forEach(timer -> timer.cancel(false));
+        mBody = null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/entry/SelectFilter.java
@@ -0,0 +1,132 @@
+package org.marigoldturn.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.marigoldturn.rights.Resources;
+import org.marigoldturn.rights.RightsHolder;
+import org.marigoldturn.routing.HostHealth;
+import org.marigoldturn.routing.HostLoads;
+import org.marigoldturn.routing.PoolHosts;
+import org.marigoldturn.routing.TargetSelector;
+import org.marigoldturn.routing.TargetSelector.Query;
+import org.marigoldturn.routing.TargetSelector.Selection;
+import org.marigoldturn.routing.TwoChoicesTargetSelector;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.TargetProtocol;
+import org.tinylog.Logger;
+
+/** Selects the host of each attempt. Thread safe. */
+final class SelectFilter {
+    private final TargetSelector mSelector;
+    private final RightsHolder mRights;
+    private final RandomGenerator mRandom;
+    private final HostLoads mLoads;
+    private final Map<String, HostHealth> mHealthByPool = new ConcurrentHashMap<>();
+    private final LongSupplier mNowMillis;
+    private final LongSupplier mNowNanos;
+    private final FilterMetrics mMetrics;
+
+    SelectFilter(EntryDependencies dependencies) {
+        mRights = dependencies.rights();
+        mRandom = dependencies.random();
+        mLoads = new HostLoads();
+        mNowMillis = dependencies.nowMillis();
+        mNowNanos = dependencies.nowNanos();
+        mMetrics = new FilterMetrics(dependencies.metrics(), "select");
+        mSelector =
+                new TwoChoicesTargetSelector(
+                        mRights,
+                        mLoads,
+                        this::health,
+                        dependencies.leavingHosts(),
+                        dependencies.random());
+    }
+
+    /** Selects a host and takes its slot right, or returns empty if none is free. */
+    Optional<Selection> select(FleetView view, CallerRequest request, Set<String> triedHosts) {
+        long startNanos = mNowNanos.getAsLong();
+        Optional<Selection> selection =
+                mSelector.select(
+                        pool(view, request),
+                        query(view, request, triedHosts),
+                        mNowMillis.getAsLong(),
+                        startNanos);
+        if (selection.isPresent()) {
+            mMetrics.passed();
+        } else {
+            mMetrics.rejected();
+        }
+        mMetrics.took(mNowNanos.getAsLong() - startNanos);
+        return selection;
+    }
+
+    /** Returns whether a host exists to which the request could be sent again. */
+    boolean hasOtherHost(FleetView view, CallerRequest request, Set<String> triedHosts) {
+        return mSelector.hasEligible(
+                pool(view, request), query(view, request, triedHosts), mNowNanos.getAsLong());
+    }
+
+    /** Returns the number of requests of this daemon that run on the host. */
+    int running(String host) {
+        return mLoads.running(host);
+    }
+
+    /** Gives back the slot of a selected host to which nothing was sent. */
+    void giveBack(String pool, Selection selection) {
+        if (selection.trial()) {
+            abandonTrial(pool, selection.host().name());
+        }
+        releaseSlot(selection.host().name());
+    }
+
+    /** Gives back the slot of an attempt that has ended. */
+    void releaseSlot(String host) {
+        mLoads.ended(host);
+        mRights.release(Resources.host(host));
+    }
+
+    /** Ends a trial without a verdict. */
+    void abandonTrial(String pool, String host) {
+        health(pool).abandonTrial(host);
+    }
+
+    /** Counts the outcome of an attempt for the health of its host. */
+    void report(FleetView view, String pool, String host, boolean success) {
+        long nowNanos = mNowNanos.getAsLong();
+        if (success) {
+            health(pool).onSuccess(host, nowNanos);
+        } else if (health(pool).onFailure(host, view.pool(pool).hosts().size(), nowNanos)) {
+            Logger.warn("routing: host ejected. pool={} host={}", pool, host);
+        }
+    }
+
+    /** Forgets the health of hosts that are not in their pools any more. */
+    void retain(FleetView view) {
+        mHealthByPool.forEach(
+                (pool, health) ->
+                        health.retain(
+                                view.pool(pool).hosts().stream().map(HostSettings::name).toList()));
+    }
+
+    private HostHealth health(String pool) {
+        return mHealthByPool.computeIfAbsent(pool, p -> new HostHealth(mRandom));
+    }
+
+    private static PoolHosts pool(FleetView view, CallerRequest request) {
+        return view.pool(request.service().pool());
+    }
+
+    static Query query(FleetView view, CallerRequest request, Set<String> triedHosts) {
+        TargetProtocol protocol = request.service().protocol();
+        boolean multiplexed = protocol == TargetProtocol.H2 || protocol == TargetProtocol.H2C;
+        return new Query(
+                request.needs(),
+                triedHosts,
+                request.idempotent(),
+                multiplexed ? 0 : view.members());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/routing/AttemptFailure.java
@@ -0,0 +1,20 @@
+package org.marigoldturn.routing;
+
+/** How an attempt failed, as far as it decides what may happen next. */
+public enum AttemptFailure {
+    /** No byte was sent, or the protocol or the target states that the request did not run. */
+    NOT_PROCESSED(false),
+    /** The target may have run the request, or still run it. */
+    MAY_HAVE_RUN(true);
+
+    private final boolean mMayHaveRun;
+
+    AttemptFailure(boolean mayHaveRun) {
+        mMayHaveRun = mayHaveRun;
+    }
+
+    /** Returns whether the request may have run. */
+    public boolean mayHaveRun() {
+        return mMayHaveRun;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/routing/HostRecord.java
@@ -0,0 +1,67 @@
+package org.marigoldturn.routing;
+
+import java.util.Arrays;
+
+/** Recent outcomes of one host; guarded by the lock of {@link HostHealth}. */
+final class HostRecord {
+    static final int WINDOW_SECONDS = 10;
+
+    private static final long SECOND_NANOS = 1_000_000_000;
+
+    private final int[] mSuccesses = new int[WINDOW_SECONDS];
+    private final int[] mFailures = new int[WINDOW_SECONDS];
+    private long mNewestSecond = Long.MIN_VALUE;
+    private int mFailuresInRow;
+
+    boolean mEjected;
+    boolean mTrialRunning;
+    long mEjectedUntilNanos;
+    int mEjections;
+
+    void add(boolean success, long nowNanos) {
+        int slot = advance(nowNanos);
+        if (success) {
+            mSuccesses[slot]++;
+            mFailuresInRow = 0;
+        } else {
+            mFailures[slot]++;
+            mFailuresInRow++;
+        }
+    }
+
+    int failuresInRow() {
+        return mFailuresInRow;
+    }
+
+    int failures(long nowNanos) {
+        advance(nowNanos);
+        return Arrays.stream(mFailures).sum();
+    }
+
+    int outcomes(long nowNanos) {
+        return failures(nowNanos) + Arrays.stream(mSuccesses).sum();
+    }
+
+    void forgetOutcomes() {
+        Arrays.fill(mSuccesses, 0);
+        Arrays.fill(mFailures, 0);
+        mFailuresInRow = 0;
+    }
+
+    /** Clears the seconds that left the window and returns the slot of the present one. */
+    private int advance(long nowNanos) {
+        long second = Math.floorDiv(nowNanos, SECOND_NANOS);
+        if (mNewestSecond == Long.MIN_VALUE || second - mNewestSecond >= WINDOW_SECONDS) {
+            Arrays.fill(mSuccesses, 0);
+            Arrays.fill(mFailures, 0);
+            mNewestSecond = second;
+        }
+        while (mNewestSecond < second) {
+            mNewestSecond++;
+            int slot = (int) Math.floorMod(mNewestSecond, (long) WINDOW_SECONDS);
+            mSuccesses[slot] = 0;
+            mFailures[slot] = 0;
+        }
+        return (int) Math.floorMod(mNewestSecond, (long) WINDOW_SECONDS);
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -1,54 +1,59 @@
 package org.marigoldturn.standins;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.logging.RequestLogProperty;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.io.IOException;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Stand-in for a target host with a fixed number of slots, which records each start and end of a
- * request. {@code GET /records} returns the records as JSON.
+ * request.
  *
- * <p>A request runs for the time in its header {@code x-run-millis}. Thread safe.
+ * <p>A request runs for the time in its header {@code x-run-millis} and is answered with its own
+ * body. {@code GET /records} returns all records, {@code GET /usage} the running request ids by
+ * owner, and {@code POST /admin/fault?mode=slow&millis=100} sets a fault. Thread safe.
  */
 public final class TargetServer implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_CONNECTIONS = 64;
 
-    /** One request as the host saw it; {@code endedAtMillis} is 0 while it runs. */
-    public record Record(
-            String requestId, String owner, String team, long startedAtMillis, long endedAtMillis) {
-        Record ended(long nowMillis) {
-            return new Record(requestId, owner, team, startedAtMillis, nowMillis);
-        }
-    }
+    private record ActiveFault(TargetFault kind, long millis) {}
 
     private final String mName;
-    private final int mSlots;
-    private final List<Record> mRecords = new ArrayList<>();
+    private final TargetRecords mRecords;
     private final Server mServer;
-    private int mRunning;
+    private final ConcurrentLinkedQueue<Integer> mSilentRuns = new ConcurrentLinkedQueue<>();
+    private volatile ActiveFault mFault = new ActiveFault(TargetFault.NONE, 0);
 
     /** Creates a host on a loopback port; 0 takes a free one. */
     public TargetServer(String name, int slots, int port) {
         mName = name;
-        mSlots = slots;
+        mRecords = new TargetRecords(slots);
         mServer =
                 Server.builder()
                         .http(StoreServer.loopback(port))
                         .maxNumConnections(MAX_CONNECTIONS)
                         .requestTimeoutMillis(0)
-                        .service("/records", (ctx, req) -> records())
+                        .service("/records", (ctx, req) -> json(mRecords.all()))
+                        .service("/usage", (ctx, req) -> json(usage()))
+                        .service("/admin/fault", (ctx, req) -> setFault(ctx))
                         .serviceUnder("/", this::run)
                         .build();
     }
@@ -59,78 +64,134 @@
         return mServer.activeLocalPort();
     }
 
+    /** Returns what the host ran. */
+    public TargetRecords records() {
+        return mRecords;
+    }
+
+    /** Sets a fault; requests that a silent host kept end without an answer. */
+    public void setFault(TargetFault kind, long millis) {
+        mFault = new ActiveFault(kind, millis);
+        Integer index = mSilentRuns.poll();
+        while (index != null) {
+            mRecords.end(index, System.currentTimeMillis());
+            index = mSilentRuns.poll();
+        }
+    }
+
+    /** Returns the ids of the running requests by owner. */
+    public Map<String, List<String>> usage() {
+        return mRecords.running().stream()
+                .collect(
+                        Collectors.groupingBy(
+                                TargetRecords.Run::owner,
+                                TreeMap::new,
+                                Collectors.mapping(
+                                        TargetRecords.Run::requestId, Collectors.toList())));
+    }
+
     @Override
     public void close() {
         mServer.stop().join();
     }
 
-    private HttpResponse records() throws IOException {
-        synchronized (mRecords) {
-            return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsBytes(mRecords));
+    private HttpResponse setFault(ServiceRequestContext ctx) {
+        String mode = ctx.queryParam("mode");
+        String millis = ctx.queryParam("millis");
+        if (mode == null) {
+            return HttpResponse.of(HttpStatus.BAD_REQUEST);
         }
+        setFault(
+                TargetFault.valueOf(mode.toUpperCase(Locale.ROOT).replace('-', '_')),
+                millis == null ? 0 : Long.parseLong(millis));
+        return HttpResponse.of(HttpStatus.OK);
+    }
+
+    private static HttpResponse json(Object value) throws IOException {
+        return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsBytes(value));
     }
 
     private HttpResponse run(ServiceRequestContext ctx, HttpRequest request) {
+        if (mFault.kind() == TargetFault.RESET_BEFORE) {
+            closeConnection(ctx);
+            return HttpResponse.streaming();
+        }
         return HttpResponse.of(
-                request.aggregate()
-                        .thenCompose(
-                                body -> {
-                                    int index = begin(request);
-                                    if (index < 0) {
-                                        return CompletableFuture.completedFuture(
-                                                HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE));
-                                    }
-                                    return finish(ctx, request, index, body.contentUtf8());
-                                }));
+                request.aggregate().thenCompose(body -> start(ctx, request, body.content())));
     }
 
-    private CompletableFuture<HttpResponse> finish(
-            ServiceRequestContext ctx, HttpRequest request, int index, String body) {
-        long runMillis = request.headers().getLong("x-run-millis", 0);
+    private CompletableFuture<HttpResponse> start(
+            ServiceRequestContext ctx, HttpRequest request, HttpData body) {
+        ActiveFault fault = mFault;
+        int index = begin(request);
+        if (index < 0) {
+            return CompletableFuture.completedFuture(
+                    HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE));
+        }
+        if (fault.kind() == TargetFault.SILENT) {
+            mSilentRuns.add(index);
+            return new CompletableFuture<>();
+        }
+        long extraMillis = fault.kind() == TargetFault.SLOW ? fault.millis() : 0;
+        long runMillis = request.headers().getLong("x-run-millis", 0) + extraMillis;
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
         Runnable end =
                 () -> {
-                    end(index);
-                    ResponseHeaders headers =
-                            ResponseHeaders.builder(HttpStatus.OK)
-                                    .contentType(MediaType.PLAIN_TEXT_UTF_8)
-                                    .set("x-host", mName)
-                                    .build();
-                    response.complete(
-                            HttpResponse.of(
-                                    headers, com.linecorp.armeria.common.HttpData.ofUtf8(body)));
+                    mRecords.end(index, System.currentTimeMillis());
+                    response.complete(answer(fault.kind(), body));
                 };
-        if (runMillis == 0) {
+        if (fault.kind() == TargetFault.RESET_AFTER) {
+            closeConnection(ctx);
+        }
+        if (runMillis == 0 || fault.kind() == TargetFault.FAIL) {
             end.run();
         } else {
-            ctx.eventLoop()
-                    .withoutContext()
-                    .schedule(end, Duration.ofMillis(runMillis).toNanos(), TimeUnit.NANOSECONDS);
+            var unused =
+                    ctx.eventLoop()
+                            .withoutContext()
+                            .schedule(end, runMillis, TimeUnit.MILLISECONDS);
         }
         return response;
     }
 
-    private int begin(HttpRequest request) {
-        synchronized (mRecords) {
-            if (mRunning >= mSlots) {
-                return -1;
-            }
-            mRunning++;
-            mRecords.add(
-                    new Record(
-                            request.headers().get("marigoldturn-request-id", ""),
-                            request.headers().get("marigoldturn-owner", ""),
-                            request.headers().get("marigoldturn-team", ""),
-                            System.currentTimeMillis(),
-                            0));
-            return mRecords.size() - 1;
+    private HttpResponse answer(TargetFault fault, HttpData body) {
+        if (fault == TargetFault.FAIL) {
+            return HttpResponse.of(HttpStatus.INTERNAL_SERVER_ERROR);
+        }
+        ResponseHeaders headers =
+                ResponseHeaders.builder(HttpStatus.OK)
+                        .contentType(MediaType.PLAIN_TEXT_UTF_8)
+                        .set("x-host", mName)
+                        .setLong(HttpHeaderNames.CONTENT_LENGTH, body.length())
+                        .build();
+        if (fault != TargetFault.TRUNCATE && fault != TargetFault.SHORT) {
+            return HttpResponse.of(headers, body);
         }
+        HttpResponseWriter writer = HttpResponse.streaming();
+        writer.write(headers);
+        writer.write(HttpData.wrap(body.array(), 0, body.length() / 2));
+        if (fault == TargetFault.SHORT) {
+            writer.close();
+        } else {
+            var unused =
+                    writer.whenConsumed()
+                            .thenRun(() -> writer.close(new IOException("truncated on purpose")));
+        }
+        return writer;
     }
 
-    private void end(int index) {
-        synchronized (mRecords) {
-            mRunning--;
-            mRecords.set(index, mRecords.get(index).ended(System.currentTimeMillis()));
-        }
+    private int begin(HttpRequest request) {
+        return mRecords.begin(
+                new TargetRecords.Run(
+                        request.headers().get("marigoldturn-request-id", ""),
+                        request.headers().get("marigoldturn-owner", ""),
+                        request.headers().get("marigoldturn-team", ""),
+                        Boolean.parseBoolean(request.headers().get("marigoldturn-idempotent")),
+                        System.currentTimeMillis(),
+                        0));
+    }
+
+    private static void closeConnection(ServiceRequestContext ctx) {
+        var unused = ctx.log().ensureAvailable(RequestLogProperty.SESSION).channel().close();
     }
 }
