Add the settings of the fleet planner as path policy

The planner role moves between daemons that keep nothing on disk, so wave progress, pending moves and loans must be part of the versioned state. FleetPolicy becomes the last component of FleetSettings, with SettingsEdit.PutPolicy.

--- a/core/src/main/java/org/marigoldturn/settings/FleetSettings.java
+++ b/core/src/main/java/org/marigoldturn/settings/FleetSettings.java
@@ -11,16 +11,19 @@
  * @param services services by name
  * @param teams teams by name
  * @param hosts hosts by name
+ * @param policy settings and progress of the fleet planner
  */
 public record FleetSettings(
         Map<String, ZoneSettings> zones,
         Map<String, PoolSettings> pools,
         Map<String, ServiceSettings> services,
         Map<String, TeamSettings> teams,
-        Map<String, HostSettings> hosts) {
+        Map<String, HostSettings> hosts,
+        FleetPolicy policy) {
     /** Settings without any entry. */
     public static final FleetSettings EMPTY =
-            new FleetSettings(Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+            new FleetSettings(
+                    Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), FleetPolicy.DEFAULT);
 
     public FleetSettings {
         zones = sorted(zones);
@@ -28,6 +31,7 @@
         services = sorted(services);
         teams = sorted(teams);
         hosts = sorted(hosts);
+        policy = policy == null ? FleetPolicy.DEFAULT : policy;
     }
 
     private static <V> Map<String, V> sorted(Map<String, V> entries) {
--- a/core/src/main/java/org/marigoldturn/settings/SettingsEdit.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsEdit.java
@@ -45,6 +45,14 @@
         }
     }
 
+    /** Replaces the settings and progress of the fleet planner. */
+    record PutPolicy(FleetPolicy policy) implements SettingsEdit {
+        @Override
+        public String path() {
+            return "policy";
+        }
+    }
+
     /** Deletes the entry at a path such as {@code pools/desk}. */
     record Delete(String path) implements SettingsEdit {}
 
--- a/core/src/main/java/org/marigoldturn/settings/StateCodec.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateCodec.java
@@ -27,6 +27,7 @@
         contents.put("zones", write(settings.zones()));
         contents.put("pools", write(settings.pools()));
         contents.put("services", write(settings.services()));
+        contents.put("policy", write(settings.policy()));
         settings.teams().forEach((name, team) -> contents.put(TEAM_PREFIX + name, write(team)));
         Map<String, Map<String, HostSettings>> shards = new TreeMap<>();
         for (HostSettings host : settings.hosts().values()) {
@@ -67,7 +68,13 @@
                         readPath(manifest, blobs, "pools", new TypeReference<>() {}, Map.of()),
                         readPath(manifest, blobs, "services", new TypeReference<>() {}, Map.of()),
                         teams,
-                        hosts);
+                        hosts,
+                        readPath(
+                                manifest,
+                                blobs,
+                                "policy",
+                                new TypeReference<>() {},
+                                FleetPolicy.DEFAULT));
         return new VersionedState(
                 manifest,
                 settings,
