--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/fleet/AvailabilityBudget.java
@@ -0,0 +1,130 @@
+package org.marigoldturn.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.ServiceSettings;
+import org.marigoldturn.settings.ZoneSettings;
+import org.marigoldturn.settings.ZoneState;
+
+/**
+ * Availability budgets of all services at one moment. Immutable.
+ *
+ * <p>A slot is absent when its host is not in service, has failed, or is in a zone that is out of
+ * service. Planned and unplanned absence count alike. A returning zone counts as present, since its
+ * ramp steers the choice of hosts but leaves no capacity idle.
+ */
+public final class AvailabilityBudget {
+    private record PoolSlots(int total, int absent, int largestHost) {}
+
+    private final FleetSettings mSettings;
+    private final Map<String, PoolSlots> mPools;
+    private final Map<String, Integer> mAllowedPercent;
+
+    private AvailabilityBudget(
+            FleetSettings settings,
+            Map<String, PoolSlots> pools,
+            Map<String, Integer> allowedPercent) {
+        mSettings = settings;
+        mPools = pools;
+        mAllowedPercent = allowedPercent;
+    }
+
+    /**
+     * Counts the absent slots of each pool.
+     *
+     * @param failedHosts hosts that are unavailable without a plan
+     */
+    public static AvailabilityBudget of(FleetSettings settings, Set<String> failedHosts) {
+        Map<String, PoolSlots> pools = new HashMap<>();
+        for (HostSettings host : settings.hosts().values()) {
+            int absent = isAbsent(settings, failedHosts, host) ? host.slots() : 0;
+            pools.merge(
+                    host.pool(),
+                    new PoolSlots(host.slots(), absent, host.slots()),
+                    (a, b) ->
+                            new PoolSlots(
+                                    a.total + b.total,
+                                    a.absent + b.absent,
+                                    Math.max(a.largestHost, b.largestHost)));
+        }
+        Map<String, Integer> allowedPercent = new HashMap<>();
+        for (ServiceSettings service : settings.services().values()) {
+            allowedPercent.merge(service.pool(), service.maxUnavailablePercent(), Math::min);
+        }
+        return new AvailabilityBudget(settings, pools, allowedPercent);
+    }
+
+    /** Returns whether the host's slots are absent. */
+    public static boolean isAbsent(
+            FleetSettings settings, Set<String> failedHosts, HostSettings host) {
+        ZoneSettings zone = settings.zones().get(host.zone());
+        return !host.state().acceptsWork()
+                || failedHosts.contains(host.name())
+                || (zone != null && zone.state() == ZoneState.OUT_OF_SERVICE);
+    }
+
+    /** Returns the budgets after a host that is present becomes absent. */
+    public AvailabilityBudget withAbsent(HostSettings host) {
+        Map<String, PoolSlots> pools = new HashMap<>(mPools);
+        PoolSlots slots = pools.get(host.pool());
+        pools.put(
+                host.pool(),
+                new PoolSlots(slots.total, slots.absent + host.slots(), slots.largestHost));
+        return new AvailabilityBudget(mSettings, pools, mAllowedPercent);
+    }
+
+    /**
+     * Returns whether the budgets of the pool are met after a host that is present becomes absent.
+     */
+    public boolean fits(HostSettings host) {
+        PoolSlots slots = mPools.get(host.pool());
+        return slots.absent + host.slots() <= allowedSlots(host.pool());
+    }
+
+    /**
+     * Returns whether a wave may take the host.
+     *
+     * <p>A wave leaves room for the failure of the pool's largest host, where the budget covers two
+     * such hosts. Without the reserve the first failure during a wave exceeded the budget.
+     */
+    public boolean fitsWithReserve(HostSettings host) {
+        PoolSlots slots = mPools.get(host.pool());
+        int allowed = allowedSlots(host.pool());
+        int reserve = allowed >= 2 * slots.largestHost ? slots.largestHost : 0;
+        return slots.absent + host.slots() <= allowed - reserve;
+    }
+
+    /** Returns the budget of each service, sorted by service name. */
+    public List<BudgetStatus> statuses() {
+        return mSettings.services().values().stream().map(this::status).toList();
+    }
+
+    /** Returns the slots of the pool that are present. */
+    public int presentSlots(String pool) {
+        PoolSlots slots = mPools.getOrDefault(pool, new PoolSlots(0, 0, 0));
+        return slots.total - slots.absent;
+    }
+
+    private BudgetStatus status(ServiceSettings service) {
+        PoolSlots slots = mPools.getOrDefault(service.pool(), new PoolSlots(0, 0, 0));
+        return new BudgetStatus(
+                service.name(),
+                service.pool(),
+                slots.total,
+                percentOf(slots.total, service.maxUnavailablePercent()),
+                slots.absent);
+    }
+
+    /** A pool without services has no budget, so all of its slots may be absent. */
+    private int allowedSlots(String pool) {
+        return percentOf(mPools.get(pool).total, mAllowedPercent.getOrDefault(pool, 100));
+    }
+
+    private static int percentOf(int slots, int percent) {
+        return (int) ((long) slots * percent / 100);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/fleet/FleetObservation.java
@@ -0,0 +1,24 @@
+package org.marigoldturn.fleet;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the planner role observes of the fleet at one moment. Immutable.
+ *
+ * @param failedHosts hosts that are unavailable without a plan, by health or by the host list
+ * @param hosts observations of hosts that are not in service
+ * @param demands demand by pool
+ * @param drainMillis expected time to drain a host
+ */
+public record FleetObservation(
+        Set<String> failedHosts,
+        Map<String, HostObservation> hosts,
+        Map<String, PoolDemand> demands,
+        long drainMillis) {
+    public FleetObservation {
+        failedHosts = Set.copyOf(failedHosts);
+        hosts = Map.copyOf(hosts);
+        demands = Map.copyOf(demands);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/fleet/MaintenancePlanner.java
@@ -0,0 +1,211 @@
+package org.marigoldturn.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.marigoldturn.settings.FleetPolicy;
+import org.marigoldturn.settings.FleetPolicy.WaveProgress;
+import org.marigoldturn.settings.FleetPolicy.WaveStatus;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.ZoneSettings;
+import org.marigoldturn.settings.ZoneState;
+
+/**
+ * Plans maintenance waves. Stateless; the progress of the wave is part of the settings.
+ *
+ * <p>A wave goes through the due hosts of one zone, one rack at a time, most overdue first. Each
+ * step takes the hosts that all budgets still allow, so unplanned failures make it smaller.
+ */
+public final class MaintenancePlanner {
+    /** Largest number of hosts of a wave that may fail to return in time. */
+    static final int MAX_LATE_HOSTS = 2;
+
+    /** Largest part of the hosts of a wave that may fail to return in time. */
+    static final int MAX_LATE_PERCENT = 20;
+
+    private static final Comparator<HostSettings> MOST_OVERDUE_FIRST =
+            Comparator.comparingLong(HostSettings::maintainedAtMillis)
+                    .thenComparing(HostSettings::name);
+
+    private final HostLifecycle mLifecycle = new HostLifecycle();
+
+    /**
+     * Returns the edits of the next step, empty if there is nothing to do.
+     *
+     * @param failedHosts hosts that are unavailable without a plan
+     * @param nowMillis present wall clock time
+     */
+    public List<SettingsEdit> step(
+            FleetSettings settings, Set<String> failedHosts, long nowMillis) {
+        FleetPolicy policy = settings.policy();
+        List<SettingsEdit> edits = new ArrayList<>();
+        WaveProgress wave = recordReturns(settings, policy.wave(), nowMillis);
+        if (wave.status() == WaveStatus.RUNNING) {
+            wave =
+                    tooManyLate(wave)
+                            ? wave.withStatus(WaveStatus.STOPPED, stopReason(wave))
+                            : takeHosts(settings, failedHosts, wave, nowMillis, edits);
+        }
+        if (!wave.equals(policy.wave())) {
+            edits.add(new SettingsEdit.PutPolicy(policy.withWave(wave)));
+        }
+        return edits;
+    }
+
+    /** Returns the edits that pause the wave; hosts that are out return as usual. */
+    public List<SettingsEdit> pause(FleetSettings settings, String reason) {
+        WaveProgress wave = settings.policy().wave();
+        return wave.status() == WaveStatus.RUNNING
+                ? put(settings, wave.withStatus(WaveStatus.PAUSED, reason))
+                : List.of();
+    }
+
+    /**
+     * Returns the edits that resume a paused or stopped wave.
+     *
+     * <p>Hosts that are late leave the wave: the operator has seen them, so they do not stop it
+     * again. They count in the budgets until they are back.
+     */
+    public List<SettingsEdit> resume(FleetSettings settings) {
+        WaveProgress wave = settings.policy().wave();
+        return wave.status() == WaveStatus.RUNNING
+                ? List.of()
+                : put(
+                        settings,
+                        new WaveProgress(
+                                WaveStatus.RUNNING,
+                                wave.zone(),
+                                wave.startedHosts(),
+                                wave.returnByMillis(),
+                                List.of(),
+                                ""));
+    }
+
+    private static boolean tooManyLate(WaveProgress wave) {
+        int late = wave.lateHosts().size();
+        return late > MAX_LATE_HOSTS || late * 100 > wave.startedHosts() * MAX_LATE_PERCENT;
+    }
+
+    private static String stopReason(WaveProgress wave) {
+        return "%d of %d hosts did not return in time: %s"
+                .formatted(
+                        wave.lateHosts().size(),
+                        wave.startedHosts(),
+                        String.join(", ", wave.lateHosts()));
+    }
+
+    /** Removes the hosts that have returned, and records those whose time is over as late. */
+    private static WaveProgress recordReturns(
+            FleetSettings settings, WaveProgress wave, long nowMillis) {
+        Map<String, Long> out = new TreeMap<>(wave.returnByMillis());
+        List<String> late = new ArrayList<>(wave.lateHosts());
+        for (Map.Entry<String, Long> entry : wave.returnByMillis().entrySet()) {
+            HostSettings host = settings.hosts().get(entry.getKey());
+            boolean back = host == null || host.state() == HostState.IN_SERVICE;
+            if (!back && entry.getValue() < nowMillis) {
+                late.add(entry.getKey());
+            }
+            if (back || entry.getValue() < nowMillis) {
+                out.remove(entry.getKey());
+            }
+        }
+        return new WaveProgress(
+                wave.status(), wave.zone(), wave.startedHosts(), out, late, wave.reason());
+    }
+
+    private WaveProgress takeHosts(
+            FleetSettings settings,
+            Set<String> failedHosts,
+            WaveProgress wave,
+            long nowMillis,
+            List<SettingsEdit> edits) {
+        AvailabilityBudget budget = AvailabilityBudget.of(settings, failedHosts);
+        List<HostSettings> fitting = fittingHosts(settings, failedHosts, budget, nowMillis);
+        WaveProgress current = continueOrStart(wave, fitting);
+        Optional<String> rack = rackOf(settings, current, fitting);
+        Map<String, Long> out = new TreeMap<>(current.returnByMillis());
+        int started = current.startedHosts();
+        for (HostSettings host : fitting) {
+            boolean inRack =
+                    host.zone().equals(current.zone()) && rack.equals(Optional.of(host.rack()));
+            if (inRack && budget.fitsWithReserve(host)) {
+                edits.addAll(mLifecycle.drain(settings, host.name()));
+                budget = budget.withAbsent(host);
+                out.put(host.name(), nowMillis + settings.policy().returnWithinMillis());
+                started++;
+            }
+        }
+        return new WaveProgress(
+                current.status(),
+                current.zone(),
+                started,
+                out,
+                current.lateHosts(),
+                current.reason());
+    }
+
+    /** Returns the due hosts that the budgets allow one by one, most overdue first. */
+    private static List<HostSettings> fittingHosts(
+            FleetSettings settings,
+            Set<String> failedHosts,
+            AvailabilityBudget budget,
+            long nowMillis) {
+        return settings.hosts().values().stream()
+                .filter(host -> isDue(settings, host, nowMillis))
+                .filter(host -> !AvailabilityBudget.isAbsent(settings, failedHosts, host))
+                .filter(budget::fitsWithReserve)
+                .sorted(MOST_OVERDUE_FIRST)
+                .toList();
+    }
+
+    /** Starts the next wave when none of the hosts of the present one is out or can be taken. */
+    private static WaveProgress continueOrStart(WaveProgress wave, List<HostSettings> fitting) {
+        boolean goesOn = fitting.stream().anyMatch(host -> host.zone().equals(wave.zone()));
+        if (goesOn || !wave.returnByMillis().isEmpty()) {
+            return wave;
+        }
+        return fitting.isEmpty()
+                ? WaveProgress.IDLE
+                : new WaveProgress(
+                        WaveStatus.RUNNING, fitting.get(0).zone(), 0, Map.of(), List.of(), "");
+    }
+
+    /** Returns the rack that has hosts out, else the one with the most overdue host that fits. */
+    private static Optional<String> rackOf(
+            FleetSettings settings, WaveProgress wave, List<HostSettings> fitting) {
+        Optional<String> present =
+                wave.returnByMillis().keySet().stream()
+                        .map(settings.hosts()::get)
+                        .map(HostSettings::rack)
+                        .findFirst();
+        return present.or(
+                () ->
+                        fitting.stream()
+                                .filter(host -> host.zone().equals(wave.zone()))
+                                .findFirst()
+                                .map(HostSettings::rack));
+    }
+
+    private static boolean isDue(FleetSettings settings, HostSettings host, long nowMillis) {
+        FleetPolicy policy = settings.policy();
+        ZoneSettings zone = settings.zones().get(host.zone());
+        long dueAtMillis =
+                host.maintainedAtMillis()
+                        + policy.maintenanceIntervalMillis()
+                        - policy.maintenanceLeadMillis();
+        return nowMillis >= dueAtMillis
+                && host.state() == HostState.IN_SERVICE
+                && (zone == null || zone.state() == ZoneState.IN_SERVICE);
+    }
+
+    private static List<SettingsEdit> put(FleetSettings settings, WaveProgress wave) {
+        return List.of(new SettingsEdit.PutPolicy(settings.policy().withWave(wave)));
+    }
+}
--- a/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
+++ b/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.settings;
 
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -11,7 +12,8 @@
  * keep nothing on disk.
  *
  * @param maintenanceIntervalMillis longest time between two maintenances of a host
- * @param maintenanceLeadMillis time before the end of the interval at which a host becomes due
+ * @param maintenanceLeadMillis time before the end of the interval at which a host becomes due;
+ *     half the interval by default
  * @param returnWithinMillis time within which a host of a wave must be in service again
  * @param loanAfterMillis time for which the demand of a pool must exceed its capacity before it
  *     borrows hosts
@@ -31,7 +33,6 @@
         Map<String, String> loans) {
     private static final long DAY_MILLIS = 86_400_000L;
     private static final long DEFAULT_INTERVAL_MILLIS = 42 * DAY_MILLIS;
-    private static final long DEFAULT_LEAD_MILLIS = 21 * DAY_MILLIS;
     private static final long DEFAULT_RETURN_WITHIN_MILLIS = 2 * 3_600_000L;
     private static final long DEFAULT_LOAN_AFTER_MILLIS = 60_000;
 
@@ -40,13 +41,18 @@
 
     public FleetPolicy {
         maintenanceIntervalMillis = orDefault(maintenanceIntervalMillis, DEFAULT_INTERVAL_MILLIS);
-        maintenanceLeadMillis = orDefault(maintenanceLeadMillis, DEFAULT_LEAD_MILLIS);
+        maintenanceLeadMillis = orDefault(maintenanceLeadMillis, maintenanceIntervalMillis / 2);
         returnWithinMillis = orDefault(returnWithinMillis, DEFAULT_RETURN_WITHIN_MILLIS);
         loanAfterMillis = orDefault(loanAfterMillis, DEFAULT_LOAN_AFTER_MILLIS);
         requirePositive("maintenanceIntervalMillis", maintenanceIntervalMillis);
         requirePositive("maintenanceLeadMillis", maintenanceLeadMillis);
         requirePositive("returnWithinMillis", returnWithinMillis);
         requirePositive("loanAfterMillis", loanAfterMillis);
+        if (maintenanceLeadMillis >= maintenanceIntervalMillis) {
+            throw new IllegalArgumentException(
+                    "maintenanceLeadMillis must be less than maintenanceIntervalMillis, not "
+                            + maintenanceLeadMillis);
+        }
         costWeights = costWeights == null ? CostWeights.DEFAULT : costWeights;
         wave = wave == null ? WaveProgress.IDLE : wave;
         pendingMoves = sorted(pendingMoves);
@@ -133,6 +139,7 @@
      * @param zone zone of the wave, empty between waves
      * @param startedHosts number of hosts taken so far
      * @param returnByMillis wall clock time by which each host that is out must be back, by host
+     * @param lateHosts hosts of the wave that did not return in time
      * @param reason why the wave is paused or stopped, empty while it runs
      */
     public record WaveProgress(
@@ -140,15 +147,17 @@
             String zone,
             int startedHosts,
             Map<String, Long> returnByMillis,
+            List<String> lateHosts,
             String reason) {
         /** No wave in progress; the next one may start. */
         public static final WaveProgress IDLE =
-                new WaveProgress(WaveStatus.RUNNING, "", 0, Map.of(), "");
+                new WaveProgress(WaveStatus.RUNNING, "", 0, Map.of(), List.of(), "");
 
         public WaveProgress {
             status = status == null ? WaveStatus.RUNNING : status;
             zone = zone == null ? "" : zone;
             reason = reason == null ? "" : reason;
+            lateHosts = lateHosts == null ? List.of() : List.copyOf(lateHosts);
             returnByMillis =
                     returnByMillis == null
                             ? Map.of()
@@ -157,7 +166,8 @@
 
         /** Returns a copy with the given status and reason. */
         public WaveProgress withStatus(WaveStatus next, String nextReason) {
-            return new WaveProgress(next, zone, startedHosts, returnByMillis, nextReason);
+            return new WaveProgress(
+                    next, zone, startedHosts, returnByMillis, lateHosts, nextReason);
         }
     }
 }
