--- a/core/src/main/java/org/marigoldturn/fleet/HostLifecycle.java
+++ b/core/src/main/java/org/marigoldturn/fleet/HostLifecycle.java
@@ -9,6 +9,8 @@
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.HostState;
 import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.ZoneSettings;
+import org.marigoldturn.settings.ZoneState;
 
 /**
  * Life cycle of hosts: in service, draining, maintenance, returning, in service. Stateless.
@@ -81,7 +83,7 @@
         for (Map.Entry<String, HostObservation> entry : observations.entrySet()) {
             HostSettings host = settings.hosts().get(entry.getKey());
             if (host != null && host.state() != HostState.IN_SERVICE) {
-                advanceOne(host, entry.getValue(), moves, nowMillis, edits);
+                advanceOne(settings, host, entry.getValue(), moves, nowMillis, edits);
             }
         }
         FleetPolicy policy = settings.policy();
@@ -92,6 +94,7 @@
     }
 
     private static void advanceOne(
+            FleetSettings settings,
             HostSettings host,
             HostObservation observed,
             Map<String, String> pendingMoves,
@@ -105,9 +108,25 @@
         } else if (host.state() == HostState.MAINTENANCE && observed.maintenanceDone()) {
             edits.add(put(host, host.pool(), HostState.RETURNING, nowMillis));
         } else if (host.state() == HostState.RETURNING && observed.healthy()) {
-            String target = pendingMoves.remove(host.name());
-            String pool = target == null ? host.pool() : target;
-            edits.add(put(host, pool, HostState.IN_SERVICE, 0));
+            enterService(settings, host, pendingMoves, edits);
+        }
+    }
+
+    /**
+     * A host whose zone is out of service does not change its pool: it would add to the absent
+     * slots of the new pool, whose budget did not allow for it.
+     */
+    private static void enterService(
+            FleetSettings settings,
+            HostSettings host,
+            Map<String, String> pendingMoves,
+            List<SettingsEdit> edits) {
+        ZoneSettings zone = settings.zones().get(host.zone());
+        boolean zoneOut = zone != null && zone.state() == ZoneState.OUT_OF_SERVICE;
+        if (!pendingMoves.containsKey(host.name())) {
+            edits.add(put(host, host.pool(), HostState.IN_SERVICE, 0));
+        } else if (!zoneOut) {
+            edits.add(put(host, pendingMoves.remove(host.name()), HostState.IN_SERVICE, 0));
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
@@ -0,0 +1,180 @@
+package org.marigoldturn.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.marigoldturn.settings.FleetPolicy;
+import org.marigoldturn.settings.FleetPolicy.WaveStatus;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.PoolSettings;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.VersionedState;
+import org.marigoldturn.settings.ZoneState;
+
+/** Single cases of the planners. */
+class PlannersTest {
+    private static final long NOW_MILLIS = 100L * 86_400_000;
+
+    private final MaintenancePlanner mMaintenance = new MaintenancePlanner();
+    private final HostLifecycle mLifecycle = new HostLifecycle();
+
+    /** Guards against a wave that goes on although its hosts do not come back. */
+    @Example
+    void waveStopsWhenHostsDoNotReturnInTimeAndNeedsResume() {
+        FleetSettings settings = TestFleet.settings(36, 50);
+        settings = TestFleet.apply(settings, mMaintenance.step(settings, Set.of(), NOW_MILLIS));
+        int taken = settings.policy().wave().startedHosts();
+        assertThat(taken).isGreaterThan(2);
+        long later = NOW_MILLIS + settings.policy().returnWithinMillis() + 1;
+        settings = TestFleet.apply(settings, mMaintenance.step(settings, Set.of(), later));
+        assertThat(settings.policy().wave().status()).isEqualTo(WaveStatus.STOPPED);
+        assertThat(settings.policy().wave().reason()).contains("did not return in time: h0");
+        assertThat(mMaintenance.step(settings, Set.of(), later + 1)).isEmpty();
+        settings = TestFleet.apply(settings, mMaintenance.resume(settings));
+        settings = TestFleet.apply(settings, mMaintenance.step(settings, Set.of(), later + 2));
+        assertThat(settings.policy().wave().status()).isEqualTo(WaveStatus.RUNNING);
+        assertThat(settings.policy().wave().startedHosts()).isGreaterThan(taken);
+    }
+
+    /** Guards against steps that ignore hosts that are absent without a plan. */
+    @Example
+    void unplannedFailuresShrinkTheNextStep() {
+        FleetSettings settings = TestFleet.settings(36, 50);
+        Set<String> failed = Set.of("h12", "h15", "h18", "h21", "h24");
+        List<SettingsEdit> all = mMaintenance.step(settings, Set.of(), NOW_MILLIS);
+        List<SettingsEdit> fewer = mMaintenance.step(settings, failed, NOW_MILLIS);
+        assertThat(fewer).hasSizeLessThan(all.size());
+    }
+
+    /** Guards against a wave that leaves its rack while hosts of it are out. */
+    @Example
+    void waveTakesOneRackAtATime() {
+        FleetSettings settings = TestFleet.settings(36, 100);
+        for (int i = 0; i < 3; i++) {
+            settings = TestFleet.apply(settings, mMaintenance.step(settings, Set.of(), NOW_MILLIS));
+        }
+        assertThat(settings.hosts().values())
+                .filteredOn(host -> host.state() == HostState.DRAINING)
+                .extracting(host -> host.rack())
+                .containsOnly("rack0");
+    }
+
+    /** Guards against a zone drain that exceeds a budget without being asked to. */
+    @Example
+    void zoneDrainIsRefusedWithShortfallsUnlessForced() {
+        FleetSettings settings = TestFleet.settings(36, 20);
+        ZonePlanner planner = new ZonePlanner();
+        ZonePlan refused = planner.drain(settings, Set.of(), "z0", false, NOW_MILLIS);
+        assertThat(refused.refused()).isTrue();
+        assertThat(refused.edits()).isEmpty();
+        assertThat(refused.shortfalls()).extracting(BudgetStatus::shortfallSlots).contains(29);
+        ZonePlan forced = planner.drain(settings, Set.of(), "z0", true, NOW_MILLIS);
+        FleetSettings drained = TestFleet.apply(settings, forced.edits());
+        assertThat(drained.zones().get("z0").state()).isEqualTo(ZoneState.OUT_OF_SERVICE);
+        assertThat(forced.presentSlots()).containsEntry("desk", 48);
+        ZonePlan restored = planner.restore(drained, Set.of(), "z0", NOW_MILLIS + 1);
+        FleetSettings returning = TestFleet.apply(drained, restored.edits());
+        assertThat(returning.zones().get("z0").state()).isEqualTo(ZoneState.RETURNING);
+        assertThat(planner.finishRamps(returning, NOW_MILLIS + 30_000)).isEmpty();
+        assertThat(planner.finishRamps(returning, NOW_MILLIS + 30_001)).hasSize(1);
+    }
+
+    /** Guards against maintenance that starts while a daemon may still start work. */
+    @Example
+    void drainEndsOnlyWhenAllDaemonsAndALaterUsageReportAgree() {
+        Map<String, DrainEvidence.DaemonReport> reports =
+                Map.of(
+                        "d1", new DrainEvidence.DaemonReport(7, 0, 100),
+                        "d2", new DrainEvidence.DaemonReport(8, 0, 110));
+        Set<String> members = Set.of("d1", "d2");
+        DrainEvidence.UsageReport idle = new DrainEvidence.UsageReport(0, 120);
+        assertThat(new DrainEvidence(7, members, reports, idle, false).drained()).isTrue();
+        assertThat(new DrainEvidence(8, members, reports, idle, false).drained()).isFalse();
+        assertThat(new DrainEvidence(7, Set.of("d3"), reports, idle, false).drained()).isFalse();
+        assertThat(new DrainEvidence(7, members, reports, null, false).drained()).isFalse();
+        DrainEvidence.UsageReport early = new DrainEvidence.UsageReport(0, 105);
+        assertThat(new DrainEvidence(7, members, reports, early, false).drained()).isFalse();
+        DrainEvidence.UsageReport busy = new DrainEvidence.UsageReport(1, 120);
+        assertThat(new DrainEvidence(7, members, reports, busy, false).drained()).isFalse();
+        assertThat(new DrainEvidence(8, members, reports, null, true).drained()).isTrue();
+    }
+
+    /** Guards against a host that never comes back from a loan, or is lent for nothing. */
+    @Example
+    void loanIsMadeWhenWorthItsCostAndEnds() {
+        FleetSettings settings = TestFleet.settings(36, 50);
+        long since = NOW_MILLIS - settings.policy().loanAfterMillis();
+        assertThat(loans(settings, 3, since, NOW_MILLIS)).isEmpty();
+        assertThat(loans(settings, 30, since + 1, NOW_MILLIS)).isEmpty();
+        settings = TestFleet.apply(settings, loans(settings, 30, since, NOW_MILLIS));
+        assertThat(settings.policy().loans()).hasSize(1).containsValue("club");
+        String host = settings.policy().loans().keySet().iterator().next();
+        settings = advance(settings, host, 2);
+        assertThat(settings.hosts().get(host).pool()).isEqualTo("desk");
+        settings = TestFleet.apply(settings, loans(settings, -50, since, NOW_MILLIS));
+        settings = advance(settings, host, 2);
+        assertThat(settings.hosts().get(host).pool()).isEqualTo("club");
+        settings = TestFleet.apply(settings, loans(settings, -50, since, NOW_MILLIS));
+        assertThat(settings.policy().loans()).isEmpty();
+    }
+
+    /** Guards against a planner whose role has passed to another daemon. */
+    @Example
+    void changeOfThePlannerIsFencedByTheVersionRead() {
+        VersionedState initial = VersionedState.INITIAL;
+        VersionedState state =
+                new VersionedState(
+                        initial.manifest(),
+                        TestFleet.settings(36, 50),
+                        initial.members(),
+                        initial.rights());
+        FleetObservation nothing = new FleetObservation(Set.of(), Map.of(), Map.of(), 0);
+        SettingsChange change =
+                new FleetPlanner().step(state, nothing, "c1", NOW_MILLIS).orElseThrow();
+        assertThat(change.baseVersion()).isEqualTo(state.version());
+        assertThat(change.edits()).hasAtLeastOneElementOfType(SettingsEdit.PutPolicy.class);
+    }
+
+    /** Guards against a move of a host that has not drained. */
+    @Example
+    void movedHostChangesPoolOnlyAfterDraining() {
+        FleetSettings settings = TestFleet.settings(36, 50);
+        settings = TestFleet.apply(settings, mLifecycle.move(settings, "h0", "marks"));
+        assertThat(settings.hosts().get("h0").pool()).isEqualTo("desk");
+        FleetSettings busy =
+                TestFleet.apply(
+                        settings,
+                        mLifecycle.advance(settings, Map.of("h0", HostObservation.NONE), 0));
+        assertThat(busy.hosts().get("h0").state()).isEqualTo(HostState.DRAINING);
+        FleetSettings moved = advance(settings, "h0", 2);
+        assertThat(moved.hosts().get("h0").pool()).isEqualTo("marks");
+        assertThat(moved.hosts().get("h0").state()).isEqualTo(HostState.IN_SERVICE);
+        assertThat(moved.policy().pendingMoves()).isEmpty();
+        assertThat(moved.pools()).containsValue(new PoolSettings("marks", false));
+        assertThat(FleetPolicy.DEFAULT.maintenanceIntervalMillis()).isEqualTo(42L * 86_400_000);
+    }
+
+    private FleetSettings advance(FleetSettings settings, String host, int steps) {
+        FleetSettings current = settings;
+        for (int i = 0; i < steps; i++) {
+            current =
+                    TestFleet.apply(
+                            current,
+                            mLifecycle.advance(current, Map.of(host, TestFleet.finished()), 1));
+        }
+        return current;
+    }
+
+    /** Plans for pool "desk" with 96 running requests and the given number queued. */
+    private static List<SettingsEdit> loans(
+            FleetSettings settings, int queued, long sinceMillis, long nowMillis) {
+        Map<String, PoolDemand> demands =
+                Map.of("desk", new PoolDemand("desk", 96, queued, sinceMillis));
+        return new LoanPlanner().plan(settings, Set.of(), demands, 60_000, nowMillis);
+    }
+}
