Add the operator service and the command line

Operators need to change settings, zones, hosts and waves with a clear result. Every change is computed from the held state, committed with the version read and then awaited; the answer says accepted only when no daemon can serve an older version. Applying a file keeps the state of zones, hosts and the wave, since a file that does not state them would otherwise restore drained zones and send work to hosts that reboot. The command line makes team keys and sends only the hash: a daemon that makes the secret could not repeat a request whose answer was lost. Exit codes are fixed and documented. RepositoryCommitter and YamlSettingsParsing stand in until the settings package commits and parses; acceptance is reported as not confirmed until membership is wired, so quickstart accepts exit code 4 for now. bin/quickstart passes.

--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/cli/Command.java
@@ -0,0 +1,35 @@
+package org.marigoldturn.cli;
+
+import java.util.List;
+
+/**
+ * One command.
+ *
+ * @param words words that select the command, such as {@code zone drain}
+ * @param arguments names of the arguments; one that ends in {@code ...} may be repeated or omitted
+ * @param options names of the command's own options
+ * @param example complete example
+ */
+record Command(
+        String words,
+        List<String> arguments,
+        List<String> options,
+        String description,
+        String example,
+        Action action) {
+    /** What the command does. */
+    @FunctionalInterface
+    interface Action {
+        ExitCode run(Invocation invocation);
+    }
+
+    String usage() {
+        return ("marigoldturn " + words + " " + String.join(" ", arguments)).strip();
+    }
+
+    /** Returns whether the number of given arguments is right. */
+    boolean accepts(int argumentCount) {
+        boolean open = !arguments.isEmpty() && arguments.get(arguments.size() - 1).endsWith("...");
+        return open ? argumentCount >= arguments.size() - 1 : argumentCount == arguments.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/cli/CommandException.java
@@ -0,0 +1,17 @@
+package org.marigoldturn.cli;
+
+/** A command failed; the message is printed on standard error. */
+final class CommandException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final ExitCode mCode;
+
+    CommandException(ExitCode code, String message) {
+        super(message);
+        mCode = code;
+    }
+
+    ExitCode code() {
+        return mCode;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/cli/EntryCommands.java
@@ -0,0 +1,86 @@
+package org.marigoldturn.cli;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.marigoldturn.daemon.ConfigException;
+import org.marigoldturn.daemon.EntryConfig;
+import org.marigoldturn.daemon.EntryDaemon;
+
+/** The command that runs an entry daemon. */
+final class EntryCommands implements CommandGroup {
+    @Override
+    public List<Command> commands() {
+        return List.of(
+                new Command(
+                        "entry",
+                        List.of(),
+                        List.of(CommandOptions.CONFIG),
+                        "runs an entry daemon until it is terminated",
+                        "marigoldturn entry --config entry.yaml",
+                        EntryCommands::run));
+    }
+
+    private static ExitCode run(Invocation invocation) {
+        EntryConfig config = read(Path.of(invocation.requiredOption(CommandOptions.CONFIG)));
+        EntryDaemon daemon = new EntryDaemon(config);
+        try {
+            daemon.start();
+        } catch (RuntimeException e) {
+            daemon.close();
+            throw startFailure(config, e);
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
+        waitForTermination();
+        return ExitCode.OK;
+    }
+
+    private static EntryConfig read(Path file) {
+        try {
+            return EntryConfig.read(file);
+        } catch (ConfigException e) {
+            throw new CommandException(ExitCode.START_FAILED, e.getMessage());
+        }
+    }
+
+    private static CommandException startFailure(EntryConfig config, RuntimeException failure) {
+        String message =
+                usedPort(config)
+                        .map(port -> "%s of address %s is in use".formatted(port, config.address()))
+                        .orElse("the daemon cannot start: " + failure.getMessage());
+        return new CommandException(ExitCode.START_FAILED, message);
+    }
+
+    /** The library's error does not tell which of the daemon's ports is in use. */
+    private static Optional<String> usedPort(EntryConfig config) {
+        List<String> names = List.of("callerPort", "operatorPort", "peerPort");
+        List<Integer> ports =
+                List.of(config.callerPort(), config.operatorPort(), config.peerPort());
+        for (int i = 0; i < names.size(); i++) {
+            if (ports.get(i) != 0 && !isFree(config.address(), ports.get(i))) {
+                return Optional.of(names.get(i) + " " + ports.get(i));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isFree(String address, int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static void waitForTermination() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/cli/PoolCommands.java
@@ -0,0 +1,12 @@
+package org.marigoldturn.cli;
+
+import java.util.List;
+
+/** The {@code pool} commands. */
+final class PoolCommands implements CommandGroup {
+    @Override
+    public List<Command> commands() {
+        ResourceCommands resource = new ResourceCommands("pool", "spare=true", "name", "spare");
+        return List.of(resource.list(), resource.show(), resource.set(), resource.delete());
+    }
+}
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -1,22 +1,33 @@
 package org.marigoldturn.daemon;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.marigoldturn.admission.KeyAuthenticator;
 import org.marigoldturn.entry.CallerService;
+import org.marigoldturn.membership.AcceptanceResult;
+import org.marigoldturn.operator.OperatorParts;
 import org.marigoldturn.operator.OperatorService;
+import org.marigoldturn.operator.RepositoryCommitter;
+import org.marigoldturn.operator.RingDecisionLog;
+import org.marigoldturn.operator.SettingsStatusSource;
+import org.marigoldturn.operator.YamlSettingsParsing;
 import org.marigoldturn.platform.Compare;
 import org.marigoldturn.platform.EtcdJsonStore;
 import org.marigoldturn.platform.KeyValueStore;
 import org.marigoldturn.settings.LoadedState;
+import org.marigoldturn.settings.SettingsException;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.VersionedState;
 import org.tinylog.Logger;
@@ -28,6 +39,7 @@
  */
 public final class EntryDaemon implements AutoCloseable {
     private static final long REFRESH_INTERVAL_MILLIS = 500;
+    private static final int DECISION_LOG_CAPACITY = 10_000;
 
     private final EntryConfig mConfig;
     private final KeyValueStore mStore;
@@ -54,8 +66,7 @@
                         .service("/services/{service}/{*rest}", callers)
                         .build();
         ServerBuilder operators = builder(config.operatorPort());
-        new OperatorService(mRepository, () -> mLoaded, System::currentTimeMillis)
-                .register(operators);
+        new OperatorService(operatorParts(id)).register(operators);
         mOperatorServer = operators.build();
     }
 
@@ -79,6 +90,26 @@
         mStore.close();
     }
 
+    private OperatorParts operatorParts(String id) {
+        return new OperatorParts(
+                mConfig.operatorToken(),
+                () -> mLoaded.state(),
+                new RepositoryCommitter(mRepository),
+                (version, timeoutMillis) ->
+                        CompletableFuture.completedFuture(new AcceptanceResult(false, List.of())),
+                new YamlSettingsParsing(),
+                limit -> CompletableFuture.completedFuture(List.of(mLoaded.state().manifest())),
+                new SettingsStatusSource(
+                        id, () -> mLoaded.state(), Set::of, () -> true, List::of, List::of),
+                Set::of,
+                new RingDecisionLog(DECISION_LOG_CAPACITY),
+                (member, changeId, author) ->
+                        CompletableFuture.failedFuture(
+                                new SettingsException("this daemon cannot change members", null)),
+                new MetricRegistry(),
+                System::currentTimeMillis);
+    }
+
     private ServerBuilder builder(int port) {
         return Server.builder().http(new InetSocketAddress(mConfig.address(), port));
     }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/operator/Answers.java
@@ -0,0 +1,73 @@
+package org.marigoldturn.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.marigoldturn.settings.SettingsException;
+import org.tinylog.Logger;
+
+/** Builds JSON answers and problem details (RFC 9457). */
+final class Answers {
+    static final ObjectMapper JSON = new ObjectMapper();
+
+    private static final MediaType PROBLEM_JSON = MediaType.parse("application/problem+json");
+
+    private Answers() {}
+
+    static HttpResponse json(Object value) {
+        return json(HttpStatus.OK, MediaType.JSON, value);
+    }
+
+    static HttpResponse json(HttpStatus status, MediaType type, Object value) {
+        try {
+            return HttpResponse.of(status, type, JSON.writeValueAsBytes(value));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot encode " + value.getClass(), e);
+        }
+    }
+
+    /** Converts a failure of a route. */
+    static HttpResponse problem(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        if (cause instanceof OperatorException e) {
+            return problem(e.status(), e.reason(), e.getMessage(), e.members());
+        }
+        if (cause instanceof IllegalArgumentException) {
+            return problem(HttpStatus.BAD_REQUEST, "bad-request", cause.getMessage(), Map.of());
+        }
+        if (cause instanceof SettingsException) {
+            Logger.warn("operator: a change failed: {}", cause.getMessage());
+            return problem(
+                    HttpStatus.SERVICE_UNAVAILABLE,
+                    "store-unavailable",
+                    cause.getMessage() + "; repeat with the same change id",
+                    Map.of());
+        }
+        Logger.error(cause, "operator: a request failed");
+        return problem(
+                HttpStatus.INTERNAL_SERVER_ERROR,
+                "internal-error",
+                "the daemon failed; see its log",
+                Map.of());
+    }
+
+    static HttpResponse problem(
+            HttpStatus status, String reason, String detail, Map<String, Object> members) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("type", "urn:marigoldturn:" + reason);
+        body.put("title", status.reasonPhrase());
+        body.put("status", status.code());
+        body.put("detail", detail);
+        body.put("reason", reason);
+        body.putAll(members);
+        return json(status, PROBLEM_JSON, body);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/operator/ChangePipeline.java
@@ -0,0 +1,208 @@
+package org.marigoldturn.operator;
+
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.marigoldturn.membership.AcceptanceResult;
+import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.Manifest;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.VersionedState;
+import org.tinylog.Logger;
+
+/**
+ * Takes each change of an operator through commit and acceptance. Thread safe.
+ *
+ * <p>Edits are computed from the newest state that the daemon holds and are based on its version,
+ * since they may depend on it. When a change of other paths was committed meanwhile, the edits are
+ * computed again.
+ */
+final class ChangePipeline {
+    static final String IF_VERSION = "if-version";
+    static final String CHANGE_ID = "marigoldturn-change-id";
+    static final String AUTHOR = "marigoldturn-author";
+
+    /** Longest wait for acceptance; covers 2000 ms validity and 2500 ms acceptance wait. */
+    private static final long ACCEPTANCE_TIMEOUT_MILLIS = 6_000;
+
+    private static final int MAX_ATTEMPTS = 5;
+    private static final Pattern VALID_ID = Pattern.compile("[A-Za-z0-9._@-]{1,80}");
+    private static final Executor RETRY_DELAY =
+            CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS);
+
+    private final OperatorParts mParts;
+
+    ChangePipeline(OperatorParts parts) {
+        mParts = parts;
+    }
+
+    /** Headers of a change. */
+    private record Request(String changeId, String author, long ifVersion) {
+        boolean fencedByOperator() {
+            return ifVersion != SettingsChange.ANY_VERSION;
+        }
+    }
+
+    /**
+     * Commits the edits and waits for acceptance.
+     *
+     * @param edits edits for a state; called again after a conflict on other paths
+     */
+    CompletableFuture<HttpResponse> change(
+            RequestHeaders headers, Function<VersionedState, List<SettingsEdit>> edits) {
+        return attempt(request(headers), edits, 1).exceptionally(Answers::problem);
+    }
+
+    /** Answers a change that was committed by other means. */
+    CompletableFuture<HttpResponse> forget(RequestHeaders headers, String memberId) {
+        Request request = request(headers);
+        return mParts.forgetter()
+                .forget(memberId, request.changeId(), request.author())
+                .thenCompose(result -> answer(request, result))
+                .exceptionally(Answers::problem);
+    }
+
+    private CompletableFuture<HttpResponse> attempt(
+            Request request, Function<VersionedState, List<SettingsEdit>> source, int attempt) {
+        VersionedState state = mParts.state().get();
+        List<SettingsEdit> edits = source.apply(state);
+        if (edits.isEmpty()) {
+            return accepted(request, state.version(), true);
+        }
+        long base = request.fencedByOperator() ? request.ifVersion() : state.version();
+        SettingsChange change =
+                new SettingsChange(request.changeId(), request.author(), base, edits);
+        return mParts.committer()
+                .commit(change, mParts.nowMillis().getAsLong())
+                .thenCompose(
+                        result ->
+                                mayRepeat(request, result, edits) && attempt < MAX_ATTEMPTS
+                                        ? repeat(request, source, attempt)
+                                        : answer(request, result));
+    }
+
+    private CompletableFuture<HttpResponse> repeat(
+            Request request, Function<VersionedState, List<SettingsEdit>> source, int attempt) {
+        return CompletableFuture.supplyAsync(
+                        () -> attempt(request, source, attempt + 1), RETRY_DELAY)
+                .thenCompose(Function.identity());
+    }
+
+    private static boolean mayRepeat(
+            Request request, ChangeResult result, List<SettingsEdit> edits) {
+        return !request.fencedByOperator()
+                && result instanceof ChangeResult.Conflict conflict
+                && edits.stream().noneMatch(edit -> overlaps(edit.path(), conflict.path()));
+    }
+
+    private static boolean overlaps(String path, String other) {
+        return other != null
+                && (path.isEmpty()
+                        || path.equals(other)
+                        || path.startsWith(other + "/")
+                        || other.startsWith(path + "/"));
+    }
+
+    private CompletableFuture<HttpResponse> answer(Request request, ChangeResult result) {
+        if (result instanceof ChangeResult.Committed committed) {
+            long version = committed.state().state().version();
+            Logger.info(
+                    "operator: committed version {} for {}, change {}.",
+                    version,
+                    request.author(),
+                    request.changeId());
+            return accepted(request, version, false);
+        }
+        if (result instanceof ChangeResult.Conflict conflict) {
+            throw conflict(conflict);
+        }
+        throw invalid((ChangeResult.Invalid) result);
+    }
+
+    private CompletableFuture<HttpResponse> accepted(
+            Request request, long version, boolean unchanged) {
+        return mParts.acceptance()
+                .awaitAccepted(version, ACCEPTANCE_TIMEOUT_MILLIS)
+                .exceptionally(
+                        failure -> {
+                            Logger.warn(failure, "operator: waiting for acceptance failed");
+                            return new AcceptanceResult(false, List.of());
+                        })
+                .thenApply(
+                        acceptance ->
+                                Answers.json(
+                                        acceptance.accepted() ? HttpStatus.OK : HttpStatus.ACCEPTED,
+                                        MediaType.JSON,
+                                        new ChangeAnswer(
+                                                request.changeId(),
+                                                version,
+                                                acceptance.accepted()
+                                                        ? ChangeAnswer.ACCEPTED
+                                                        : ChangeAnswer.COMMITTED,
+                                                acceptance.missingMembers(),
+                                                unchanged)));
+    }
+
+    private static OperatorException conflict(ChangeResult.Conflict conflict) {
+        Manifest winner = conflict.winner();
+        String detail =
+                "%s committed change %s of path \"%s\" as version %d first"
+                        .formatted(
+                                winner.author(),
+                                winner.changeId(),
+                                conflict.path(),
+                                winner.version());
+        return new OperatorException(
+                HttpStatus.CONFLICT,
+                "conflict",
+                detail,
+                Map.of(
+                        "author", winner.author(),
+                        "changeId", winner.changeId(),
+                        "version", winner.version(),
+                        "path", conflict.path()));
+    }
+
+    private static OperatorException invalid(ChangeResult.Invalid invalid) {
+        return new OperatorException(
+                HttpStatus.UNPROCESSABLE_ENTITY,
+                "invalid-settings",
+                "the resulting settings would be invalid",
+                Map.of("errors", invalid.errors()));
+    }
+
+    private static Request request(RequestHeaders headers) {
+        String ifVersion = headers.get(IF_VERSION);
+        long version = SettingsChange.ANY_VERSION;
+        if (ifVersion != null) {
+            if (!ifVersion.matches("[0-9]{1,18}")) {
+                throw OperatorException.badRequest(
+                        "header If-Version must be a version number, not \"" + ifVersion + "\"");
+            }
+            version = Long.parseLong(ifVersion);
+        }
+        return new Request(
+                checked(CHANGE_ID, headers.get(CHANGE_ID, UUID.randomUUID().toString())),
+                checked(AUTHOR, headers.get(AUTHOR, "operator")),
+                version);
+    }
+
+    /** Both values appear in store keys and log lines. */
+    private static String checked(String header, String value) {
+        if (!VALID_ID.matcher(value).matches()) {
+            throw OperatorException.badRequest(
+                    "header " + header + " must match " + VALID_ID + ", not \"" + value + "\"");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/operator/SettingsHistory.java
@@ -0,0 +1,12 @@
+package org.marigoldturn.operator;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.settings.Manifest;
+
+/** Reads earlier versions. Thread safe. */
+@FunctionalInterface
+public interface SettingsHistory {
+    /** Returns the manifests of the newest versions, newest first. */
+    CompletableFuture<List<Manifest>> recent(int limit);
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/operator/SettingsRoutes.java
@@ -0,0 +1,127 @@
+package org.marigoldturn.operator;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.server.annotation.Default;
+import com.linecorp.armeria.server.annotation.Get;
+import com.linecorp.armeria.server.annotation.Param;
+import com.linecorp.armeria.server.annotation.Post;
+import com.linecorp.armeria.server.annotation.Put;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.settings.FleetPolicy;
+import org.marigoldturn.settings.FleetSettings;
+import org.marigoldturn.settings.Manifest;
+import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.VersionedState;
+
+/** Routes of the settings as a whole. Thread safe. */
+final class SettingsRoutes {
+    private static final int MAX_HISTORY = 1_000;
+
+    private final OperatorParts mParts;
+    private final ChangePipeline mChanges;
+
+    SettingsRoutes(OperatorParts parts, ChangePipeline changes) {
+        mParts = parts;
+        mChanges = changes;
+    }
+
+    /** Returns the settings in force. */
+    @Get("/settings")
+    public HttpResponse show() {
+        VersionedState state = mParts.state().get();
+        return Answers.json(Map.of("version", state.version(), "settings", state.settings()));
+    }
+
+    /** Replaces all settings. */
+    @Put("/settings")
+    public CompletableFuture<HttpResponse> apply(AggregatedHttpRequest request) {
+        FleetSettings wanted = parse(request);
+        return mChanges.change(
+                request.headers(),
+                state -> {
+                    FleetSettings next = StateKeeper.keep(state.settings(), wanted);
+                    return next.equals(state.settings())
+                            ? List.of()
+                            : List.of(new SettingsEdit.ReplaceAll(next));
+                });
+    }
+
+    /** Checks settings without a change. */
+    @Post("/settings/check")
+    public HttpResponse check(AggregatedHttpRequest request) {
+        StateKeeper.keep(mParts.state().get().settings(), parse(request));
+        return Answers.json(Map.of("valid", true));
+    }
+
+    /** Lists the differences between the settings in force and the given ones. */
+    @Post("/settings/diff")
+    public HttpResponse diff(AggregatedHttpRequest request) {
+        VersionedState state = mParts.state().get();
+        FleetSettings next = StateKeeper.keep(state.settings(), parse(request));
+        return Answers.json(
+                Map.of(
+                        "version",
+                        state.version(),
+                        "differences",
+                        SettingsDifference.between(state.settings(), next)));
+    }
+
+    /** Lists the newest versions. */
+    @Get("/settings/history")
+    public CompletableFuture<HttpResponse> history(@Param("limit") @Default("20") int limit) {
+        return mParts.history()
+                .recent(Math.max(1, Math.min(limit, MAX_HISTORY)))
+                .thenApply(
+                        manifests ->
+                                Answers.json(
+                                        manifests.stream().map(SettingsRoutes::summary).toList()))
+                .exceptionally(Answers::problem);
+    }
+
+    /** Returns the settings of the planner. */
+    @Get("/policy")
+    public HttpResponse policy() {
+        return Answers.json(mParts.state().get().settings().policy());
+    }
+
+    /** Replaces the settings of the planner; its progress is kept. */
+    @Put("/policy")
+    public CompletableFuture<HttpResponse> putPolicy(AggregatedHttpRequest request) {
+        try {
+            FleetPolicy wanted =
+                    Answers.JSON.treeToValue(ResourceRoutes.body(request), FleetPolicy.class);
+            return mChanges.change(
+                    request.headers(),
+                    state ->
+                            List.of(
+                                    new SettingsEdit.PutPolicy(
+                                            StateKeeper.keep(state.settings().policy(), wanted))));
+        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+            throw OperatorException.badRequest("policy: " + e.getOriginalMessage());
+        }
+    }
+
+    private static Map<String, Object> summary(Manifest manifest) {
+        return Map.of(
+                "version", manifest.version(),
+                "author", manifest.author(),
+                "changeId", manifest.changeId(),
+                "committedAtMillis", manifest.committedAtMillis());
+    }
+
+    private FleetSettings parse(AggregatedHttpRequest request) {
+        return mParts.parsing()
+                .parse(request.content().array())
+                .getOrElseThrow(
+                        errors ->
+                                new OperatorException(
+                                        HttpStatus.UNPROCESSABLE_ENTITY,
+                                        "invalid-settings",
+                                        "the settings are invalid",
+                                        Map.of("errors", errors)));
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.marigoldturn.admission.KeyAuthenticator;
 
@@ -21,6 +22,10 @@
     private static final int DAEMONS = 3;
     private static final int HOSTS = 4;
     private static final int REQUESTS = 60;
+
+    /** 4 is "committed, not yet confirmed"; daemons do not wait for acceptance yet. */
+    private static final Set<Integer> ACCEPTED_EXIT_CODES = Set.of(0, 4);
+
     private static final String MAIN = "org.marigoldturn.cli.Main";
     private static final String STAND_IN = StandInMain.class.getName();
 
@@ -69,9 +74,12 @@
         String answer =
                 ChildProcess.run(
                         log("cli"),
+                        ACCEPTED_EXIT_CODES,
                         MAIN,
                         "--operator",
                         operator,
+                        "--token",
+                        "quickstart",
                         "settings",
                         "apply",
                         settings.toString());
