--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -28,6 +28,7 @@
  * @param plaintext true to serve without TLS
  * @param maxConnections largest number of open caller connections
  * @param drainDelayMillis time from failing readiness to refusing requests in a shutdown
+ * @param plannerIntervalMillis time between two steps of the planner
  */
 public record EntryConfig(
         String name,
@@ -45,7 +46,9 @@
         TlsConfig tls,
         boolean plaintext,
         int maxConnections,
-        long drainDelayMillis) {
+        long drainDelayMillis,
+        long plannerIntervalMillis) {
+    private static final long DEFAULT_PLANNER_INTERVAL_MILLIS = 15_000;
     private static final String DEFAULT_PREFIX = "/marigoldturn/";
     private static final long DEFAULT_STORE_TIMEOUT_MILLIS = 1_000;
     private static final int DEFAULT_MAX_CONNECTIONS = 10_000;
@@ -84,6 +87,10 @@
                 storeTimeoutMillis == 0 ? DEFAULT_STORE_TIMEOUT_MILLIS : storeTimeoutMillis;
         hostListEndpoint = hostListEndpoint == null ? storeEndpoint : hostListEndpoint;
         maxConnections = maxConnections == 0 ? DEFAULT_MAX_CONNECTIONS : maxConnections;
+        plannerIntervalMillis =
+                plannerIntervalMillis == 0
+                        ? DEFAULT_PLANNER_INTERVAL_MILLIS
+                        : plannerIntervalMillis;
         drainDelayMillis = drainDelayMillis == 0 ? DEFAULT_DRAIN_DELAY_MILLIS : drainDelayMillis;
     }
 
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -7,59 +7,160 @@
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.Map;
-import java.util.OptionalInt;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
+import org.marigoldturn.membership.AcceptanceTracker;
+import org.marigoldturn.membership.ConfirmationTracker;
+import org.marigoldturn.membership.EndEvidence;
+import org.marigoldturn.membership.EndedMembers;
+import org.marigoldturn.membership.PeerVersions;
+import org.marigoldturn.membership.RoleHolder;
+import org.marigoldturn.membership.StatePropagator;
+import org.marigoldturn.operator.OperatorParts;
 import org.marigoldturn.operator.OperatorService;
-import org.marigoldturn.platform.Compare;
+import org.marigoldturn.operator.RingDecisionLog;
+import org.marigoldturn.peer.NettyPeerNetwork;
+import org.marigoldturn.peer.PeerOptions;
 import org.marigoldturn.platform.EtcdJsonStore;
+import org.marigoldturn.platform.HostDirectory;
+import org.marigoldturn.platform.HttpHostDirectory;
 import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.routing.LocalClaimRegistry;
+import org.marigoldturn.rights.EndedDaemons;
+import org.marigoldturn.rights.RightsLedger;
 import org.marigoldturn.routing.RequestClaims;
-import org.marigoldturn.settings.LoadedState;
+import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.HistoryEntry;
+import org.marigoldturn.settings.Manifest;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.MemberSet;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsParser;
 import org.marigoldturn.settings.SettingsRepository;
-import org.marigoldturn.settings.VersionedState;
-import org.tinylog.Logger;
+import org.marigoldturn.settings.SystemState;
+import org.marigoldturn.shares.EntitlementTable;
 
 /**
  * One entry daemon: builds the parts and connects them.
  *
- * <p>The control thread is the only writer of the published state.
+ * <p>Control state is changed by the control thread only; the request path reads published states.
  */
 public final class EntryDaemon implements AutoCloseable {
-    private static final long DRAIN_DELAY_MILLIS = 5_000;
-    private static final long REFRESH_INTERVAL_MILLIS = 500;
+    private static final int DECISION_LOG_CAPACITY = 10_000;
+    private static final long FAST_INTERVAL_MILLIS = 100;
+    private static final long CONFIRM_INTERVAL_MILLIS = 500;
+    private static final long SHARE_INTERVAL_MILLIS = 1_000;
+    private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
 
     private final EntryConfig mConfig;
+    private final String mId;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final ControlLoop mControl = new ControlLoop();
+    private final StatePublisher mPublisher = new StatePublisher();
     private final KeyValueStore mStore;
     private final SettingsRepository mRepository;
-    private final java.util.concurrent.ScheduledExecutorService mControl =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
+    private final HostDirectory mDirectory;
+    private final SettingsSync mSync;
+    private final StoreConfirmationService mStoreConfirmation;
+    private final PeerRouter mRouter = new PeerRouter();
+    private final NettyPeerNetwork mNetwork;
+    private final PeerLink mPeers;
+    private final PeerVersions mVersions = new PeerVersions();
+    private final EndedMembers mEndedMembers = new EndedMembers();
+    private final EndedDaemons mEndedDaemons = new EndedDaemons();
+    private final ConfirmationTracker mConfirmation;
+    private final AcceptanceTracker mAcceptance;
+    private final RightsLedger mLedger;
+    private final RightsService mRights;
+    private final ShareService mShares;
+    private final PeerClaimRegistry mClaims;
+    private final RequestClaims mClaimTable;
+    private final DrainState mDrain;
+    private final RingDecisionLog mDecisions = new RingDecisionLog(DECISION_LOG_CAPACITY);
     private final EntryServer mEntry;
+    private final HostListService mHosts;
+    private final FleetStatusService mStatus;
+    private final RoleHolder mPlannerRole;
+    private final RoleHolder mRightsRole;
+    private final PlannerService mPlanner;
     private final Server mCallerServer;
     private final Server mOperatorServer;
-    private volatile LoadedState mLoaded =
-            new LoadedState(VersionedState.INITIAL, Map.of(), Compare.ABSENT);
+    private MembershipService mMembership;
+    private boolean mStarted;
 
     /** Creates a daemon that does not run yet. */
     public EntryDaemon(EntryConfig config) {
         mConfig = config;
+        mId = config.name() + "-" + HexFormat.of().toHexDigits(new SecureRandom().nextInt());
         mStore = new EtcdJsonStore(config.storeEndpoint(), config.storeTimeoutMillis());
         mRepository = new SettingsRepository(mStore, config.storePrefix());
-        String id = config.name() + "-" + HexFormat.of().toHexDigits(new SecureRandom().nextInt());
-        mEntry = new EntryServer(entryDependencies(id));
-        ServerBuilder callers = builder(config.callerPort());
+        mDirectory =
+                new HttpHostDirectory(config.hostListEndpoint(), config.storeTimeoutMillis());
+        mSync =
+                new SettingsSync(
+                        mStore, mRepository, mPublisher, mControl, System::currentTimeMillis);
+        mNetwork = new NettyPeerNetwork(peerOptions(), mRouter, mRouter, mMetrics);
+        mPeers = new PeerLink(mId, mNetwork, mRouter);
+        mConfirmation = new ConfirmationTracker(mId, mVersions);
+        mStoreConfirmation =
+                new StoreConfirmationService(
+                        mId,
+                        mStore,
+                        mRepository,
+                        mConfirmation,
+                        mPublisher,
+                        mControl,
+                        System::nanoTime);
+        mAcceptance =
+                new AcceptanceTracker(
+                        mId, mVersions, mEndedMembers, mControl, System::nanoTime);
+        mLedger = new RightsLedger(mId);
+        mClaimTable = new RequestClaims(mId);
+        mClaims =
+                new PeerClaimRegistry(
+                        mPeers, mClaimTable, mPublisher, System::currentTimeMillis);
+        mDrain = new DrainState(config.drainDelayMillis());
+        EntitlementTable entitlements = new EntitlementTable();
+        mEntry = new EntryServer(entryDependencies(entitlements));
+        mRights = rightsService();
+        mShares =
+                new ShareService(
+                        mLedger,
+                        entitlements,
+                        mPeers,
+                        mPublisher,
+                        mEntry.callers()::demand,
+                        System::currentTimeMillis);
+        mHosts =
+                new HostListService(
+                        mId,
+                        mDirectory,
+                        mEndedDaemons,
+                        mEntry.callers().pendingOutcomes(),
+                        mControl,
+                        System::currentTimeMillis);
+        mStatus = statusService();
+        mPlannerRole = role("planner");
+        mRightsRole = role("rights");
+        mPlanner =
+                new PlannerService(
+                        mPlannerRole,
+                        mStatus,
+                        mHosts,
+                        mPublisher,
+                        mRepository,
+                        mControl,
+                        System::currentTimeMillis,
+                        System::nanoTime);
+        ServerBuilder callers =
+                builder(config.callerPort()).maxNumConnections(config.maxConnections());
         mEntry.register(callers);
         mCallerServer = callers.build();
         ServerBuilder operators = builder(config.operatorPort());
-        new OperatorService(mRepository, () -> mLoaded, System::currentTimeMillis)
-                .register(operators);
+        new OperatorService(operatorParts()).register(operators);
         mOperatorServer = operators.build();
     }
 
@@ -67,55 +168,248 @@
     public void start() {
         mCallerServer.start().join();
         mOperatorServer.start().join();
-        var unused =
-                mControl.scheduleWithFixedDelay(
-                        this::refresh, 0, REFRESH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        int peerPort = mNetwork.start();
+        Member self =
+                new Member(
+                        mId,
+                        mConfig.zone(),
+                        mConfig.address(),
+                        peerPort,
+                        mOperatorServer.activeLocalPort(),
+                        System.currentTimeMillis());
+        connect(self);
+        schedule();
+        mStarted = true;
         System.out.printf(
-                "ready callers=%d operators=%d%n",
-                mCallerServer.activeLocalPort(), mOperatorServer.activeLocalPort());
+                "ready callers=%d operators=%d peers=%d id=%s%n",
+                mCallerServer.activeLocalPort(),
+                mOperatorServer.activeLocalPort(),
+                peerPort,
+                mId);
     }
 
+    /** Shuts the daemon down gracefully; returns when it has ended. */
     @Override
     public void close() {
-        mControl.shutdownNow();
+        if (mStarted) {
+            new GracefulShutdown(shutdownParts()).run();
+        }
+        mPlannerRole.release();
+        mRightsRole.release();
         mCallerServer.stop().join();
         mOperatorServer.stop().join();
         mEntry.close();
+        mControl.close();
+        mDirectory.close();
         mStore.close();
+        mNetwork.close();
+    }
+
+    private void connect(Member self) {
+        mMembership =
+                new MembershipService(
+                        new MembershipService.Parts(
+                                self,
+                                mVersions,
+                                mEndedMembers,
+                                mEndedDaemons,
+                                mConfirmation,
+                                mAcceptance,
+                                mClaimTable,
+                                mPublisher,
+                                mRepository,
+                                mControl,
+                                System::currentTimeMillis,
+                                System::nanoTime));
+        mPublisher.addListener((previous, state) -> mLedger.adopt(state));
+        mPublisher.addListener(
+                (previous, state) -> {
+                    mNetwork.updateMembers(state.members());
+                    mNetwork.pingAll();
+                    mEntry.callers().wake();
+                });
+        mRouter.connect(
+                new PeerRouter.Services(
+                        mPublisher,
+                        new StatePropagator(
+                                mPeers.network(),
+                                mPublisher::loaded,
+                                mPublisher::adopt,
+                                mControl),
+                        mMembership,
+                        mLedger,
+                        mRights,
+                        mShares,
+                        mClaims,
+                        mStatus,
+                        mControl));
+    }
+
+    private void schedule() {
+        mControl.execute(mSync::load);
+        mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
+        mControl.every("confirmation", CONFIRM_INTERVAL_MILLIS, mStoreConfirmation::tick);
+        mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mMembership::tick);
+        mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
+        mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
+        mControl.every(
+                "shares",
+                SHARE_INTERVAL_MILLIS,
+                () -> {
+                    Set<String> answering = mMembership.answering();
+                    mShares.report(answering);
+                    mShares.coordinate(answering);
+                });
+        mControl.every("roles", SHARE_INTERVAL_MILLIS, this::tickRoles);
+        mControl.every("host list", HOST_LIST_INTERVAL_MILLIS, mHosts::refresh);
+        mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
+    }
+
+    private void tickRoles() {
+        long nowNanos = System.nanoTime();
+        mPlannerRole.tick(nowNanos);
+        mRightsRole.tick(nowNanos);
+        if (mRightsRole.holds(nowNanos)) {
+            mRights.redistribute(mMembership::answering);
+        }
+    }
+
+    private PeerOptions peerOptions() {
+        return new PeerOptions(
+                mId,
+                mConfig.peerToken(),
+                new InetSocketAddress(mConfig.address(), mConfig.peerPort()));
+    }
+
+    private RoleHolder role(String name) {
+        return new RoleHolder(mStore, mConfig.storePrefix(), name, mId, mControl);
+    }
+
+    private RightsService rightsService() {
+        return new RightsService(
+                mLedger,
+                mEndedDaemons,
+                mPeers,
+                mPublisher,
+                mRepository,
+                mControl,
+                System::currentTimeMillis,
+                () -> mEntry.callers().wake());
+    }
+
+    private FleetStatusService statusService() {
+        return new FleetStatusService(
+                mPeers,
+                mPublisher,
+                mLedger,
+                mEntry.callers()::demand,
+                mHosts::failedHosts,
+                mEntry::isReady,
+                mStoreConfirmation::reachesStore);
     }
 
-    /** Local implementations of the parts that need other daemons. */
-    private EntryDependencies entryDependencies(String id) {
-        RequestClaims claims = new RequestClaims(id);
-        claims.onMembersAccepted(List.of(id), System.currentTimeMillis());
+    private EntryDependencies entryDependencies(EntitlementTable entitlements) {
         return new EntryDependencies(
-                id,
-                () -> mLoaded.state(),
-                nowNanos -> true,
-                new UnlimitedRights(),
-                (pool, team) -> OptionalInt.empty(),
-                new LocalClaimRegistry(id, claims, System::currentTimeMillis),
-                host -> false,
-                new DrainState(DRAIN_DELAY_MILLIS),
-                new MetricRegistry(),
+                mId,
+                mPublisher::state,
+                mConfirmation,
+                mLedger,
+                entitlements,
+                mClaims,
+                host -> mHosts.isLeaving(host),
+                mDrain,
+                mMetrics,
                 System::currentTimeMillis,
                 System::nanoTime,
                 () -> ThreadLocalRandom.current().nextLong());
     }
 
+    private OperatorParts operatorParts() {
+        return new OperatorParts(
+                mConfig.operatorToken(),
+                mPublisher::state,
+                this::commit,
+                mAcceptance,
+                yaml -> SettingsParser.parse(new String(yaml, java.nio.charset.StandardCharsets.UTF_8)),
+                this::history,
+                mStatus,
+                mHosts::failedHosts,
+                mDecisions,
+                this::forget,
+                mMetrics,
+                System::currentTimeMillis);
+    }
+
+    /** Commits and adopts at once, so that the answer does not wait for the watch. */
+    private CompletableFuture<ChangeResult> commit(SettingsChange change, long nowMillis) {
+        return mRepository.commit(change, nowMillis).thenApplyAsync(this::adopted, mControl);
+    }
+
+    private ChangeResult adopted(ChangeResult result) {
+        if (result instanceof ChangeResult.Committed committed) {
+            mPublisher.adopt(committed.state());
+        }
+        return result;
+    }
+
+    private CompletableFuture<List<Manifest>> history(int limit) {
+        long from = Math.max(1, mPublisher.state().version() - limit + 1);
+        return mRepository
+                .history(from, limit)
+                .thenApply(
+                        entries ->
+                                entries.stream()
+                                        .map(HistoryEntry::manifest)
+                                        .sorted(
+                                                java.util.Comparator.comparingLong(
+                                                                Manifest::version)
+                                                        .reversed())
+                                        .toList());
+    }
+
+    private CompletableFuture<ChangeResult> forget(
+            String memberId, String changeId, String author) {
+        mControl.execute(() -> mMembership.onEnded(memberId, EndEvidence.OPERATOR));
+        return mRepository
+                .commitSystem(
+                        changeId,
+                        author,
+                        state ->
+                                new SystemState(
+                                        without(state.members(), memberId), state.rights()),
+                        mPublisher.state().version(),
+                        System.currentTimeMillis())
+                .thenApplyAsync(this::adopted, mControl);
+    }
+
+    private static MemberSet without(MemberSet members, String memberId) {
+        return new MemberSet(
+                members.members().stream().filter(m -> !m.id().equals(memberId)).toList());
+    }
+
+    private GracefulShutdown.Parts shutdownParts() {
+        return new GracefulShutdown.Parts(
+                mDrain,
+                mEntry.callers().pendingOutcomes(),
+                mConfirmation,
+                mLedger,
+                mRights,
+                mClaims,
+                mMembership,
+                mPeers,
+                mPublisher,
+                mControl,
+                System::currentTimeMillis);
+    }
+
     private ServerBuilder builder(int port) {
-        return Server.builder().http(new InetSocketAddress(mConfig.address(), port));
-    }
-
-    private void refresh() {
-        try {
-            LoadedState loaded = mRepository.load(mLoaded.contents()).join();
-            if (loaded.state().version() > mLoaded.state().version()) {
-                mLoaded = loaded;
-                Logger.info("settings: adopted version {}.", loaded.state().version());
-            }
-        } catch (RuntimeException e) {
-            Logger.warn("settings: cannot read the store: {}", e.getMessage());
+        InetSocketAddress address = new InetSocketAddress(mConfig.address(), port);
+        ServerBuilder builder = Server.builder();
+        EntryConfig.TlsConfig tls = mConfig.tls();
+        if (tls == null) {
+            return builder.http(address);
         }
+        return builder.https(address)
+                .tls(tls.certificateFile().toFile(), tls.keyFile().toFile());
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
@@ -0,0 +1,126 @@
+package org.marigoldturn.daemon;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.marigoldturn.membership.EndEvidence;
+import org.marigoldturn.membership.StatePropagator;
+import org.marigoldturn.peer.PeerHandler;
+import org.marigoldturn.peer.PeerListener;
+import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.rights.RightsLedger;
+
+/**
+ * Hands messages of other daemons to the services, on the control thread where they change control
+ * state. Claims are decided on the transport thread, since callers wait for them.
+ */
+final class PeerRouter implements PeerHandler, PeerListener {
+    /** The services that receive messages. */
+    record Services(
+            StatePublisher publisher,
+            StatePropagator propagator,
+            MembershipService membership,
+            RightsLedger ledger,
+            RightsService rights,
+            ShareService shares,
+            PeerClaimRegistry claims,
+            FleetStatusService status,
+            Executor control) {}
+
+    private static final CompletableFuture<Envelope.Builder> NO_REPLY =
+            CompletableFuture.completedFuture(null);
+
+    private volatile Services mServices;
+
+    /** Connects the services; to be called before the transport starts. */
+    void connect(Services services) {
+        mServices = services;
+    }
+
+    @Override
+    public CompletableFuture<Envelope.Builder> onMessage(String sender, Envelope message) {
+        Services services = mServices;
+        return switch (message.getBodyCase()) {
+            case STATE_REQUEST ->
+                    CompletableFuture.completedFuture(
+                            services.propagator().serve(message.getStateRequest()));
+            case CLAIM_REQUEST ->
+                    CompletableFuture.completedFuture(
+                            services.claims().onRequest(sender, message.getClaimRequest()));
+            case FREEZE_REQUEST ->
+                    CompletableFuture.supplyAsync(
+                            () ->
+                                    Envelope.newBuilder()
+                                            .setFreezeReply(
+                                                    services.ledger()
+                                                            .onFreeze(message.getFreezeRequest())),
+                            services.control());
+            case STATUS_REQUEST ->
+                    CompletableFuture.supplyAsync(
+                            () -> services.status().reply(message.getStatusRequest()),
+                            services.control());
+            default -> {
+                services.control().execute(() -> deliver(services, sender, message));
+                yield NO_REPLY;
+            }
+        };
+    }
+
+    private static void deliver(Services services, String sender, Envelope message) {
+        switch (message.getBodyCase()) {
+            case RIGHTS_TOTALS -> services.rights().onTotals(sender, message.getRightsTotals());
+            case RIGHTS_ACK -> services.rights().onAck(sender, message.getRightsAck());
+            case TRANSFER_HINT -> services.rights().onHint(message.getTransferHint());
+            case DEMAND_REPORT -> services.shares().onReport(sender, message.getDemandReport());
+            case ENTITLEMENTS -> services.shares().onEntitlements(message.getEntitlements());
+            case CLAIM_RELEASE -> services.claims().onRelease(sender, message.getClaimRelease());
+            case CLAIM_HANDOVER ->
+                    services.claims().onHandover(sender, message.getClaimHandover());
+            case FAREWELL -> services.membership().onEnded(sender, EndEvidence.FAREWELL);
+            default ->
+                    throw new IllegalArgumentException(
+                            "unexpected message " + message.getBodyCase() + " from " + sender);
+        }
+    }
+
+    @Override
+    public long heldVersion() {
+        return mServices.publisher().state().version();
+    }
+
+    @Override
+    public void onPong(String memberId, long version, long sentNanos) {
+        Services services = mServices;
+        services.control()
+                .execute(
+                        () -> {
+                            services.membership().onPong(memberId, version, sentNanos);
+                            services.propagator().onVersion(memberId, version);
+                        });
+    }
+
+    @Override
+    public void onPing(String senderId, long version) {
+        Services services = mServices;
+        services.control()
+                .execute(
+                        () -> {
+                            services.membership().onPing(senderId, version);
+                            services.propagator().onVersion(senderId, version);
+                        });
+    }
+
+    @Override
+    public void onConnectionRefused(String memberId) {
+        ended(memberId, EndEvidence.CONNECTION_REFUSED);
+    }
+
+    @Override
+    public void onAddressTaken(String memberId, String actualId) {
+        ended(memberId, EndEvidence.ADDRESS_TAKEN);
+    }
+
+    private void ended(String memberId, EndEvidence evidence) {
+        Services services = mServices;
+        services.control().execute(() -> services.membership().onEnded(memberId, evidence));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -0,0 +1,271 @@
+package org.marigoldturn.daemon;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.function.LongSupplier;
+import org.marigoldturn.fleet.AvailabilityBudget;
+import org.marigoldturn.fleet.DrainEvidence;
+import org.marigoldturn.fleet.FleetObservation;
+import org.marigoldturn.fleet.FleetPlanner;
+import org.marigoldturn.fleet.HostObservation;
+import org.marigoldturn.fleet.PoolDemand;
+import org.marigoldturn.membership.RoleHolder;
+import org.marigoldturn.peer.wire.Load;
+import org.marigoldturn.peer.wire.StatusReply;
+import org.marigoldturn.platform.HostPresence;
+import org.marigoldturn.platform.HostReport;
+import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.SettingsChange;
+import org.marigoldturn.settings.SettingsRepository;
+import org.marigoldturn.settings.VersionedState;
+import org.tinylog.Logger;
+
+/**
+ * Runs the planner while this daemon holds the role. Each decision is committed on the version that
+ * it was based on, so a holder that was paused commits nothing. Belongs to the control thread.
+ */
+final class PlannerService {
+    private static final long EXPECTED_DRAIN_MILLIS = 60_000;
+
+    /** Clean-up of old versions and contents in the store. */
+    private static final long CLEAN_UP_INTERVAL_MILLIS = 3_600_000;
+
+    private final FleetPlanner mPlanner = new FleetPlanner();
+    private final RoleHolder mRole;
+    private final FleetStatusService mStatus;
+    private final HostListService mHosts;
+    private final StatePublisher mPublisher;
+    private final SettingsRepository mRepository;
+    private final ControlLoop mControl;
+    private final LongSupplier mNowMillis;
+    private final LongSupplier mNowNanos;
+
+    /** Version in which each host that is out of service entered its present state. */
+    private final Map<String, Long> mStateVersions = new HashMap<>();
+
+    private final Map<String, HostState> mStates = new HashMap<>();
+
+    /** Hosts in maintenance that the host list has shown as leaving or ended. */
+    private final Set<String> mSeenAway = new HashSet<>();
+
+    /**
+     * Earliest report of each daemon, by host, that it holds the draining version and runs nothing on
+     * the host. No work starts there after it, so a later usage report can prove the drain.
+     */
+    private final Map<String, Map<String, DrainEvidence.DaemonReport>> mIdleReports =
+            new HashMap<>();
+
+    private final Map<String, PoolDemand> mDemands = new HashMap<>();
+    private boolean mBusy;
+    private long mCleanedUpAtMillis;
+
+    PlannerService(
+            RoleHolder role,
+            FleetStatusService status,
+            HostListService hosts,
+            StatePublisher publisher,
+            SettingsRepository repository,
+            ControlLoop control,
+            LongSupplier nowMillis,
+            LongSupplier nowNanos) {
+        mRole = role;
+        mStatus = status;
+        mHosts = hosts;
+        mPublisher = publisher;
+        mRepository = repository;
+        mControl = control;
+        mNowMillis = nowMillis;
+        mNowNanos = nowNanos;
+        publisher.addListener((previous, state) -> onState(state));
+    }
+
+    /** Observes the fleet and commits the next step, if this daemon holds the role. */
+    void tick() {
+        observeAbsence();
+        if (!mRole.holds(mNowNanos.getAsLong()) || mBusy) {
+            return;
+        }
+        mBusy = true;
+        VersionedState state = mPublisher.state();
+        List<String> outOfService =
+                state.settings().hosts().values().stream()
+                        .filter(host -> !host.state().acceptsWork())
+                        .map(HostSettings::name)
+                        .toList();
+        long askedAtMillis = mNowMillis.getAsLong();
+        var unused =
+                mStatus.collect(outOfService)
+                        .whenCompleteAsync(
+                                (replies, failure) -> {
+                                    mBusy = false;
+                                    if (failure == null) {
+                                        plan(state, replies, askedAtMillis);
+                                    }
+                                },
+                                mControl);
+        cleanUp(askedAtMillis);
+    }
+
+    private void onState(VersionedState state) {
+        Map<String, HostSettings> hosts = state.settings().hosts();
+        mStates.keySet().retainAll(hosts.keySet());
+        mStateVersions.keySet().retainAll(hosts.keySet());
+        for (HostSettings host : hosts.values()) {
+            if (mStates.put(host.name(), host.state()) != host.state()) {
+                mStateVersions.put(host.name(), state.version());
+                mSeenAway.remove(host.name());
+                mIdleReports.remove(host.name());
+            }
+        }
+    }
+
+    private void observeAbsence() {
+        for (HostReport report : mHosts.reports().values()) {
+            boolean maintained = mStates.get(report.host()) == HostState.MAINTENANCE;
+            if (maintained && report.presence() != HostPresence.LIVE) {
+                mSeenAway.add(report.host());
+            }
+        }
+    }
+
+    private void plan(
+            VersionedState state, Map<String, StatusReply> replies, long askedAtMillis) {
+        if (!mRole.holds(mNowNanos.getAsLong())) {
+            return;
+        }
+        FleetObservation observation = observation(state, replies, askedAtMillis);
+        mPlanner.step(
+                        state,
+                        observation,
+                        UUID.randomUUID().toString(),
+                        mNowMillis.getAsLong())
+                .ifPresent(this::commit);
+    }
+
+    private void commit(SettingsChange change) {
+        mBusy = true;
+        var unused =
+                mRepository
+                        .commit(change, mNowMillis.getAsLong())
+                        .whenCompleteAsync(
+                                (result, failure) -> {
+                                    mBusy = false;
+                                    if (result instanceof ChangeResult.Committed committed) {
+                                        change.edits()
+                                                .forEach(
+                                                        e ->
+                                                                Logger.info(
+                                                                        "fleet: planned {}.",
+                                                                        e.path()));
+                                        mPublisher.adopt(committed.state());
+                                    } else {
+                                        Logger.info(
+                                                "fleet: step on version {} not committed: {}.",
+                                                change.baseVersion(),
+                                                failure == null ? result : failure.getMessage());
+                                    }
+                                },
+                                mControl);
+    }
+
+    private FleetObservation observation(
+            VersionedState state, Map<String, StatusReply> replies, long askedAtMillis) {
+        Map<String, HostObservation> hosts = new TreeMap<>();
+        for (HostSettings host : state.settings().hosts().values()) {
+            if (!host.state().acceptsWork()) {
+                hosts.put(host.name(), observe(state, host, replies, askedAtMillis));
+            }
+        }
+        return new FleetObservation(
+                mHosts.failedHosts(), hosts, demands(state, replies), EXPECTED_DRAIN_MILLIS);
+    }
+
+    private HostObservation observe(
+            VersionedState state,
+            HostSettings host,
+            Map<String, StatusReply> replies,
+            long askedAtMillis) {
+        HostReport report = mHosts.reports().get(host.name());
+        boolean live = report != null && report.presence() == HostPresence.LIVE;
+        boolean ended = report != null && report.presence() == HostPresence.ENDED;
+        Set<String> members = new HashSet<>();
+        state.members().members().stream().map(Member::id).forEach(members::add);
+        long drainVersion = mStateVersions.getOrDefault(host.name(), Long.MAX_VALUE);
+        Map<String, DrainEvidence.DaemonReport> idle =
+                mIdleReports.computeIfAbsent(host.name(), name -> new HashMap<>());
+        replies.forEach(
+                (id, reply) -> {
+                    int running = reply.getHostsOrDefault(host.name(), 0);
+                    if (running == 0 && reply.getVersion() >= drainVersion) {
+                        idle.putIfAbsent(
+                                id,
+                                new DrainEvidence.DaemonReport(
+                                        reply.getVersion(), running, askedAtMillis));
+                    }
+                });
+        DrainEvidence drain =
+                new DrainEvidence(
+                        drainVersion,
+                        members,
+                        idle,
+                        usage(report),
+                        ended);
+        return new HostObservation(drain, live && mSeenAway.contains(host.name()), live);
+    }
+
+    private DrainEvidence.UsageReport usage(HostReport report) {
+        if (report == null) {
+            return null;
+        }
+        int running = report.runningByOwner().values().stream().mapToInt(n -> n).sum();
+        return new DrainEvidence.UsageReport(running, mHosts.earliestMadeAtMillis(report));
+    }
+
+    private Map<String, PoolDemand> demands(
+            VersionedState state, Map<String, StatusReply> replies) {
+        long nowMillis = mNowMillis.getAsLong();
+        AvailabilityBudget budget =
+                AvailabilityBudget.of(state.settings(), mHosts.failedHosts());
+        for (String pool : state.settings().pools().keySet()) {
+            int running = 0;
+            int queued = 0;
+            for (StatusReply reply : replies.values()) {
+                Load load = reply.getPoolsOrDefault(pool, Load.getDefaultInstance());
+                running += load.getRunning();
+                queued += load.getQueued();
+            }
+            int capacity = budget.presentSlots(pool);
+            boolean above = running + queued > capacity;
+            PoolDemand last = mDemands.get(pool);
+            boolean wasAbove = last != null && last.demandSlots() > capacity;
+            long since = last != null && wasAbove == above ? last.sinceMillis() : nowMillis;
+            mDemands.put(pool, new PoolDemand(pool, running, queued, since));
+        }
+        mDemands.keySet().retainAll(state.settings().pools().keySet());
+        return Map.copyOf(mDemands);
+    }
+
+    private void cleanUp(long nowMillis) {
+        if (nowMillis - mCleanedUpAtMillis < CLEAN_UP_INTERVAL_MILLIS) {
+            return;
+        }
+        mCleanedUpAtMillis = nowMillis;
+        var unused =
+                mRepository
+                        .cleanUp()
+                        .whenComplete(
+                                (deleted, failure) -> {
+                                    if (failure != null) {
+                                        Logger.warn("settings: clean-up failed: {}.", failure);
+                                    }
+                                });
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/daemon/RightsService.java
@@ -0,0 +1,214 @@
+package org.marigoldturn.daemon;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.peer.wire.FreezeReply;
+import org.marigoldturn.peer.wire.RightsTotals;
+import org.marigoldturn.peer.wire.TransferHint;
+import org.marigoldturn.rights.AddressedTotals;
+import org.marigoldturn.rights.EndedDaemons;
+import org.marigoldturn.rights.Redistribution;
+import org.marigoldturn.rights.RightsLedger;
+import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.ResourceDivision;
+import org.marigoldturn.settings.RightsDivision;
+import org.marigoldturn.settings.SettingsRepository;
+import org.marigoldturn.settings.SystemState;
+import org.marigoldturn.settings.VersionedState;
+import org.tinylog.Logger;
+
+/**
+ * Moves rights between the daemons and divides them anew when needed. Belongs to the control thread.
+ */
+final class RightsService {
+    /** Time after which an attempt to redistribute is given up. */
+    private static final long ATTEMPT_TIMEOUT_MILLIS = 5_000;
+
+    /** Time between attempts, since each that fails costs a version. */
+    private static final long ATTEMPT_INTERVAL_MILLIS = 10_000;
+
+    private final RightsLedger mLedger;
+    private final EndedDaemons mEnded;
+    private final PeerLink mPeers;
+    private final StatePublisher mPublisher;
+    private final SettingsRepository mRepository;
+    private final ControlLoop mControl;
+    private final LongSupplier mNowMillis;
+    private final Runnable mOnRightsArrived;
+    private Redistribution mAttempt;
+    private VersionedState mAttemptBase;
+    private boolean mCommitting;
+    private long mAttemptAtMillis;
+
+    RightsService(
+            RightsLedger ledger,
+            EndedDaemons ended,
+            PeerLink peers,
+            StatePublisher publisher,
+            SettingsRepository repository,
+            ControlLoop control,
+            LongSupplier nowMillis,
+            Runnable onRightsArrived) {
+        mLedger = ledger;
+        mEnded = ended;
+        mPeers = peers;
+        mPublisher = publisher;
+        mRepository = repository;
+        mControl = control;
+        mNowMillis = nowMillis;
+        mOnRightsArrived = onRightsArrived;
+    }
+
+    void onTotals(String sender, RightsTotals totals) {
+        mLedger.onTotals(sender, totals);
+        mOnRightsArrived.run();
+    }
+
+    void onAck(String sender, RightsTotals accepted) {
+        mLedger.onAck(sender, accepted);
+    }
+
+    void onHint(TransferHint hint) {
+        send(mLedger.onHint(hint, mNowMillis.getAsLong()));
+    }
+
+    /** Gives promised rights; called every 100 ms. */
+    void serveReservations() {
+        send(mLedger.serveReservations(mNowMillis.getAsLong()));
+    }
+
+    /** Repeats lost totals and acknowledges received ones; called every second. */
+    void repair() {
+        send(mLedger.unacknowledged(mNowMillis.getAsLong()));
+        for (AddressedTotals ack : mLedger.acknowledgements()) {
+            mPeers.send(ack.receiver(), Envelope.newBuilder().setRightsAck(ack.totals()));
+        }
+    }
+
+    /** Gives all rights away; called repeatedly during a graceful shutdown. */
+    void giveAll(Collection<String> takers) {
+        send(mLedger.giveAll(takers, mNowMillis.getAsLong()));
+    }
+
+    /**
+     * Starts, continues or gives up a redistribution; called every second by the holder of the role.
+     *
+     * @param answering members that answer pings
+     */
+    void redistribute(Supplier<Set<String>> answering) {
+        long nowMillis = mNowMillis.getAsLong();
+        VersionedState state = mPublisher.state();
+        if (mCommitting) {
+            return;
+        }
+        if (mAttempt != null) {
+            continueAttempt(state, nowMillis);
+            return;
+        }
+        Set<String> teams = Redistribution.needed(state, mEnded);
+        boolean early = nowMillis - mAttemptAtMillis < ATTEMPT_INTERVAL_MILLIS;
+        if (teams.isEmpty() || early) {
+            return;
+        }
+        Redistribution attempt = new Redistribution(state, teams);
+        Set<String> silent = attempt.pending(clear(state));
+        silent.removeAll(answering.get());
+        // A former member is cleared only by usage reports, so no attempt is made without them.
+        if (silent.isEmpty()) {
+            start(attempt, state, nowMillis);
+        }
+    }
+
+    private void start(Redistribution attempt, VersionedState state, long nowMillis) {
+        mAttempt = attempt;
+        mAttemptBase = state;
+        mAttemptAtMillis = nowMillis;
+        Logger.info("rights: redistribution on version {} started.", state.version());
+        for (Member member : state.members().members()) {
+            CompletableFuture<Envelope> call =
+                    mPeers.call(
+                            member.id(),
+                            Envelope.newBuilder().setFreezeRequest(attempt.request()));
+            var unused =
+                    call.thenAcceptAsync(
+                            reply -> onFreezeReply(attempt, member.id(), reply.getFreezeReply()),
+                            mControl);
+        }
+    }
+
+    private void onFreezeReply(Redistribution attempt, String member, FreezeReply reply) {
+        if (attempt == mAttempt) {
+            attempt.onReply(member, reply);
+            continueAttempt(mPublisher.state(), mNowMillis.getAsLong());
+        }
+    }
+
+    private void continueAttempt(VersionedState state, long nowMillis) {
+        if (mCommitting) {
+            return;
+        }
+        if (state.version() != mAttemptBase.version()) {
+            mAttempt = null;
+            return;
+        }
+        Optional<Map<String, ResourceDivision>> result = mAttempt.result(clear(mAttemptBase));
+        if (result.isPresent()) {
+            commit(result.get(), "redistribution");
+        } else if (mAttempt.refused() || nowMillis - mAttemptAtMillis > ATTEMPT_TIMEOUT_MILLIS) {
+            commit(Map.of(), "abandoned redistribution");
+        }
+    }
+
+    /** Commits the divisions; without any, the new version only ends the freeze. */
+    private void commit(Map<String, ResourceDivision> divisions, String what) {
+        mCommitting = true;
+        CompletableFuture<ChangeResult> commit =
+                mRepository.commitSystem(
+                        UUID.randomUUID().toString(),
+                        "rights",
+                        state -> new SystemState(state.members(), with(state.rights(), divisions)),
+                        mAttemptBase.version(),
+                        mNowMillis.getAsLong());
+        var unused =
+                commit.whenCompleteAsync(
+                        (outcome, failure) -> {
+                            mCommitting = false;
+                            mAttempt = null;
+                            if (outcome instanceof ChangeResult.Committed committed) {
+                                Logger.info("rights: {} of {}.", what, divisions.keySet());
+                                mPublisher.adopt(committed.state());
+                            } else {
+                                Logger.warn("rights: {} not committed: {}.", what, failure);
+                            }
+                        },
+                        mControl);
+    }
+
+    private static RightsDivision with(
+            RightsDivision rights, Map<String, ResourceDivision> divisions) {
+        Map<String, ResourceDivision> teams = new TreeMap<>(rights.teams());
+        teams.putAll(divisions);
+        return new RightsDivision(teams, rights.slotEpoch(), rights.slotDaemons());
+    }
+
+    private Set<String> clear(VersionedState state) {
+        return mEnded.clear(state.settings().hosts().keySet());
+    }
+
+    private void send(List<AddressedTotals> messages) {
+        for (AddressedTotals message : messages) {
+            mPeers.send(
+                    message.receiver(), Envelope.newBuilder().setRightsTotals(message.totals()));
+        }
+    }
+}
--- a/core/src/main/java/org/marigoldturn/peer/wire/ClaimHandover.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/ClaimHandover.java
@@ -29,6 +29,8 @@
   }
   private ClaimHandover() {
     requestIds_ = emptyList(com.google.protobuf.ByteString.class);
+    nextMemberIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -88,6 +90,59 @@
     return completeSinceMillis_;
   }
 
+  public static final int NEXT_MEMBER_IDS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList nextMemberIds_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @return A list containing the nextMemberIds.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getNextMemberIdsList() {
+    return nextMemberIds_;
+  }
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @return The count of nextMemberIds.
+   */
+  public int getNextMemberIdsCount() {
+    return nextMemberIds_.size();
+  }
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @param index The index of the element to return.
+   * @return The nextMemberIds at the given index.
+   */
+  public java.lang.String getNextMemberIds(int index) {
+    return nextMemberIds_.get(index);
+  }
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the nextMemberIds at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getNextMemberIdsBytes(int index) {
+    return nextMemberIds_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -108,6 +163,9 @@
     if (completeSinceMillis_ != 0L) {
       output.writeUInt64(2, completeSinceMillis_);
     }
+    for (int i = 0; i < nextMemberIds_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, nextMemberIds_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +188,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, completeSinceMillis_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < nextMemberIds_.size(); i++) {
+        dataSize += computeStringSizeNoTag(nextMemberIds_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getNextMemberIdsList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -149,6 +215,8 @@
         .equals(other.getRequestIdsList())) return false;
     if (getCompleteSinceMillis()
         != other.getCompleteSinceMillis()) return false;
+    if (!getNextMemberIdsList()
+        .equals(other.getNextMemberIdsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -167,6 +235,10 @@
     hash = (37 * hash) + COMPLETE_SINCE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCompleteSinceMillis());
+    if (getNextMemberIdsCount() > 0) {
+      hash = (37 * hash) + NEXT_MEMBER_IDS_FIELD_NUMBER;
+      hash = (53 * hash) + getNextMemberIdsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -300,6 +372,8 @@
       bitField0_ = 0;
       requestIds_ = emptyList(com.google.protobuf.ByteString.class);
       completeSinceMillis_ = 0L;
+      nextMemberIds_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -340,6 +414,10 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.completeSinceMillis_ = completeSinceMillis_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        nextMemberIds_.makeImmutable();
+        result.nextMemberIds_ = nextMemberIds_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +446,16 @@
       if (other.getCompleteSinceMillis() != 0L) {
         setCompleteSinceMillis(other.getCompleteSinceMillis());
       }
+      if (!other.nextMemberIds_.isEmpty()) {
+        if (nextMemberIds_.isEmpty()) {
+          nextMemberIds_ = other.nextMemberIds_;
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureNextMemberIdsIsMutable();
+          nextMemberIds_.addAll(other.nextMemberIds_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -405,6 +493,12 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureNextMemberIdsIsMutable();
+              nextMemberIds_.add(s);
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -550,6 +644,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList nextMemberIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureNextMemberIdsIsMutable() {
+      if (!nextMemberIds_.isModifiable()) {
+        nextMemberIds_ = new com.google.protobuf.LazyStringArrayList(nextMemberIds_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @return A list containing the nextMemberIds.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getNextMemberIdsList() {
+      nextMemberIds_.makeImmutable();
+      return nextMemberIds_;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @return The count of nextMemberIds.
+     */
+    public int getNextMemberIdsCount() {
+      return nextMemberIds_.size();
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param index The index of the element to return.
+     * @return The nextMemberIds at the given index.
+     */
+    public java.lang.String getNextMemberIds(int index) {
+      return nextMemberIds_.get(index);
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the nextMemberIds at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getNextMemberIdsBytes(int index) {
+      return nextMemberIds_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The nextMemberIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNextMemberIds(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureNextMemberIdsIsMutable();
+      nextMemberIds_.set(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param value The nextMemberIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addNextMemberIds(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureNextMemberIdsIsMutable();
+      nextMemberIds_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param values The nextMemberIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllNextMemberIds(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureNextMemberIdsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, nextMemberIds_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNextMemberIds() {
+      nextMemberIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000004);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Member set by which the ids were divided.
+     * </pre>
+     *
+     * <code>repeated string next_member_ids = 3;</code>
+     * @param value The bytes of the nextMemberIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addNextMemberIdsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureNextMemberIdsIsMutable();
+      nextMemberIds_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.peer.ClaimHandover)
   }
 
--- a/core/src/main/java/org/marigoldturn/peer/wire/ClaimHandoverOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/ClaimHandoverOrBuilder.java
@@ -36,4 +36,45 @@
    * @return The completeSinceMillis.
    */
   long getCompleteSinceMillis();
+
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @return A list containing the nextMemberIds.
+   */
+  java.util.List<java.lang.String>
+      getNextMemberIdsList();
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @return The count of nextMemberIds.
+   */
+  int getNextMemberIdsCount();
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @param index The index of the element to return.
+   * @return The nextMemberIds at the given index.
+   */
+  java.lang.String getNextMemberIds(int index);
+  /**
+   * <pre>
+   * Member set by which the ids were divided.
+   * </pre>
+   *
+   * <code>repeated string next_member_ids = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the nextMemberIds at the given index.
+   */
+  com.google.protobuf.ByteString
+      getNextMemberIdsBytes(int index);
 }
--- a/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
@@ -71,6 +71,8 @@
     CLAIM_RELEASE(24),
     CLAIM_HANDOVER(25),
     FAREWELL(26),
+    STATUS_REQUEST(27),
+    STATUS_REPLY(28),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -105,6 +107,8 @@
         case 24: return CLAIM_RELEASE;
         case 25: return CLAIM_HANDOVER;
         case 26: return FAREWELL;
+        case 27: return STATUS_REQUEST;
+        case 28: return STATUS_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -720,6 +724,68 @@
     return org.marigoldturn.peer.wire.Farewell.getDefaultInstance();
   }
 
+  public static final int STATUS_REQUEST_FIELD_NUMBER = 27;
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   * @return Whether the statusRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasStatusRequest() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   * @return The statusRequest.
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.StatusRequest getStatusRequest() {
+    if (bodyCase_ == 27) {
+       return (org.marigoldturn.peer.wire.StatusRequest) body_;
+    }
+    return org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.StatusRequestOrBuilder getStatusRequestOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.marigoldturn.peer.wire.StatusRequest) body_;
+    }
+    return org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+  }
+
+  public static final int STATUS_REPLY_FIELD_NUMBER = 28;
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   * @return Whether the statusReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasStatusReply() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   * @return The statusReply.
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.StatusReply getStatusReply() {
+    if (bodyCase_ == 28) {
+       return (org.marigoldturn.peer.wire.StatusReply) body_;
+    }
+    return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.StatusReplyOrBuilder getStatusReplyOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.marigoldturn.peer.wire.StatusReply) body_;
+    }
+    return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -794,6 +860,12 @@
     if (bodyCase_ == 26) {
       output.writeMessage(26, (org.marigoldturn.peer.wire.Farewell) body_);
     }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.marigoldturn.peer.wire.StatusRequest) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.marigoldturn.peer.wire.StatusReply) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -882,6 +954,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(26, (org.marigoldturn.peer.wire.Farewell) body_);
     }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.marigoldturn.peer.wire.StatusRequest) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.marigoldturn.peer.wire.StatusReply) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -973,6 +1053,14 @@
         if (!getFarewell()
             .equals(other.getFarewell())) return false;
         break;
+      case 27:
+        if (!getStatusRequest()
+            .equals(other.getStatusRequest())) return false;
+        break;
+      case 28:
+        if (!getStatusReply()
+            .equals(other.getStatusReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -1064,6 +1152,14 @@
         hash = (37 * hash) + FAREWELL_FIELD_NUMBER;
         hash = (53 * hash) + getFarewell().hashCode();
         break;
+      case 27:
+        hash = (37 * hash) + STATUS_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getStatusRequest().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + STATUS_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getStatusReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1256,6 +1352,12 @@
       if (farewellBuilder_ != null) {
         farewellBuilder_.clear();
       }
+      if (statusRequestBuilder_ != null) {
+        statusRequestBuilder_.clear();
+      }
+      if (statusReplyBuilder_ != null) {
+        statusReplyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1374,6 +1476,14 @@
           farewellBuilder_ != null) {
         result.body_ = farewellBuilder_.build();
       }
+      if (bodyCase_ == 27 &&
+          statusRequestBuilder_ != null) {
+        result.body_ = statusRequestBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          statusReplyBuilder_ != null) {
+        result.body_ = statusReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1468,6 +1578,14 @@
           mergeFarewell(other.getFarewell());
           break;
         }
+        case STATUS_REQUEST: {
+          mergeStatusRequest(other.getStatusRequest());
+          break;
+        }
+        case STATUS_REPLY: {
+          mergeStatusReply(other.getStatusReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1632,6 +1750,20 @@
               bodyCase_ = 26;
               break;
             } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetStatusRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetStatusReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4246,6 +4378,290 @@
       return farewellBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.StatusRequest, org.marigoldturn.peer.wire.StatusRequest.Builder, org.marigoldturn.peer.wire.StatusRequestOrBuilder> statusRequestBuilder_;
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     * @return Whether the statusRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatusRequest() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     * @return The statusRequest.
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.StatusRequest getStatusRequest() {
+      if (statusRequestBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.marigoldturn.peer.wire.StatusRequest) body_;
+        }
+        return org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 27) {
+          return statusRequestBuilder_.getMessage();
+        }
+        return org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    public Builder setStatusRequest(org.marigoldturn.peer.wire.StatusRequest value) {
+      if (statusRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        statusRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    public Builder setStatusRequest(
+        org.marigoldturn.peer.wire.StatusRequest.Builder builderForValue) {
+      if (statusRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        statusRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    public Builder mergeStatusRequest(org.marigoldturn.peer.wire.StatusRequest value) {
+      if (statusRequestBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance()) {
+          body_ = org.marigoldturn.peer.wire.StatusRequest.newBuilder((org.marigoldturn.peer.wire.StatusRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 27) {
+          statusRequestBuilder_.mergeFrom(value);
+        } else {
+          statusRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 27;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    public Builder clearStatusRequest() {
+      if (statusRequestBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 27) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        statusRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    public org.marigoldturn.peer.wire.StatusRequest.Builder getStatusRequestBuilder() {
+      return internalGetStatusRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.StatusRequestOrBuilder getStatusRequestOrBuilder() {
+      if ((bodyCase_ == 27) && (statusRequestBuilder_ != null)) {
+        return statusRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 27) {
+          return (org.marigoldturn.peer.wire.StatusRequest) body_;
+        }
+        return org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.StatusRequest, org.marigoldturn.peer.wire.StatusRequest.Builder, org.marigoldturn.peer.wire.StatusRequestOrBuilder> 
+        internalGetStatusRequestFieldBuilder() {
+      if (statusRequestBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.marigoldturn.peer.wire.StatusRequest.getDefaultInstance();
+        }
+        statusRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.marigoldturn.peer.wire.StatusRequest, org.marigoldturn.peer.wire.StatusRequest.Builder, org.marigoldturn.peer.wire.StatusRequestOrBuilder>(
+                (org.marigoldturn.peer.wire.StatusRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 27;
+      onChanged();
+      return statusRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.StatusReply, org.marigoldturn.peer.wire.StatusReply.Builder, org.marigoldturn.peer.wire.StatusReplyOrBuilder> statusReplyBuilder_;
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     * @return Whether the statusReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatusReply() {
+      return bodyCase_ == 28;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     * @return The statusReply.
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.StatusReply getStatusReply() {
+      if (statusReplyBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.marigoldturn.peer.wire.StatusReply) body_;
+        }
+        return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 28) {
+          return statusReplyBuilder_.getMessage();
+        }
+        return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    public Builder setStatusReply(org.marigoldturn.peer.wire.StatusReply value) {
+      if (statusReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        statusReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    public Builder setStatusReply(
+        org.marigoldturn.peer.wire.StatusReply.Builder builderForValue) {
+      if (statusReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        statusReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    public Builder mergeStatusReply(org.marigoldturn.peer.wire.StatusReply value) {
+      if (statusReplyBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.marigoldturn.peer.wire.StatusReply.getDefaultInstance()) {
+          body_ = org.marigoldturn.peer.wire.StatusReply.newBuilder((org.marigoldturn.peer.wire.StatusReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 28) {
+          statusReplyBuilder_.mergeFrom(value);
+        } else {
+          statusReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    public Builder clearStatusReply() {
+      if (statusReplyBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 28) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        statusReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    public org.marigoldturn.peer.wire.StatusReply.Builder getStatusReplyBuilder() {
+      return internalGetStatusReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.StatusReplyOrBuilder getStatusReplyOrBuilder() {
+      if ((bodyCase_ == 28) && (statusReplyBuilder_ != null)) {
+        return statusReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 28) {
+          return (org.marigoldturn.peer.wire.StatusReply) body_;
+        }
+        return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.StatusReply, org.marigoldturn.peer.wire.StatusReply.Builder, org.marigoldturn.peer.wire.StatusReplyOrBuilder> 
+        internalGetStatusReplyFieldBuilder() {
+      if (statusReplyBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
+        }
+        statusReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.marigoldturn.peer.wire.StatusReply, org.marigoldturn.peer.wire.StatusReply.Builder, org.marigoldturn.peer.wire.StatusReplyOrBuilder>(
+                (org.marigoldturn.peer.wire.StatusReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 28;
+      onChanged();
+      return statusReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.peer.Envelope)
   }
 
--- a/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
@@ -301,5 +301,35 @@
    */
   org.marigoldturn.peer.wire.FarewellOrBuilder getFarewellOrBuilder();
 
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   * @return Whether the statusRequest field is set.
+   */
+  boolean hasStatusRequest();
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   * @return The statusRequest.
+   */
+  org.marigoldturn.peer.wire.StatusRequest getStatusRequest();
+  /**
+   * <code>.marigoldturn.peer.StatusRequest status_request = 27;</code>
+   */
+  org.marigoldturn.peer.wire.StatusRequestOrBuilder getStatusRequestOrBuilder();
+
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   * @return Whether the statusReply field is set.
+   */
+  boolean hasStatusReply();
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   * @return The statusReply.
+   */
+  org.marigoldturn.peer.wire.StatusReply getStatusReply();
+  /**
+   * <code>.marigoldturn.peer.StatusReply status_reply = 28;</code>
+   */
+  org.marigoldturn.peer.wire.StatusReplyOrBuilder getStatusReplyOrBuilder();
+
   org.marigoldturn.peer.wire.Envelope.BodyCase getBodyCase();
 }
--- a/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
@@ -141,6 +141,36 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldturn_peer_Farewell_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_StatusRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_StatusRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_Load_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_Load_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_StatusReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_StatusReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_StatusReply_TeamsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_StatusReply_TeamsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_StatusReply_PoolsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_StatusReply_PoolsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_peer_StatusReply_HostsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_peer_StatusReply_HostsEntry_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -150,7 +180,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021marigoldturn.peer\"\330\007\n\010Enve" +
+      "\n\npeer.proto\022\021marigoldturn.peer\"\314\010\n\010Enve" +
       "lope\022\017\n\007call_id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\016\n\006" +
       "sender\030\003 \001(\t\022)\n\005hello\030\n \001(\0132\030.marigoldtu" +
       "rn.peer.HelloH\000\022\'\n\004ping\030\013 \001(\0132\027.marigold" +
@@ -175,45 +205,61 @@
       "n.peer.ClaimReleaseH\000\022:\n\016claim_handover\030" +
       "\031 \001(\0132 .marigoldturn.peer.ClaimHandoverH" +
       "\000\022/\n\010farewell\030\032 \001(\0132\033.marigoldturn.peer." +
-      "FarewellH\000B\006\n\004body\"\026\n\005Hello\022\r\n\005token\030\001 \001" +
-      "(\t\"\027\n\004Ping\022\017\n\007version\030\001 \001(\004\"\027\n\004Pong\022\017\n\007v" +
-      "ersion\030\001 \001(\004\"5\n\014StateRequest\022\020\n\010manifest" +
-      "\030\001 \001(\010\022\023\n\013blob_hashes\030\002 \003(\t\"H\n\nStateRepl" +
-      "y\022\020\n\010manifest\030\001 \001(\014\022\031\n\021manifest_revision" +
-      "\030\002 \001(\004\022\r\n\005blobs\030\003 \003(\014\"=\n\013RightsTotal\022\020\n\010" +
-      "resource\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005total\030\003" +
-      " \001(\004\">\n\014RightsTotals\022.\n\006totals\030\001 \003(\0132\036.m" +
-      "arigoldturn.peer.RightsTotal\"8\n\rFreezeRe" +
-      "quest\022\024\n\014base_version\030\001 \001(\004\022\021\n\tresources" +
-      "\030\002 \003(\t\"\215\002\n\016FrozenResource\022\020\n\010resource\030\001 " +
-      "\001(\t\022\r\n\005epoch\030\002 \001(\004\0229\n\004sent\030\003 \003(\0132+.marig" +
-      "oldturn.peer.FrozenResource.SentEntry\022A\n" +
-      "\010received\030\004 \003(\0132/.marigoldturn.peer.Froz" +
-      "enResource.ReceivedEntry\032+\n\tSentEntry\022\013\n" +
-      "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\032/\n\rReceive" +
-      "dEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"i" +
-      "\n\013FreezeReply\022\024\n\014base_version\030\001 \001(\004\022\016\n\006f" +
-      "rozen\030\002 \001(\010\0224\n\tresources\030\003 \003(\0132!.marigol" +
-      "dturn.peer.FrozenResource\";\n\nTeamDemand\022" +
-      "\014\n\004team\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\016\n\006queued" +
-      "\030\003 \001(\r\"|\n\014DemandReport\022\020\n\010resource\030\001 \001(\t" +
-      "\022\014\n\004held\030\002 \001(\r\022\014\n\004free\030\003 \001(\r\022\020\n\010complete" +
-      "\030\004 \001(\010\022,\n\005teams\030\005 \003(\0132\035.marigoldturn.pee" +
-      "r.TeamDemand\",\n\013Entitlement\022\014\n\004team\030\001 \001(" +
-      "\t\022\017\n\007running\030\002 \001(\r\"V\n\014Entitlements\022\020\n\010re" +
-      "source\030\001 \001(\t\0224\n\014entitlements\030\002 \003(\0132\036.mar" +
-      "igoldturn.peer.Entitlement\">\n\014TransferHi" +
-      "nt\022\020\n\010resource\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\r\n\005c" +
-      "ount\030\003 \001(\r\"3\n\014ClaimRequest\022\022\n\nrequest_id" +
-      "\030\001 \001(\014\022\017\n\007version\030\002 \001(\004\"\234\001\n\nClaimReply\0224" +
-      "\n\006result\030\001 \001(\0162$.marigoldturn.peer.Claim" +
-      "Reply.Result\"X\n\006Result\022\026\n\022RESULT_UNSPECI" +
-      "FIED\020\000\022\013\n\007GRANTED\020\001\022\r\n\tDUPLICATE\020\002\022\013\n\007UN" +
-      "KNOWN\020\003\022\r\n\tNOT_OWNER\020\004\"\"\n\014ClaimRelease\022\022" +
-      "\n\nrequest_id\030\001 \001(\014\"C\n\rClaimHandover\022\023\n\013r" +
-      "equest_ids\030\001 \003(\014\022\035\n\025complete_since_milli" +
-      "s\030\002 \001(\004\"\n\n\010FarewellB\036\n\032org.marigoldturn." +
-      "peer.wireP\001b\006proto3"
+      "FarewellH\000\022:\n\016status_request\030\033 \001(\0132 .mar" +
+      "igoldturn.peer.StatusRequestH\000\0226\n\014status" +
+      "_reply\030\034 \001(\0132\036.marigoldturn.peer.StatusR" +
+      "eplyH\000B\006\n\004body\"\026\n\005Hello\022\r\n\005token\030\001 \001(\t\"\027" +
+      "\n\004Ping\022\017\n\007version\030\001 \001(\004\"\027\n\004Pong\022\017\n\007versi" +
+      "on\030\001 \001(\004\"5\n\014StateRequest\022\020\n\010manifest\030\001 \001" +
+      "(\010\022\023\n\013blob_hashes\030\002 \003(\t\"H\n\nStateReply\022\020\n" +
+      "\010manifest\030\001 \001(\014\022\031\n\021manifest_revision\030\002 \001" +
+      "(\004\022\r\n\005blobs\030\003 \003(\014\"=\n\013RightsTotal\022\020\n\010reso" +
+      "urce\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005total\030\003 \001(\004" +
+      "\">\n\014RightsTotals\022.\n\006totals\030\001 \003(\0132\036.marig" +
+      "oldturn.peer.RightsTotal\"8\n\rFreezeReques" +
+      "t\022\024\n\014base_version\030\001 \001(\004\022\021\n\tresources\030\002 \003" +
+      "(\t\"\215\002\n\016FrozenResource\022\020\n\010resource\030\001 \001(\t\022" +
+      "\r\n\005epoch\030\002 \001(\004\0229\n\004sent\030\003 \003(\0132+.marigoldt" +
+      "urn.peer.FrozenResource.SentEntry\022A\n\010rec" +
+      "eived\030\004 \003(\0132/.marigoldturn.peer.FrozenRe" +
+      "source.ReceivedEntry\032+\n\tSentEntry\022\013\n\003key" +
+      "\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\032/\n\rReceivedEnt" +
+      "ry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"i\n\013Fr" +
+      "eezeReply\022\024\n\014base_version\030\001 \001(\004\022\016\n\006froze" +
+      "n\030\002 \001(\010\0224\n\tresources\030\003 \003(\0132!.marigoldtur" +
+      "n.peer.FrozenResource\";\n\nTeamDemand\022\014\n\004t" +
+      "eam\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001" +
+      "(\r\"|\n\014DemandReport\022\020\n\010resource\030\001 \001(\t\022\014\n\004" +
+      "held\030\002 \001(\r\022\014\n\004free\030\003 \001(\r\022\020\n\010complete\030\004 \001" +
+      "(\010\022,\n\005teams\030\005 \003(\0132\035.marigoldturn.peer.Te" +
+      "amDemand\",\n\013Entitlement\022\014\n\004team\030\001 \001(\t\022\017\n" +
+      "\007running\030\002 \001(\r\"V\n\014Entitlements\022\020\n\010resour" +
+      "ce\030\001 \001(\t\0224\n\014entitlements\030\002 \003(\0132\036.marigol" +
+      "dturn.peer.Entitlement\">\n\014TransferHint\022\020" +
+      "\n\010resource\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\r\n\005count" +
+      "\030\003 \001(\r\"3\n\014ClaimRequest\022\022\n\nrequest_id\030\001 \001" +
+      "(\014\022\017\n\007version\030\002 \001(\004\"\234\001\n\nClaimReply\0224\n\006re" +
+      "sult\030\001 \001(\0162$.marigoldturn.peer.ClaimRepl" +
+      "y.Result\"X\n\006Result\022\026\n\022RESULT_UNSPECIFIED" +
+      "\020\000\022\013\n\007GRANTED\020\001\022\r\n\tDUPLICATE\020\002\022\013\n\007UNKNOW" +
+      "N\020\003\022\r\n\tNOT_OWNER\020\004\"\"\n\014ClaimRelease\022\022\n\nre" +
+      "quest_id\030\001 \001(\014\"\\\n\rClaimHandover\022\023\n\013reque" +
+      "st_ids\030\001 \003(\014\022\035\n\025complete_since_millis\030\002 " +
+      "\001(\004\022\027\n\017next_member_ids\030\003 \003(\t\"\n\n\010Farewell" +
+      "\"\036\n\rStatusRequest\022\r\n\005hosts\030\001 \003(\t\"\'\n\004Load" +
+      "\022\017\n\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\"\237\003\n\013St" +
+      "atusReply\022\017\n\007version\030\001 \001(\004\022\025\n\rreaches_st" +
+      "ore\030\002 \001(\010\0228\n\005teams\030\003 \003(\0132).marigoldturn." +
+      "peer.StatusReply.TeamsEntry\0228\n\005pools\030\004 \003" +
+      "(\0132).marigoldturn.peer.StatusReply.Pools" +
+      "Entry\0228\n\005hosts\030\005 \003(\0132).marigoldturn.peer" +
+      ".StatusReply.HostsEntry\032E\n\nTeamsEntry\022\013\n" +
+      "\003key\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn" +
+      ".peer.Load:\0028\001\032E\n\nPoolsEntry\022\013\n\003key\030\001 \001(" +
+      "\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn.peer.Loa" +
+      "d:\0028\001\032,\n\nHostsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005valu" +
+      "e\030\002 \001(\r:\0028\001B\036\n\032org.marigoldturn.peer.wir" +
+      "eP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -224,7 +270,7 @@
     internal_static_marigoldturn_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_peer_Envelope_descriptor,
-        new java.lang.String[] { "CallId", "Reply", "Sender", "Hello", "Ping", "Pong", "StateRequest", "StateReply", "RightsTotals", "RightsAck", "FreezeRequest", "FreezeReply", "DemandReport", "Entitlements", "TransferHint", "ClaimRequest", "ClaimReply", "ClaimRelease", "ClaimHandover", "Farewell", "Body", });
+        new java.lang.String[] { "CallId", "Reply", "Sender", "Hello", "Ping", "Pong", "StateRequest", "StateReply", "RightsTotals", "RightsAck", "FreezeRequest", "FreezeReply", "DemandReport", "Entitlements", "TransferHint", "ClaimRequest", "ClaimReply", "ClaimRelease", "ClaimHandover", "Farewell", "StatusRequest", "StatusReply", "Body", });
     internal_static_marigoldturn_peer_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_marigoldturn_peer_Hello_fieldAccessorTable = new
@@ -350,13 +396,49 @@
     internal_static_marigoldturn_peer_ClaimHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_peer_ClaimHandover_descriptor,
-        new java.lang.String[] { "RequestIds", "CompleteSinceMillis", });
+        new java.lang.String[] { "RequestIds", "CompleteSinceMillis", "NextMemberIds", });
     internal_static_marigoldturn_peer_Farewell_descriptor =
       getDescriptor().getMessageTypes().get(20);
     internal_static_marigoldturn_peer_Farewell_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_peer_Farewell_descriptor,
         new java.lang.String[] { });
+    internal_static_marigoldturn_peer_StatusRequest_descriptor =
+      getDescriptor().getMessageTypes().get(21);
+    internal_static_marigoldturn_peer_StatusRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_StatusRequest_descriptor,
+        new java.lang.String[] { "Hosts", });
+    internal_static_marigoldturn_peer_Load_descriptor =
+      getDescriptor().getMessageTypes().get(22);
+    internal_static_marigoldturn_peer_Load_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_Load_descriptor,
+        new java.lang.String[] { "Running", "Queued", });
+    internal_static_marigoldturn_peer_StatusReply_descriptor =
+      getDescriptor().getMessageTypes().get(23);
+    internal_static_marigoldturn_peer_StatusReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_StatusReply_descriptor,
+        new java.lang.String[] { "Version", "ReachesStore", "Teams", "Pools", "Hosts", });
+    internal_static_marigoldturn_peer_StatusReply_TeamsEntry_descriptor =
+      internal_static_marigoldturn_peer_StatusReply_descriptor.getNestedTypes().get(0);
+    internal_static_marigoldturn_peer_StatusReply_TeamsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_StatusReply_TeamsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_marigoldturn_peer_StatusReply_PoolsEntry_descriptor =
+      internal_static_marigoldturn_peer_StatusReply_descriptor.getNestedTypes().get(1);
+    internal_static_marigoldturn_peer_StatusReply_PoolsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_StatusReply_PoolsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_marigoldturn_peer_StatusReply_HostsEntry_descriptor =
+      internal_static_marigoldturn_peer_StatusReply_descriptor.getNestedTypes().get(2);
+    internal_static_marigoldturn_peer_StatusReply_HostsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_peer_StatusReply_HostsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
