--- a/core/src/test/java/org/marigoldturn/SettingsPageTest.java
+++ b/core/src/test/java/org/marigoldturn/SettingsPageTest.java
@@ -38,6 +38,8 @@
         assertThat(fields.get("hosts")).isEqualTo(components(HostSettings.class, true));
         assertThat(fields.get("Daemon configuration file"))
                 .isEqualTo(components(EntryConfig.class, false));
+        assertThat(fields.get("tls of a daemon"))
+                .isEqualTo(components(EntryConfig.TlsConfig.class, false));
     }
 
     private static Map<String, List<String>> fieldsByHeading() throws IOException {
