--- a/core/src/main/java/org/marigoldturn/settings/SettingsChecker.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsChecker.java
@@ -11,9 +11,6 @@
 
 /** Checks complete settings: ranges, formats and references between entries. Stateless. */
 public final class SettingsChecker {
-    /** Team to which work without a key on an open service is attributed. */
-    public static final String OPEN_TEAM = "open";
-
     private static final Pattern SHA_256_HEX = Pattern.compile("[0-9a-f]{64}");
     private static final Pattern SALT_HEX = Pattern.compile("([0-9a-f]{2}){1,64}");
 
@@ -52,7 +49,6 @@
                                         zone.name(),
                                         "stateSinceMillis",
                                         zone.stateSinceMillis()));
-        checker.checkOpenTeam();
         checker.checkAddresses();
         return List.copyOf(checker.mErrors);
     }
@@ -126,19 +122,6 @@
         }
     }
 
-    private void checkOpenTeam() {
-        if (exists("teams", OPEN_TEAM)) {
-            return;
-        }
-        for (ServiceSettings service : mSettings.services().values()) {
-            if (service.open()) {
-                add(
-                        "services/" + service.name() + "/open",
-                        "expected a team \"open\" for work without a key, found none");
-            }
-        }
-    }
-
     private void checkAddresses() {
         Map<String, String> hostByAddress = new HashMap<>();
         for (HostSettings host : mSettings.hosts().values()) {
@@ -169,7 +152,6 @@
                 switch (section) {
                     case "pools" -> mSettings.pools();
                     case "zones" -> mSettings.zones();
-                    case "teams" -> mSettings.teams();
                     default -> throw new IllegalArgumentException("no references to " + section);
                 };
         return entries.containsKey(name) || mKnownPaths.contains(section + "/" + name);
