--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -138,7 +138,9 @@
         Runnable end =
                 () -> {
                     mRecords.end(index, System.currentTimeMillis());
-                    response.complete(answer(fault.kind(), body));
+                    if (fault.kind() != TargetFault.RESET_AFTER) {
+                        response.complete(answer(fault.kind(), body));
+                    }
                 };
         if (fault.kind() == TargetFault.RESET_AFTER) {
             closeConnection(ctx);
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
@@ -0,0 +1,310 @@
+package org.marigoldturn.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpRequestWriter;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.marigoldturn.routing.RequestId;
+import org.marigoldturn.settings.TargetProtocol;
+
+/** The caller port in front of target stand-ins with faults. */
+class EntryPathTest {
+    private static final String BODY = "class 4, plot 12";
+    private static final String LARGE_BODY = "x".repeat(150_000);
+    private static final String NOT_RUN = "not-run";
+    private static final String UNKNOWN = "unknown";
+
+    private static String newId() {
+        return RequestId.generate(System.currentTimeMillis(), new Random()).toString();
+    }
+
+    private static String outcome(AggregatedHttpResponse response) {
+        return response.headers().get("marigoldturn-outcome", "none");
+    }
+
+    private static RequestHeadersBuilder post(EntryFixture fixture, String id) {
+        return fixture.headers(HttpMethod.POST).set("marigoldturn-request-id", id);
+    }
+
+    /** Guards against answers that belong to another request, and keys that reach targets. */
+    @Property(tries = 4, seed = "4061")
+    void eachCallerGetsItsOwnAnswer(@ForAll TargetProtocol protocol) {
+        if (protocol == TargetProtocol.H1 || protocol == TargetProtocol.H2) {
+            return;
+        }
+        try (EntryFixture fixture = new EntryFixture(3, protocol)) {
+            List<CompletableFuture<AggregatedHttpResponse>> answers = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                RequestHeadersBuilder headers = fixture.headers(HttpMethod.POST);
+                headers.setInt("x-run-millis", i % 7).set("marigoldturn-deadline-millis", "10000");
+                answers.add(fixture.send(headers, BODY + i));
+                if (i % 40 == 39) {
+                    answers.forEach(CompletableFuture::join);
+                }
+            }
+            for (int i = 0; i < answers.size(); i++) {
+                assertThat(answers.get(i).join().contentUtf8()).isEqualTo(BODY + i);
+                assertThat(answers.get(i).join().headers().contains("marigoldturn-request-id"))
+                        .isTrue();
+            }
+            assertThat(fixture.runs()).isEqualTo(200);
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    /** Guards against a truncated answer that a caller takes for a complete one. */
+    @Example
+    void aTruncatedAnswerIsNeverASuccess() {
+        for (TargetProtocol protocol : List.of(TargetProtocol.H2C, TargetProtocol.H1C)) {
+            for (TargetFault fault : List.of(TargetFault.TRUNCATE, TargetFault.SHORT)) {
+                try (EntryFixture fixture = new EntryFixture(1, protocol)) {
+                    fixture.mTargets.get(0).setFault(fault, 0);
+                    String id = newId();
+                    boolean success =
+                            fixture.send(post(fixture, id), LARGE_BODY)
+                                    .handle((r, t) -> t == null && r.status().isSuccess())
+                                    .join();
+                    assertThat(success).as("%s %s", protocol, fault).isFalse();
+                    assertThat(fixture.runs(id)).hasSize(1);
+                }
+            }
+        }
+    }
+
+    /** Guards against rights that are released while the target still runs the request. */
+    @Example
+    void aLateAnswerKeepsItsRightsUntilItEnds() {
+        try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+            fixture.mTargets.forEach(target -> target.setFault(TargetFault.SLOW, 700));
+            String id = newId();
+            RequestHeadersBuilder headers =
+                    post(fixture, id).set("marigoldturn-deadline-millis", "200");
+            AggregatedHttpResponse answer = fixture.send(headers, BODY).join();
+            assertThat(answer.status().code()).isEqualTo(504);
+            assertThat(outcome(answer)).isEqualTo(UNKNOWN);
+            assertThat(fixture.mRights.taken()).isEqualTo(2);
+            assertThat(fixture.mEntry.callers().pendingOutcomes().size()).isEqualTo(1);
+            fixture.awaitNoRightTaken();
+            assertThat(fixture.mEntry.callers().pendingOutcomes().size()).isZero();
+            assertThat(fixture.runs(id)).hasSize(1);
+        }
+    }
+
+    /** Guards against idempotent requests that wait for a silent host until their deadline. */
+    @Example
+    void anIdempotentRequestLeavesASilentHost() {
+        try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+            fixture.mTargets.get(0).setFault(TargetFault.SILENT, 0);
+            int retried = 0;
+            for (int i = 0; i < 6; i++) {
+                String id = newId();
+                RequestHeadersBuilder headers =
+                        post(fixture, id)
+                                .set("marigoldturn-idempotent", "true")
+                                .set("marigoldturn-deadline-millis", "600");
+                assertThat(fixture.send(headers, BODY).join().contentUtf8()).isEqualTo(BODY);
+                retried += fixture.runs(id).size() == 2 ? 1 : 0;
+            }
+            assertThat(retried).isPositive();
+            int silent = fixture.mTargets.get(0).records().running().size();
+            assertThat(fixture.mRights.taken()).isEqualTo(2 * silent);
+        }
+    }
+
+    /** Guards against a second send of a non-idempotent request, and rights lost for good. */
+    @Example
+    void aSilentHostMakesANonIdempotentRequestUnknown() {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
+            fixture.mTargets.get(0).setFault(TargetFault.SILENT, 0);
+            String id = newId();
+            RequestHeadersBuilder headers =
+                    post(fixture, id).set("marigoldturn-deadline-millis", "200");
+            assertThat(outcome(fixture.send(headers, BODY).join())).isEqualTo(UNKNOWN);
+            assertThat(fixture.runs(id)).hasSize(1);
+            assertThat(fixture.mRights.taken()).isEqualTo(2);
+            var pending = fixture.mEntry.callers().pendingOutcomes();
+            long later = System.currentTimeMillis() + 3_000;
+            assertThat(pending.onUsageReport("h0", later, Set.of(id))).isZero();
+            assertThat(pending.onUsageReport("h0", System.currentTimeMillis(), Set.of())).isZero();
+            assertThat(pending.onUsageReport("h0", later, Set.of())).isEqualTo(1);
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    /** Guards against callers that notice a host which refuses connections. */
+    @Example
+    void aRefusedConnectionIsRetriedForEveryRequest() {
+        try (EntryFixture fixture = new EntryFixture(4, TargetProtocol.H2C)) {
+            fixture.stopTarget(0);
+            for (int i = 0; i < 60; i++) {
+                String id = newId();
+                AggregatedHttpResponse answer = fixture.send(post(fixture, id), BODY).join();
+                assertThat(answer.status().code()).isEqualTo(200);
+                assertThat(fixture.runs(id)).hasSize(1);
+            }
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    /** Guards against a false unknown, and an id that can't be repeated after not-run. */
+    @Example
+    void refusedConnectionsOnAllHostsAreNotRun() {
+        try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+            fixture.stopTarget(0);
+            fixture.stopTarget(1);
+            String id = newId();
+            for (int i = 0; i < 2; i++) {
+                AggregatedHttpResponse answer = fixture.send(post(fixture, id), BODY).join();
+                assertThat(answer.status().code()).isEqualTo(503);
+                assertThat(outcome(answer)).isEqualTo(NOT_RUN);
+                assertThat(answer.headers().getInt("retry-after")).isEqualTo(1);
+            }
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    /** Guards against a connection that breaks and is answered as not-run or sent again. */
+    @Example
+    void aBrokenConnectionIsUnknown() {
+        for (TargetFault fault : List.of(TargetFault.RESET_BEFORE, TargetFault.RESET_AFTER)) {
+            try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+                fixture.mTargets.forEach(target -> target.setFault(fault, 0));
+                String id = newId();
+                AggregatedHttpResponse answer = fixture.send(post(fixture, id), BODY).join();
+                assertThat(outcome(answer)).as("%s", fault).isEqualTo(UNKNOWN);
+                assertThat(fixture.runs(id).size()).isLessThanOrEqualTo(1);
+                // The lost connection does not prove that the work ended.
+                assertThat(fixture.mRights.taken()).isEqualTo(2);
+            }
+        }
+    }
+
+    /** Guards against bodies that exceed the limit of the service, announced or not. */
+    @Example
+    void aBodyTooLargeIsRefusedWithAProblem() {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
+            String body = "x".repeat((int) EntryFixture.MAX_BODY_BYTES + 1);
+            AggregatedHttpResponse announced =
+                    fixture.send(fixture.headers(HttpMethod.POST), body).join();
+            checkTooLarge(announced);
+            HttpRequestWriter streamed =
+                    HttpRequest.streaming(fixture.headers(HttpMethod.POST).build());
+            HttpResponse answer = fixture.client().execute(streamed);
+            streamed.write(HttpData.ofUtf8(body));
+            streamed.close();
+            checkTooLarge(answer.aggregate().join());
+            assertThat(fixture.runs()).isZero();
+        }
+    }
+
+    private static void checkTooLarge(AggregatedHttpResponse answer) {
+        assertThat(answer.status().code()).isEqualTo(413);
+        assertThat(outcome(answer)).isEqualTo(NOT_RUN);
+        assertThat(answer.contentType().toString()).isEqualTo("application/problem+json");
+    }
+
+    /** Guards against a request that runs twice because it was repeated with its id. */
+    @Example
+    void aRepeatedIdDoesNotRunAgain() {
+        try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+            String id = newId();
+            assertThat(fixture.send(post(fixture, id), BODY).join().status().code()).isEqualTo(200);
+            AggregatedHttpResponse second = fixture.send(post(fixture, id), BODY).join();
+            assertThat(second.status().code()).isEqualTo(409);
+            assertThat(outcome(second)).isEqualTo(UNKNOWN);
+            assertThat(second.contentUtf8()).contains("duplicate-request-id");
+            assertThat(fixture.runs(id)).hasSize(1);
+        }
+    }
+
+    /** Guards against a start after the confirmation has expired or the key was revoked. */
+    @Example
+    void aWaitingRequestIsCheckedAgainBeforeItStarts() {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
+            fixture.mRights.limit("team:club", 1);
+            var running = fixture.send(slow(fixture, 400), BODY);
+            EntryFixture.await("first runs", () -> fixture.runs() == 1);
+            String unconfirmedId = newId();
+            var unconfirmed = fixture.send(post(fixture, unconfirmedId), BODY);
+            EntryFixture.await("second waits", () -> fixture.queued() == 1);
+            fixture.setConfirmed(false);
+            assertThat(running.join().status().code()).isEqualTo(200);
+            assertThat(outcome(unconfirmed.join())).isEqualTo(NOT_RUN);
+            assertThat(unconfirmed.join().headers().contains("retry-after")).isTrue();
+            assertThat(outcome(fixture.send(post(fixture, newId()), BODY).join()))
+                    .isEqualTo(NOT_RUN);
+            fixture.setConfirmed(true);
+            var holding = fixture.send(slow(fixture, 400), BODY);
+            EntryFixture.await("third runs", () -> fixture.runs() == 2);
+            var revoked = fixture.send(post(fixture, newId()), BODY);
+            EntryFixture.await("fourth waits", () -> fixture.queued() == 1);
+            fixture.revokeKeys();
+            assertThat(holding.join().status().code()).isEqualTo(200);
+            assertThat(revoked.join().status().code()).isEqualTo(401);
+            assertThat(fixture.runs()).isEqualTo(2);
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    private static RequestHeadersBuilder slow(EntryFixture fixture, int millis) {
+        return fixture.headers(HttpMethod.POST).setInt("x-run-millis", millis);
+    }
+
+    /** Guards against queue places that stay taken after their callers have gone. */
+    @Example
+    void aWaveOfDisconnectsEmptiesTheQueue() {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
+            fixture.mRights.limit("team:club", 1);
+            var running = fixture.send(slow(fixture, 1_000), BODY);
+            EntryFixture.await("first runs", () -> fixture.runs() == 1);
+            List<HttpResponse> waiting = new ArrayList<>();
+            for (int i = 0; i < 50; i++) {
+                HttpRequest request =
+                        HttpRequest.of(slow(fixture, 0).build(), HttpData.ofUtf8(BODY));
+                waiting.add(fixture.client().execute(request));
+            }
+            EntryFixture.await("queue is full", () -> fixture.queued() == 50);
+            AggregatedHttpResponse refused = fixture.send(slow(fixture, 0), BODY).join();
+            assertThat(refused.status().code()).isEqualTo(429);
+            waiting.forEach(HttpResponse::abort);
+            EntryFixture.await("queue is empty", () -> fixture.queued() == 0);
+            assertThat(running.join().status().code()).isEqualTo(200);
+            assertThat(fixture.runs()).isEqualTo(1);
+            fixture.awaitNoRightTaken();
+        }
+    }
+
+    /** Guards against callers that notice a planned stop. */
+    @Example
+    void aDrainInterruptsNoCaller() {
+        try (EntryFixture fixture = new EntryFixture(2, TargetProtocol.H2C)) {
+            List<CompletableFuture<AggregatedHttpResponse>> answers = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                answers.add(fixture.send(slow(fixture, 150), BODY));
+            }
+            EntryFixture.await("all arrived", () -> fixture.mDrain.active() == 30);
+            assertThat(fixture.mEntry.isReady()).isTrue();
+            fixture.mDrain.begin(System.currentTimeMillis());
+            assertThat(fixture.mEntry.isReady()).isFalse();
+            answers.add(fixture.send(slow(fixture, 10), BODY));
+            answers.forEach(a -> assertThat(a.join().status().code()).isEqualTo(200));
+            long afterDelay = System.currentTimeMillis() + EntryFixture.DRAIN_DELAY_MILLIS;
+            EntryFixture.await("drained", () -> fixture.mDrain.isDrained(afterDelay));
+            EntryFixture.await("delay over", () -> System.currentTimeMillis() > afterDelay);
+            assertThat(outcome(fixture.send(slow(fixture, 0), BODY).join())).isEqualTo(NOT_RUN);
+        }
+    }
+}
