--- a/core/src/main/java/org/marigoldturn/cli/SettingsCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/SettingsCommands.java
@@ -1,9 +1,7 @@
 package org.marigoldturn.cli;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import com.linecorp.armeria.common.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -48,16 +46,11 @@
     }
 
     private static ExitCode show(Invocation call) {
-        JsonNode state = call.client().get(PATH);
         if (call.has(CommandOptions.JSON)) {
-            return call.printDocument(state);
-        }
-        try {
-            call.out().print(new YAMLMapper().writeValueAsString(state.path("settings")));
-            return ExitCode.OK;
-        } catch (JsonProcessingException e) {
-            throw new CommandException(ExitCode.FAILED, "cannot print YAML: " + e.getMessage());
+            return call.printDocument(call.client().get(PATH));
         }
+        call.out().print(call.client().get(PATH + "/file").path("file").asText());
+        return ExitCode.OK;
     }
 
     private static ExitCode apply(Invocation call) {
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -38,7 +38,6 @@
 import org.marigoldturn.settings.Member;
 import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.SettingsChange;
-import org.marigoldturn.settings.SettingsParser;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.SystemState;
 import org.marigoldturn.shares.EntitlementTable;
@@ -97,8 +96,7 @@
         mId = config.name() + "-" + HexFormat.of().toHexDigits(new SecureRandom().nextInt());
         mStore = new EtcdJsonStore(config.storeEndpoint(), config.storeTimeoutMillis());
         mRepository = new SettingsRepository(mStore, config.storePrefix());
-        mDirectory =
-                new HttpHostDirectory(config.hostListEndpoint(), config.storeTimeoutMillis());
+        mDirectory = new HttpHostDirectory(config.hostListEndpoint(), config.storeTimeoutMillis());
         mSync =
                 new SettingsSync(
                         mStore, mRepository, mPublisher, mControl, System::currentTimeMillis);
@@ -115,13 +113,10 @@
                         mControl,
                         System::nanoTime);
         mAcceptance =
-                new AcceptanceTracker(
-                        mId, mVersions, mEndedMembers, mControl, System::nanoTime);
+                new AcceptanceTracker(mId, mVersions, mEndedMembers, mControl, System::nanoTime);
         mLedger = new RightsLedger(mId);
         mClaimTable = new RequestClaims(mId);
-        mClaims =
-                new PeerClaimRegistry(
-                        mPeers, mClaimTable, mPublisher, System::currentTimeMillis);
+        mClaims = new PeerClaimRegistry(mPeers, mClaimTable, mPublisher, System::currentTimeMillis);
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
         mEntry = new EntryServer(entryDependencies(entitlements));
@@ -134,34 +129,13 @@
                         mPublisher,
                         mEntry.callers()::demand,
                         System::currentTimeMillis);
-        mHosts =
-                new HostListService(
-                        mId,
-                        mDirectory,
-                        mEndedDaemons,
-                        mEntry.callers().pendingOutcomes(),
-                        mControl,
-                        System::currentTimeMillis);
+        mHosts = hostListService();
         mStatus = statusService();
         mPlannerRole = role("planner");
         mRightsRole = role("rights");
-        mPlanner =
-                new PlannerService(
-                        mPlannerRole,
-                        mStatus,
-                        mHosts,
-                        mPublisher,
-                        mRepository,
-                        mControl,
-                        System::currentTimeMillis,
-                        System::nanoTime);
-        ServerBuilder callers =
-                builder(config.callerPort()).maxNumConnections(config.maxConnections());
-        mEntry.register(callers);
-        mCallerServer = callers.build();
-        ServerBuilder operators = builder(config.operatorPort());
-        new OperatorService(operatorParts()).register(operators);
-        mOperatorServer = operators.build();
+        mPlanner = plannerService();
+        mCallerServer = callerServer();
+        mOperatorServer = operatorServer();
     }
 
     /** Starts the daemon and prints its ports on one line. */
@@ -182,10 +156,7 @@
         mStarted = true;
         System.out.printf(
                 "ready callers=%d operators=%d peers=%d id=%s%n",
-                mCallerServer.activeLocalPort(),
-                mOperatorServer.activeLocalPort(),
-                peerPort,
-                mId);
+                mCallerServer.activeLocalPort(), mOperatorServer.activeLocalPort(), peerPort, mId);
     }
 
     /** Shuts the daemon down gracefully; returns when it has ended. */
@@ -232,10 +203,7 @@
                 new PeerRouter.Services(
                         mPublisher,
                         new StatePropagator(
-                                mPeers.network(),
-                                mPublisher::loaded,
-                                mPublisher::adopt,
-                                mControl),
+                                mPeers.network(), mPublisher::loaded, mPublisher::adopt, mControl),
                         mMembership,
                         mLedger,
                         mRights,
@@ -297,6 +265,41 @@
                 () -> mEntry.callers().wake());
     }
 
+    private HostListService hostListService() {
+        return new HostListService(
+                mId,
+                mDirectory,
+                mEndedDaemons,
+                mEntry.callers().pendingOutcomes(),
+                mControl,
+                System::currentTimeMillis);
+    }
+
+    private PlannerService plannerService() {
+        return new PlannerService(
+                mPlannerRole,
+                mStatus,
+                mHosts,
+                mPublisher,
+                mRepository,
+                mControl,
+                System::currentTimeMillis,
+                System::nanoTime);
+    }
+
+    private Server callerServer() {
+        ServerBuilder builder =
+                builder(mConfig.callerPort()).maxNumConnections(mConfig.maxConnections());
+        mEntry.register(builder);
+        return builder.build();
+    }
+
+    private Server operatorServer() {
+        ServerBuilder builder = builder(mConfig.operatorPort());
+        new OperatorService(operatorParts()).register(builder);
+        return builder.build();
+    }
+
     private FleetStatusService statusService() {
         return new FleetStatusService(
                 mPeers,
@@ -330,7 +333,6 @@
                 mPublisher::state,
                 this::commit,
                 mAcceptance,
-                yaml -> SettingsParser.parse(new String(yaml, java.nio.charset.StandardCharsets.UTF_8)),
                 this::history,
                 mStatus,
                 mHosts::failedHosts,
@@ -375,8 +377,7 @@
                         changeId,
                         author,
                         state ->
-                                new SystemState(
-                                        without(state.members(), memberId), state.rights()),
+                                new SystemState(without(state.members(), memberId), state.rights()),
                         mPublisher.state().version(),
                         System.currentTimeMillis())
                 .thenApplyAsync(this::adopted, mControl);
@@ -409,7 +410,6 @@
         if (tls == null) {
             return builder.http(address);
         }
-        return builder.https(address)
-                .tls(tls.certificateFile().toFile(), tls.keyFile().toFile());
+        return builder.https(address).tls(tls.certificateFile().toFile(), tls.keyFile().toFile());
     }
 }
--- a/core/src/main/java/org/marigoldturn/daemon/FleetStatusService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/FleetStatusService.java
@@ -108,8 +108,7 @@
                         done -> {
                             Map<String, StatusReply> replies = new TreeMap<>();
                             calls.forEach(
-                                    (id, call) ->
-                                            call.join().ifPresent(r -> replies.put(id, r)));
+                                    (id, call) -> call.join().ifPresent(r -> replies.put(id, r)));
                             return replies;
                         });
     }
@@ -130,8 +129,7 @@
                 daemons(state, replies));
     }
 
-    private static List<TeamStatus> teams(
-            VersionedState state, Map<String, StatusReply> replies) {
+    private static List<TeamStatus> teams(VersionedState state, Map<String, StatusReply> replies) {
         List<TeamStatus> teams = new ArrayList<>();
         for (TeamSettings team : state.settings().teams().values()) {
             int running = 0;
@@ -143,11 +141,7 @@
             }
             teams.add(
                     new TeamStatus(
-                            team.name(),
-                            running,
-                            queued,
-                            team.shareWeight(),
-                            team.runningLimit()));
+                            team.name(), running, queued, team.shareWeight(), team.runningLimit()));
         }
         return teams;
     }
--- a/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
+++ b/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
@@ -100,9 +100,7 @@
     private void sayFarewell() {
         for (String member : others()) {
             mParts.peers()
-                    .send(
-                            member,
-                            Envelope.newBuilder().setFarewell(Farewell.getDefaultInstance()));
+                    .send(member, Envelope.newBuilder().setFarewell(Farewell.getDefaultInstance()));
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/daemon/HostListService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/HostListService.java
@@ -14,8 +14,8 @@
 import org.tinylog.Logger;
 
 /**
- * Reads the platform's host list periodically. Belongs to the control thread; the published sets are
- * safe on any thread.
+ * Reads the platform's host list periodically. Belongs to the control thread; the published sets
+ * are safe on any thread.
  */
 final class HostListService {
     /** Clocks of the platform and of the daemons differ by at most this much. */
@@ -96,8 +96,7 @@
                 failed.add(report.host());
             }
             long madeAtMillis = Math.min(requestedAtMillis, earliestMadeAtMillis(report));
-            mEnded.onUsageReport(
-                    report.host(), madeAtMillis, report.runningByOwner().keySet());
+            mEnded.onUsageReport(report.host(), madeAtMillis, report.runningByOwner().keySet());
             if (report.runningOf(mSelfId) == 0) {
                 mPending.onUsageReport(report.host(), report.reportedAtMillis(), Set.of());
             }
--- a/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
@@ -57,8 +57,7 @@
 
     MembershipService(Parts parts) {
         mParts = parts;
-        mPlanner =
-                new MembershipPlanner(parts.self(), parts.versions(), parts.endedMembers());
+        mPlanner = new MembershipPlanner(parts.self(), parts.versions(), parts.endedMembers());
         parts.publisher().addListener(this::onState);
     }
 
@@ -169,7 +168,8 @@
             return;
         }
         if (skippedMemberSets(previous, state)) {
-            // An owner in a skipped member set may have granted ids, so all earlier ids are unknown.
+            // An owner in a skipped member set may have granted ids, so all earlier ids are
+            // unknown.
             mParts.claims().onMembersAccepted(List.of("skipped"), nowMillis);
         }
         mParts.claims().onMembersAccepted(ids(state.members()), nowMillis);
@@ -215,8 +215,7 @@
         }
         // A daemon that left gracefully has given its slots away; those of others are lost.
         boolean slotsLost = removed.stream().anyMatch(this::endedWithoutFarewell);
-        return new SystemState(
-                members, slotsLost ? withSlotDaemons(rights, ids(members)) : rights);
+        return new SystemState(members, slotsLost ? withSlotDaemons(rights, ids(members)) : rights);
     }
 
     private boolean endedWithoutFarewell(String memberId) {
--- a/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
@@ -107,8 +107,7 @@
     }
 
     private Optional<String> owner(RequestId id) {
-        List<String> ids =
-                mPublisher.state().members().members().stream().map(Member::id).toList();
+        List<String> ids = mPublisher.state().members().members().stream().map(Member::id).toList();
         return RequestClaims.owner(id, ids);
     }
 
--- a/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
@@ -73,8 +73,7 @@
             case DEMAND_REPORT -> services.shares().onReport(sender, message.getDemandReport());
             case ENTITLEMENTS -> services.shares().onEntitlements(message.getEntitlements());
             case CLAIM_RELEASE -> services.claims().onRelease(sender, message.getClaimRelease());
-            case CLAIM_HANDOVER ->
-                    services.claims().onHandover(sender, message.getClaimHandover());
+            case CLAIM_HANDOVER -> services.claims().onHandover(sender, message.getClaimHandover());
             case FAREWELL -> services.membership().onEnded(sender, EndEvidence.FAREWELL);
             default ->
                     throw new IllegalArgumentException(
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -57,8 +57,8 @@
     private final Set<String> mSeenAway = new HashSet<>();
 
     /**
-     * Earliest report of each daemon, by host, that it holds the draining version and runs nothing on
-     * the host. No work starts there after it, so a later usage report can prove the drain.
+     * Earliest report of each daemon, by host, that it holds the draining version and runs nothing
+     * on the host. No work starts there after it, so a later usage report can prove the drain.
      */
     private final Map<String, Map<String, DrainEvidence.DaemonReport>> mIdleReports =
             new HashMap<>();
@@ -136,17 +136,12 @@
         }
     }
 
-    private void plan(
-            VersionedState state, Map<String, StatusReply> replies, long askedAtMillis) {
+    private void plan(VersionedState state, Map<String, StatusReply> replies, long askedAtMillis) {
         if (!mRole.holds(mNowNanos.getAsLong())) {
             return;
         }
         FleetObservation observation = observation(state, replies, askedAtMillis);
-        mPlanner.step(
-                        state,
-                        observation,
-                        UUID.randomUUID().toString(),
-                        mNowMillis.getAsLong())
+        mPlanner.step(state, observation, UUID.randomUUID().toString(), mNowMillis.getAsLong())
                 .ifPresent(this::commit);
     }
 
@@ -211,13 +206,7 @@
                                         reply.getVersion(), running, askedAtMillis));
                     }
                 });
-        DrainEvidence drain =
-                new DrainEvidence(
-                        drainVersion,
-                        members,
-                        idle,
-                        usage(report),
-                        ended);
+        DrainEvidence drain = new DrainEvidence(drainVersion, members, idle, usage(report), ended);
         return new HostObservation(drain, live && mSeenAway.contains(host.name()), live);
     }
 
@@ -232,8 +221,7 @@
     private Map<String, PoolDemand> demands(
             VersionedState state, Map<String, StatusReply> replies) {
         long nowMillis = mNowMillis.getAsLong();
-        AvailabilityBudget budget =
-                AvailabilityBudget.of(state.settings(), mHosts.failedHosts());
+        AvailabilityBudget budget = AvailabilityBudget.of(state.settings(), mHosts.failedHosts());
         for (String pool : state.settings().pools().keySet()) {
             int running = 0;
             int queued = 0;
--- a/core/src/main/java/org/marigoldturn/daemon/RightsService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/RightsService.java
@@ -28,7 +28,8 @@
 import org.tinylog.Logger;
 
 /**
- * Moves rights between the daemons and divides them anew when needed. Belongs to the control thread.
+ * Moves rights between the daemons and divides them anew when needed. Belongs to the control
+ * thread.
  */
 final class RightsService {
     /** Time after which an attempt to redistribute is given up. */
@@ -101,7 +102,8 @@
     }
 
     /**
-     * Starts, continues or gives up a redistribution; called every second by the holder of the role.
+     * Starts, continues or gives up a redistribution; called every second by the holder of the
+     * role.
      *
      * @param answering members that answer pings
      */
@@ -137,8 +139,7 @@
         for (Member member : state.members().members()) {
             CompletableFuture<Envelope> call =
                     mPeers.call(
-                            member.id(),
-                            Envelope.newBuilder().setFreezeRequest(attempt.request()));
+                            member.id(), Envelope.newBuilder().setFreezeRequest(attempt.request()));
             var unused =
                     call.thenAcceptAsync(
                             reply -> onFreezeReply(attempt, member.id(), reply.getFreezeReply()),
--- a/core/src/main/java/org/marigoldturn/daemon/SettingsSync.java
+++ b/core/src/main/java/org/marigoldturn/daemon/SettingsSync.java
@@ -10,8 +10,8 @@
 import org.tinylog.Logger;
 
 /**
- * Keeps the held state up to date with the store: one watch on the manifest, and a read whenever the
- * confirmation shows another manifest. Belongs to the control thread.
+ * Keeps the held state up to date with the store: one watch on the manifest, and a read whenever
+ * the confirmation shows another manifest. Belongs to the control thread.
  */
 final class SettingsSync {
     /** A watch that missed a version is replaced at most this often. */
@@ -48,8 +48,7 @@
             return;
         }
         mLoading = true;
-        CompletableFuture<LoadedState> loading =
-                mRepository.load(mPublisher.loaded().contents());
+        CompletableFuture<LoadedState> loading = mRepository.load(mPublisher.loaded().contents());
         var unused =
                 loading.whenCompleteAsync(
                         (loaded, failure) -> {
@@ -111,8 +110,7 @@
         @Override
         public void onValue(StoredValue value) {
             long version =
-                    org.marigoldturn.settings.StateCodec.decodeManifest(
-                                    value.value().toByteArray())
+                    org.marigoldturn.settings.StateCodec.decodeManifest(value.value().toByteArray())
                             .version();
             mControl.execute(
                     () -> {
--- a/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
+++ b/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
@@ -12,8 +12,8 @@
  * Holds the newest adopted state of this daemon.
  *
  * <p>The version never decreases. The state is published before the listeners run, so that the
- * request path decides by a version before the daemon acknowledges it. Adoption belongs to the control
- * thread; reads are safe on any thread.
+ * request path decides by a version before the daemon acknowledges it. Adoption belongs to the
+ * control thread; reads are safe on any thread.
  */
 final class StatePublisher {
     /** Reacts to a newly adopted state on the control thread. */
@@ -38,7 +38,9 @@
         return mLoaded.state();
     }
 
-    /** Adopts a state if it is newer; takes over the store revision of the held one if it lacks it. */
+    /**
+     * Adopts a state if it is newer; takes over the store revision of the held one if it lacks it.
+     */
     void adopt(LoadedState loaded) {
         VersionedState previous = mLoaded.state();
         if (loaded.state().version() < previous.version()) {
--- a/core/src/main/java/org/marigoldturn/operator/OperatorParts.java
+++ b/core/src/main/java/org/marigoldturn/operator/OperatorParts.java
@@ -21,7 +21,6 @@
         Supplier<VersionedState> state,
         SettingsCommitter committer,
         ChangeAcceptance acceptance,
-        SettingsParsing parsing,
         SettingsHistory history,
         StatusSource status,
         Supplier<Set<String>> failedHosts,
--- a/core/src/main/java/org/marigoldturn/operator/SettingsRoutes.java
+++ b/core/src/main/java/org/marigoldturn/operator/SettingsRoutes.java
@@ -15,6 +15,8 @@
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.Manifest;
 import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.SettingsParser;
+import org.marigoldturn.settings.SettingsWriter;
 import org.marigoldturn.settings.VersionedState;
 
 /** Routes of the settings as a whole. Thread safe. */
@@ -36,6 +38,14 @@
         return Answers.json(Map.of("version", state.version(), "settings", state.settings()));
     }
 
+    /** Returns the settings in force as a file that can be applied again. */
+    @Get("/settings/file")
+    public HttpResponse file() {
+        VersionedState state = mParts.state().get();
+        return Answers.json(
+                Map.of("version", state.version(), "file", SettingsWriter.write(state.settings())));
+    }
+
     /** Replaces all settings. */
     @Put("/settings")
     public CompletableFuture<HttpResponse> apply(AggregatedHttpRequest request) {
@@ -114,8 +124,7 @@
     }
 
     private FleetSettings parse(AggregatedHttpRequest request) {
-        return mParts.parsing()
-                .parse(request.content().array())
+        return SettingsParser.parse(request.contentUtf8())
                 .getOrElseThrow(
                         errors ->
                                 new OperatorException(
--- a/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
+++ b/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
@@ -27,12 +27,7 @@
         Map<String, TeamSettings> teams = new HashMap<>();
         wanted.teams().forEach((name, team) -> teams.put(name, keep(current, team)));
         return new FleetSettings(
-                zones,
-                wanted.pools(),
-                wanted.services(),
-                teams,
-                hosts,
-                keep(current.policy(), wanted.policy()));
+                zones, wanted.pools(), wanted.services(), teams, hosts, current.policy());
     }
 
     static ZoneSettings keep(FleetSettings current, ZoneSettings wanted) {
--- a/core/src/main/java/org/marigoldturn/settings/FleetSettings.java
+++ b/core/src/main/java/org/marigoldturn/settings/FleetSettings.java
@@ -34,6 +34,16 @@
         policy = policy == null ? FleetPolicy.DEFAULT : policy;
     }
 
+    /** Creates settings with the default policy. */
+    public FleetSettings(
+            Map<String, ZoneSettings> zones,
+            Map<String, PoolSettings> pools,
+            Map<String, ServiceSettings> services,
+            Map<String, TeamSettings> teams,
+            Map<String, HostSettings> hosts) {
+        this(zones, pools, services, teams, hosts, FleetPolicy.DEFAULT);
+    }
+
     private static <V> Map<String, V> sorted(Map<String, V> entries) {
         return entries == null
                 ? Map.of()
--- a/core/src/main/java/org/marigoldturn/settings/MemberSet.java
+++ b/core/src/main/java/org/marigoldturn/settings/MemberSet.java
@@ -3,8 +3,14 @@
 import java.util.List;
 import java.util.Optional;
 
-/** The members at one version, sorted by id. Immutable. */
-public record MemberSet(List<Member> members) {
+/**
+ * The members at one version. Immutable.
+ *
+ * @param members members, sorted by id
+ * @param generation number of changes of the member set before this one; a daemon that sees it grow
+ *     by more than one has skipped a member set
+ */
+public record MemberSet(List<Member> members, long generation) {
     /** The set before the first daemon joins. */
     public static final MemberSet EMPTY = new MemberSet(List.of());
 
@@ -12,6 +18,11 @@
         members = members.stream().sorted(java.util.Comparator.comparing(Member::id)).toList();
     }
 
+    /** Creates a set of generation 0; the commit of a change sets the generation. */
+    public MemberSet(List<Member> members) {
+        this(members, 0);
+    }
+
     /** Returns the smallest number of members that is more than half of them. */
     public int majority() {
         return members.size() / 2 + 1;
--- a/core/src/main/java/org/marigoldturn/settings/SettingsEdits.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsEdits.java
@@ -28,6 +28,7 @@
         private Map<String, ServiceSettings> mServices;
         private Map<String, TeamSettings> mTeams;
         private Map<String, HostSettings> mHosts;
+        private FleetPolicy mPolicy;
 
         Draft(FleetSettings settings) {
             replace(settings);
@@ -39,6 +40,7 @@
             mServices = new TreeMap<>(settings.services());
             mTeams = new TreeMap<>(settings.teams());
             mHosts = new TreeMap<>(settings.hosts());
+            mPolicy = settings.policy();
         }
 
         void apply(SettingsEdit edit) {
@@ -52,6 +54,8 @@
                 mTeams.put(put.team().name(), put.team());
             } else if (edit instanceof SettingsEdit.PutHost put) {
                 mHosts.put(put.host().name(), put.host());
+            } else if (edit instanceof SettingsEdit.PutPolicy put) {
+                mPolicy = put.policy();
             } else if (edit instanceof SettingsEdit.ReplaceAll all) {
                 replace(all.settings());
             } else if (edit instanceof SettingsEdit.Delete delete) {
@@ -80,7 +84,7 @@
         }
 
         FleetSettings build() {
-            return new FleetSettings(mZones, mPools, mServices, mTeams, mHosts);
+            return new FleetSettings(mZones, mPools, mServices, mTeams, mHosts, mPolicy);
         }
     }
 }
--- a/core/src/main/java/org/marigoldturn/settings/SettingsParser.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsParser.java
@@ -64,7 +64,8 @@
                         section(root, "pools", PoolSettings.class),
                         section(root, "services", ServiceSettings.class),
                         section(root, "teams", TeamSettings.class),
-                        section(root, "hosts", HostSettings.class));
+                        section(root, "hosts", HostSettings.class),
+                        FleetPolicy.DEFAULT);
         for (SettingsError error : SettingsChecker.check(settings, mUnread)) {
             add(error.path(), lineOf(error.path()), error.message());
         }
--- a/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
@@ -10,6 +10,7 @@
 
 /** Paths of single entries, such as {@code teams/club}, and how they overlap. Stateless. */
 final class SettingsPaths {
+    static final String POLICY = "policy";
     static final String MEMBERS = "system/members";
     static final String RIGHTS = "system/rights";
     private static final String SYSTEM_PREFIX = "system/";
@@ -24,6 +25,7 @@
         settings.services().forEach((name, entry) -> entries.put("services/" + name, entry));
         settings.teams().forEach((name, entry) -> entries.put("teams/" + name, entry));
         settings.hosts().forEach((name, entry) -> entries.put("hosts/" + name, entry));
+        entries.put(POLICY, settings.policy());
         return entries;
     }
 
--- a/core/src/main/java/org/marigoldturn/settings/StateChange.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateChange.java
@@ -51,7 +51,11 @@
                 author,
                 baseVersion,
                 List.of(SettingsPaths.MEMBERS, SettingsPaths.RIGHTS),
-                state -> Either.right(new Content(state.settings(), step.apply(state))));
+                state ->
+                        Either.right(
+                                new Content(
+                                        state.settings(),
+                                        withGeneration(state, step.apply(state)))));
     }
 
     private static Either<List<SettingsError>, Content> edit(
@@ -74,4 +78,12 @@
                     kind + " must have 1 to " + MAX_TEXT_LENGTH + " characters, not: " + text);
         }
     }
+
+    /** Numbers the member sets, so that a daemon notices when it has skipped one. */
+    private static SystemState withGeneration(VersionedState state, SystemState next) {
+        MemberSet held = state.members();
+        boolean changed = !next.members().members().equals(held.members());
+        long generation = changed ? held.generation() + 1 : held.generation();
+        return new SystemState(new MemberSet(next.members().members(), generation), next.rights());
+    }
 }
--- a/core/src/test/java/org/marigoldturn/cli/CommandRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/cli/CommandRunnerTest.java
@@ -129,7 +129,7 @@
     void settingsFilesAreCheckedAppliedAndCompared() throws IOException {
         Path file = Files.createTempFile("fleet", ".yaml");
         String name = file.toString();
-        Files.writeString(file, "pools:\n  a: {name: a}\n  a: {name: a}\n");
+        Files.writeString(file, "pools:\n  a: {}\n  a: {}\n");
         assertThat(run("settings", "check", name)).isEqualTo(5);
         assertThat(err()).startsWith("marigoldturn: " + name + ":3: ").hasLineCount(1);
         assertThat(run("settings", "show")).isZero();
@@ -180,6 +180,8 @@
                     operatorPort: %d
                     storeEndpoint: http://127.0.0.1:1
                     operatorToken: secret
+                    peerToken: peer-secret
+                    plaintext: true
                     """
                             .formatted(used.getLocalPort()));
             assertThat(run("entry", "--config", config.toString())).isEqualTo(10);
--- a/core/src/test/java/org/marigoldturn/operator/OperatorRoutesTest.java
+++ b/core/src/test/java/org/marigoldturn/operator/OperatorRoutesTest.java
@@ -115,9 +115,9 @@
     void appliedFileKeepsOperationalState() throws IOException {
         call(HttpMethod.POST, "/v1/hosts/h6/drain", "", 200);
         call(HttpMethod.POST, "/v1/zones/z0/drain?force=true", "", 200);
-        JsonNode shown = call(HttpMethod.GET, "/v1/settings", "", 200).path("settings");
-        String file = shown.toString().replace("OUT_OF_SERVICE", "IN_SERVICE");
-        file = file.replace("DRAINING", "IN_SERVICE").replace("\"spare\":true", "\"spare\":false");
+        JsonNode shown = call(HttpMethod.GET, "/v1/settings/file", "", 200);
+        String file = shown.path("file").asText().replace("out-of-service", "in-service");
+        file = file.replace("draining", "in-service").replace("spare: true", "spare: false");
         assertThat(call(HttpMethod.POST, "/v1/settings/diff", file, 200).path("differences"))
                 .hasSize(1);
         call(HttpMethod.PUT, "/v1/settings", file, 200);
@@ -133,11 +133,7 @@
     @Example
     void invalidSettingsNamePathAndLine() throws IOException {
         JsonNode unknown =
-                call(
-                        HttpMethod.POST,
-                        "/v1/settings/check",
-                        "pools:\n  a: {name: a, nam: a}\n",
-                        422);
+                call(HttpMethod.POST, "/v1/settings/check", "pools:\n  a: {nam: a}\n", 422);
         assertThat(unknown.path("errors").get(0).path("path").asText()).isEqualTo("pools/a/nam");
         assertThat(unknown.path("errors").get(0).path("line").asInt()).isEqualTo(2);
         JsonNode duplicate =
--- a/core/src/test/java/org/marigoldturn/operator/TestOperator.java
+++ b/core/src/test/java/org/marigoldturn/operator/TestOperator.java
@@ -31,12 +31,18 @@
                         mCommitter::state,
                         mCommitter,
                         (version, timeout) -> CompletableFuture.completedFuture(mAcceptance),
-                        new YamlSettingsParsing(),
                         limit ->
                                 CompletableFuture.completedFuture(
                                         List.of(mCommitter.state().manifest())),
-                        new SettingsStatusSource(
-                                "d1", mCommitter::state, Set::of, () -> true, List::of, List::of),
+                        () ->
+                                CompletableFuture.completedFuture(
+                                        SettingsStatus.of(
+                                                "d1",
+                                                mCommitter.state(),
+                                                Set.of(),
+                                                true,
+                                                List.of(),
+                                                List.of())),
                         Set::of,
                         mDecisions,
                         (id, changeId, author) ->
