Add confirmation, acceptance and member set changes

Cause: daemons served any version they held, and nothing could say when a change is in force. A daemon that is not a member never serves. A conclusively ended member counts as holding every version; refused connections are not conclusive and count only while a majority answers later pings. Ruled out: refused connections as sufficient evidence, since one daemon whose own network refuses connections would remove a live majority (found by a test of several daemons).

--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/membership/EndedMembers.java
@@ -0,0 +1,47 @@
+package org.marigoldturn.membership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.tinylog.Logger;
+
+/**
+ * Members whose process has ended, with the evidence. Ids are never reused, so conclusive evidence
+ * is kept. Confined to the control thread.
+ */
+public final class EndedMembers {
+    private final Map<String, Entry> mEntries = new HashMap<>();
+
+    private record Entry(EndEvidence evidence, long sinceNanos) {}
+
+    /** Records evidence; conclusive evidence replaces other evidence. */
+    public void record(String memberId, EndEvidence evidence, long nowNanos) {
+        Entry old = mEntries.get(memberId);
+        if (old != null && (old.evidence().isConclusive() || !evidence.isConclusive())) {
+            return;
+        }
+        mEntries.put(memberId, new Entry(evidence, nowNanos));
+        Logger.info("membership: {} has ended, evidence {}.", memberId, evidence);
+    }
+
+    /** Withdraws evidence that is not conclusive, since the member has sent a message. */
+    public void onMessage(String memberId) {
+        mEntries.computeIfPresent(
+                memberId, (id, entry) -> entry.evidence().isConclusive() ? entry : null);
+    }
+
+    /** Returns the evidence, or empty if the process may run. */
+    public Optional<EndEvidence> evidence(String memberId) {
+        return Optional.ofNullable(mEntries.get(memberId)).map(Entry::evidence);
+    }
+
+    /** Returns whether the process has ended by evidence that needs no agreement of others. */
+    public boolean isConclusive(String memberId) {
+        return evidence(memberId).filter(EndEvidence::isConclusive).isPresent();
+    }
+
+    /** Returns the time at which the present evidence was first recorded. */
+    public Optional<Long> sinceNanos(String memberId) {
+        return Optional.ofNullable(mEntries.get(memberId)).map(Entry::sinceNanos);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/membership/MembershipPlanner.java
@@ -0,0 +1,130 @@
+package org.marigoldturn.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.marigoldturn.hashing.RendezvousHash;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.MemberSet;
+
+/**
+ * Decides when this daemon commits a change of the member set: its own join and leave, and the
+ * removal of a member that has ended.
+ *
+ * <p>Each change concerns one member and is based on a version that a majority of its members is
+ * known to hold, so that majorities of consecutive sets intersect. A daemon joins once; after its
+ * removal its rights belong to others, so it must end. Confined to the control thread.
+ */
+public final class MembershipPlanner {
+    /** Members that answered a ping within this time are expected to remove an ended member. */
+    private static final long RECENT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** After this time any member removes the ended one: the chosen one may lack the evidence. */
+    private static final long FALLBACK_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final Member mSelf;
+    private final PeerVersions mPeerVersions;
+    private final EndedMembers mEnded;
+    private boolean mJoined;
+    private boolean mLeaving;
+
+    /** Creates a planner for a daemon that has not joined. */
+    public MembershipPlanner(Member self, PeerVersions peerVersions, EndedMembers ended) {
+        mSelf = self;
+        mPeerVersions = peerVersions;
+        mEnded = ended;
+    }
+
+    /** Plans the leave; the daemon has stopped starting work and has given its rights away. */
+    public void requestLeave() {
+        mLeaving = true;
+    }
+
+    /** Returns the change that this daemon should commit on the held version now, if any. */
+    public Optional<MemberSetChange> plan(long version, MemberSet members, long nowNanos) {
+        boolean member = members.find(mSelf.id()).isPresent();
+        mJoined |= member;
+        if (!majorityHolds(version, members)) {
+            return Optional.empty();
+        }
+        if (mLeaving) {
+            return member
+                    ? Optional.of(remove(version, members, mSelf.id(), "leave of"))
+                    : Optional.empty();
+        }
+        if (!mJoined) {
+            return Optional.of(join(version, members));
+        }
+        return member ? planRemoval(version, members, nowNanos) : Optional.empty();
+    }
+
+    /** Returns whether this daemon was a member and is none any more. */
+    public boolean wasRemoved(MemberSet members) {
+        return mJoined && members.find(mSelf.id()).isEmpty();
+    }
+
+    /** Returns whether a majority of the members is known to hold the version or has ended. */
+    public boolean majorityHolds(long version, MemberSet members) {
+        long holders =
+                members.members().stream().filter(m -> holdsOrEnded(m.id(), version)).count();
+        return members.members().isEmpty() || holders >= members.majority();
+    }
+
+    private boolean holdsOrEnded(String memberId, long version) {
+        return memberId.equals(mSelf.id())
+                || mPeerVersions.holds(memberId, version)
+                || mEnded.isConclusive(memberId);
+    }
+
+    private Optional<MemberSetChange> planRemoval(long version, MemberSet members, long nowNanos) {
+        return members.members().stream()
+                .map(Member::id)
+                .filter(id -> !id.equals(mSelf.id()))
+                .filter(id -> isEnded(id, members))
+                .filter(id -> isResponsible(id, members, nowNanos))
+                .findFirst()
+                .map(id -> remove(version, members, id, mEnded.evidence(id).get() + " of"));
+    }
+
+    /**
+     * Refused connections count only when a majority has answered pings sent after them, which
+     * shows that this daemon's own network works.
+     */
+    private boolean isEnded(String memberId, MemberSet members) {
+        if (mEnded.isConclusive(memberId)) {
+            return true;
+        }
+        return mEnded.sinceNanos(memberId)
+                .map(since -> mPeerVersions.repliedSince(members, mSelf.id(), since))
+                .filter(live -> live.size() + 1 >= members.majority())
+                .isPresent();
+    }
+
+    /** Lets one of the live members act first, since all see the evidence at about one time. */
+    private boolean isResponsible(String endedId, MemberSet members, long nowNanos) {
+        long sinceNanos = mEnded.sinceNanos(endedId).orElse(nowNanos);
+        if (nowNanos - sinceNanos >= FALLBACK_NANOS) {
+            return true;
+        }
+        List<String> live =
+                new ArrayList<>(
+                        mPeerVersions.repliedSince(members, mSelf.id(), nowNanos - RECENT_NANOS));
+        live.remove(endedId);
+        live.add(mSelf.id());
+        return RendezvousHash.owner(endedId, live).filter(mSelf.id()::equals).isPresent();
+    }
+
+    private MemberSetChange join(long version, MemberSet members) {
+        List<Member> next = new ArrayList<>(members.members());
+        next.add(mSelf);
+        return new MemberSetChange(version, new MemberSet(next), "join of " + mSelf.id());
+    }
+
+    private static MemberSetChange remove(
+            long version, MemberSet members, String memberId, String reason) {
+        List<Member> next =
+                members.members().stream().filter(m -> !m.id().equals(memberId)).toList();
+        return new MemberSetChange(version, new MemberSet(next), reason + " " + memberId);
+    }
+}
--- a/core/src/main/java/org/marigoldturn/peer/AbstractConnectionHandler.java
+++ b/core/src/main/java/org/marigoldturn/peer/AbstractConnectionHandler.java
@@ -10,6 +10,8 @@
  * Checks what is common to both directions: the sender of each message, and malformed input, which
  * closes the connection. Confined to the event loop of its connection.
  */
+// A failed write or close ends the connection, which its close listener handles.
+@SuppressWarnings("FutureReturnValueIgnored")
 abstract class AbstractConnectionHandler extends SimpleChannelInboundHandler<Envelope> {
     private final PeerContext mContext;
     private LimitedFrameDecoder mFrames;
--- a/core/src/main/java/org/marigoldturn/peer/OutgoingConnection.java
+++ b/core/src/main/java/org/marigoldturn/peer/OutgoingConnection.java
@@ -29,6 +29,8 @@
  * <p>All state but the queue counter is confined to one event loop; public entry points hand over
  * to it. A member that cannot be reached costs one connection attempt per backoff interval.
  */
+// A failed write or close ends the connection, which its close listener handles.
+@SuppressWarnings("FutureReturnValueIgnored")
 final class OutgoingConnection {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long MIN_BACKOFF_MILLIS = 100;
--- a/core/src/main/java/org/marigoldturn/peer/TrafficCounter.java
+++ b/core/src/main/java/org/marigoldturn/peer/TrafficCounter.java
@@ -9,6 +9,8 @@
 
 /** Counts the bytes or the messages that pass its place in the pipeline. */
 @ChannelHandler.Sharable
+// The promise of the caller reports the result of a write.
+@SuppressWarnings("FutureReturnValueIgnored")
 final class TrafficCounter extends ChannelDuplexHandler {
     private final PeerMetrics mMetrics;
 
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/membership/ConfirmationProperties.java
@@ -0,0 +1,250 @@
+package org.marigoldturn.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+
+/** Confirmation, acceptance and member set changes of several daemons under faults. */
+class ConfirmationProperties {
+    private enum Kind {
+        ADVANCE,
+        CHANGE,
+        CUT,
+        CUT_STORE,
+        ISOLATE,
+        PARTITION,
+        HEAL,
+        STORE_DOWN,
+        STORE_UP,
+        PAUSE,
+        RESUME,
+        KILL,
+        WRONG_EVIDENCE,
+        START
+    }
+
+    private record Action(Kind kind, int daemon, int other, int millis) {}
+
+    @Provide
+    Arbitrary<List<Action>> actions() {
+        Arbitrary<Kind> kinds =
+                Arbitraries.frequencyOf(
+                        Tuple.of(8, Arbitraries.just(Kind.ADVANCE)),
+                        Tuple.of(2, Arbitraries.just(Kind.PARTITION)),
+                        Tuple.of(4, Arbitraries.just(Kind.CHANGE)),
+                        Tuple.of(8, Arbitraries.of(Kind.class)));
+        return Combinators.combine(
+                        kinds,
+                        Arbitraries.integers().between(0, 7),
+                        Arbitraries.integers().between(0, 7),
+                        Arbitraries.integers().between(1, 1_500))
+                .as(Action::new)
+                .list()
+                .ofMinSize(10)
+                .ofMaxSize(120);
+    }
+
+    /**
+     * Guards against a daemon that serves an older version after a change was reported as accepted;
+     * the model checks this after each event.
+     */
+    @Property(seed = "4711", tries = 1500)
+    void noDaemonServesAnOlderVersionThanAnAcceptedOne(
+            @ForAll("actions") List<Action> actions, @ForAll long seed) {
+        FleetModel fleet = new FleetModel(seed, 4);
+        fleet.advance(8_000);
+        fleet.setFaultyNetwork(true);
+        for (Action action : actions) {
+            apply(fleet, action);
+        }
+        fleet.daemons().forEach(fleet::resume);
+        fleet.advance(5_000);
+    }
+
+    private static void apply(FleetModel fleet, Action action) {
+        FleetModel.Daemon daemon = fleet.daemon(action.daemon());
+        FleetModel.Daemon other = fleet.daemon(action.other());
+        switch (action.kind()) {
+            case ADVANCE -> fleet.advance(action.millis());
+            case CHANGE -> fleet.change(daemon);
+            case CUT -> fleet.cut(daemon, other);
+            case CUT_STORE -> fleet.cutStore(daemon);
+            case ISOLATE -> isolate(fleet, daemon);
+            case PARTITION -> partition(fleet, action.millis());
+            case HEAL -> fleet.healAll();
+            case STORE_DOWN -> fleet.setStoreUp(false);
+            case STORE_UP -> fleet.setStoreUp(true);
+            case PAUSE -> fleet.pause(daemon);
+            case RESUME -> fleet.resume(daemon);
+            case KILL -> fleet.kill(daemon);
+            case WRONG_EVIDENCE ->
+                    daemon.mEnded.record(other.mId, EndEvidence.CONNECTION_REFUSED, daemon.nanos());
+            case START -> fleet.start();
+            default -> throw new IllegalArgumentException("unknown action " + action);
+        }
+    }
+
+    private static void isolate(FleetModel fleet, FleetModel.Daemon daemon) {
+        fleet.cutStore(daemon);
+        fleet.daemons().forEach(other -> fleet.cut(daemon, other));
+    }
+
+    /** Splits the fleet in two by the bits of the mask; one side also loses the store. */
+    private static void partition(FleetModel fleet, int mask) {
+        List<FleetModel.Daemon> daemons = fleet.daemons();
+        for (int i = 0; i < daemons.size(); i++) {
+            if ((mask >> i) % 2 == 1) {
+                continue;
+            }
+            fleet.cutStore(daemons.get(i));
+            for (int j = 0; j < daemons.size(); j++) {
+                if ((mask >> j) % 2 == 1) {
+                    fleet.cut(daemons.get(i), daemons.get(j));
+                }
+            }
+        }
+    }
+
+    private static FleetModel joined(int daemons) {
+        FleetModel fleet = new FleetModel(1, daemons);
+        fleet.advance(5_000 + 2_000L * daemons);
+        assertThat(fleet.daemons()).allMatch(FleetModel.Daemon::serves);
+        return fleet;
+    }
+
+    private static long serving(FleetModel fleet) {
+        return fleet.daemons().stream().filter(FleetModel.Daemon::serves).count();
+    }
+
+    @Example
+    void aChangeIsAcceptedQuicklyWithoutFaults() {
+        FleetModel fleet = joined(9);
+        fleet.change(fleet.daemon(3));
+
+        fleet.advance(200);
+
+        assertThat(fleet.accepted()).isEqualTo(fleet.latest());
+    }
+
+    /** Guards against a fleet that stops when the store does. */
+    @Example
+    void allServeThroughALongStoreOutage() {
+        FleetModel fleet = joined(5);
+        fleet.setStoreUp(false);
+        for (int second = 0; second < 600; second++) {
+            fleet.advance(1_000);
+            assertThat(serving(fleet)).isEqualTo(5);
+        }
+    }
+
+    @Example
+    void anIsolatedDaemonStopsWithinTwoSecondsAndOthersAcceptAChange() {
+        FleetModel fleet = joined(5);
+        isolate(fleet, fleet.daemon(0));
+        fleet.advance(2_200);
+        assertThat(fleet.daemon(0).serves()).isFalse();
+        assertThat(serving(fleet)).isEqualTo(4);
+
+        fleet.change(fleet.daemon(1));
+        fleet.advance(3_000);
+
+        assertThat(fleet.accepted()).isEqualTo(fleet.latest());
+    }
+
+    @Example
+    void aDaemonWithoutTheStoreServesAndReceivesChangesThroughPeers() {
+        FleetModel fleet = joined(5);
+        fleet.cutStore(fleet.daemon(0));
+        fleet.change(fleet.daemon(1));
+
+        fleet.advance(1_000);
+
+        assertThat(fleet.daemon(0).mTracker.heldVersion()).isEqualTo(fleet.latest());
+        assertThat(fleet.daemon(0).serves()).isTrue();
+    }
+
+    /** Guards against a paused daemon that serves on its old confirmation when it wakes. */
+    @Example
+    void aResumedDaemonDoesNotServeUntilItIsConfirmedAgain() {
+        FleetModel fleet = joined(3);
+        FleetModel.Daemon paused = fleet.daemon(0);
+        fleet.pause(paused);
+        fleet.change(fleet.daemon(1));
+        fleet.advance(6_000);
+        assertThat(fleet.accepted()).isEqualTo(fleet.latest());
+        assertThat(paused.serves()).isFalse();
+
+        fleet.resume(paused);
+        fleet.advance(1_000);
+
+        assertThat(paused.serves()).isTrue();
+    }
+
+    @Example
+    void aKilledDaemonIsRemovedAndAPausedOneIsNot() {
+        FleetModel fleet = joined(5);
+        fleet.kill(fleet.daemon(0));
+        fleet.pause(fleet.daemon(1));
+        fleet.advance(10_000);
+
+        assertThat(fleet.daemon(2).mMembers.members())
+                .extracting("id")
+                .containsExactly("d1", "d2", "d3", "d4");
+    }
+
+    /** Guards against one daemon with a faulty network that removes the live majority. */
+    @Example
+    void refusedConnectionsOfOneDaemonDoNotRemoveAMajority() {
+        FleetModel fleet = joined(3);
+        FleetModel.Daemon odd = fleet.daemon(0);
+        fleet.cut(odd, fleet.daemon(1));
+        fleet.cut(odd, fleet.daemon(2));
+        odd.mEnded.record("d1", EndEvidence.CONNECTION_REFUSED, odd.nanos());
+        odd.mEnded.record("d2", EndEvidence.CONNECTION_REFUSED, odd.nanos());
+        fleet.advance(1_000);
+        fleet.change(fleet.daemon(1));
+        fleet.advance(20_000);
+
+        assertThat(fleet.daemon(1).isMember()).isTrue();
+        assertThat(fleet.daemon(2).isMember()).isTrue();
+    }
+
+    /** Guards against a fleet that can never change its members again after losing a majority. */
+    @Example
+    void conclusiveEvidenceAllowsAReplacementOfTheWholeFleet() {
+        FleetModel fleet = joined(3);
+        fleet.daemons().forEach(fleet::kill);
+        FleetModel.Daemon replacement = fleet.start();
+        fleet.advance(5_000);
+        assertThat(replacement.isMember()).isFalse();
+
+        for (String id : List.of("d0", "d1", "d2")) {
+            replacement.mEnded.record(id, EndEvidence.OPERATOR, replacement.nanos());
+        }
+        fleet.advance(20_000);
+
+        assertThat(replacement.mMembers.members()).extracting("id").containsExactly("d3");
+        assertThat(replacement.serves()).isTrue();
+    }
+
+    @Example
+    void aLeavingDaemonRemovesItselfAndDoesNotJoinAgain() {
+        FleetModel fleet = joined(3);
+        FleetModel.Daemon leaving = fleet.daemon(0);
+        leaving.mTracker.stop();
+        leaving.mPlanner.requestLeave();
+        fleet.advance(5_000);
+
+        assertThat(leaving.isMember()).isFalse();
+        assertThat(leaving.serves()).isFalse();
+        assertThat(fleet.daemon(1).mMembers.members()).hasSize(2);
+    }
+}
