--- /dev/null
+++ b/models/SettingsPropagation.tla
@@ -0,0 +1,179 @@
+------------------------- MODULE SettingsPropagation -------------------------
+(* Confirmation and acceptance of settings versions with changes of the member set
+   (docs/design.md, 4.3).
+
+   A message is modelled at the time at which its receiver handles it. Loss, partitions, an outage
+   of the store, and a paused daemon are steps that are not taken while time passes; a paused daemon
+   that resumes finds its confirmation aged. Ages count ticks and stop at Validity, so time needs no
+   bound. The age of a reply starts when it is produced: an earlier request would only make it
+   expire sooner. What a member is known to hold is replaced by what it holds, since knowledge only
+   lags behind; lost acknowledgements are acceptance steps that are not taken.
+
+   There are at most three daemons, so a majority needs at most one reply of another daemon, and one
+   remembered reply for each daemon is enough. *)
+EXTENDS Naturals, FiniteSets, TLC
+
+CONSTANTS
+    Daemons,
+    MaxSettingsChanges,
+    MaxMemberChanges,
+    Validity,        \* ticks after which a confirmation is expired
+    Wait,            \* ticks between a majority and acceptance
+    StoreCompares,   \* FALSE: the store confirms by a read that may be stale
+    MajorityHolds,   \* FALSE: member sets change without a majority that holds the version
+    RemovalGuard     \* FALSE: a removal does not delay acceptance by all members
+
+VARIABLES
+    latest,          \* committed version
+    members,         \* member set of each committed version
+    removals,        \* versions that removed a member
+    held,            \* version that each daemon holds
+    ended,           \* daemons whose process has ended
+    age,             \* age of each daemon's confirmation
+    reply,           \* a reply that each daemon received: sender, its version, and the age
+    majorityAge,     \* ticks since a majority was seen to hold a version; Wait + 1: not seen
+    accepted         \* newest accepted version
+
+vars == <<latest, members, removals, held, ended, age, reply, majorityAge, accepted>>
+
+MaxVersion == 1 + MaxSettingsChanges + MaxMemberChanges
+Versions == 1..MaxVersion
+NotSeen == Wait + 1
+NoReply == [age |-> Validity, version |-> 0, from |-> {}]
+IsMajority(part, set) == 2 * Cardinality(part \cap set) > Cardinality(set)
+Min(a, b) == IF a < b THEN a ELSE b
+
+HoldsOrEnded(version) == {d \in Daemons : held[d] >= version} \cup ended
+
+MayServe(d) == d \notin ended /\ d \in members[held[d]] /\ age[d] < Validity
+
+Init ==
+    /\ latest = 1
+    /\ \E set \in SUBSET Daemons \ {{}} :
+        members = [v \in Versions |-> IF v = 1 THEN set ELSE {}]
+    /\ removals = {}
+    /\ held = [d \in Daemons |-> 1]
+    /\ ended = {}
+    /\ age = [d \in Daemons |-> Validity]
+    /\ reply = [d \in Daemons |-> NoReply]
+    /\ majorityAge = [v \in Versions |-> NotSeen]
+    /\ accepted = 1
+
+MemberChanges == Cardinality({v \in 2..latest : members[v] # members[v - 1]})
+SettingsChanges == latest - 1 - MemberChanges
+
+Commit(set) ==
+    /\ latest' = latest + 1
+    /\ members' = [members EXCEPT ![latest + 1] = set]
+    /\ UNCHANGED <<held, ended, age, reply, majorityAge, accepted>>
+
+ChangeSettings ==
+    /\ SettingsChanges < MaxSettingsChanges
+    /\ Commit(members[latest])
+    /\ UNCHANGED removals
+
+MayChangeMembers ==
+    /\ MemberChanges < MaxMemberChanges
+    /\ MajorityHolds => IsMajority(HoldsOrEnded(latest), members[latest])
+
+Join(d) ==
+    /\ MayChangeMembers
+    /\ d \notin ended
+    /\ \A v \in 1..latest : d \notin members[v]
+    /\ Commit(members[latest] \cup {d})
+    /\ UNCHANGED removals
+
+\* The evidence of the end may be wrong.
+Remove(d) ==
+    /\ MayChangeMembers
+    /\ d \in members[latest]
+    /\ Commit(members[latest] \ {d})
+    /\ removals' = removals \cup {latest + 1}
+
+End(d) ==
+    /\ d \notin ended
+    /\ ended' = ended \cup {d}
+    \* Its variables have no effect any more; one value for them keeps the state space small.
+    /\ held' = [held EXCEPT ![d] = 1]
+    /\ age' = [age EXCEPT ![d] = Validity]
+    /\ reply' = [reply EXCEPT ![d] = NoReply]
+    /\ UNCHANGED <<latest, members, removals, majorityAge, accepted>>
+
+\* From the store, possibly an old value, or from a peer.
+Adopt(d, v) ==
+    /\ d \notin ended
+    /\ held[d] < v /\ v <= latest
+    \* What a daemon holds while it is not a member has no effect.
+    /\ d \in members[held[d]] \cup members[v]
+    /\ held' = [held EXCEPT ![d] = v]
+    /\ UNCHANGED <<latest, members, removals, ended, age, reply, majorityAge, accepted>>
+
+ConfirmByStore(d) ==
+    /\ d \notin ended /\ d \in members[held[d]]
+    /\ StoreCompares => held[d] = latest
+    /\ age' = [age EXCEPT ![d] = 0]
+    /\ UNCHANGED <<latest, members, removals, held, ended, reply, majorityAge, accepted>>
+
+Reply(d, p) ==
+    /\ d # p /\ {d, p} \cap ended = {}
+    /\ d \in members[held[d]]
+    /\ reply' = [reply EXCEPT ![d] = [age |-> 0, version |-> held[p], from |-> {p}]]
+    /\ UNCHANGED <<latest, members, removals, held, ended, age, majorityAge, accepted>>
+
+\* The implementation also waits while it knows of a newer version; safety does not need that.
+ConfirmByPeers(d) ==
+    /\ d \notin ended /\ d \in members[held[d]]
+    /\ \/ IsMajority({d}, members[held[d]]) /\ age' = [age EXCEPT ![d] = 0]
+       \/ /\ reply[d].age < age[d] /\ reply[d].version <= held[d]
+          /\ IsMajority({d} \cup reply[d].from, members[held[d]])
+          /\ age' = [age EXCEPT ![d] = reply[d].age]
+    /\ UNCHANGED <<latest, members, removals, held, ended, reply, majorityAge, accepted>>
+
+\* The accepting daemon holds version u.
+SeeMajority(v, u) ==
+    /\ v <= u /\ u <= latest /\ majorityAge[v] = NotSeen
+    /\ v > accepted \/ v \in removals
+    /\ IsMajority(HoldsOrEnded(v), members[u])
+    /\ majorityAge' = [majorityAge EXCEPT ![v] = 0]
+    /\ UNCHANGED <<latest, members, removals, held, ended, age, reply, accepted>>
+
+WaitIsOver(v) == majorityAge[v] = Wait
+
+\* A daemon that is not a member at u was never one or was removed at a version up to u.
+AllHold(v, u) ==
+    /\ members[u] # {} /\ members[u] \subseteq HoldsOrEnded(v)
+    /\ RemovalGuard => \A r \in removals : r <= u => WaitIsOver(r)
+
+Accept(v, u) ==
+    /\ accepted < v /\ v <= u /\ u <= latest
+    /\ WaitIsOver(v) \/ AllHold(v, u)
+    /\ accepted' = v
+    /\ UNCHANGED <<latest, members, removals, held, ended, age, reply, majorityAge>>
+
+Older(r) == IF r.age + 1 >= Validity THEN NoReply ELSE [r EXCEPT !.age = @ + 1]
+
+Tick ==
+    /\ age' = [d \in Daemons |-> Min(Validity, age[d] + 1)]
+    /\ reply' = [d \in Daemons |-> Older(reply[d])]
+    /\ majorityAge' =
+        [v \in Versions |->
+            IF majorityAge[v] = NotSeen THEN NotSeen ELSE Min(Wait, majorityAge[v] + 1)]
+    /\ UNCHANGED <<latest, members, removals, held, ended, accepted>>
+
+Next ==
+    \/ Tick
+    \/ ChangeSettings
+    \/ \E d \in Daemons :
+        \/ Join(d) \/ Remove(d) \/ End(d) \/ ConfirmByStore(d) \/ ConfirmByPeers(d)
+        \/ \E v \in Versions : Adopt(d, v)
+        \/ \E p \in Daemons : Reply(d, p)
+    \/ \E v, u \in Versions : SeeMajority(v, u) \/ Accept(v, u)
+
+Spec == Init /\ [][Next]_vars
+
+\* After a version is accepted, no daemon starts work under an older one.
+NoOlderVersionServes == \A d \in Daemons : MayServe(d) => held[d] >= accepted
+
+\* Daemons are interchangeable.
+Symmetry == Permutations(Daemons)
+=============================================================================
