Merge the fleet policy and read, check and write it in YAML

Without support here a policy would be dropped by every edit of another path, and would be an unknown key in YAML.

--- a/core/src/main/java/org/marigoldturn/settings/SettingsParser.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsParser.java
@@ -53,8 +53,8 @@
         root.values()
                 .forEach(
                         (key, value) -> {
-                            if (!SECTIONS.containsKey(key)) {
-                                String expected = "expected one of " + SECTIONS.keySet();
+                            if (!SECTIONS.containsKey(key) && !key.equals(SettingsPaths.POLICY)) {
+                                String expected = "expected policy or one of " + SECTIONS.keySet();
                                 add(key, value.line(), expected + ", found \"" + key + "\"");
                             }
                         });
@@ -64,7 +64,8 @@
                         section(root, "pools", PoolSettings.class),
                         section(root, "services", ServiceSettings.class),
                         section(root, "teams", TeamSettings.class),
-                        section(root, "hosts", HostSettings.class));
+                        section(root, "hosts", HostSettings.class),
+                        policy(root.values().get(SettingsPaths.POLICY)));
         for (SettingsError error : SettingsChecker.check(settings, mUnread)) {
             add(error.path(), lineOf(error.path()), error.message());
         }
@@ -93,7 +94,21 @@
         return entries;
     }
 
+    private FleetPolicy policy(YamlTree.Node node) {
+        String path = SettingsPaths.POLICY;
+        return node == null || (node instanceof YamlTree.Scalar scalar && scalar.text() == null)
+                ? FleetPolicy.DEFAULT
+                : mBinder.bind(FleetPolicy.class, path, path, null, node)
+                        .orElse(FleetPolicy.DEFAULT);
+    }
+
     private Either<List<SettingsError>, SettingsEdit> parseSingle(String path, String yaml) {
+        if (path.equals(SettingsPaths.POLICY)) {
+            FleetPolicy policy = policy(YamlTree.read(yaml, mErrors));
+            return mErrors.isEmpty()
+                    ? Either.right(new SettingsEdit.PutPolicy(policy))
+                    : Either.left(sortedErrors());
+        }
         String[] parts = path.split("/", -1);
         Class<? extends Record> type = parts.length == 2 ? SECTIONS.get(parts[0]) : null;
         if (type == null) {
--- a/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
@@ -12,6 +12,7 @@
 final class SettingsPaths {
     static final String MEMBERS = "system/members";
     static final String RIGHTS = "system/rights";
+    static final String POLICY = "policy";
     private static final String SYSTEM_PREFIX = "system/";
 
     private SettingsPaths() {}
@@ -24,6 +25,7 @@
         settings.services().forEach((name, entry) -> entries.put("services/" + name, entry));
         settings.teams().forEach((name, entry) -> entries.put("teams/" + name, entry));
         settings.hosts().forEach((name, entry) -> entries.put("hosts/" + name, entry));
+        entries.put(POLICY, settings.policy());
         return entries;
     }
 
--- a/core/src/main/java/org/marigoldturn/settings/SettingsWriter.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsWriter.java
@@ -34,6 +34,9 @@
         section(root, "services", settings.services());
         section(root, "teams", settings.teams());
         section(root, "hosts", settings.hosts());
+        if (!settings.policy().equals(FleetPolicy.DEFAULT)) {
+            root.set(SettingsPaths.POLICY, YAML.valueToTree(settings.policy()));
+        }
         return text(root);
     }
 
@@ -68,6 +71,7 @@
         module.addSerializer(new EnumSerializer(HostState.class));
         module.addSerializer(new EnumSerializer(ZoneState.class));
         module.addSerializer(new EnumSerializer(TargetProtocol.class));
+        module.addSerializer(new EnumSerializer(FleetPolicy.WaveStatus.class));
         return module;
     }
 
