Recompute system changes after lost races and state what is certain

A system commit without a base conflicted with any change of a team limit, because both change system/rights, although its step is computed from the newest state. It now touches no path in advance and is computed again.

ChangeNotCommittedException claimed that the change was certainly not committed. Only this attempt is certain: an earlier one with the same change id and an unknown outcome may have committed it. A blank or overlong change id or author is an invalid change instead of an exception out of commit.

RightsMinting drops the division of a deleted team in any change after a redistribution has left no rights in it, and needs no earlier settings.

--- a/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
+++ b/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
@@ -76,7 +76,10 @@
         }
         return CompletableFuture.failedFuture(
                 new ChangeNotCommittedException(
-                        "change " + change.changeId() + " was not committed: " + cause.getMessage(),
+                        "this attempt did not commit change "
+                                + change.changeId()
+                                + ": "
+                                + cause.getMessage(),
                         cause));
     }
 
@@ -159,7 +162,6 @@
                 RightsMinting.apply(
                         content.system().rights(),
                         content.system().members(),
-                        before.settings(),
                         content.settings(),
                         version);
         Map<String, byte[]> contents =
--- a/core/src/main/java/org/marigoldturn/settings/RightsMinting.java
+++ b/core/src/main/java/org/marigoldturn/settings/RightsMinting.java
@@ -19,30 +19,24 @@
      * Returns the division after a change of settings or members.
      *
      * <p>A team that was deleted keeps its division and counts as a team with limit 0, so that a
-     * team created again under the same name cannot run its full limit beside the earlier work.
+     * team created again under the same name cannot run its full limit beside the earlier work. The
+     * division is removed once a redistribution has left no rights in it.
      *
      * @param old division before the change
      * @param members members after the change; with none, nothing is minted yet
-     * @param oldSettings settings before the change
-     * @param newSettings settings after the change
+     * @param settings settings after the change
      * @param newVersion version that the change produces; becomes the epoch of new teams, so that
      *     no epoch number is used twice for one team name
      */
     public static RightsDivision apply(
-            RightsDivision old,
-            MemberSet members,
-            FleetSettings oldSettings,
-            FleetSettings newSettings,
-            long newVersion) {
+            RightsDivision old, MemberSet members, FleetSettings settings, long newVersion) {
         Map<String, ResourceDivision> teams = new TreeMap<>(old.teams());
-        for (String deleted : oldSettings.teams().keySet()) {
-            ResourceDivision division = teams.get(deleted);
-            boolean unused = division != null && division.minted() == 0;
-            if (unused && !newSettings.teams().containsKey(deleted)) {
-                teams.remove(deleted);
-            }
-        }
-        for (TeamSettings team : newSettings.teams().values()) {
+        teams.entrySet()
+                .removeIf(
+                        team ->
+                                team.getValue().minted() == 0
+                                        && !settings.teams().containsKey(team.getKey()));
+        for (TeamSettings team : settings.teams().values()) {
             ResourceDivision present = teams.get(team.name());
             ResourceDivision division =
                     present == null ? new ResourceDivision(newVersion, 0, Map.of()) : present;
--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -49,7 +49,14 @@
 
     @Override
     public CompletableFuture<ChangeResult> commit(SettingsChange change, long nowMillis) {
-        return mCommitter.commit(StateChange.of(change), nowMillis);
+        StateChange checked;
+        try {
+            checked = StateChange.of(change);
+        } catch (IllegalArgumentException e) {
+            SettingsError error = new SettingsError("", 0, String.valueOf(e.getMessage()));
+            return CompletableFuture.completedFuture(new ChangeResult.Invalid(List.of(error)));
+        }
+        return mCommitter.commit(checked, nowMillis);
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/settings/StateChange.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateChange.java
@@ -40,7 +40,12 @@
                 state -> edit(state, change.edits()));
     }
 
-    /** Creates a change of the member set or of the division of rights. */
+    /**
+     * Creates a change of the member set or of the division of rights.
+     *
+     * <p>It touches no path in advance: its step is computed from the newest state each time, so
+     * without a base version it never conflicts.
+     */
     static StateChange ofSystem(
             String changeId,
             String author,
@@ -50,7 +55,7 @@
                 changeId,
                 author,
                 baseVersion,
-                List.of(SettingsPaths.MEMBERS, SettingsPaths.RIGHTS),
+                List.of(),
                 state -> Either.right(new Content(state.settings(), step.apply(state))));
     }
 
--- a/core/src/test/java/org/marigoldturn/settings/RightsMintingProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/RightsMintingProperties.java
@@ -19,7 +19,6 @@
     @Property(tries = 500, seed = "99")
     void rightsOnlyGrowToTheHighestLimitAndEpochsAreNotReused(@ForAll Random random) {
         RightsDivision rights = RightsDivision.EMPTY;
-        FleetSettings before = FleetSettings.EMPTY;
         Map<String, Integer> highestLimit = new HashMap<>();
         Map<String, Long> lastEpoch = new HashMap<>();
         for (long version = 1; version < 15; version++) {
@@ -33,7 +32,7 @@
                 }
             }
             FleetSettings after = settings(teams);
-            RightsDivision next = RightsMinting.apply(rights, members, before, after, version);
+            RightsDivision next = RightsMinting.apply(rights, members, after, version);
             rights.teams().forEach((name, old) -> checkKept(old, next.teams().get(name)));
             next.teams().forEach((name, d) -> checkDivision(d, highestLimit.get(name)));
             teams.values().forEach(team -> checkCovered(team, members, next));
@@ -45,7 +44,6 @@
                         .isTrue();
             }
             rights = next;
-            before = after;
         }
     }
 
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -242,6 +242,26 @@
         assertThat(((ChangeResult.Conflict) late).winner().changeId()).isEqualTo("join");
     }
 
+    @Example
+    void systemCommitWithoutBaseIsComputedAgainAfterALostRace() {
+        importFleet(0);
+        mStore.mBeforeCommit = () -> mOther.commit(change("x", ANY, team("b", 6)), 1).join();
+        ChangeResult joined =
+                mRepository
+                        .commitSystem(
+                                "join",
+                                "d0",
+                                s -> new SystemState(SampleSettings.members(2), s.rights()),
+                                ANY,
+                                1)
+                        .join();
+        VersionedState state = ((ChangeResult.Committed) joined).state().state();
+        assertThat(state.version()).isEqualTo(3);
+        assertThat(state.rights().teams().get("b").minted()).isEqualTo(6);
+        assertThat(mRepository.commit(change(" ", ANY, team("b", 6)), 1).join())
+                .isInstanceOf(ChangeResult.Invalid.class);
+    }
+
     @Example
     void confirmationIsRefusedForAnOldVersionAndReturnsTheNewOne() {
         importFleet(1);
