--- a/core/src/main/java/org/marigoldturn/settings/FieldRanges.java
+++ b/core/src/main/java/org/marigoldturn/settings/FieldRanges.java
@@ -18,6 +18,9 @@
 
     private static final long MAX_DEADLINE_MILLIS = 86_400_000;
 
+    /** Ten years; a larger interval is a mistyped unit. */
+    private static final long MAX_INTERVAL_MILLIS = 315_360_000_000L;
+
     /** The deadline and body limits keep a mistyped unit from holding a slot or memory for days. */
     private static final Map<String, Range> RANGES =
             Map.ofEntries(
@@ -26,6 +29,11 @@
                     Map.entry("services/defaultDeadlineMillis", new Range(1, MAX_DEADLINE_MILLIS)),
                     Map.entry("services/maxBodyBytes", new Range(1, 1L << 30)),
                     Map.entry("services/notRunStatuses", new Range(400, 599)),
+                    Map.entry(
+                            "policy/maintenanceIntervalMillis", new Range(2, MAX_INTERVAL_MILLIS)),
+                    Map.entry("policy/maintenanceLeadMillis", new Range(1, MAX_INTERVAL_MILLIS)),
+                    Map.entry("policy/returnWithinMillis", new Range(1, MAX_INTERVAL_MILLIS)),
+                    Map.entry("policy/loanAfterMillis", new Range(1, MAX_INTERVAL_MILLIS)),
                     Map.entry("teams/shareWeight", new Range(1, 1_000_000)),
                     Map.entry("teams/runningLimit", new Range(0, 1_000_000)),
                     Map.entry("hosts/port", new Range(1, 65_535)),
--- a/core/src/main/java/org/marigoldturn/settings/RecordBinder.java
+++ b/core/src/main/java/org/marigoldturn/settings/RecordBinder.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -99,14 +100,21 @@
 
     private Object value(
             RecordComponent component, String section, String path, YamlTree.Node node) {
-        if (component.getType() == List.class) {
+        Class<?> type = component.getType();
+        if (type == List.class) {
             return list(component, section, path, node);
         }
+        if (type == Map.class) {
+            return map(component, section, path, node);
+        }
+        if (type.isRecord()) {
+            return bind(type.asSubclass(Record.class), section, path, null, node).orElse(null);
+        }
         if (!(node instanceof YamlTree.Scalar scalar)) {
             add(path, node.line(), "expected a single value");
-            return absent(component.getType());
+            return absent(type);
         }
-        return scalar(component.getType(), section, component.getName(), path, scalar);
+        return scalar(type, section, component.getName(), path, scalar);
     }
 
     private Object scalar(
@@ -125,6 +133,9 @@
             }
             return text.equals("true");
         }
+        if (type == double.class) {
+            return decimal(path, scalar);
+        }
         return type.isEnum()
                 ? constant(type, path, scalar)
                 : number(type, section, field, path, scalar);
@@ -179,7 +190,11 @@
             if (element == TeamKey.class) {
                 bind(TeamKey.class, section, itemPath, null, item).ifPresent(values::add);
             } else if (item instanceof YamlTree.Scalar scalar) {
-                values.add(number(int.class, section, component.getName(), itemPath, scalar));
+                Class<?> type = element == Integer.class ? int.class : String.class;
+                Object value = scalar(type, section, component.getName(), itemPath, scalar);
+                if (value != null) {
+                    values.add(value);
+                }
             } else {
                 add(itemPath, item.line(), "expected a single value");
             }
@@ -187,6 +202,42 @@
         return values;
     }
 
+    private Object map(RecordComponent component, String section, String path, YamlTree.Node node) {
+        if (!(node instanceof YamlTree.Mapping mapping)) {
+            add(path, node.line(), "expected a mapping");
+            return Map.of();
+        }
+        Type element = ((ParameterizedType) component.getGenericType()).getActualTypeArguments()[1];
+        Class<?> type = element == Long.class ? long.class : String.class;
+        Map<String, Object> values = new TreeMap<>();
+        mapping.values()
+                .forEach(
+                        (key, value) -> {
+                            String keyPath = path + "/" + key;
+                            if (value instanceof YamlTree.Scalar scalar) {
+                                String field = component.getName();
+                                values.put(key, scalar(type, section, field, keyPath, scalar));
+                            } else {
+                                add(keyPath, value.line(), "expected a single value");
+                            }
+                        });
+        return values;
+    }
+
+    private Object decimal(String path, YamlTree.Scalar scalar) {
+        double value;
+        try {
+            value = Double.parseDouble(scalar.text());
+        } catch (NumberFormatException e) {
+            value = Double.NaN;
+        }
+        if (!Double.isFinite(value)) {
+            add(path, scalar.line(), "expected a number, found \"" + scalar.text() + "\"");
+            return 0.0;
+        }
+        return value;
+    }
+
     /** Returns the form of a constant in YAML, such as {@code in-service}. */
     static String enumText(Enum<?> constant) {
         return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -199,6 +250,9 @@
         if (type == long.class) {
             return 0L;
         }
+        if (type == double.class) {
+            return 0.0;
+        }
         return type == boolean.class ? (Object) false : null;
     }
 
--- a/core/src/main/java/org/marigoldturn/settings/SettingsChecker.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsChecker.java
@@ -50,6 +50,7 @@
                                         "stateSinceMillis",
                                         zone.stateSinceMillis()));
         checker.checkAddresses();
+        checker.checkPolicy(settings.policy());
         return List.copyOf(checker.mErrors);
     }
 
@@ -122,6 +123,20 @@
         }
     }
 
+    private void checkPolicy(FleetPolicy policy) {
+        policyRange("maintenanceIntervalMillis", policy.maintenanceIntervalMillis());
+        policyRange("maintenanceLeadMillis", policy.maintenanceLeadMillis());
+        policyRange("returnWithinMillis", policy.returnWithinMillis());
+        policyRange("loanAfterMillis", policy.loanAfterMillis());
+    }
+
+    private void policyRange(String field, long value) {
+        FieldRanges.Range range = FieldRanges.of(SettingsPaths.POLICY, field);
+        if (!range.contains(value)) {
+            add(SettingsPaths.POLICY + "/" + field, rangeMessage(range, value));
+        }
+    }
+
     private void checkAddresses() {
         Map<String, String> hostByAddress = new HashMap<>();
         for (HostSettings host : mSettings.hosts().values()) {
--- a/core/src/test/java/org/marigoldturn/SettingsPageTest.java
+++ b/core/src/test/java/org/marigoldturn/SettingsPageTest.java
@@ -15,6 +15,7 @@
 import java.util.regex.Pattern;
 import net.jqwik.api.Example;
 import org.marigoldturn.daemon.EntryConfig;
+import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.PoolSettings;
 import org.marigoldturn.settings.ServiceSettings;
@@ -36,6 +37,11 @@
         assertThat(fields.get("teams")).isEqualTo(components(TeamSettings.class, true));
         assertThat(fields.get("keys of a team")).isEqualTo(components(TeamKey.class, false));
         assertThat(fields.get("hosts")).isEqualTo(components(HostSettings.class, true));
+        assertThat(fields.get("policy")).isEqualTo(components(FleetPolicy.class, false));
+        assertThat(fields.get("costWeights of the policy"))
+                .isEqualTo(components(FleetPolicy.CostWeights.class, false));
+        assertThat(fields.get("wave of the policy"))
+                .isEqualTo(components(FleetPolicy.WaveProgress.class, false));
         assertThat(fields.get("Daemon configuration file"))
                 .isEqualTo(components(EntryConfig.class, false));
         assertThat(fields.get("tls of a daemon"))
--- a/core/src/test/java/org/marigoldturn/settings/SettingsYamlProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsYamlProperties.java
@@ -123,6 +123,11 @@
                 SettingsParser.parseEntry("teams/club", "{shareWeight: 2, runningLimit: 5}").get();
         assertThat(edit)
                 .isEqualTo(new SettingsEdit.PutTeam(new TeamSettings("club", 2, 5, List.of())));
+        assertThat(SettingsParser.parseEntry("policy", "loanAfterMillis: 5").get().path())
+                .isEqualTo("policy");
+        assertThat(SettingsParser.parseEntry("policy", "costWeights: {moves: NaN}").getLeft())
+                .extracting(SettingsError::path)
+                .containsExactly("policy/costWeights/moves");
         assertThat(SettingsParser.parseEntry("system/rights", "{}").isLeft()).isTrue();
     }
 
@@ -134,7 +139,8 @@
                         Map.of(),
                         Map.of("s", new ServiceSettings("s", "p", true, null, 0, -1, -1, 0, null)),
                         Map.of("x", SampleSettings.team("a.b", 1)),
-                        Map.of());
+                        Map.of(),
+                        null);
         assertThat(SettingsChecker.check(settings))
                 .extracting(SettingsError::path)
                 .containsExactly(
