--- a/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.stream.ClosedStreamException;
 import org.marigoldturn.routing.AttemptDecision;
 import org.marigoldturn.routing.AttemptDecision.FinishNotRun;
 import org.marigoldturn.routing.ClaimRegistry;
@@ -12,8 +13,11 @@
 
 /** Passes a target's answer or a problem to the caller. Runs on the event loop of the exchange. */
 final class RespondFilter {
-    /** The target's answer can't be completed after its headers were passed on. */
-    static final class ResponseException extends RuntimeException {
+    /**
+     * The target's answer can't be completed after its headers were passed on. A subtype of the
+     * exception for closed streams, for which the server logs no stack trace.
+     */
+    static final class ResponseException extends ClosedStreamException {
         private static final long serialVersionUID = 1L;
 
         ResponseException(String message, Throwable cause) {
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -64,6 +64,11 @@
         return mServer.activeLocalPort();
     }
 
+    /** Returns the port of a started server. */
+    public int port() {
+        return mServer.activeLocalPort();
+    }
+
     /** Returns what the host ran. */
     public TargetRecords records() {
         return mRecords;
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -191,6 +191,16 @@
         return mClient.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body))).aggregate();
     }
 
+    /** Sends a request over HTTP/1.1, where an incomplete answer can only close the connection. */
+    CompletableFuture<AggregatedHttpResponse> sendHttp1(
+            RequestHeadersBuilder headers, String body) {
+        return WebClient.builder("h1c://127.0.0.1:" + mServer.activeLocalPort())
+                .factory(mClientFactory)
+                .build()
+                .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)))
+                .aggregate();
+    }
+
     /** Returns the runs of a request id on all hosts. */
     List<TargetRecords.Run> runs(String requestId) {
         return mTargets.stream()
--- a/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
@@ -74,6 +74,13 @@
                     fixture.mTargets.get(0).setFault(fault, 0);
                     String id = newId();
                     boolean success =
+                            fixture.sendHttp1(post(fixture, id), LARGE_BODY)
+                                    .handle((r, t) -> t == null && r.status().isSuccess())
+                                    .join();
+                    assertThat(success).as("%s %s", protocol, fault).isFalse();
+                    assertThat(fixture.runs(id)).hasSize(1);
+                    id = newId();
+                    success =
                             fixture.send(post(fixture, id), LARGE_BODY)
                                     .handle((r, t) -> t == null && r.status().isSuccess())
                                     .join();
