--- a/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
+++ b/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
@@ -16,17 +16,11 @@
  */
 public final class EditedSettings {
     private final FleetSettings mBase;
-    private final Map<String, ZoneSettings> mZones;
-    private final Map<String, HostSettings> mHosts;
-    private FleetPolicy mPolicy;
     private FleetSettings mCurrent;
 
     /** Creates a copy of the settings without edits. */
     public EditedSettings(FleetSettings base) {
         mBase = base;
-        mZones = new HashMap<>(base.zones());
-        mHosts = new HashMap<>(base.hosts());
-        mPolicy = base.policy();
         mCurrent = base;
     }
 
@@ -39,10 +33,23 @@
         if (edits.isEmpty()) {
             return;
         }
-        edits.forEach(this::applyOne);
+        Map<String, ZoneSettings> zones = new HashMap<>(mCurrent.zones());
+        Map<String, HostSettings> hosts = new HashMap<>(mCurrent.hosts());
+        FleetPolicy policy = mCurrent.policy();
+        for (SettingsEdit edit : edits) {
+            if (edit instanceof SettingsEdit.PutZone put) {
+                zones.put(put.zone().name(), put.zone());
+            } else if (edit instanceof SettingsEdit.PutHost put) {
+                hosts.put(put.host().name(), put.host());
+            } else if (edit instanceof SettingsEdit.PutPolicy put) {
+                policy = put.policy();
+            } else {
+                throw new IllegalArgumentException("no planner edits path \"" + edit.path() + "\"");
+            }
+        }
         mCurrent =
                 new FleetSettings(
-                        mZones, mBase.pools(), mBase.services(), mBase.teams(), mHosts, mPolicy);
+                        zones, mBase.pools(), mBase.services(), mBase.teams(), hosts, policy);
     }
 
     /** Returns the settings with all edits so far. */
@@ -52,6 +59,9 @@
 
     /** Returns the smallest list of edits from the base to the current settings. */
     public List<SettingsEdit> edits() {
+        if (mCurrent == mBase) {
+            return List.of();
+        }
         List<SettingsEdit> edits = new ArrayList<>();
         for (ZoneSettings zone : mCurrent.zones().values()) {
             if (!zone.equals(mBase.zones().get(zone.name()))) {
@@ -63,21 +73,9 @@
                 edits.add(new SettingsEdit.PutHost(host));
             }
         }
-        if (!mPolicy.equals(mBase.policy())) {
-            edits.add(new SettingsEdit.PutPolicy(mPolicy));
+        if (!mCurrent.policy().equals(mBase.policy())) {
+            edits.add(new SettingsEdit.PutPolicy(mCurrent.policy()));
         }
         return edits;
     }
-
-    private void applyOne(SettingsEdit edit) {
-        if (edit instanceof SettingsEdit.PutZone put) {
-            mZones.put(put.zone().name(), put.zone());
-        } else if (edit instanceof SettingsEdit.PutHost put) {
-            mHosts.put(put.host().name(), put.host());
-        } else if (edit instanceof SettingsEdit.PutPolicy put) {
-            mPolicy = put.policy();
-        } else {
-            throw new IllegalArgumentException("no planner edits path \"" + edit.path() + "\"");
-        }
-    }
 }
--- a/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
+++ b/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
@@ -12,8 +12,8 @@
  * keep nothing on disk.
  *
  * @param maintenanceIntervalMillis longest time between two maintenances of a host
- * @param maintenanceLeadMillis time before the end of the interval at which a host becomes due;
- *     half the interval by default
+ * @param maintenanceLeadMillis time before the end of the interval at which a host becomes due; a
+ *     sixth of the interval by default, since a longer lead maintains hosts more often
  * @param returnWithinMillis time within which a host of a wave must be in service again
  * @param loanAfterMillis time for which the demand of a pool must exceed its capacity before it
  *     borrows hosts
@@ -41,7 +41,7 @@
 
     public FleetPolicy {
         maintenanceIntervalMillis = orDefault(maintenanceIntervalMillis, DEFAULT_INTERVAL_MILLIS);
-        maintenanceLeadMillis = orDefault(maintenanceLeadMillis, maintenanceIntervalMillis / 2);
+        maintenanceLeadMillis = orDefault(maintenanceLeadMillis, maintenanceIntervalMillis / 6);
         returnWithinMillis = orDefault(returnWithinMillis, DEFAULT_RETURN_WITHIN_MILLIS);
         loanAfterMillis = orDefault(loanAfterMillis, DEFAULT_LOAN_AFTER_MILLIS);
         requirePositive("maintenanceIntervalMillis", maintenanceIntervalMillis);
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements in virtual time and on processes. */
+package org.marigoldturn.standins.measure;
