Repeat operator changes after conflicts on other paths; report blocked pools

A change that is based on the version read conflicts with every concurrent change, while the design promises a conflict only for the same path. The pipeline now compares the entries at the edited paths in both states and repeats the change when they are unchanged, or when the planner was the author. Trusting the path in Conflict was ruled out, since it need not name all paths between the two versions. Wave status names pools whose budget is smaller than a host and overdue hosts, which nobody would notice otherwise.

--- a/core/src/main/java/org/marigoldturn/fleet/AvailabilityBudget.java
+++ b/core/src/main/java/org/marigoldturn/fleet/AvailabilityBudget.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.ServiceSettings;
@@ -39,9 +40,18 @@
      * @param failedHosts hosts that are unavailable without a plan
      */
     public static AvailabilityBudget of(FleetSettings settings, Set<String> failedHosts) {
+        return of(settings, host -> isAbsent(settings, failedHosts, host));
+    }
+
+    /** Returns the budgets as if every host were present. */
+    public static AvailabilityBudget withoutAbsence(FleetSettings settings) {
+        return of(settings, host -> false);
+    }
+
+    private static AvailabilityBudget of(FleetSettings settings, Predicate<HostSettings> isAbsent) {
         Map<String, PoolSlots> pools = new HashMap<>();
         for (HostSettings host : settings.hosts().values()) {
-            int absent = isAbsent(settings, failedHosts, host) ? host.slots() : 0;
+            int absent = isAbsent.test(host) ? host.slots() : 0;
             pools.merge(
                     host.pool(),
                     new PoolSlots(host.slots(), absent, host.slots()),
--- a/core/src/main/java/org/marigoldturn/fleet/MaintenancePlanner.java
+++ b/core/src/main/java/org/marigoldturn/fleet/MaintenancePlanner.java
@@ -88,6 +88,31 @@
                                 ""));
     }
 
+    /**
+     * Reports the state of maintenance.
+     *
+     * @param nowMillis present wall clock time
+     */
+    public WaveReport report(FleetSettings settings, long nowMillis) {
+        long interval = settings.policy().maintenanceIntervalMillis();
+        AvailabilityBudget complete = AvailabilityBudget.withoutAbsence(settings);
+        List<HostSettings> hosts =
+                settings.hosts().values().stream().sorted(MOST_OVERDUE_FIRST).toList();
+        return new WaveReport(
+                settings.policy().wave(),
+                (int) hosts.stream().filter(host -> isDue(settings, host, nowMillis)).count(),
+                hosts.stream()
+                        .filter(host -> nowMillis - host.maintainedAtMillis() > interval)
+                        .map(HostSettings::name)
+                        .toList(),
+                hosts.stream()
+                        .filter(host -> !complete.fits(host))
+                        .map(HostSettings::pool)
+                        .distinct()
+                        .sorted()
+                        .toList());
+    }
+
     private static boolean tooManyLate(WaveProgress wave) {
         int late = wave.lateHosts().size();
         return late > MAX_LATE_HOSTS || late * 100 > wave.startedHosts() * MAX_LATE_PERCENT;
--- a/core/src/main/java/org/marigoldturn/operator/ChangePipeline.java
+++ b/core/src/main/java/org/marigoldturn/operator/ChangePipeline.java
@@ -6,14 +6,17 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import org.marigoldturn.fleet.FleetPlanner;
 import org.marigoldturn.membership.AcceptanceResult;
 import org.marigoldturn.settings.ChangeResult;
+import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.Manifest;
 import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsEdit;
@@ -35,7 +38,7 @@
     /** Longest wait for acceptance; covers 2000 ms validity and 2500 ms acceptance wait. */
     private static final long ACCEPTANCE_TIMEOUT_MILLIS = 6_000;
 
-    private static final int MAX_ATTEMPTS = 5;
+    private static final int MAX_ATTEMPTS = 8;
     private static final Pattern VALID_ID = Pattern.compile("[A-Za-z0-9._@-]{1,80}");
     private static final Executor RETRY_DELAY =
             CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS);
@@ -86,31 +89,64 @@
                 .commit(change, mParts.nowMillis().getAsLong())
                 .thenCompose(
                         result ->
-                                mayRepeat(request, result, edits) && attempt < MAX_ATTEMPTS
-                                        ? repeat(request, source, attempt)
+                                result instanceof ChangeResult.Conflict conflict
+                                                && !request.fencedByOperator()
+                                        ? afterConflict(
+                                                request, source, state, edits, conflict, attempt)
                                         : answer(request, result));
     }
 
-    private CompletableFuture<HttpResponse> repeat(
-            Request request, Function<VersionedState, List<SettingsEdit>> source, int attempt) {
-        return CompletableFuture.supplyAsync(
-                        () -> attempt(request, source, attempt + 1), RETRY_DELAY)
-                .thenCompose(Function.identity());
+    /** Repeats the change once the daemon holds the winner and it did not touch the same paths. */
+    private CompletableFuture<HttpResponse> afterConflict(
+            Request request,
+            Function<VersionedState, List<SettingsEdit>> source,
+            VersionedState before,
+            List<SettingsEdit> edits,
+            ChangeResult.Conflict conflict,
+            int attempt) {
+        if (attempt >= MAX_ATTEMPTS) {
+            return answer(request, conflict);
+        }
+        return CompletableFuture.supplyAsync(mParts.state(), RETRY_DELAY)
+                .thenCompose(
+                        now -> {
+                            if (now.version() < conflict.winner().version()) {
+                                return afterConflict(
+                                        request, source, before, edits, conflict, attempt + 1);
+                            }
+                            return mayRepeat(before, now, edits, conflict)
+                                    ? attempt(request, source, attempt + 1)
+                                    : answer(request, conflict);
+                        });
     }
 
+    /** The planner's decisions never take precedence over those of an operator. */
     private static boolean mayRepeat(
-            Request request, ChangeResult result, List<SettingsEdit> edits) {
-        return !request.fencedByOperator()
-                && result instanceof ChangeResult.Conflict conflict
-                && edits.stream().noneMatch(edit -> overlaps(edit.path(), conflict.path()));
+            VersionedState before,
+            VersionedState now,
+            List<SettingsEdit> edits,
+            ChangeResult.Conflict conflict) {
+        return conflict.winner().author().equals(FleetPlanner.AUTHOR)
+                || edits.stream()
+                        .allMatch(
+                                edit ->
+                                        Objects.equals(
+                                                entry(before.settings(), edit.path()),
+                                                entry(now.settings(), edit.path())));
     }
 
-    private static boolean overlaps(String path, String other) {
-        return other != null
-                && (path.isEmpty()
-                        || path.equals(other)
-                        || path.startsWith(other + "/")
-                        || other.startsWith(path + "/"));
+    /** Returns the entry at the path of an edit, null if there is none. */
+    private static Object entry(FleetSettings settings, String path) {
+        if (path.isEmpty()) {
+            return settings;
+        }
+        if (path.equals("policy")) {
+            return settings.policy();
+        }
+        int slash = path.indexOf('/');
+        return ResourceKind.of(path.substring(0, slash))
+                .entries(settings)
+                .get(path.substring(slash + 1));
     }
 
     private CompletableFuture<HttpResponse> answer(Request request, ChangeResult result) {
--- a/core/src/main/java/org/marigoldturn/operator/WaveRoutes.java
+++ b/core/src/main/java/org/marigoldturn/operator/WaveRoutes.java
@@ -23,7 +23,8 @@
     /** Returns the progress of the wave. */
     @Get("/wave")
     public HttpResponse status() {
-        return Answers.json(mParts.state().get().settings().policy().wave());
+        return Answers.json(
+                mPlanner.report(mParts.state().get().settings(), mParts.nowMillis().getAsLong()));
     }
 
     /** Pauses the wave. */
--- a/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
+++ b/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
@@ -2,17 +2,23 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import net.jqwik.api.Example;
+import org.marigoldturn.settings.ContentHash;
 import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.FleetPolicy.WaveStatus;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.Manifest;
+import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.PoolSettings;
+import org.marigoldturn.settings.RightsDivision;
 import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.StateCodec;
 import org.marigoldturn.settings.VersionedState;
 import org.marigoldturn.settings.ZoneState;
 
@@ -141,6 +147,38 @@
         assertThat(change.edits()).hasAtLeastOneElementOfType(SettingsEdit.PutPolicy.class);
     }
 
+    /** Guards against pools that are never maintained without anybody being told. */
+    @Example
+    void reportNamesOverdueHostsAndBlockedPools() {
+        FleetSettings settings = FleetFixture.settings(36, 8);
+        WaveReport report = mMaintenance.report(settings, NOW_MILLIS);
+        assertThat(report.blockedPools()).containsExactly("club", "desk", "marks");
+        assertThat(report.overdueHosts()).hasSize(36).startsWith("h0", "h1");
+        assertThat(mMaintenance.step(settings, Set.of(), NOW_MILLIS)).isEmpty();
+        assertThat(mMaintenance.report(FleetFixture.settings(36, 9), 0).blockedPools()).isEmpty();
+    }
+
+    /** Guards against progress of the planner that is lost between two versions. */
+    @Example
+    void policyIsPartOfTheVersionedState() {
+        FleetSettings settings = FleetFixture.settings(36, 50);
+        List<SettingsEdit> edits = mMaintenance.step(settings, Set.of(), NOW_MILLIS);
+        FleetSettings next = FleetFixture.apply(settings, edits);
+        Map<String, String> entries = new HashMap<>();
+        Map<String, byte[]> blobs = new HashMap<>();
+        StateCodec.encode(next, MemberSet.EMPTY, RightsDivision.EMPTY)
+                .forEach(
+                        (path, content) -> {
+                            entries.put(path, ContentHash.of(content));
+                            blobs.put(ContentHash.of(content), content);
+                        });
+        Manifest manifest = new Manifest(1, "c1", "planner", 0, entries);
+        assertThat(StateCodec.decode(manifest, blobs).settings()).isEqualTo(next);
+        assertThat(next.policy().wave().returnByMillis()).isNotEmpty();
+        assertThat(PlanDescription.lines(settings, edits))
+                .contains("host h0 is DRAINING, in pool desk.");
+    }
+
     /** Guards against a move of a host that has not drained. */
     @Example
     void movedHostChangesPoolOnlyAfterDraining() {
--- a/core/src/test/java/org/marigoldturn/operator/FakeCommitter.java
+++ b/core/src/test/java/org/marigoldturn/operator/FakeCommitter.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.operator;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.fleet.EditedSettings;
@@ -20,6 +21,7 @@
     private final Map<String, VersionedState> mCommitted = new HashMap<>();
     private VersionedState mState;
     private RuntimeException mFailure;
+    private SettingsChange mRival;
 
     /** Creates a committer that holds the settings as version 1. */
     public FakeCommitter(FleetSettings settings) {
@@ -36,12 +38,22 @@
         mFailure = failure;
     }
 
+    /** Commits the edit just before the next change. */
+    public synchronized void rival(String author, SettingsEdit edit) {
+        mRival = new SettingsChange("rival", author, mState.version(), List.of(edit));
+    }
+
     @Override
     public synchronized CompletableFuture<ChangeResult> commit(
             SettingsChange change, long nowMillis) {
         if (mFailure != null) {
             return CompletableFuture.failedFuture(mFailure);
         }
+        if (mRival != null) {
+            SettingsChange rival = mRival;
+            mRival = null;
+            mState = next(mState, rival.changeId(), rival.author(), apply(rival));
+        }
         VersionedState earlier = mCommitted.get(change.changeId());
         if (earlier == null && change.baseVersion() != mState.version()) {
             return CompletableFuture.completedFuture(
@@ -76,7 +88,7 @@
             pools.remove(delete.path().substring("pools/".length()));
         } else {
             EditedSettings edited = new EditedSettings(settings);
-            edited.apply(java.util.List.of(edit));
+            edited.apply(List.of(edit));
             return edited.current();
         }
         return new FleetSettings(
--- a/core/src/test/java/org/marigoldturn/operator/OperatorRoutesTest.java
+++ b/core/src/test/java/org/marigoldturn/operator/OperatorRoutesTest.java
@@ -13,11 +13,15 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterProperty;
 import org.marigoldturn.fleet.FleetFixture;
 import org.marigoldturn.membership.AcceptanceResult;
+import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.HostState;
+import org.marigoldturn.settings.PoolSettings;
+import org.marigoldturn.settings.SettingsEdit;
 import org.marigoldturn.settings.SettingsException;
 import org.marigoldturn.settings.ZoneState;
 
@@ -76,6 +80,23 @@
         assertThat(conflict.path("changeId").asText()).isNotEmpty();
     }
 
+    /** Guards against conflicts between changes of different paths, and with the planner. */
+    @Example
+    void onlyRivalsOnTheSamePathConflict() throws IOException {
+        PoolSettings rival = new PoolSettings("quarry", true);
+        mOperator.mCommitter.rival("rosa", new SettingsEdit.PutPool(rival));
+        call(HttpMethod.PUT, "/v1/pools/meadow", "{}", 200);
+        mOperator.mCommitter.rival(
+                "rosa", new SettingsEdit.PutPool(new PoolSettings("meadow", true)));
+        call(HttpMethod.PUT, "/v1/pools/meadow", "{\"spare\":false}", 409);
+        FleetPolicy policy = FleetPolicy.DEFAULT.withMoves(Map.of("h9", "marks"), Map.of());
+        mOperator.mCommitter.rival("planner", new SettingsEdit.PutPolicy(policy));
+        call(HttpMethod.POST, "/v1/wave/pause", "", 200);
+        FleetPolicy result = mOperator.mCommitter.state().settings().policy();
+        assertThat(result.pendingMoves()).containsKey("h9");
+        assertThat(result.wave().status()).isEqualTo(FleetPolicy.WaveStatus.PAUSED);
+    }
+
     /** Guards against a change that is applied twice when its answer was lost. */
     @Example
     void repeatedChangeIdIsCommittedOnce() throws IOException {
@@ -168,8 +189,9 @@
         assertThat(settings.hosts().get("h0").pool()).isEqualTo("desk");
         assertThat(settings.policy().pendingMoves()).containsEntry("h0", "marks");
         call(HttpMethod.POST, "/v1/wave/pause", "", 200);
-        assertThat(call(HttpMethod.GET, "/v1/wave", "", 200).path("status").asText())
-                .isEqualTo("PAUSED");
+        JsonNode wave = call(HttpMethod.GET, "/v1/wave", "", 200);
+        assertThat(wave.path("wave").path("status").asText()).isEqualTo("PAUSED");
+        assertThat(wave.path("blockedPools")).isEmpty();
         call(HttpMethod.POST, "/v1/wave/resume", "", 200);
     }
 
