--- a/standins/src/main/java/org/marigoldturn/standins/measure/package-info.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/package-info.java
@@ -1,2 +1,2 @@
-/** Measurements of the components with in-memory daemons and virtual time. */
+/** Measurements in virtual time and on processes. */
 package org.marigoldturn.standins.measure;
