--- a/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
@@ -13,7 +13,6 @@
     static final String POLICY = "policy";
     static final String MEMBERS = "system/members";
     static final String RIGHTS = "system/rights";
-    static final String POLICY = "policy";
     private static final String SYSTEM_PREFIX = "system/";
 
     private SettingsPaths() {}
--- a/core/src/test/java/org/marigoldturn/fleet/FleetFixture.java
+++ b/core/src/test/java/org/marigoldturn/fleet/FleetFixture.java
@@ -46,8 +46,11 @@
     }
 
     static HostSettings host(String name, String pool, String zone, String rack) {
+        int hash = name.hashCode();
+        String address =
+                "10.%d.%d.%d".formatted((hash >> 16) & 0xff, (hash >> 8) & 0xff, hash & 0xff);
         return new HostSettings(
-                name, pool, zone, rack, "127.0.0.1", 8080, SLOTS, 64, 32, 1024, 0, null, 0);
+                name, pool, zone, rack, address, 8080, SLOTS, 64, 32, 1024, 0, null, 0);
     }
 
     static FleetSettings apply(FleetSettings settings, List<SettingsEdit> edits) {
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -152,9 +152,9 @@
     }
 
     /** Returns the records of all hosts. */
-    public List<TargetServer.Record> records() {
-        List<TargetServer.Record> records = new ArrayList<>();
-        mHosts.values().forEach(host -> records.addAll(host.records()));
+    public List<TargetRecords.Run> records() {
+        List<TargetRecords.Run> records = new ArrayList<>();
+        mHosts.values().forEach(host -> records.addAll(host.records().all()));
         return records;
     }
 
