--- a/standins/src/main/java/org/marigoldturn/standins/ConnectionFaults.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ConnectionFaults.java
@@ -91,7 +91,9 @@
             super.write(ctx, message, promise);
         }
 
+        /** Drops data from now on, since the close takes effect later on the event loop. */
         private void closeNow() {
+            mSilent = true;
             ChannelHandlerContext context = mContext;
             try {
                 super.close(context, context.newPromise());
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -1,5 +1,8 @@
 package org.marigoldturn.standins;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -9,6 +12,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -17,6 +21,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.marigoldturn.admission.KeyAuthenticator;
 import org.marigoldturn.admission.KeyAuthenticator.IssuedKey;
 
@@ -32,19 +41,30 @@
 
     private static final String MAIN = "org.marigoldturn.cli.Main";
 
+    private static final long HOST_LIST_INTERVAL_MILLIS = 500;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     private final Path mDirectory;
     private final StoreServer mStore = new StoreServer(0);
     private final int mStorePort;
-    private final Map<String, TargetServer> mHosts = new HashMap<>();
+    private final Map<String, TargetServer> mHosts = new ConcurrentHashMap<>();
     private final List<ChildProcess> mDaemons = new ArrayList<>();
     private final Map<String, IssuedKey> mKeys = new HashMap<>();
     private final ClientFactory mClients =
             ClientFactory.builder().connectTimeoutMillis(2_000).build();
 
-    /** Starts the store. */
+    private final ScheduledExecutorService mHostList = Executors.newSingleThreadScheduledExecutor();
+
+    /** Starts the store, whose host list follows the hosts of this fleet. */
     public ProcessFleet(String name) throws IOException {
         mDirectory = Files.createTempDirectory("marigoldturn-" + name);
         mStorePort = mStore.start();
+        var unused =
+                mHostList.scheduleWithFixedDelay(
+                        this::publishHosts,
+                        HOST_LIST_INTERVAL_MILLIS,
+                        HOST_LIST_INTERVAL_MILLIS,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** Returns the store stand-in. */
@@ -96,9 +116,13 @@
     /** Starts an entry daemon with further lines in its configuration and returns its index. */
     public int startDaemon(String furtherConfig) throws IOException {
         int index = mDaemons.size();
+        mDaemons.add(launch(index, furtherConfig));
+        return index;
+    }
+
+    private ChildProcess launch(int index, String furtherConfig) {
         Path config = mDirectory.resolve("entry-" + index + ".yaml");
-        Files.writeString(
-                config,
+        String text =
                 """
                 name: entry-%d
                 zone: z%d
@@ -109,12 +133,27 @@
                 peerToken: peer-token
                 plaintext: true
                 drainDelayMillis: 500
+                plannerIntervalMillis: 1000
                 """
-                                .formatted(index, index % 3, mStorePort, OPERATOR_TOKEN)
-                        + furtherConfig);
+                        .formatted(index, index % 3, mStorePort, OPERATOR_TOKEN);
         Path log = mDirectory.resolve("entry-" + index + ".log");
-        mDaemons.add(ChildProcess.start(log, MAIN, "entry", "--config", config.toString()));
-        return index;
+        try {
+            Files.writeString(config, text + furtherConfig);
+            return ChildProcess.start(log, MAIN, "entry", "--config", config.toString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Starts several daemons at the same time. */
+    public void startDaemons(int count) throws IOException {
+        int first = mDaemons.size();
+        List<CompletableFuture<ChildProcess>> starts = new ArrayList<>();
+        for (int i = first; i < first + count; i++) {
+            int index = i;
+            starts.add(CompletableFuture.supplyAsync(() -> launch(index, "")));
+        }
+        starts.forEach(start -> mDaemons.add(start.join()));
     }
 
     /** Returns the process of a daemon. */
@@ -158,14 +197,41 @@
         return records;
     }
 
+    /** Returns whether a daemon's readiness check succeeds; false if it does not answer. */
+    public boolean isReady(int daemon) {
+        try {
+            return client("callers", daemon).get("/health/ready").aggregate().join().status().code()
+                    == 200;
+        } catch (CompletionException e) {
+            return false;
+        }
+    }
+
     @Override
     public void close() {
-        mDaemons.forEach(ChildProcess::close);
-        mHosts.values().forEach(TargetServer::close);
+        mHostList.shutdownNow();
+        mDaemons.parallelStream().forEach(ChildProcess::close);
+        mHosts.values().parallelStream().forEach(TargetServer::close);
         mStore.close();
         mClients.close();
     }
 
+    private void publishHosts() {
+        ObjectNode reports = JSON.createObjectNode();
+        ArrayNode hosts = reports.putArray("hosts");
+        mHosts.forEach(
+                (name, host) -> {
+                    ObjectNode report = hosts.addObject().put("name", name).put("state", "live");
+                    ObjectNode running = report.putObject("running");
+                    host.usage().forEach((owner, ids) -> running.put(owner, ids.size()));
+                });
+        try {
+            mStore.hosts(reports.toString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private WebClient client(String port, int daemon) {
         return WebClient.builder("http://127.0.0.1:" + mDaemons.get(daemon).port(port))
                 .factory(mClients)
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -116,6 +116,11 @@
         setFaults(JSON.readTree(json));
     }
 
+    /** Puts reports into the host list, in the form of {@code /standin/hosts}. */
+    public void hosts(String json) throws IOException {
+        mHosts.apply(JSON.readTree(json), System.currentTimeMillis());
+    }
+
     @Override
     public void close() {
         mServer.stop().join();
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/FleetUnderTest.java
@@ -0,0 +1,122 @@
+package org.marigoldturn.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** Three entry daemons and six hosts in three zones, and what the hosts' records must show. */
+final class FleetUnderTest implements AutoCloseable {
+    static final int DAEMONS = 3;
+    static final int HOSTS = 6;
+    static final int CLUB_LIMIT = 10;
+
+    /** Only ends a test that hangs; no check depends on it. */
+    private static final long GIVE_UP_SECONDS = 90;
+
+    /** A request of the test and its answer. */
+    record Sent(String requestId, CompletableFuture<AggregatedHttpResponse> response) {
+        boolean isNotRun() {
+            return "not-run".equals(response.join().headers().get("marigoldturn-outcome"));
+        }
+
+        int status() {
+            return response.join().status().code();
+        }
+    }
+
+    private final ProcessFleet mFleet;
+    private final List<Sent> mSent = new ArrayList<>();
+
+    FleetUnderTest(String name) throws Exception {
+        mFleet = new ProcessFleet(name);
+        FleetYaml yaml = new FleetYaml().pool("desk");
+        for (int i = 0; i < DAEMONS; i++) {
+            yaml.zone("z" + i);
+        }
+        yaml.service("entries", "desk", "defaultDeadlineMillis: 60000");
+        yaml.team("club", 1, CLUB_LIMIT, mFleet.issueKey("club"));
+        yaml.team("school", 3, 40, mFleet.issueKey("school"));
+        for (int i = 0; i < HOSTS; i++) {
+            String host = "h" + i;
+            yaml.host(host, "desk", "z" + i % DAEMONS, mFleet.startHost(host, 8), 8);
+        }
+        mFleet.startDaemons(DAEMONS);
+        await(() -> allMembers());
+        AggregatedHttpResponse applied =
+                mFleet.operate(0, HttpMethod.PUT, "/v1/settings", yaml.text());
+        assertThat(applied.status().code()).describedAs(applied.contentUtf8()).isEqualTo(200);
+        for (int i = 0; i < DAEMONS; i++) {
+            int daemon = i;
+            await(() -> mFleet.isReady(daemon));
+        }
+    }
+
+    ProcessFleet fleet() {
+        return mFleet;
+    }
+
+    /** Sends a non-idempotent request that runs for the given time. */
+    Sent send(int daemon, String team, long runMillis) {
+        String id = UUID.randomUUID().toString();
+        return send(daemon, team, id, Map.of("x-run-millis", Long.toString(runMillis), "x-id", id));
+    }
+
+    Sent send(int daemon, String team, String id, Map<String, String> headers) {
+        Sent sent = new Sent(id, mFleet.call(daemon, team, "entries", id, headers));
+        mSent.add(sent);
+        return sent;
+    }
+
+    /** Waits for a condition that must become true in the end. */
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long giveUpNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(GIVE_UP_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime()).as("condition became true").isLessThan(giveUpNanos);
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    /** Returns the largest number of requests of the team that ran at the same time. */
+    int peakRunning(String team) {
+        List<long[]> events = new ArrayList<>();
+        for (TargetRecords.Run run : mFleet.records()) {
+            if (run.team().equals(team)) {
+                long ended = run.endedAtMillis() == 0 ? Long.MAX_VALUE : run.endedAtMillis();
+                events.add(new long[] {run.startedAtMillis(), 1});
+                events.add(new long[] {ended, -1});
+            }
+        }
+        // At the same millisecond an end is counted before a start.
+        events.sort((a, b) -> a[0] == b[0] ? Long.compare(a[1], b[1]) : Long.compare(a[0], b[0]));
+        int running = 0;
+        int peak = 0;
+        for (long[] event : events) {
+            running += (int) event[1];
+            peak = Math.max(peak, running);
+        }
+        return peak;
+    }
+
+    /** Returns how often a request body was run; the records hold the id of each request. */
+    long runs(String requestId) {
+        return mFleet.records().stream().filter(r -> r.requestId().equals(requestId)).count();
+    }
+
+    @Override
+    public void close() {
+        mFleet.close();
+    }
+
+    private boolean allMembers() {
+        AggregatedHttpResponse members = mFleet.operate(0, HttpMethod.GET, "/v1/daemons", "");
+        return members.contentUtf8().split("\"joinedAtMillis\"", -1).length - 1 == DAEMONS;
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
@@ -0,0 +1,274 @@
+package org.marigoldturn.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.marigoldturn.routing.RequestId;
+import org.marigoldturn.standins.FleetUnderTest.Sent;
+
+/** Invariants of the product with real daemons under kills, pauses and outages. */
+class ProcessFailureTest {
+    private static final int CLUB_LIMIT = FleetUnderTest.CLUB_LIMIT;
+
+    /**
+     * Guards against a team above its limit after a daemon was killed with running work and another
+     * was paused, and against rights that are lost for ever.
+     */
+    @Example
+    void limitHoldsWhenDaemonsAreKilledAndPaused() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("kill")) {
+            List<Sent> sent = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                sent.add(fleet.send(i % 3, "club", 400));
+            }
+            TimeUnit.MILLISECONDS.sleep(600);
+            fleet.fleet().daemon(1).pause();
+            fleet.fleet().daemon(2).kill();
+            for (int i = 0; i < 40; i++) {
+                sent.add(fleet.send(0, "club", 400));
+            }
+            TimeUnit.SECONDS.sleep(5);
+            fleet.fleet().daemon(1).resume();
+            FleetUnderTest.await(() -> sent.stream().allMatch(s -> s.response().isDone()));
+            assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
+            // The rights of the killed daemon return once the hosts report that nothing of it runs.
+            FleetUnderTest.await(
+                    () -> {
+                        List<Sent> wave = new ArrayList<>();
+                        for (int i = 0; i < 2 * CLUB_LIMIT; i++) {
+                            wave.add(fleet.send(0, "club", 500));
+                        }
+                        wave.forEach(s -> s.response().join());
+                        return fleet.fleet().records().stream()
+                                        .filter(r -> r.owner().startsWith("entry-0"))
+                                        .mapToLong(TargetRecords.Run::startedAtMillis)
+                                        .map(start -> concurrentAt(fleet, start))
+                                        .max()
+                                        .orElse(0)
+                                == CLUB_LIMIT;
+                    });
+            assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
+            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+        }
+    }
+
+    /** Guards against an outage of the store that stops service or loses a change. */
+    @Example
+    void serviceGoesOnWhileTheStoreIsDown() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("outage")) {
+            fleet.fleet().store().faults("{\"down\": true}");
+            long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(6);
+            List<Sent> sent = new ArrayList<>();
+            while (System.nanoTime() < untilNanos) {
+                sent.add(fleet.send(sent.size() % 3, "school", 20));
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+            String pool = "{\"spare\": true}";
+            AggregatedHttpResponse refused =
+                    fleet.fleet().operate(0, HttpMethod.PUT, "/v1/pools/extra", pool);
+            assertThat(refused.status().code()).isEqualTo(503);
+            fleet.fleet().store().faults("{\"down\": false}");
+            FleetUnderTest.await(
+                    () ->
+                            fleet.fleet()
+                                            .operate(1, HttpMethod.PUT, "/v1/pools/extra", pool)
+                                            .status()
+                                            .code()
+                                    == 200);
+            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+        }
+    }
+
+    /** Guards against a daemon that serves settings which may be out of date. */
+    @Example
+    void daemonWithoutStoreAndMajorityRefusesAndRecovers() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("partition")) {
+            fleet.fleet().store().faults("{\"down\": true}");
+            fleet.fleet().daemon(1).pause();
+            fleet.fleet().daemon(2).pause();
+            List<Sent> refused = new ArrayList<>();
+            FleetUnderTest.await(
+                    () -> {
+                        Sent sent = fleet.send(0, "school", 0);
+                        boolean notRun = sent.isNotRun();
+                        if (notRun) {
+                            refused.add(sent);
+                        }
+                        return notRun;
+                    });
+            assertThat(refused.get(0).response().join().headers().get("retry-after")).isNotNull();
+            assertThat(fleet.fleet().isReady(0)).isFalse();
+            fleet.fleet().daemon(1).resume();
+            FleetUnderTest.await(() -> fleet.send(0, "school", 0).status() == 200);
+            fleet.fleet().daemon(2).resume();
+            fleet.fleet().store().faults("{\"down\": false}");
+            assertNothingRanTwiceOrAfterRefusal(fleet, refused);
+        }
+    }
+
+    /** Guards against work that starts in a zone after its drain was accepted, and cut callers. */
+    @Example
+    void drainedZoneGetsNoStartAndCutsNoCaller() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("zone")) {
+            List<Sent> sent = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                sent.add(fleet.send(i % 3, "school", 300));
+            }
+            AggregatedHttpResponse drained =
+                    fleet.fleet().operate(0, HttpMethod.POST, "/v1/zones/z0/drain", "");
+            assertThat(drained.status().code()).isEqualTo(200);
+            final long acceptedAtMillis = System.currentTimeMillis();
+            for (int i = 0; i < 90; i++) {
+                sent.add(fleet.send(i % 3, "school", 50));
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+            for (String host : List.of("h0", "h3")) {
+                assertThat(fleet.fleet().host(host).records().all())
+                        .allMatch(run -> run.startedAtMillis() <= acceptedAtMillis);
+            }
+            int restored =
+                    fleet.fleet()
+                            .operate(1, HttpMethod.POST, "/v1/zones/z0/restore", "")
+                            .status()
+                            .code();
+            assertThat(restored).isEqualTo(200);
+            FleetUnderTest.await(
+                    () -> {
+                        fleet.send(0, "school", 50).status();
+                        return fleet.fleet().host("h0").records().all().stream()
+                                .anyMatch(run -> run.startedAtMillis() > acceptedAtMillis);
+                    });
+        }
+    }
+
+    /** Guards against a revoked key that any daemon still takes after the accepted answer. */
+    @Example
+    void revokedKeyStopsEverywhereOnceAccepted() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("key")) {
+            assertThat(fleet.send(2, "club", 0).status()).isEqualTo(200);
+            AggregatedHttpResponse revoked =
+                    fleet.fleet().operate(1, HttpMethod.DELETE, "/v1/teams/club/keys/k1", "");
+            assertThat(revoked.status().code()).isEqualTo(200);
+            for (int i = 0; i < 3; i++) {
+                assertThat(fleet.send(i, "club", 0).status()).isEqualTo(401);
+                assertThat(fleet.send(i, "school", 0).status()).isEqualTo(200);
+            }
+        }
+    }
+
+    /** Guards against a planned stop that fails a caller, or loses rights. */
+    @Example
+    void terminationUnderLoadFailsNoCaller() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("term")) {
+            List<Sent> sent = new ArrayList<>();
+            Thread stopper = new Thread(() -> terminate(fleet.fleet().daemon(1)));
+            for (int i = 0; i < 300; i++) {
+                if (i == 60) {
+                    stopper.start();
+                }
+                int daemon = i % 3;
+                // As a load balancer does, requests go to daemons whose readiness check succeeds.
+                if (daemon != 1 || fleet.fleet().isReady(1)) {
+                    sent.add(fleet.send(daemon, "club", 100));
+                }
+                TimeUnit.MILLISECONDS.sleep(15);
+            }
+            stopper.join();
+            sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+            assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
+            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+        }
+    }
+
+    /** Guards against a repeated request id that runs at two daemons. */
+    @Example
+    void requestIdRunsOnceAcrossDaemons() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("claim")) {
+            // The owners grant ids that are later than their takeover by twice the clock skew.
+            TimeUnit.MILLISECONDS.sleep(3 * RequestId.REQUEST_ID_CLOCK_SKEW_MILLIS);
+            SplittableRandom random = new SplittableRandom(20);
+            for (int i = 0; i < 20; i++) {
+                String id = RequestId.generate(System.currentTimeMillis(), random).toString();
+                Map<String, String> headers =
+                        Map.of("marigoldturn-request-id", id, "x-run-millis", "50");
+                List<Sent> attempts = new ArrayList<>();
+                for (int daemon = 0; daemon < 3; daemon++) {
+                    attempts.add(fleet.send(daemon, "school", id, headers));
+                }
+                attempts.forEach(a -> a.response().join());
+                assertThat(fleet.runs(id)).isEqualTo(1);
+                assertThat(attempts.stream().filter(a -> a.status() == 200)).hasSize(1);
+                assertThat(attempts).noneMatch(Sent::isNotRun);
+            }
+        }
+    }
+
+    /** Guards against two operators who both believe that their change of one team won. */
+    @Example
+    void racingOperatorsAreToldWhoWon() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("race")) {
+            for (int round = 0; round < 5; round++) {
+                String first = "{\"shareWeight\": 1, \"runningLimit\": %d}".formatted(20 + round);
+                String second = "{\"shareWeight\": 1, \"runningLimit\": %d}".formatted(30 + round);
+                var other =
+                        java.util.concurrent.CompletableFuture.supplyAsync(
+                                () -> put(fleet, 1, second));
+                AggregatedHttpResponse one = put(fleet, 0, first);
+                AggregatedHttpResponse two = other.join();
+                List<Integer> codes = List.of(one.status().code(), two.status().code());
+                assertThat(codes).contains(200).allMatch(c -> c == 200 || c == 409);
+                for (AggregatedHttpResponse response : List.of(one, two)) {
+                    if (response.status().code() == 409) {
+                        assertThat(response.contentUtf8()).contains("changeId").contains("author");
+                    }
+                }
+            }
+        }
+    }
+
+    private static AggregatedHttpResponse put(FleetUnderTest fleet, int daemon, String body) {
+        return fleet.fleet().operate(daemon, HttpMethod.PUT, "/v1/teams/club", body);
+    }
+
+    private static void terminate(ChildProcess daemon) {
+        try {
+            daemon.terminate();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns how many requests of entry-0 for the club ran at the given time. */
+    private static long concurrentAt(FleetUnderTest fleet, long atMillis) {
+        return fleet.fleet().records().stream()
+                .filter(r -> r.owner().startsWith("entry-0") && r.team().equals("club"))
+                .filter(r -> r.startedAtMillis() <= atMillis)
+                .filter(r -> r.endedAtMillis() == 0 || r.endedAtMillis() > atMillis)
+                .count();
+    }
+
+    private static void assertNothingRanTwiceOrAfterRefusal(FleetUnderTest fleet, List<Sent> sent) {
+        Map<String, Long> runs =
+                fleet.fleet().records().stream()
+                        .collect(
+                                java.util.stream.Collectors.groupingBy(
+                                        TargetRecords.Run::requestId,
+                                        java.util.stream.Collectors.counting()));
+        assertThat(runs.values()).allMatch(count -> count == 1);
+        for (Sent s : sent) {
+            if (!s.response().isCompletedExceptionally() && s.isNotRun()) {
+                String id = s.response().join().headers().get("marigoldturn-request-id", "");
+                assertThat(runs).doesNotContainKey(id);
+            }
+        }
+    }
+}
