Add a controller that connects membership with transport and store

Cause: the order in which a version is published, gated and acknowledged decides safety, and would have been left to the wiring of the daemon. Change: MembershipController owns the decision objects, implements PeerListener, drives the periodic confirmation and commits member set changes. Ruled out: fetching from a daemon that is not yet a member, since there is no connection to it; the store is read instead. Conclusion: the daemon needs one tick every 500 ms and four callbacks.

--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/membership/MembershipController.java
@@ -0,0 +1,251 @@
+package org.marigoldturn.membership;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.marigoldturn.peer.PeerConnections;
+import org.marigoldturn.peer.PeerListener;
+import org.marigoldturn.peer.PeerNetwork;
+import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.platform.KeyValueStore;
+import org.marigoldturn.settings.LoadedState;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.MemberSet;
+import org.tinylog.Logger;
+
+/**
+ * Connects the decisions of this package with the transport and the store.
+ *
+ * <p>The order within {@link #adopt} matters: the request path sees a version before the gate
+ * covers it, and the gate covers it before any other daemon can take it as acknowledged.
+ *
+ * <p>{@link PeerListener} methods, {@link #handle}, {@link #gate} and {@link #acceptance} are safe
+ * on any thread; all others belong to the control thread.
+ */
+public final class MembershipController implements PeerListener {
+    private final PeerVersions mVersions = new PeerVersions();
+    private final EndedMembers mEnded = new EndedMembers();
+    private final ConfirmationTracker mTracker;
+    private final AcceptanceTracker mAcceptance;
+    private final StoreConfirmer mConfirmer;
+    private final Executor mControl;
+    private final LongSupplier mNanoClock;
+    private final Consumer<LoadedState> mPublish;
+    private final MemberSetCommitter mCommitter;
+    private final Runnable mReload;
+    private Optional<MembershipPlanner> mPlanner = Optional.empty();
+    private boolean mCommitting;
+    private volatile LoadedState mHeld;
+    private volatile StatePropagator mPropagator;
+    private volatile PeerConnections mConnections;
+
+    /** What the controller needs from other components. */
+    public record Environment(
+            KeyValueStore store,
+            String storePrefix,
+            Executor control,
+            LongSupplier nanoClock,
+            Consumer<LoadedState> publish,
+            Runnable reload,
+            MemberSetCommitter committer) {}
+
+    /**
+     * Creates a controller that holds the initial state and is not connected.
+     *
+     * @param environment {@code publish} makes a newer state visible to the request path; {@code
+     *     reload} starts to read the store and passes the result to {@link #adopt}
+     */
+    public MembershipController(String selfId, LoadedState initial, Environment environment) {
+        mControl = environment.control();
+        mNanoClock = environment.nanoClock();
+        mPublish = environment.publish();
+        mReload = environment.reload();
+        mCommitter = environment.committer();
+        mHeld = initial;
+        mTracker = new ConfirmationTracker(selfId, mVersions);
+        mAcceptance = new AcceptanceTracker(selfId, mVersions, mEnded, mControl, mNanoClock);
+        mConfirmer =
+                new StoreConfirmer(
+                        environment.store(),
+                        environment.storePrefix(),
+                        selfId,
+                        mTracker,
+                        mReload,
+                        mControl);
+    }
+
+    /** Connects the transport; called once, before it starts and before the first tick. */
+    public void attach(PeerNetwork network, PeerConnections connections) {
+        mPropagator = new StatePropagator(network, () -> mHeld, this::adopt, mControl);
+        mConnections = connections;
+    }
+
+    /** Joins as soon as possible; the ports of the member must be open already. */
+    public void join(Member self) {
+        mPlanner = Optional.of(new MembershipPlanner(self, mVersions, mEnded));
+    }
+
+    /** Stops starting work for good; running work goes on. */
+    public void stopServing() {
+        mTracker.stop();
+    }
+
+    /** Leaves the member set; the daemon serves no more and has given its rights away. */
+    public void leave() {
+        mTracker.stop();
+        mPlanner.ifPresent(MembershipPlanner::requestLeave);
+    }
+
+    /**
+     * Takes over a state from the store or from a peer; ignores one that is not newer, but for the
+     * store revision of the held one, which a peer may not have known.
+     */
+    public void adopt(LoadedState state) {
+        long version = state.state().version();
+        long heldVersion = mHeld.state().version();
+        if (version < heldVersion || (version == heldVersion && state.manifestRevision() == 0)) {
+            return;
+        }
+        mHeld = state;
+        if (version == heldVersion) {
+            return;
+        }
+        MemberSet members = state.state().members();
+        mPublish.accept(state);
+        mVersions.retain(members);
+        mTracker.adopt(version, members);
+        mAcceptance.adopt(version, members);
+        mConnections.updateMembers(members);
+        mConnections.pingAll();
+        evaluate();
+    }
+
+    /** Confirms, evaluates and plans; called every 500 ms. */
+    public void tick() {
+        LoadedState held = mHeld;
+        mConfirmer.tick(held.state().version(), held.manifestRevision(), mNanoClock.getAsLong());
+        evaluate();
+        planMembers(held);
+    }
+
+    /** Returns whether this daemon was a member and is none any more; it must then end. */
+    public boolean wasRemoved() {
+        MemberSet members = mHeld.state().members();
+        return mPlanner.filter(planner -> planner.wasRemoved(members)).isPresent();
+    }
+
+    /** Records evidence from the host list or from an operator. */
+    public void recordEnd(String memberId, EndEvidence evidence) {
+        mEnded.record(memberId, evidence, mNanoClock.getAsLong());
+    }
+
+    /** Returns the evidence of ended processes. */
+    public EndedMembers ended() {
+        return mEnded;
+    }
+
+    /** Returns the gate of the request path. */
+    public ConfirmationTracker gate() {
+        return mTracker;
+    }
+
+    /** Returns the acceptance of changes, for operators. */
+    public ChangeAcceptance acceptance() {
+        return mAcceptance;
+    }
+
+    /**
+     * Handles messages of this package.
+     *
+     * @return the reply, or empty if the message belongs to another component
+     */
+    public Optional<CompletableFuture<Envelope.Builder>> handle(String sender, Envelope message) {
+        if (message.hasStateRequest()) {
+            Envelope.Builder reply = mPropagator.serve(message.getStateRequest());
+            return Optional.of(CompletableFuture.completedFuture(reply));
+        }
+        if (message.hasFarewell()) {
+            mControl.execute(() -> recordEnd(sender, EndEvidence.FAREWELL));
+            return Optional.of(CompletableFuture.completedFuture(Envelope.newBuilder()));
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public long heldVersion() {
+        return mTracker.heldVersion();
+    }
+
+    @Override
+    public void onPong(String memberId, long version, long sentNanos) {
+        mControl.execute(
+                () -> {
+                    mVersions.onReply(memberId, version, sentNanos);
+                    onVersion(memberId, version);
+                });
+    }
+
+    @Override
+    public void onPing(String senderId, long version) {
+        mControl.execute(
+                () -> {
+                    mVersions.onReport(senderId, version);
+                    onVersion(senderId, version);
+                });
+    }
+
+    @Override
+    public void onConnectionRefused(String memberId) {
+        mControl.execute(() -> recordEnd(memberId, EndEvidence.CONNECTION_REFUSED));
+    }
+
+    @Override
+    public void onAddressTaken(String memberId, String actualId) {
+        mControl.execute(() -> recordEnd(memberId, EndEvidence.ADDRESS_TAKEN));
+    }
+
+    private void onVersion(String memberId, long version) {
+        mEnded.onMessage(memberId);
+        if (mHeld.state().members().find(memberId).isPresent()) {
+            mPropagator.onVersion(memberId, version);
+        } else if (version > mHeld.state().version()) {
+            // There is no connection to a daemon that joined by a version not yet held.
+            mReload.run();
+        }
+        evaluate();
+    }
+
+    private void evaluate() {
+        long nowNanos = mNanoClock.getAsLong();
+        mTracker.evaluatePeers(nowNanos);
+        mAcceptance.evaluate(nowNanos);
+    }
+
+    private void planMembers(LoadedState held) {
+        if (mCommitting || mPlanner.isEmpty()) {
+            return;
+        }
+        long version = held.state().version();
+        mPlanner.get()
+                .plan(version, held.state().members(), mNanoClock.getAsLong())
+                .ifPresent(this::commit);
+    }
+
+    private void commit(MemberSetChange change) {
+        mCommitting = true;
+        ControlCallbacks.whenDone(
+                mCommitter.commit(change),
+                mControl,
+                (committed, failure) -> {
+                    mCommitting = false;
+                    if (failure != null) {
+                        Logger.warn("membership: {} failed: {}", change.reason(), failure);
+                        return;
+                    }
+                    Logger.info("membership: {}, committed {}.", change.reason(), committed);
+                    mReload.run();
+                });
+    }
+}
--- a/core/src/main/java/org/marigoldturn/peer/NettyPeerNetwork.java
+++ b/core/src/main/java/org/marigoldturn/peer/NettyPeerNetwork.java
@@ -24,7 +24,7 @@
  * the replies to its calls. Both ends present the shared token in a Hello before anything else. The
  * sender of a message is the id that the remote end stated in its Hello. Thread safe.
  */
-public final class NettyPeerNetwork implements PeerNetwork, AutoCloseable {
+public final class NettyPeerNetwork implements PeerNetwork, PeerConnections, AutoCloseable {
     /** Traffic is a few messages a second per member. */
     private static final int EVENT_LOOPS = 2;
 
@@ -72,7 +72,7 @@
         return ((InetSocketAddress) mServer.localAddress()).getPort();
     }
 
-    /** Connects to new members and closes the connections to removed ones. */
+    @Override
     public synchronized void updateMembers(MemberSet members) {
         for (Member member : members.members()) {
             boolean self = member.id().equals(mContext.options().memberId());
@@ -95,7 +95,7 @@
                         });
     }
 
-    /** Sends a ping with the held version to all members at once, outside the usual interval. */
+    @Override
     public void pingAll() {
         mConnections.values().forEach(OutgoingConnection::ping);
     }
