--- a/core/src/main/java/org/marigoldturn/membership/EndedMembers.java
+++ b/core/src/main/java/org/marigoldturn/membership/EndedMembers.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.tinylog.Logger;
 
 /**
  * Members whose process has ended, with the evidence. Ids are never reused, so conclusive evidence
@@ -14,14 +13,18 @@
 
     private record Entry(EndEvidence evidence, long sinceNanos) {}
 
-    /** Records evidence; conclusive evidence replaces other evidence. */
-    public void record(String memberId, EndEvidence evidence, long nowNanos) {
+    /**
+     * Records evidence; conclusive evidence replaces other evidence.
+     *
+     * @return whether the evidence is new
+     */
+    public boolean record(String memberId, EndEvidence evidence, long nowNanos) {
         Entry old = mEntries.get(memberId);
         if (old != null && (old.evidence().isConclusive() || !evidence.isConclusive())) {
-            return;
+            return false;
         }
         mEntries.put(memberId, new Entry(evidence, nowNanos));
-        Logger.info("membership: {} has ended, evidence {}.", memberId, evidence);
+        return true;
     }
 
     /** Withdraws evidence that is not conclusive, since the member has sent a message. */
--- a/core/src/main/java/org/marigoldturn/membership/MembershipController.java
+++ b/core/src/main/java/org/marigoldturn/membership/MembershipController.java
@@ -138,7 +138,9 @@
 
     /** Records evidence from the host list or from an operator. */
     public void recordEnd(String memberId, EndEvidence evidence) {
-        mEnded.record(memberId, evidence, mNanoClock.getAsLong());
+        if (mEnded.record(memberId, evidence, mNanoClock.getAsLong())) {
+            Logger.info("membership: {} has ended, evidence {}.", memberId, evidence);
+        }
     }
 
     /** Returns the evidence of ended processes. */
--- a/core/src/test/java/org/marigoldturn/membership/ConfirmationProperties.java
+++ b/core/src/test/java/org/marigoldturn/membership/ConfirmationProperties.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
 
 /** Confirmation, acceptance and member set changes of several daemons under faults. */
 class ConfirmationProperties {
@@ -38,14 +39,15 @@
         Arbitrary<Kind> kinds =
                 Arbitraries.frequencyOf(
                         Tuple.of(8, Arbitraries.just(Kind.ADVANCE)),
-                        Tuple.of(2, Arbitraries.just(Kind.PARTITION)),
+                        Tuple.of(2, Arbitraries.of(Kind.PARTITION, Kind.START)),
+                        Tuple.of(2, Arbitraries.of(Kind.HEAL, Kind.STORE_UP)),
                         Tuple.of(4, Arbitraries.just(Kind.CHANGE)),
-                        Tuple.of(8, Arbitraries.of(Kind.class)));
+                        Tuple.of(6, Arbitraries.of(Kind.class)));
         return Combinators.combine(
                         kinds,
                         Arbitraries.integers().between(0, 7),
                         Arbitraries.integers().between(0, 7),
-                        Arbitraries.integers().between(1, 1_500))
+                        Arbitraries.integers().between(1, 2_500))
                 .as(Action::new)
                 .list()
                 .ofMinSize(10)
@@ -58,8 +60,10 @@
      */
     @Property(seed = "4711", tries = 1500)
     void noDaemonServesAnOlderVersionThanAnAcceptedOne(
-            @ForAll("actions") List<Action> actions, @ForAll long seed) {
-        FleetModel fleet = new FleetModel(seed, 4);
+            @ForAll("actions") List<Action> actions,
+            @ForAll @IntRange(min = 1, max = 5) int daemons,
+            @ForAll long seed) {
+        FleetModel fleet = new FleetModel(seed, daemons);
         fleet.advance(8_000);
         fleet.mFaultyNetwork = true;
         for (Action action : actions) {
