--- a/core/src/main/java/org/marigoldturn/fleet/AvailabilityBudget.java
+++ b/core/src/main/java/org/marigoldturn/fleet/AvailabilityBudget.java
@@ -49,18 +49,15 @@
     }
 
     private static AvailabilityBudget of(FleetSettings settings, Predicate<HostSettings> isAbsent) {
-        Map<String, PoolSlots> pools = new HashMap<>();
+        Map<String, int[]> sums = new HashMap<>();
         for (HostSettings host : settings.hosts().values()) {
-            int absent = isAbsent.test(host) ? host.slots() : 0;
-            pools.merge(
-                    host.pool(),
-                    new PoolSlots(host.slots(), absent, host.slots()),
-                    (a, b) ->
-                            new PoolSlots(
-                                    a.total + b.total,
-                                    a.absent + b.absent,
-                                    Math.max(a.largestHost, b.largestHost)));
+            int[] sum = sums.computeIfAbsent(host.pool(), pool -> new int[3]);
+            sum[0] += host.slots();
+            sum[1] += isAbsent.test(host) ? host.slots() : 0;
+            sum[2] = Math.max(sum[2], host.slots());
         }
+        Map<String, PoolSlots> pools = new HashMap<>();
+        sums.forEach((pool, sum) -> pools.put(pool, new PoolSlots(sum[0], sum[1], sum[2])));
         Map<String, Integer> allowedPercent = new HashMap<>();
         for (ServiceSettings service : settings.services().values()) {
             allowedPercent.merge(service.pool(), service.maxUnavailablePercent(), Math::min);
--- a/core/src/main/java/org/marigoldturn/operator/ChangePipeline.java
+++ b/core/src/main/java/org/marigoldturn/operator/ChangePipeline.java
@@ -191,13 +191,10 @@
 
     private static OperatorException conflict(ChangeResult.Conflict conflict) {
         Manifest winner = conflict.winner();
+        String path = conflict.path() == null ? "" : conflict.path();
         String detail =
                 "%s committed change %s of path \"%s\" as version %d first"
-                        .formatted(
-                                winner.author(),
-                                winner.changeId(),
-                                conflict.path(),
-                                winner.version());
+                        .formatted(winner.author(), winner.changeId(), path, winner.version());
         return new OperatorException(
                 HttpStatus.CONFLICT,
                 "conflict",
@@ -206,7 +203,7 @@
                         "author", winner.author(),
                         "changeId", winner.changeId(),
                         "version", winner.version(),
-                        "path", conflict.path()));
+                        "path", path));
     }
 
     private static OperatorException invalid(ChangeResult.Invalid invalid) {
--- a/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
+++ b/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
@@ -130,6 +130,17 @@
         assertThat(settings.policy().loans()).isEmpty();
     }
 
+    /** Guards against cost weights that have no effect on loans. */
+    @Example
+    void expensiveMovesAreMadeOnlyForALastingOverload() {
+        FleetSettings settings = FleetFixture.settings(36, 50);
+        FleetPolicy.CostWeights weights = new FleetPolicy.CostWeights(0, 0, 10);
+        FleetPolicy policy = new FleetPolicy(0, 0, 0, 60_000, weights, null, null, null);
+        settings = FleetFixture.apply(settings, List.of(new SettingsEdit.PutPolicy(policy)));
+        assertThat(loans(settings, 30, NOW_MILLIS - 2 * 60_000, NOW_MILLIS)).isEmpty();
+        assertThat(loans(settings, 30, NOW_MILLIS - 3 * 60_000, NOW_MILLIS)).isNotEmpty();
+    }
+
     /** Guards against a planner whose role has passed to another daemon. */
     @Example
     void changeOfThePlannerIsFencedByTheVersionRead() {
