Print help by the present formatter and clear Error Prone findings

The style asks for clean Error Prone runs; deprecated calls of Commons CLI and Jackson are replaced. A deletion that is repeated at another daemon after a lost answer is told from a wrong name by its message.

--- a/core/src/main/java/org/marigoldturn/cli/CommandOptions.java
+++ b/core/src/main/java/org/marigoldturn/cli/CommandOptions.java
@@ -44,6 +44,6 @@
     }
 
     private static Option option(String name, String argument, String description) {
-        return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).build();
+        return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).get();
     }
 }
--- a/core/src/main/java/org/marigoldturn/cli/CommandRunner.java
+++ b/core/src/main/java/org/marigoldturn/cli/CommandRunner.java
@@ -3,24 +3,21 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.io.PrintWriter;
 import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
-import org.apache.commons.cli.HelpFormatter;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.apache.commons.cli.help.TextHelpAppendable;
 
 /** Finds the command that the arguments select, runs it, and reports failures in one line. */
 final class CommandRunner {
-    private static final int HELP_WIDTH = 100;
-
     private final List<Command> mCommands;
     private final Terminal mTerminal;
 
@@ -106,19 +103,17 @@
                 options.addOption(option);
             }
         }
-        PrintWriter writer = new PrintWriter(mTerminal.out(), false, StandardCharsets.UTF_8);
-        new HelpFormatter()
-                .printHelp(
-                        writer,
-                        HELP_WIDTH,
-                        command.usage(),
-                        command.description(),
-                        options,
-                        2,
-                        2,
-                        "Example:\n  " + command.example(),
-                        false);
-        writer.flush();
+        HelpFormatter formatter =
+                HelpFormatter.builder()
+                        .setHelpAppendable(new TextHelpAppendable(mTerminal.out()))
+                        .setShowSince(false)
+                        .get();
+        try {
+            String footer = "Example: " + command.example();
+            formatter.printHelp(command.usage(), command.description(), options, footer, false);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     private void printOverview(List<String> words) {
--- a/core/src/main/java/org/marigoldturn/cli/OperatorClient.java
+++ b/core/src/main/java/org/marigoldturn/cli/OperatorClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -83,7 +84,7 @@
             try {
                 Answer answer = call(uri, method, path, body);
                 if (!skipped.contains(answer.status())) {
-                    return answer;
+                    return failures.isEmpty() ? answer : noteEarlierAttempt(method, answer);
                 }
                 last = answer;
             } catch (CompletionException | IllegalArgumentException e) {
@@ -98,6 +99,19 @@
                 ExitCode.UNREACHABLE, "no daemon answers: " + String.join("; ", failures));
     }
 
+    /** A deletion whose answer was lost makes the next daemon answer that nothing is there. */
+    private static Answer noteEarlierAttempt(HttpMethod method, Answer answer) {
+        if (method == HttpMethod.DELETE
+                && answer.status() == 404
+                && answer.body() instanceof ObjectNode body) {
+            body.put(
+                    "detail",
+                    body.path("detail").asText()
+                            + "; an earlier attempt may have deleted it, see settings history");
+        }
+        return answer;
+    }
+
     private Answer call(String uri, HttpMethod method, String path, byte[] body) {
         RequestHeadersBuilder headers = RequestHeaders.builder(method, path);
         mHeaders.forEach(headers::set);
--- a/core/src/main/java/org/marigoldturn/cli/ResourceCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/ResourceCommands.java
@@ -97,7 +97,7 @@
                 throw new CommandException(
                         ExitCode.USAGE, "expected FIELD=VALUE, not \"" + assignment + "\"");
             }
-            String[] names = assignment.substring(0, equals).split("\\.");
+            String[] names = assignment.substring(0, equals).split("\\.", -1);
             ObjectNode node = target;
             for (int i = 0; i < names.length - 1; i++) {
                 node =
--- a/core/src/main/java/org/marigoldturn/cli/ZoneCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/ZoneCommands.java
@@ -78,8 +78,8 @@
                 "absentSlots",
                 "allowedSlots");
         plan.path("presentSlots")
-                .fields()
-                .forEachRemaining(
+                .properties()
+                .forEach(
                         left ->
                                 call.out()
                                         .println(
--- a/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
+++ b/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
@@ -17,6 +17,7 @@
 public final class EditedSettings {
     private final FleetSettings mBase;
     private FleetSettings mCurrent;
+    private boolean mEdited;
 
     /** Creates a copy of the settings without edits. */
     public EditedSettings(FleetSettings base) {
@@ -47,6 +48,7 @@
                 throw new IllegalArgumentException("no planner edits path \"" + edit.path() + "\"");
             }
         }
+        mEdited = true;
         mCurrent =
                 new FleetSettings(
                         zones, mBase.pools(), mBase.services(), mBase.teams(), hosts, policy);
@@ -59,7 +61,7 @@
 
     /** Returns the smallest list of edits from the base to the current settings. */
     public List<SettingsEdit> edits() {
-        if (mCurrent == mBase) {
+        if (!mEdited) {
             return List.of();
         }
         List<SettingsEdit> edits = new ArrayList<>();
--- a/core/src/test/java/org/marigoldturn/cli/CommandRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/cli/CommandRunnerTest.java
@@ -110,6 +110,18 @@
         assertThat(runBare("status", "--operator", mOperator.uri(), "--token", "x")).isEqualTo(7);
         assertThat(err()).contains("operator token is missing or wrong");
         assertThat(run("status", "--operator", unused)).isEqualTo(6);
+        assertThat(
+                        run(
+                                "pool",
+                                "delete",
+                                "gone",
+                                "--yes",
+                                "--operator",
+                                unused,
+                                "--operator",
+                                mOperator.uri()))
+                .isEqualTo(8);
+        assertThat(err()).contains("an earlier attempt may have deleted it");
         String token = TestOperator.TOKEN;
         assertThat(
                         runBare(
@@ -169,7 +181,7 @@
         Files.writeString(config, "name: entry-0\ncolour: red\n");
         assertThat(run("entry", "--config", config.toString())).isEqualTo(10);
         assertThat(err()).contains(config.toString()).hasLineCount(1);
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        InetAddress loopback = InetAddress.getLoopbackAddress();
         try (ServerSocket used = new ServerSocket(0, 1, loopback)) {
             Files.writeString(
                     config,
@@ -226,7 +238,7 @@
     }
 
     private static int unusedPort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
     }
--- a/core/src/test/java/org/marigoldturn/operator/TestOperator.java
+++ b/core/src/test/java/org/marigoldturn/operator/TestOperator.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.server.Server;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
@@ -44,7 +45,8 @@
                                         new ChangeResult.Invalid(List.of())),
                         metrics,
                         () -> 1_000);
-        var builder = Server.builder().http(new InetSocketAddress("127.0.0.1", 0));
+        var builder =
+                Server.builder().http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         new OperatorService(parts).register(builder);
         mServer = builder.build();
         mServer.start().join();
@@ -58,6 +60,6 @@
     @Override
     public void close() {
         // The port closes at once; waiting for the event loops would take 2 s for each test.
-        mServer.closeAsync();
+        CompletableFuture<?> unused = mServer.closeAsync();
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/measure/MaintenanceMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/MaintenanceMeasurement.java
@@ -31,8 +31,13 @@
         line(out, prefix, "buffer-peak", result.mPeakPlannedSlots, "slots");
         line(out, prefix, "buffer-total", result.mPlannedSlotHours, "slot-hours");
         line(out, prefix, "largest-absence", result.mLargestAbsencePercent, "percent-of-budget");
-        line(out, prefix, "over-budget", result.mOverBudgetServiceMinutes, "service-minutes");
-        line(out, prefix, "plans-over-budget", result.mPlansOverBudget, "steps");
+        line(
+                out,
+                prefix,
+                "over-budget",
+                (double) result.mOverBudgetServiceMinutes,
+                "service-minutes");
+        line(out, prefix, "plans-over-budget", (double) result.mPlansOverBudget, "steps");
         line(out, prefix, "wave-stops", result.mStops, "stops");
         line(out, prefix, "oldest-maintenance", result.mOldestMillis / DAY_MILLIS, "days");
     }
