--- a/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
@@ -24,6 +24,7 @@
         QUEUE_FULL(429, "the queue of the team is full"),
         TOO_MANY_SIZES(429, "too many different needs are queued"),
         DEADLINE_PASSED("the deadline passed before the request was queued"),
+        BODY_MEMORY_FULL("too many request bodies wait in this daemon"),
         CLAIM_UNAVAILABLE("the owner of the request id does not answer"),
         DUPLICATE_REQUEST_ID(409, "a request with this id was accepted before"),
         REQUEST_ID_NOT_VERIFIABLE(409, "a request with this id may have been accepted before");
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -30,6 +30,8 @@
     private final EntryDependencies mDependencies;
     private final TargetClients mClients = new TargetClients();
     private final PendingOutcomes mPending = new PendingOutcomes();
+    private final BodyBudget mBodyBudget = new BodyBudget();
+    private final LogLimiter mLogLimiter = new LogLimiter();
     private final RetryBudget mBudget = new RetryBudget();
     private final AtomicReference<FleetView> mView = new AtomicReference<>();
     private final AuthenticateFilter mAuthenticate;
@@ -45,7 +47,7 @@
         mAuthenticate = new AuthenticateFilter(dependencies.metrics());
         mClassify = new ClassifyFilter(dependencies.metrics(), dependencies.random());
         mSelect = new SelectFilter(dependencies);
-        mRespond = new RespondFilter(dependencies.claims(), dependencies.metrics());
+        mRespond = new RespondFilter(dependencies, mLogLimiter);
         mAdmit = new AdmitFilter(dependencies, this::view, mSelect, mRespond, new QueueExits());
         mDispatch =
                 new DispatchFilter(
@@ -167,16 +169,28 @@
         } else if (failure != null) {
             mDispatch.onCallerGone(exchange);
         } else {
-            exchange.setBody(body);
-            mAdmit.admit(exchange);
+            admit(exchange, body);
         }
     }
 
-    private static HttpResponse refuse(EntryProblem problem) {
-        Logger.info(
-                "entry: rejected at the door. outcome={} reason={}",
-                problem.outcome().headerValue(),
-                problem.reason());
+    private void admit(Exchange exchange, AggregatedHttpRequest body) {
+        int bytes = body.content().length();
+        if (!mBodyBudget.tryTake(bytes)) {
+            mRespond.reject(exchange, AdmissionProblem.BODY_MEMORY_FULL.problem());
+            return;
+        }
+        exchange.setBody(body, () -> mBodyBudget.giveBack(bytes));
+        mAdmit.admit(exchange);
+    }
+
+    private HttpResponse refuse(EntryProblem problem) {
+        if (mLogLimiter.tryLog(mDependencies.nowNanos().getAsLong())) {
+            Logger.info(
+                    "entry: rejected at the door. outcome={} reason={} unlogged={}",
+                    problem.outcome().headerValue(),
+                    problem.reason(),
+                    mLogLimiter.takeSuppressed());
+        }
         return Problems.response(problem);
     }
 
--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.entry;
 
 import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.ClosedSessionException;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
@@ -142,6 +143,13 @@
         return mRespond.part(attempt.exchange(), part);
     }
 
+    @Override
+    public void onCallerTooSlow(TargetAttempt attempt) {
+        giveUp(attempt, CALLER_GONE);
+        mRespond.abort(attempt.exchange(), "caller-too-slow", null);
+        attempt.resume();
+    }
+
     @Override
     public void onEnd(TargetAttempt attempt, Throwable failure) {
         boolean complete = failure == null && attempt.isComplete();
@@ -186,14 +194,10 @@
     }
 
     private void send(Exchange exchange, QueuedRequest<Exchange> queued, Selection selection) {
-        RequestHeaders headers = targetHeaders(exchange);
-        HttpResponse response =
-                mClients.client(selection.host(), exchange.request().service().protocol())
-                        .execute(HttpRequest.of(headers, exchange.body().content()));
+        HttpResponse response = execute(exchange, selection.host());
         long nowNanos = mDependencies.nowNanos().getAsLong();
         TargetAttempt attempt =
-                new TargetAttempt(
-                        exchange, queued, selection, response, headers.method(), nowNanos, this);
+                new TargetAttempt(exchange, queued, selection, response, nowNanos, this);
         exchange.setCurrent(attempt);
         response.subscribe(attempt, exchange.eventLoop());
         if (exchange.attempts().hasAttemptsLeft()) {
@@ -201,6 +205,19 @@
         }
     }
 
+    /** Errors while the request is built are certain: nothing was sent. */
+    private HttpResponse execute(Exchange exchange, HostSettings host) {
+        WebClient client;
+        HttpRequest request;
+        try {
+            client = mClients.client(host, exchange.request().service().protocol());
+            request = HttpRequest.of(targetHeaders(exchange), exchange.body().content());
+        } catch (IllegalArgumentException e) {
+            return HttpResponse.ofFailure(UnprocessedRequestException.of(e));
+        }
+        return client.execute(request);
+    }
+
     private RequestHeaders targetHeaders(Exchange exchange) {
         RequestHeaders from = exchange.body().headers();
         RequestHeadersBuilder to =
--- a/core/src/main/java/org/marigoldturn/entry/Exchange.java
+++ b/core/src/main/java/org/marigoldturn/entry/Exchange.java
@@ -25,6 +25,7 @@
     private final long mArrivedNanos;
     private final List<ScheduledFuture<?>> mTimers = new ArrayList<>();
     private AggregatedHttpRequest mBody;
+    private Runnable mOnBodyFreed = () -> {};
     private QueuedRequest<Exchange> mQueued;
     private TargetAttempt mCurrent;
     private volatile Set<String> mTriedHosts = Set.of();
@@ -70,8 +71,14 @@
         return mBody;
     }
 
-    void setBody(AggregatedHttpRequest body) {
+    /**
+     * Sets the received body.
+     *
+     * @param onBodyFreed runs when the exchange ends
+     */
+    void setBody(AggregatedHttpRequest body, Runnable onBodyFreed) {
         mBody = body;
+        mOnBodyFreed = onBodyFreed;
     }
 
     QueuedRequest<Exchange> queued() {
@@ -141,6 +148,7 @@
                         task.run();
                     }
                 };
+        mTimers.removeIf(ScheduledFuture::isDone);
         mTimers.add(mEventLoop.schedule(guarded, delayMillis, TimeUnit.MILLISECONDS));
     }
 
@@ -152,5 +160,6 @@
         mEnded = true;
         mTimers.forEach(timer -> timer.cancel(false));
         mBody = null;
+        mOnBodyFreed.run();
     }
 }
--- a/core/src/main/java/org/marigoldturn/entry/PendingOutcomes.java
+++ b/core/src/main/java/org/marigoldturn/entry/PendingOutcomes.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 
 /**
  * Attempts whose callers were answered while the target may still run them. Their rights stay taken
@@ -46,15 +47,28 @@
      * @return number of released attempts
      */
     public int onUsageReport(String host, long madeAtMillis, Set<String> runningRequestIds) {
+        return releaseIf(
+                pending ->
+                        pending.host().equals(host)
+                                && madeAtMillis - pending.sinceMillis() >= REPORT_CLOCK_SKEW_MILLIS
+                                && !runningRequestIds.contains(pending.requestId()));
+    }
+
+    /**
+     * Releases the attempts on a host that has certainly ended, for example because the platform
+     * reports it.
+     *
+     * @return number of released attempts
+     */
+    public int onHostEnded(String host) {
+        return releaseIf(pending -> pending.host().equals(host));
+    }
+
+    private int releaseIf(Predicate<Pending> proven) {
         List<Runnable> ended = new ArrayList<>();
         mPending.forEach(
                 (attempt, pending) -> {
-                    boolean proven =
-                            pending.host().equals(host)
-                                    && madeAtMillis - pending.sinceMillis()
-                                            >= REPORT_CLOCK_SKEW_MILLIS
-                                    && !runningRequestIds.contains(pending.requestId());
-                    if (proven && mPending.remove(attempt, pending)) {
+                    if (proven.test(pending) && mPending.remove(attempt, pending)) {
                         ended.add(pending.onEnded());
                     }
                 });
--- a/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
+++ b/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
@@ -13,6 +13,7 @@
 import org.marigoldturn.rights.RightsHolder;
 import org.marigoldturn.routing.PoolHosts.ZonedHost;
 import org.marigoldturn.routing.TargetSelector.Selection;
+import org.tinylog.Logger;
 
 /**
  * Starts the waiting requests of one pool while hosts are free. Thread safe.
@@ -78,11 +79,20 @@
         }
         int done = 1;
         do {
-            pass();
+            tryPass();
             done = mWanted.addAndGet(-done);
         } while (done != 0);
     }
 
+    /** A fault must not stop the pool: the mark is taken back, and the next pass tries again. */
+    private void tryPass() {
+        try {
+            pass();
+        } catch (RuntimeException e) {
+            Logger.error(e, "entry: pass over the queue failed. pool={}", mPool);
+        }
+    }
+
     private void pass() {
         mQueue.expire(mNowNanos.getAsLong()).forEach(mListener::onExpired);
         FleetView view = mView.get();
--- a/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
@@ -1,11 +1,11 @@
 package org.marigoldturn.entry;
 
-import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.stream.ClosedStreamException;
+import java.util.function.LongSupplier;
 import org.marigoldturn.routing.AttemptDecision;
 import org.marigoldturn.routing.AttemptDecision.FinishNotRun;
 import org.marigoldturn.routing.ClaimRegistry;
@@ -26,11 +26,15 @@
     }
 
     private final ClaimRegistry mClaims;
+    private final LongSupplier mNowNanos;
+    private final LogLimiter mLogLimiter;
     private final FilterMetrics mMetrics;
 
-    RespondFilter(ClaimRegistry claims, MetricRegistry metrics) {
-        mClaims = claims;
-        mMetrics = new FilterMetrics(metrics, "respond");
+    RespondFilter(EntryDependencies dependencies, LogLimiter logLimiter) {
+        mClaims = dependencies.claims();
+        mNowNanos = dependencies.nowNanos();
+        mLogLimiter = logLimiter;
+        mMetrics = new FilterMetrics(dependencies.metrics(), "respond");
     }
 
     /** Ends the exchange with a problem. */
@@ -42,13 +46,7 @@
         if (notRun && exchange.idGranted()) {
             mClaims.release(exchange.request().id());
         }
-        Logger.info(
-                "entry: rejected. request={} team={} service={} outcome={} reason={}",
-                exchange.request().id(),
-                exchange.request().team(),
-                exchange.request().service().name(),
-                problem.outcome().headerValue(),
-                problem.reason());
+        log(exchange, problem);
         ResponseHeaders headers =
                 Problems.headers(problem)
                         .set(CallerHeaders.REQUEST_ID, exchange.request().id().toString())
@@ -110,6 +108,20 @@
         exchange.writer().close(new ResponseException(reason, cause));
     }
 
+    private void log(Exchange exchange, EntryProblem problem) {
+        if (!mLogLimiter.tryLog(mNowNanos.getAsLong())) {
+            return;
+        }
+        Logger.info(
+                "entry: rejected. request={} team={} service={} outcome={} reason={} unlogged={}",
+                exchange.request().id(),
+                exchange.request().team(),
+                exchange.request().service().name(),
+                problem.outcome().headerValue(),
+                problem.reason(),
+                mLogLimiter.takeSuppressed());
+    }
+
     private static EntryProblem notRunProblem(String reason) {
         return switch (reason) {
             case DispatchFilter.INVALID_KEY ->
--- a/core/src/main/java/org/marigoldturn/entry/SelectFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/SelectFilter.java
@@ -120,13 +120,17 @@
         return view.pool(request.service().pool());
     }
 
-    static Query query(FleetView view, CallerRequest request, Set<String> triedHosts) {
+    /** Returns whether several requests share a connection to the target. */
+    static boolean isMultiplexed(CallerRequest request) {
         TargetProtocol protocol = request.service().protocol();
-        boolean multiplexed = protocol == TargetProtocol.H2 || protocol == TargetProtocol.H2C;
+        return protocol == TargetProtocol.H2 || protocol == TargetProtocol.H2C;
+    }
+
+    static Query query(FleetView view, CallerRequest request, Set<String> triedHosts) {
         return new Query(
                 request.needs(),
                 triedHosts,
                 request.idempotent(),
-                multiplexed ? 0 : view.members());
+                isMultiplexed(request) ? 0 : view.members());
     }
 }
--- a/core/src/main/java/org/marigoldturn/entry/TargetAttempt.java
+++ b/core/src/main/java/org/marigoldturn/entry/TargetAttempt.java
@@ -8,6 +8,8 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.marigoldturn.admission.QueuedRequest;
 import org.marigoldturn.routing.TargetSelector.Selection;
 import org.reactivestreams.Subscriber;
@@ -20,6 +22,12 @@
  * <p>Invariant: the rights of the attempt are released once.
  */
 final class TargetAttempt implements Subscriber<HttpObject> {
+    /** Bounds the memory for one answer whose caller reads slowly. */
+    static final long MAX_UNREAD_BYTES = 4L << 20;
+
+    /** A longer pause would make the deadlines of other requests on the connection pass. */
+    static final long MAX_PAUSE_MILLIS = 500;
+
     private static final long UNKNOWN_LENGTH = -1;
 
     /** Decides what follows from the events of an attempt. */
@@ -30,6 +38,9 @@
         /** Passes a part on; returns false if the caller has gone. */
         boolean onPart(TargetAttempt attempt, HttpObject part);
 
+        /** The caller took nothing for too long while much of the answer waits. */
+        void onCallerTooSlow(TargetAttempt attempt);
+
         /** The answer ended; {@code failure} is null if the protocol reported no error. */
         void onEnd(TargetAttempt attempt, Throwable failure);
     }
@@ -39,6 +50,7 @@
     private final Selection mSelection;
     private final HttpResponse mResponse;
     private final HttpMethod mMethod;
+    private final boolean mSharesConnection;
     private final long mStartedNanos;
     private final Listener mListener;
     private final AtomicBoolean mReleased = new AtomicBoolean();
@@ -48,20 +60,28 @@
     private boolean mHealthReported;
     private long mExpectedBytes = UNKNOWN_LENGTH;
     private long mReceivedBytes;
+    private int mPauses;
+
+    /**
+     * Bytes that were passed on and not taken by the caller; updated when the caller takes some.
+     */
+    private final AtomicLong mUnreadBytes = new AtomicLong();
+
+    private final AtomicInteger mLastEndedPause = new AtomicInteger();
 
     TargetAttempt(
             Exchange exchange,
             QueuedRequest<Exchange> queued,
             Selection selection,
             HttpResponse response,
-            HttpMethod method,
             long startedNanos,
             Listener listener) {
         mExchange = exchange;
         mQueued = queued;
         mSelection = selection;
         mResponse = response;
-        mMethod = method;
+        mMethod = exchange.body().method();
+        mSharesConnection = SelectFilter.isMultiplexed(exchange.request());
         mStartedNanos = startedNanos;
         mListener = listener;
     }
@@ -99,6 +119,11 @@
         }
     }
 
+    /** Reads on after a pause that was given up. */
+    void resume() {
+        mSubscription.request(1);
+    }
+
     /** Returns true once: the caller then releases the rights. Safe from any thread. */
     boolean tryRelease() {
         return mReleased.compareAndSet(false, true);
@@ -171,7 +196,7 @@
         if (!mDetached && !mListener.onHead(this, headers)) {
             detach();
         }
-        continueReading();
+        continueReading(0);
     }
 
     private void onPart(HttpObject part) {
@@ -180,20 +205,46 @@
         } else if (!mListener.onPart(this, part)) {
             detach();
         }
-        continueReading();
+        continueReading(part instanceof HttpData data ? data.length() : 0);
     }
 
-    /** Reads on when the caller has taken what was passed on, or at once if nothing was. */
-    private void continueReading() {
+    /**
+     * Reads on at once while little waits for the caller. A pause would delay all answers on the
+     * same connection, so it lasts at most {@link #MAX_PAUSE_MILLIS}.
+     */
+    private void continueReading(int bytes) {
         if (mDetached) {
             mSubscription.request(1);
             return;
         }
+        mUnreadBytes.addAndGet(bytes);
+        boolean pause = mUnreadBytes.get() > MAX_UNREAD_BYTES;
+        int pauseNumber = ++mPauses;
         var unused =
                 mExchange
                         .writer()
                         .whenConsumed()
-                        .whenComplete((done, gone) -> mSubscription.request(1));
+                        .whenComplete((done, gone) -> onConsumed(bytes, pause, pauseNumber));
+        if (pause && mSharesConnection) {
+            mExchange.schedule(MAX_PAUSE_MILLIS, () -> checkPause(pauseNumber));
+        }
+        if (!pause) {
+            mSubscription.request(1);
+        }
+    }
+
+    private void onConsumed(int bytes, boolean paused, int pauseNumber) {
+        mUnreadBytes.addAndGet(-bytes);
+        if (paused) {
+            mLastEndedPause.set(pauseNumber);
+            mSubscription.request(1);
+        }
+    }
+
+    private void checkPause(int pauseNumber) {
+        if (mLastEndedPause.get() != pauseNumber && mPauses == pauseNumber && !mDetached) {
+            mListener.onCallerTooSlow(this);
+        }
     }
 
     private static void close(HttpObject part) {
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -27,8 +27,9 @@
  * request.
  *
  * <p>A request runs for the time in its header {@code x-run-millis} and is answered with its own
- * body. {@code GET /records} returns all records, {@code GET /usage} the running request ids by
- * owner, and {@code POST /admin/fault?mode=slow&millis=100} sets a fault. Thread safe.
+ * body, or with as many zero bytes as its header {@code x-response-bytes} states. {@code GET
+ * /records} returns all records, {@code GET /usage} the running request ids by owner, and {@code
+ * POST /admin/fault?mode=slow&millis=100} sets a fault. Thread safe.
  */
 public final class TargetServer implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -144,7 +145,11 @@
                 () -> {
                     mRecords.end(index, System.currentTimeMillis());
                     if (fault.kind() != TargetFault.RESET_AFTER) {
-                        response.complete(answer(fault.kind(), body));
+                        int bytes = request.headers().getInt("x-response-bytes", -1);
+                        response.complete(
+                                answer(
+                                        fault.kind(),
+                                        bytes < 0 ? body : HttpData.wrap(new byte[bytes])));
                     }
                 };
         if (fault.kind() == TargetFault.RESET_AFTER) {
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -80,11 +80,14 @@
         mEntry.register(builder);
         mServer = builder.build();
         mServer.start().join();
-        mClient =
-                WebClient.builder("h2c://127.0.0.1:" + mServer.activeLocalPort())
-                        .factory(mClientFactory)
-                        .maxResponseLength(0)
-                        .build();
+        mClient = newClient(mClientFactory);
+    }
+
+    WebClient newClient(ClientFactory factory) {
+        return WebClient.builder("h2c://127.0.0.1:" + mServer.activeLocalPort())
+                .factory(factory)
+                .maxResponseLength(0)
+                .build();
     }
 
     private EntryDependencies dependencies() {
