Keep rights when a connection to a target ends without a reset by the target

Cause: a test with a relay that stops delivering showed that a connection closed after an unanswered PING is reported with the exception type of a stream reset, so the rights of a request that may still run were released.

Change: only a complete answer, a refused stream or an explicit reset by the target releases the rights; everything else waits for a usage report. The new relay test guards this.

Test change: rights after an answer shorter than its announced length are expected to be free only after a usage report, because the client reports that case sometimes as a reset and sometimes as a closed stream.

--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -2,7 +2,6 @@
 
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
-import com.linecorp.armeria.common.ClosedSessionException;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -36,6 +35,8 @@
     private static final int VERSION_NOT_SUPPORTED = 505;
     private static final int FIRST_SERVER_ERROR = 500;
 
+    private static final String RESET_BY_TARGET = "received a RST_STREAM frame";
+
     private final EntryDependencies mDependencies;
     private final Supplier<FleetView> mView;
     private final TargetClients mClients;
@@ -350,12 +351,16 @@
                 && status != VERSION_NOT_SUPPORTED;
     }
 
-    /** A lost connection proves nothing; a complete answer or a reset by the target does. */
+    /**
+     * A lost connection proves nothing; a complete answer or a reset by the target does. Armeria
+     * uses one exception type for a reset by the target and for a connection that it closed after a
+     * PING without an answer, so the message decides; another message keeps the rights.
+     */
     private static boolean provesEnd(Throwable failure) {
         return failure == null
                 || failure instanceof UnprocessedRequestException
                 || (failure instanceof ClosedStreamException
-                        && !(failure instanceof ClosedSessionException));
+                        && String.valueOf(failure.getMessage()).startsWith(RESET_BY_TARGET));
     }
 
     private static AttemptFailure kind(Throwable failure) {
--- a/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
@@ -98,11 +98,12 @@
             return;
         }
         Logger.warn(
-                "entry: answer aborted. request={} team={} service={} reason={}",
+                "entry: answer aborted. request={} team={} service={} reason={} cause={}",
                 exchange.request().id(),
                 exchange.request().team(),
                 exchange.request().service().name(),
-                reason);
+                reason,
+                String.valueOf(cause));
         mMetrics.rejected();
         exchange.end();
         exchange.writer().close(new ResponseException(reason, cause));
--- a/core/src/test/java/org/marigoldturn/routing/RequestClaimsTest.java
+++ b/core/src/test/java/org/marigoldturn/routing/RequestClaimsTest.java
@@ -150,6 +150,28 @@
         }
     }
 
+    /** Guards against records that were divided for a member set which was never accepted. */
+    @Example
+    void aHandoverForAnotherMemberSetIsNotComplete() {
+        join();
+        join();
+        join();
+        mNow += 60_000;
+        Random random = new Random(9);
+        for (int i = 0; i < 300; i++) {
+            claimNew(random);
+        }
+        mMembers.remove("d0");
+        mTables.get("d0")
+                .handOver(mMembers, mNow)
+                .forEach((owner, data) -> mTables.get(owner).receive("d0", data));
+        mMembers.remove("d2");
+        accept();
+        for (RequestId id : mGranted) {
+            assertThat(mTables.get("d1").claim(id, "x", mNow)).isNotEqualTo(ClaimResult.GRANTED);
+        }
+    }
+
     /** Guards against a release by a daemon that does not hold the claim. */
     @Example
     void onlyTheClaimantReleases() {
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -159,6 +160,18 @@
         mTargets.get(index).close();
     }
 
+    /** Moves host h0 to another port. */
+    void setPort(int port) {
+        Map<String, HostSettings> hosts = new HashMap<>(mState.settings().hosts());
+        hosts.put("h0", host("h0", port));
+        mState =
+                state(
+                        mState.version() + 1,
+                        hosts,
+                        mState.settings().services().get("entries").protocol(),
+                        mState.settings().teams().get("club").keys());
+    }
+
     void setConfirmed(boolean confirmed) {
         mConfirmed = confirmed;
     }
@@ -238,6 +251,14 @@
         }
     }
 
+    /** Delivers usage reports of all hosts, made after everything that happened so far. */
+    void reportNothingRuns() {
+        long later = System.currentTimeMillis() + 10_000;
+        for (int i = 0; i < mTargets.size(); i++) {
+            mEntry.callers().pendingOutcomes().onUsageReport("h" + i, later, Set.of());
+        }
+    }
+
     /** Waits until every right was released, which fails if one is lost. */
     void awaitNoRightTaken() {
         await("all rights released", () -> mRights.taken() == 0);
--- a/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.common.HttpRequestWriter;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -87,6 +88,13 @@
                                     .join();
                     assertThat(success).as("%s %s", protocol, fault).isFalse();
                     assertThat(fixture.runs(id)).hasSize(1);
+                    if (protocol == TargetProtocol.H2C && fault == TargetFault.TRUNCATE) {
+                        // A reset by the target proves the end without a usage report.
+                        fixture.awaitNoRightTaken();
+                    }
+                    EntryFixture.await("answered", () -> fixture.mDrain.active() == 0);
+                    fixture.reportNothingRuns();
+                    fixture.awaitNoRightTaken();
                 }
             }
         }
@@ -201,6 +209,28 @@
         }
     }
 
+    /** Guards against connections that stop delivering and are used until every deadline passes. */
+    @Example
+    void aConnectionThatStopsDeliveringIsReplaced() throws IOException {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C);
+                StallingRelay relay = new StallingRelay(fixture.mTargets.get(0).port())) {
+            fixture.setPort(relay.port());
+            RequestHeadersBuilder headers = post(fixture, newId());
+            assertThat(fixture.send(headers, BODY).join().contentUtf8()).isEqualTo(BODY);
+            relay.stall();
+            headers = post(fixture, newId()).set("marigoldturn-deadline-millis", "60000");
+            long start = System.nanoTime();
+            AggregatedHttpResponse lost = fixture.send(headers, BODY).join();
+            assertThat(outcome(lost)).isEqualTo(UNKNOWN);
+            // A PING after 5 s, and its answer missing for 10 s at most.
+            assertThat(System.nanoTime() - start).isLessThan(16_000_000_000L);
+            // The target may have got the request and run it.
+            assertThat(fixture.mRights.taken()).isEqualTo(2);
+            headers = post(fixture, newId());
+            assertThat(fixture.send(headers, BODY).join().contentUtf8()).isEqualTo(BODY);
+        }
+    }
+
     /** Guards against bodies that exceed the limit of the service, announced or not. */
     @Example
     void aBodyTooLargeIsRefusedWithAProblem() {
