Use the membership controller and re-check host and version at each start

Cause: the daemon's own membership code acknowledged a version before the gate covered it, a member set whose acceptance was overtaken by a settings change never reached the claim table, and a host drained between selection and start could still get work. Change: MembershipController drives the member set; claims follow each accepted generation; the dispatch filter checks key, host and version of one state and asks the gate for that version. Ruled out: refusing while a version is being adopted, which would fail requests at each change.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -13,13 +13,8 @@
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
-import org.marigoldturn.membership.AcceptanceTracker;
-import org.marigoldturn.membership.ConfirmationTracker;
-import org.marigoldturn.membership.EndEvidence;
-import org.marigoldturn.membership.EndedMembers;
-import org.marigoldturn.membership.PeerVersions;
+import org.marigoldturn.membership.MembershipController;
 import org.marigoldturn.membership.RoleHolder;
-import org.marigoldturn.membership.StatePropagator;
 import org.marigoldturn.operator.OperatorParts;
 import org.marigoldturn.operator.OperatorService;
 import org.marigoldturn.operator.RingDecisionLog;
@@ -36,10 +31,8 @@
 import org.marigoldturn.settings.HistoryEntry;
 import org.marigoldturn.settings.Manifest;
 import org.marigoldturn.settings.Member;
-import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsRepository;
-import org.marigoldturn.settings.SystemState;
 import org.marigoldturn.shares.EntitlementTable;
 
 /**
@@ -63,15 +56,12 @@
     private final SettingsRepository mRepository;
     private final HostDirectory mDirectory;
     private final SettingsSync mSync;
-    private final StoreConfirmationService mStoreConfirmation;
     private final PeerRouter mRouter = new PeerRouter();
     private final NettyPeerNetwork mNetwork;
     private final PeerLink mPeers;
-    private final PeerVersions mVersions = new PeerVersions();
-    private final EndedMembers mEndedMembers = new EndedMembers();
     private final EndedDaemons mEndedDaemons = new EndedDaemons();
-    private final ConfirmationTracker mConfirmation;
-    private final AcceptanceTracker mAcceptance;
+    private final MembershipController mController;
+    private final MembershipService mMembership;
     private final RightsLedger mLedger;
     private final RightsService mRights;
     private final ShareService mShares;
@@ -87,7 +77,6 @@
     private final PlannerService mPlanner;
     private final Server mCallerServer;
     private final Server mOperatorServer;
-    private MembershipService mMembership;
     private boolean mStarted;
 
     /** Creates a daemon that does not run yet. */
@@ -102,21 +91,19 @@
                         mStore, mRepository, mPublisher, mControl, System::currentTimeMillis);
         mNetwork = new NettyPeerNetwork(peerOptions(), mRouter, mRouter, mMetrics);
         mPeers = new PeerLink(mId, mNetwork, mRouter);
-        mConfirmation = new ConfirmationTracker(mId, mVersions);
-        mStoreConfirmation =
-                new StoreConfirmationService(
-                        mId,
-                        mStore,
-                        mRepository,
-                        mConfirmation,
-                        mPublisher,
-                        mControl,
-                        System::nanoTime);
-        mAcceptance =
-                new AcceptanceTracker(mId, mVersions, mEndedMembers, mControl, System::nanoTime);
         mLedger = new RightsLedger(mId);
         mClaimTable = new RequestClaims(mId);
         mClaims = new PeerClaimRegistry(mPeers, mClaimTable, mPublisher, System::currentTimeMillis);
+        mMembership =
+                new MembershipService(
+                        mId,
+                        mEndedDaemons,
+                        mClaimTable,
+                        mPublisher,
+                        mRepository,
+                        mControl,
+                        System::currentTimeMillis);
+        mController = controller();
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
         mEntry = new EntryServer(entryDependencies(entitlements));
@@ -142,6 +129,7 @@
     public void start() {
         mCallerServer.start().join();
         mOperatorServer.start().join();
+        connect();
         int peerPort = mNetwork.start();
         Member self =
                 new Member(
@@ -151,7 +139,7 @@
                         peerPort,
                         mOperatorServer.activeLocalPort(),
                         System.currentTimeMillis());
-        connect(self);
+        mControl.execute(() -> mController.join(self));
         schedule();
         mStarted = true;
         System.out.printf(
@@ -176,34 +164,30 @@
         mNetwork.close();
     }
 
-    private void connect(Member self) {
-        mMembership =
-                new MembershipService(
-                        new MembershipService.Parts(
-                                self,
-                                mVersions,
-                                mEndedMembers,
-                                mEndedDaemons,
-                                mConfirmation,
-                                mAcceptance,
-                                mClaimTable,
-                                mPublisher,
-                                mRepository,
-                                mControl,
-                                System::currentTimeMillis,
-                                System::nanoTime));
+    private MembershipController controller() {
+        return new MembershipController(
+                mId,
+                StatePublisher.INITIAL,
+                new MembershipController.Environment(
+                        mStore,
+                        mConfig.storePrefix(),
+                        mControl,
+                        System::nanoTime,
+                        mPublisher::publish,
+                        mSync::load,
+                        mMembership));
+    }
+
+    private void connect() {
+        mMembership.connect(mController);
+        mPublisher.setAdopter(mController::adopt);
         mPublisher.addListener((previous, state) -> mLedger.adopt(state));
         mPublisher.addListener(
-                (previous, state) -> {
-                    mNetwork.updateMembers(state.members());
-                    mNetwork.pingAll();
-                    mEntry.callers().wake();
-                });
+                (previous, state) -> mControl.execute(() -> mEntry.callers().wake()));
+        mController.attach(mNetwork, mNetwork);
         mRouter.connect(
                 new PeerRouter.Services(
-                        mPublisher,
-                        new StatePropagator(
-                                mPeers.network(), mPublisher::loaded, mPublisher::adopt, mControl),
+                        mController,
                         mMembership,
                         mLedger,
                         mRights,
@@ -216,15 +200,14 @@
     private void schedule() {
         mControl.execute(mSync::load);
         mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
-        mControl.every("confirmation", CONFIRM_INTERVAL_MILLIS, mStoreConfirmation::tick);
-        mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mMembership::tick);
+        mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mController::tick);
         mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
                 SHARE_INTERVAL_MILLIS,
                 () -> {
-                    Set<String> answering = mMembership.answering();
+                    Set<String> answering = mController.answering();
                     mShares.report(answering);
                     mShares.coordinate(answering);
                 });
@@ -238,7 +221,7 @@
         mPlannerRole.tick(nowNanos);
         mRightsRole.tick(nowNanos);
         if (mRightsRole.holds(nowNanos)) {
-            mRights.redistribute(mMembership::answering);
+            mRights.redistribute(mController::answering);
         }
     }
 
@@ -308,14 +291,14 @@
                 mEntry.callers()::demand,
                 mHosts::failedHosts,
                 mEntry::isReady,
-                mStoreConfirmation::reachesStore);
+                mController::reachesStore);
     }
 
     private EntryDependencies entryDependencies(EntitlementTable entitlements) {
         return new EntryDependencies(
                 mId,
                 mPublisher::state,
-                mConfirmation,
+                mController.gate(),
                 mLedger,
                 entitlements,
                 mClaims,
@@ -332,12 +315,12 @@
                 mConfig.operatorToken(),
                 mPublisher::state,
                 this::commit,
-                mAcceptance,
+                mController.acceptance(),
                 this::history,
                 mStatus,
                 mHosts::failedHosts,
                 mDecisions,
-                this::forget,
+                mMembership::forget,
                 mMetrics,
                 System::currentTimeMillis);
     }
@@ -369,34 +352,14 @@
                                         .toList());
     }
 
-    private CompletableFuture<ChangeResult> forget(
-            String memberId, String changeId, String author) {
-        mControl.execute(() -> mMembership.onEnded(memberId, EndEvidence.OPERATOR));
-        return mRepository
-                .commitSystem(
-                        changeId,
-                        author,
-                        state ->
-                                new SystemState(without(state.members(), memberId), state.rights()),
-                        mPublisher.state().version(),
-                        System.currentTimeMillis())
-                .thenApplyAsync(this::adopted, mControl);
-    }
-
-    private static MemberSet without(MemberSet members, String memberId) {
-        return new MemberSet(
-                members.members().stream().filter(m -> !m.id().equals(memberId)).toList());
-    }
-
     private GracefulShutdown.Parts shutdownParts() {
         return new GracefulShutdown.Parts(
                 mDrain,
                 mEntry.callers().pendingOutcomes(),
-                mConfirmation,
+                mController,
                 mLedger,
                 mRights,
                 mClaims,
-                mMembership,
                 mPeers,
                 mPublisher,
                 mControl,
--- a/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
+++ b/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
@@ -9,7 +9,7 @@
 import java.util.function.LongSupplier;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.PendingOutcomes;
-import org.marigoldturn.membership.ConfirmationTracker;
+import org.marigoldturn.membership.MembershipController;
 import org.marigoldturn.peer.wire.Envelope;
 import org.marigoldturn.peer.wire.Farewell;
 import org.marigoldturn.rights.RightsLedger;
@@ -35,11 +35,10 @@
     record Parts(
             DrainState drain,
             PendingOutcomes pending,
-            ConfirmationTracker confirmation,
+            MembershipController controller,
             RightsLedger ledger,
             RightsService rights,
             PeerClaimRegistry claims,
-            MembershipService membership,
             PeerLink peers,
             StatePublisher publisher,
             ControlLoop control,
@@ -60,7 +59,7 @@
         boolean proven = await(PENDING_TIMEOUT_MILLIS, () -> mParts.pending().size() == 0);
         onControl(
                 () -> {
-                    mParts.confirmation().stop();
+                    mParts.controller().stopServing();
                     mParts.ledger().close();
                 });
         boolean handedOver = await(HANDOVER_TIMEOUT_MILLIS, this::handOverStep);
@@ -69,11 +68,15 @@
             sayFarewell();
         }
         Logger.info("entry: work ended, rights handed over: {}.", handedOver);
-        mParts.membership().requestLeave();
-        boolean left = await(LEAVE_TIMEOUT_MILLIS, mParts.membership()::hasLeft);
+        onControl(mParts.controller()::leave);
+        boolean left = await(LEAVE_TIMEOUT_MILLIS, this::hasLeft);
         Logger.info("membership: left the member set: {}.", left);
     }
 
+    private boolean hasLeft() {
+        return Boolean.TRUE.equals(onControl(mParts.controller()::wasRemoved));
+    }
+
     private boolean handOverStep() {
         return Boolean.TRUE.equals(
                 onControl(
@@ -82,7 +85,7 @@
                             if (others.isEmpty()) {
                                 return true;
                             }
-                            Set<String> answering = mParts.membership().answering();
+                            Set<String> answering = mParts.controller().answering();
                             List<String> takers =
                                     others.stream().filter(answering::contains).toList();
                             mParts.rights().giveAll(takers);
--- a/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
@@ -5,15 +5,11 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.marigoldturn.membership.AcceptanceTracker;
-import org.marigoldturn.membership.ConfirmationTracker;
 import org.marigoldturn.membership.EndEvidence;
-import org.marigoldturn.membership.EndedMembers;
 import org.marigoldturn.membership.MemberSetChange;
-import org.marigoldturn.membership.MembershipPlanner;
-import org.marigoldturn.membership.PeerVersions;
+import org.marigoldturn.membership.MemberSetCommitter;
+import org.marigoldturn.membership.MembershipController;
 import org.marigoldturn.rights.EndedDaemons;
 import org.marigoldturn.routing.RequestClaims;
 import org.marigoldturn.settings.ChangeResult;
@@ -23,204 +19,165 @@
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.SystemState;
 import org.marigoldturn.settings.VersionedState;
-import org.tinylog.Logger;
 
 /**
- * Joins and leaves the member set, removes ended members, and tells the other parts what acceptance
- * implies. Belongs to the control thread.
+ * Commits changes of the member set, and tells rights and claims what their acceptance implies.
+ * Belongs to the control thread.
  */
-final class MembershipService {
+final class MembershipService implements MemberSetCommitter {
     /** Longest wait for the acceptance of a member set before it is asked for again. */
     private static final long ACCEPTANCE_TIMEOUT_MILLIS = 60_000;
 
-    private static final long ANSWERING_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-    /** Everything this service drives. */
-    record Parts(
-            Member self,
-            PeerVersions versions,
-            EndedMembers endedMembers,
+    /** Stands for the owners of member sets that this daemon has not seen. */
+    private static final List<String> UNSEEN_MEMBERS = List.of("unseen");
+
+    private final String mSelfId;
+    private final EndedDaemons mEndedDaemons;
+    private final RequestClaims mClaims;
+    private final StatePublisher mPublisher;
+    private final SettingsRepository mRepository;
+    private final ControlLoop mControl;
+    private final LongSupplier mNowMillis;
+    private MembershipController mController;
+    private MemberSet mAccepted = MemberSet.EMPTY;
+    private long mAwaitedGeneration;
+
+    MembershipService(
+            String selfId,
             EndedDaemons endedDaemons,
-            ConfirmationTracker confirmation,
-            AcceptanceTracker acceptance,
             RequestClaims claims,
             StatePublisher publisher,
             SettingsRepository repository,
             ControlLoop control,
-            LongSupplier nowMillis,
-            LongSupplier nowNanos) {}
-
-    private final Parts mParts;
-    private final MembershipPlanner mPlanner;
-    private boolean mCommitting;
-    private boolean mLeft;
-
-    MembershipService(Parts parts) {
-        mParts = parts;
-        mPlanner = new MembershipPlanner(parts.self(), parts.versions(), parts.endedMembers());
-        parts.publisher().addListener(this::onState);
-    }
-
-    /** Commits the next change of the member set, if one is due; called every 500 ms. */
-    void tick() {
-        long nowNanos = mParts.nowNanos().getAsLong();
-        mParts.confirmation().evaluatePeers(nowNanos);
-        mParts.acceptance().evaluate(nowNanos);
-        VersionedState state = mParts.publisher().state();
-        if (!mCommitting) {
-            mPlanner.plan(state.version(), state.members(), nowNanos).ifPresent(this::commit);
-        }
+            LongSupplier nowMillis) {
+        mSelfId = selfId;
+        mEndedDaemons = endedDaemons;
+        mClaims = claims;
+        mPublisher = publisher;
+        mRepository = repository;
+        mControl = control;
+        mNowMillis = nowMillis;
+        publisher.addListener((previous, state) -> onState(state));
     }
 
-    void onPong(String memberId, long version, long sentNanos) {
-        mParts.endedMembers().onMessage(memberId);
-        mParts.versions().onReply(memberId, version, sentNanos);
-        long nowNanos = mParts.nowNanos().getAsLong();
-        mParts.confirmation().evaluatePeers(nowNanos);
-        mParts.acceptance().evaluate(nowNanos);
-    }
-
-    void onPing(String memberId, long version) {
-        mParts.versions().onReport(memberId, version);
-        mParts.acceptance().evaluate(mParts.nowNanos().getAsLong());
+    /** Connects the controller; to be called before the first state is adopted. */
+    void connect(MembershipController controller) {
+        mController = controller;
     }
 
+    /** Records that the process of a member has ended. */
     void onEnded(String memberId, EndEvidence evidence) {
-        mParts.endedMembers().record(memberId, evidence, mParts.nowNanos().getAsLong());
-        long nowMillis = mParts.nowMillis().getAsLong();
+        mController.recordEnd(memberId, evidence);
+        long nowMillis = mNowMillis.getAsLong();
         if (evidence == EndEvidence.FAREWELL) {
-            mParts.endedDaemons().onFarewell(memberId, nowMillis);
+            mEndedDaemons.onFarewell(memberId, nowMillis);
         } else if (evidence.isConclusive()) {
-            mParts.endedDaemons().onEnded(memberId, nowMillis);
+            mEndedDaemons.onEnded(memberId, nowMillis);
         }
     }
 
-    /** Returns the members that answer pings, including this daemon if it is a member. */
-    Set<String> answering() {
-        MemberSet members = mParts.publisher().state().members();
-        long sinceNanos = mParts.nowNanos().getAsLong() - ANSWERING_NANOS;
-        String selfId = mParts.self().id();
-        Set<String> answering =
-                new HashSet<>(mParts.versions().repliedSince(members, selfId, sinceNanos));
-        if (members.find(selfId).isPresent()) {
-            answering.add(selfId);
-        }
-        return answering;
-    }
-
-    /** Lets the next tick commit the leave of this daemon. */
-    void requestLeave() {
-        mPlanner.requestLeave();
-    }
-
-    /** Returns whether this daemon was a member and is none any more. */
-    boolean hasLeft() {
-        return mLeft;
+    @Override
+    public CompletableFuture<Boolean> commit(MemberSetChange change) {
+        return mRepository
+                .commitSystem(
+                        UUID.randomUUID().toString(),
+                        mSelfId,
+                        state -> next(state, change.next()),
+                        change.baseVersion(),
+                        mNowMillis.getAsLong())
+                .thenApplyAsync(this::adopted, mControl);
+    }
+
+    /** Removes a member on the operator's word that its process has ended. */
+    CompletableFuture<ChangeResult> forget(String memberId, String changeId, String author) {
+        mControl.execute(() -> onEnded(memberId, EndEvidence.OPERATOR));
+        return mRepository
+                .commitSystem(
+                        changeId,
+                        author,
+                        state -> next(state, without(state.members(), memberId)),
+                        mPublisher.state().version(),
+                        mNowMillis.getAsLong())
+                .thenApplyAsync(
+                        result -> {
+                            adopted(result);
+                            return result;
+                        },
+                        mControl);
     }
 
-    private void onState(VersionedState previous, VersionedState state) {
-        MemberSet members = state.members();
-        mParts.versions().retain(members);
-        mParts.confirmation().adopt(state.version(), members);
-        mParts.acceptance().adopt(state.version(), members);
-        mLeft = mPlanner.wasRemoved(members) || (mLeft && !isMember(members));
-        if (isMember(previous.members()) && !isMember(members)) {
-            mLeft = true;
-        }
-        boolean changed = !previous.members().equals(members);
-        if (changed || state.version() > previous.version() + 1) {
-            awaitAcceptance(previous, state);
+    private boolean adopted(ChangeResult result) {
+        if (result instanceof ChangeResult.Committed committed) {
+            mPublisher.adopt(committed.state());
+            return true;
         }
+        return false;
     }
 
-    private boolean isMember(MemberSet members) {
-        return members.find(mParts.self().id()).isPresent();
+    private void onState(VersionedState state) {
+        long generation = state.members().generation();
+        if (generation > mAccepted.generation() && generation > mAwaitedGeneration) {
+            mAwaitedGeneration = generation;
+            // The trackers adopt the version after this call.
+            mControl.execute(() -> awaitAcceptance(state));
+        }
     }
 
-    private void awaitAcceptance(VersionedState previous, VersionedState state) {
+    private void awaitAcceptance(VersionedState state) {
         var unused =
-                mParts.acceptance()
+                mController
+                        .acceptance()
                         .awaitAccepted(state.version(), ACCEPTANCE_TIMEOUT_MILLIS)
                         .thenAcceptAsync(
                                 result -> {
                                     if (result.accepted()) {
-                                        onAccepted(previous, state);
-                                    } else if (mParts.publisher().state().version()
-                                            == state.version()) {
-                                        awaitAcceptance(previous, state);
+                                        onAccepted(state);
+                                    } else if (mAwaitedGeneration == state.members().generation()) {
+                                        awaitAcceptance(state);
                                     }
                                 },
-                                mParts.control());
+                                mControl);
     }
 
     /**
      * A removed member cannot start work any more, so its usage reports count from now on. Claims
      * may be granted under the new set.
      */
-    private void onAccepted(VersionedState previous, VersionedState state) {
-        long nowMillis = mParts.nowMillis().getAsLong();
-        Set<String> holders = new HashSet<>();
-        previous.members().members().forEach(member -> holders.add(member.id()));
-        state.rights().teams().values().forEach(d -> holders.addAll(d.basis().keySet()));
-        state.members().members().forEach(member -> holders.remove(member.id()));
-        holders.forEach(id -> mParts.endedDaemons().onEnded(id, nowMillis));
-        if (mParts.publisher().state().version() != state.version()) {
+    private void onAccepted(VersionedState state) {
+        MemberSet members = state.members();
+        if (members.generation() <= mAccepted.generation()) {
             return;
         }
-        if (skippedMemberSets(previous, state)) {
-            // An owner in a skipped member set may have granted ids, so all earlier ids are
-            // unknown.
-            mParts.claims().onMembersAccepted(List.of("skipped"), nowMillis);
+        long nowMillis = mNowMillis.getAsLong();
+        Set<String> removed = new HashSet<>(ids(mAccepted));
+        state.rights().teams().values().forEach(d -> removed.addAll(d.basis().keySet()));
+        removed.removeAll(ids(members));
+        removed.forEach(id -> mEndedDaemons.onEnded(id, nowMillis));
+        if (members.generation() > mAccepted.generation() + 1) {
+            // An owner in a set that was not seen may have granted any id.
+            mClaims.onMembersAccepted(UNSEEN_MEMBERS, nowMillis);
         }
-        mParts.claims().onMembersAccepted(ids(state.members()), nowMillis);
-    }
-
-    private static boolean skippedMemberSets(VersionedState previous, VersionedState state) {
-        return state.members().generation() > previous.members().generation() + 1;
-    }
-
-    private void commit(MemberSetChange change) {
-        mCommitting = true;
-        CompletableFuture<ChangeResult> commit =
-                mParts.repository()
-                        .commitSystem(
-                                UUID.randomUUID().toString(),
-                                mParts.self().id(),
-                                state -> next(state, change.next()),
-                                change.baseVersion(),
-                                mParts.nowMillis().getAsLong());
-        var unused =
-                commit.whenCompleteAsync(
-                        (result, failure) -> {
-                            mCommitting = false;
-                            if (result instanceof ChangeResult.Committed committed) {
-                                Logger.info("membership: committed {}.", change.reason());
-                                mParts.publisher().adopt(committed.state());
-                            } else if (failure != null) {
-                                Logger.warn(
-                                        "membership: {} not committed: {}.",
-                                        change.reason(),
-                                        failure.getMessage());
-                            }
-                        },
-                        mParts.control());
+        mClaims.onMembersAccepted(ids(members), nowMillis);
+        mAccepted = members;
     }
 
     private SystemState next(VersionedState state, MemberSet members) {
         RightsDivision rights = state.rights();
         Set<String> removed = new HashSet<>(ids(state.members()));
         removed.removeAll(ids(members));
-        if (rights.slotDaemons().isEmpty()) {
-            return new SystemState(members, withSlotDaemons(rights, ids(members)));
-        }
         // A daemon that left gracefully has given its slots away; those of others are lost.
         boolean slotsLost = removed.stream().anyMatch(this::endedWithoutFarewell);
-        return new SystemState(members, slotsLost ? withSlotDaemons(rights, ids(members)) : rights);
+        return new SystemState(
+                members,
+                slotsLost || rights.slotDaemons().isEmpty()
+                        ? withSlotDaemons(rights, ids(members))
+                        : rights);
     }
 
     private boolean endedWithoutFarewell(String memberId) {
-        return !memberId.equals(mParts.self().id())
-                && mParts.endedMembers()
+        return !memberId.equals(mSelfId)
+                && mController
+                        .ended()
                         .evidence(memberId)
                         .filter(evidence -> evidence == EndEvidence.FAREWELL)
                         .isEmpty();
@@ -230,6 +187,11 @@
         return new RightsDivision(rights.teams(), rights.slotEpoch() + 1, daemons);
     }
 
+    private static MemberSet without(MemberSet members, String memberId) {
+        return new MemberSet(
+                members.members().stream().filter(m -> !m.id().equals(memberId)).toList());
+    }
+
     private static List<String> ids(MemberSet members) {
         return members.members().stream().map(Member::id).toList();
     }
--- a/core/src/main/java/org/marigoldturn/daemon/PeerLink.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerLink.java
@@ -23,10 +23,6 @@
         return mSelfId;
     }
 
-    PeerNetwork network() {
-        return mNetwork;
-    }
-
     void send(String memberId, Envelope.Builder message) {
         if (memberId.equals(mSelfId)) {
             var unused = mSelfHandler.onMessage(mSelfId, message.setSender(mSelfId).build());
--- a/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
@@ -1,9 +1,10 @@
 package org.marigoldturn.daemon;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.marigoldturn.membership.EndEvidence;
-import org.marigoldturn.membership.StatePropagator;
+import org.marigoldturn.membership.MembershipController;
 import org.marigoldturn.peer.PeerHandler;
 import org.marigoldturn.peer.PeerListener;
 import org.marigoldturn.peer.wire.Envelope;
@@ -16,8 +17,7 @@
 final class PeerRouter implements PeerHandler, PeerListener {
     /** The services that receive messages. */
     record Services(
-            StatePublisher publisher,
-            StatePropagator propagator,
+            MembershipController controller,
             MembershipService membership,
             RightsLedger ledger,
             RightsService rights,
@@ -39,10 +39,18 @@
     @Override
     public CompletableFuture<Envelope.Builder> onMessage(String sender, Envelope message) {
         Services services = mServices;
+        if (message.hasFarewell()) {
+            services.control()
+                    .execute(() -> services.membership().onEnded(sender, EndEvidence.FAREWELL));
+        }
+        Optional<CompletableFuture<Envelope.Builder>> handled =
+                services.controller().handle(sender, message);
+        return handled.orElseGet(() -> route(services, sender, message));
+    }
+
+    private static CompletableFuture<Envelope.Builder> route(
+            Services services, String sender, Envelope message) {
         return switch (message.getBodyCase()) {
-            case STATE_REQUEST ->
-                    CompletableFuture.completedFuture(
-                            services.propagator().serve(message.getStateRequest()));
             case CLAIM_REQUEST ->
                     CompletableFuture.completedFuture(
                             services.claims().onRequest(sender, message.getClaimRequest()));
@@ -74,7 +82,6 @@
             case ENTITLEMENTS -> services.shares().onEntitlements(message.getEntitlements());
             case CLAIM_RELEASE -> services.claims().onRelease(sender, message.getClaimRelease());
             case CLAIM_HANDOVER -> services.claims().onHandover(sender, message.getClaimHandover());
-            case FAREWELL -> services.membership().onEnded(sender, EndEvidence.FAREWELL);
             default ->
                     throw new IllegalArgumentException(
                             "unexpected message " + message.getBodyCase() + " from " + sender);
@@ -83,43 +90,28 @@
 
     @Override
     public long heldVersion() {
-        return mServices.publisher().state().version();
+        return mServices.controller().heldVersion();
     }
 
     @Override
     public void onPong(String memberId, long version, long sentNanos) {
-        Services services = mServices;
-        services.control()
-                .execute(
-                        () -> {
-                            services.membership().onPong(memberId, version, sentNanos);
-                            services.propagator().onVersion(memberId, version);
-                        });
+        mServices.controller().onPong(memberId, version, sentNanos);
     }
 
     @Override
     public void onPing(String senderId, long version) {
-        Services services = mServices;
-        services.control()
-                .execute(
-                        () -> {
-                            services.membership().onPing(senderId, version);
-                            services.propagator().onVersion(senderId, version);
-                        });
+        mServices.controller().onPing(senderId, version);
     }
 
     @Override
     public void onConnectionRefused(String memberId) {
-        ended(memberId, EndEvidence.CONNECTION_REFUSED);
+        mServices.controller().onConnectionRefused(memberId);
     }
 
     @Override
     public void onAddressTaken(String memberId, String actualId) {
-        ended(memberId, EndEvidence.ADDRESS_TAKEN);
-    }
-
-    private void ended(String memberId, EndEvidence evidence) {
         Services services = mServices;
-        services.control().execute(() -> services.membership().onEnded(memberId, evidence));
+        services.control()
+                .execute(() -> services.membership().onEnded(memberId, EndEvidence.ADDRESS_TAKEN));
     }
 }
--- a/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
+++ b/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
@@ -3,33 +3,42 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.marigoldturn.platform.Compare;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.VersionedState;
 import org.tinylog.Logger;
 
 /**
- * Holds the newest adopted state of this daemon.
+ * Makes the adopted state visible to the request path.
  *
- * <p>The version never decreases. The state is published before the listeners run, so that the
- * request path decides by a version before the daemon acknowledges it. Adoption belongs to the
- * control thread; reads are safe on any thread.
+ * <p>The version never decreases. The listeners act on a version before the request path sees it,
+ * and both before another daemon can take it as acknowledged. Publication belongs to the control
+ * thread; reads are safe on any thread.
  */
 final class StatePublisher {
-    /** Reacts to a newly adopted state on the control thread. */
+    /** Reacts to a state that is about to be published, on the control thread. */
     interface Listener {
         void onState(VersionedState previous, VersionedState state);
     }
 
-    private final List<Listener> mListeners = new ArrayList<>();
-    private volatile LoadedState mLoaded =
+    static final LoadedState INITIAL =
             new LoadedState(VersionedState.INITIAL, Map.of(), Compare.ABSENT);
 
-    /** Adds a listener; to be called before the first adoption. */
+    private final List<Listener> mListeners = new ArrayList<>();
+    private Consumer<LoadedState> mAdopter = loaded -> {};
+    private volatile LoadedState mLoaded = INITIAL;
+
+    /** Adds a listener; to be called before the first publication. */
     void addListener(Listener listener) {
         mListeners.add(listener);
     }
 
+    /** Sets who decides on adoption and calls {@link #publish}. */
+    void setAdopter(Consumer<LoadedState> adopter) {
+        mAdopter = adopter;
+    }
+
     LoadedState loaded() {
         return mLoaded;
     }
@@ -38,24 +47,18 @@
         return mLoaded.state();
     }
 
-    /**
-     * Adopts a state if it is newer; takes over the store revision of the held one if it lacks it.
-     */
+    /** Offers a state for adoption; an older one has no effect. */
     void adopt(LoadedState loaded) {
+        mAdopter.accept(loaded);
+    }
+
+    /** Publishes an adopted state, which is newer than the present one. */
+    void publish(LoadedState loaded) {
         VersionedState previous = mLoaded.state();
-        if (loaded.state().version() < previous.version()) {
-            return;
-        }
-        boolean newer = loaded.state().version() > previous.version();
-        if (newer || mLoaded.manifestRevision() == Compare.ABSENT) {
-            mLoaded = loaded;
-        }
-        if (newer) {
-            Logger.info(
-                    "settings: adopted version {} of {}.",
-                    loaded.state().version(),
-                    loaded.state().manifest().author());
-            mListeners.forEach(listener -> listener.onState(previous, loaded.state()));
-        }
+        VersionedState state = loaded.state();
+        mListeners.forEach(listener -> listener.onState(previous, state));
+        mLoaded = loaded;
+        Logger.info(
+                "settings: adopted version {} of {}.", state.version(), state.manifest().author());
     }
 }
--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -16,6 +16,7 @@
 import org.marigoldturn.routing.AttemptFailure;
 import org.marigoldturn.routing.RequestState;
 import org.marigoldturn.routing.TargetSelector.Selection;
+import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
 import org.tinylog.Logger;
 
@@ -25,6 +26,10 @@
  */
 final class DispatchFilter implements TargetAttempt.Listener {
     static final String DEADLINE_PASSED = "deadline-passed";
+
+    /** The host left service between its selection and the start. */
+    static final String HOST_LEFT = "host-left";
+
     static final String NOT_CONFIRMED = "not-confirmed";
     static final String INVALID_KEY = "invalid-key";
     static final String CALLER_GONE = "caller-gone";
@@ -75,12 +80,14 @@
     void begin(QueuedRequest<Exchange> queued, Selection selection) {
         Exchange exchange = queued.attachment();
         exchange.setQueued(null);
-        String refusal = refusal(exchange);
+        String refusal = refusal(exchange, selection.host());
         if (refusal != null) {
             mSelect.giveBack(exchange.request().service().pool(), selection);
             mAdmit.ended(queued);
             mMetrics.rejected();
-            if (!exchange.ended()) {
+            if (refusal.equals(HOST_LEFT)) {
+                mAdmit.admitAgain(exchange);
+            } else if (!exchange.ended()) {
                 mRespond.finish(exchange, exchange.attempts().abandon(refusal));
             }
             return;
@@ -179,7 +186,7 @@
     }
 
     /** Returns why a selected request must not be sent, or null. */
-    private String refusal(Exchange exchange) {
+    private String refusal(Exchange exchange, HostSettings host) {
         long nowNanos = mDependencies.nowNanos().getAsLong();
         if (exchange.ended()) {
             return CALLER_GONE;
@@ -188,10 +195,24 @@
             return DEADLINE_PASSED;
         }
         FleetView view = mView.get();
-        if (!mAuthenticate.isStillInForce(exchange.request().caller(), view.state().settings())) {
+        String refusal = refusal(exchange, host, view, nowNanos);
+        // The version that was read may have been replaced before the gate was asked.
+        return NOT_CONFIRMED.equals(refusal) && mView.get() != view
+                ? refusal(exchange, host, mView.get(), nowNanos)
+                : refusal;
+    }
+
+    private String refusal(Exchange exchange, HostSettings host, FleetView view, long nowNanos) {
+        FleetSettings settings = view.state().settings();
+        if (!mAuthenticate.isStillInForce(exchange.request().caller(), settings)) {
             return INVALID_KEY;
         }
-        return mDependencies.gate().mayServe(nowNanos) ? null : NOT_CONFIRMED;
+        if (!view.pool(host.pool()).isInService(host.name())) {
+            return HOST_LEFT;
+        }
+        return mDependencies.gate().mayServe(view.state().version(), nowNanos)
+                ? null
+                : NOT_CONFIRMED;
     }
 
     private void send(Exchange exchange, QueuedRequest<Exchange> queued, Selection selection) {
--- a/core/src/main/java/org/marigoldturn/membership/ConfirmationTracker.java
+++ b/core/src/main/java/org/marigoldturn/membership/ConfirmationTracker.java
@@ -117,12 +117,14 @@
     }
 
     /**
-     * Returns whether work that was decided by the given version may start now; false if the daemon
-     * has adopted another version since, in which case the decision must be made again.
+     * {@inheritDoc}
+     *
+     * <p>A later version than the held one is one that is being adopted.
      */
+    @Override
     public boolean mayServe(long version, long nowNanos) {
         Published published = mPublished;
-        return published.version() == version && published.isValid(nowNanos);
+        return version >= published.version() && published.isValid(nowNanos);
     }
 
     /** Returns the held version. */
--- a/core/src/main/java/org/marigoldturn/membership/MembershipController.java
+++ b/core/src/main/java/org/marigoldturn/membership/MembershipController.java
@@ -1,8 +1,11 @@
 package org.marigoldturn.membership;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.marigoldturn.peer.PeerConnections;
@@ -25,6 +28,9 @@
  * on any thread; all others belong to the control thread.
  */
 public final class MembershipController implements PeerListener {
+    private static final long ANSWERING_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final String mSelfId;
     private final PeerVersions mVersions = new PeerVersions();
     private final EndedMembers mEnded = new EndedMembers();
     private final ConfirmationTracker mTracker;
@@ -58,6 +64,7 @@
      *     reload} starts to read the store and passes the result to {@link #adopt}
      */
     public MembershipController(String selfId, LoadedState initial, Environment environment) {
+        mSelfId = selfId;
         mControl = environment.control();
         mNanoClock = environment.nanoClock();
         mPublish = environment.publish();
@@ -148,6 +155,22 @@
         return mEnded;
     }
 
+    /** Returns the members that answered a ping of the last 2 s, and this daemon if it is one. */
+    public Set<String> answering() {
+        MemberSet members = mHeld.state().members();
+        long sinceNanos = mNanoClock.getAsLong() - ANSWERING_NANOS;
+        Set<String> answering = new HashSet<>(mVersions.repliedSince(members, mSelfId, sinceNanos));
+        if (members.find(mSelfId).isPresent()) {
+            answering.add(mSelfId);
+        }
+        return answering;
+    }
+
+    /** Returns whether the store has confirmed a state within the last 2 s. Safe on any thread. */
+    public boolean reachesStore() {
+        return mConfirmer.reachedSince(mNanoClock.getAsLong() - ANSWERING_NANOS);
+    }
+
     /** Returns the gate of the request path. */
     public ConfirmationTracker gate() {
         return mTracker;
--- a/core/src/main/java/org/marigoldturn/membership/ServingGate.java
+++ b/core/src/main/java/org/marigoldturn/membership/ServingGate.java
@@ -9,4 +9,14 @@
      * @param nowNanos present monotonic time
      */
     boolean mayServe(long nowNanos);
+
+    /**
+     * Returns whether work that was decided by the given version may start now; false if a later
+     * version has been acknowledged since, in which case the decision must be made again.
+     *
+     * @param nowNanos present monotonic time
+     */
+    default boolean mayServe(long version, long nowNanos) {
+        return mayServe(nowNanos);
+    }
 }
--- a/core/src/main/java/org/marigoldturn/membership/StoreConfirmer.java
+++ b/core/src/main/java/org/marigoldturn/membership/StoreConfirmer.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.marigoldturn.platform.Compare;
@@ -32,6 +33,7 @@
     private boolean mInFlight;
     private long mLeaseId = Operation.NO_LEASE;
     private long mRenewedAtNanos;
+    private volatile Optional<Long> mReached = Optional.empty();
 
     /**
      * Creates a confirmer.
@@ -123,6 +125,7 @@
             TransactionResult result, long version, long manifestRevision, long sentNanos) {
         if (result.succeeded()) {
             mTracker.onStoreConfirmation(version, sentNanos);
+            mReached = Optional.of(sentNanos);
             return;
         }
         List<StoredValue> found = result.reads().isEmpty() ? List.of() : result.reads().get(0);
@@ -131,6 +134,11 @@
         }
     }
 
+    /** Returns whether a confirmation that was sent since then has succeeded. Thread safe. */
+    boolean reachedSince(long nanos) {
+        return mReached.filter(reached -> reached - nanos >= 0).isPresent();
+    }
+
     private void onLeaseUse(Throwable failure) {
         boolean direct = failure instanceof LeaseExpiredException;
         if (direct || (failure != null && failure.getCause() instanceof LeaseExpiredException)) {
--- a/core/src/main/java/org/marigoldturn/routing/PoolHosts.java
+++ b/core/src/main/java/org/marigoldturn/routing/PoolHosts.java
@@ -53,6 +53,11 @@
         return new PoolHosts(pool, hosts, inService);
     }
 
+    /** Returns whether the host takes work. */
+    public boolean isInService(String hostName) {
+        return inService.stream().anyMatch(zoned -> zoned.host().name().equals(hostName));
+    }
+
     /** Returns whether some host of the pool, in service or not, has the resources. */
     public boolean fits(ResourceNeeds needs) {
         return hosts.stream().anyMatch(needs::fits);
--- a/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
@@ -76,7 +76,9 @@
         }
 
         boolean servesLatest() {
-            return mController.gate().mayServe(mLatest.state().version(), System.nanoTime());
+            long latest = mLatest.state().version();
+            return mController.gate().heldVersion() == latest
+                    && mController.gate().mayServe(latest, System.nanoTime());
         }
 
         private void reload() {
--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -89,9 +89,8 @@
     }
 
     /** Ends the process at once (SIGKILL). */
-    public void kill() throws InterruptedException {
-        mProcess.destroyForcibly();
-        mProcess.waitFor();
+    public void kill() {
+        mProcess.destroyForcibly().onExit().join();
     }
 
     /** Suspends the process (SIGSTOP). */
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -210,7 +210,7 @@
     @Override
     public void close() {
         mHostList.shutdownNow();
-        mDaemons.parallelStream().forEach(ChildProcess::close);
+        mDaemons.parallelStream().forEach(ChildProcess::kill);
         mHosts.values().parallelStream().forEach(TargetServer::close);
         mStore.close();
         mClients.close();
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -68,6 +68,7 @@
                         .http(loopback(port))
                         .http(loopback(0))
                         .requestTimeoutMillis(0)
+                        .gracefulShutdownTimeoutMillis(0, 0)
                         .idleTimeoutMillis(0)
                         .maxRequestLength(8L << 20)
                         .childChannelPipelineCustomizer(mConnections::install);
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -52,6 +52,7 @@
                         .http(StoreServer.loopback(port))
                         .maxNumConnections(MAX_CONNECTIONS)
                         .requestTimeoutMillis(0)
+                        .gracefulShutdownTimeoutMillis(0, 0)
                         .service("/records", (ctx, req) -> json(mRecords.all()))
                         .service("/usage", (ctx, req) -> json(usage()))
                         .service("/admin/fault", (ctx, req) -> setFault(ctx))
--- a/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
@@ -143,7 +143,12 @@
             assertThat(restored).isEqualTo(200);
             FleetUnderTest.await(
                     () -> {
-                        fleet.send(0, "school", 50).status();
+                        // Each daemon uses the slots that it holds, so all must have work.
+                        List<Sent> wave = new ArrayList<>();
+                        for (int i = 0; i < 45; i++) {
+                            wave.add(fleet.send(i % 3, "school", 50));
+                        }
+                        wave.forEach(s -> assertThat(s.status()).isEqualTo(200));
                         return fleet.fleet().host("h0").records().all().stream()
                                 .anyMatch(run -> run.startedAtMillis() > acceptedAtMillis);
                     });
