--- a/core/src/main/java/org/marigoldturn/rights/Holding.java
+++ b/core/src/main/java/org/marigoldturn/rights/Holding.java
@@ -76,6 +76,11 @@
         return mBasis + sum(mReceived) - sum(mSent);
     }
 
+    /** Returns how many requests may run on the rights held, including promised ones. */
+    int allowance() {
+        return allowance(held());
+    }
+
     int running() {
         return mPermits.running();
     }
--- a/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
+++ b/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
@@ -39,6 +39,9 @@
      */
     public static final long RESERVATION_MILLIS = 2000;
 
+    /** Acknowledgements are sent once a second, so a total is late after more than two. */
+    public static final long RESEND_MILLIS = 2500;
+
     private static final String POOL_PREFIX = Resources.pool("");
 
     private final String mSelf;
@@ -53,7 +56,12 @@
     /** Resources that are frozen at the version held; any later version resumes transfers. */
     private final Set<String> mFrozen = new HashSet<>();
 
-    private final Set<String> mUnacknowledged = new TreeSet<>();
+    /** Totals accepted since the last acknowledgements, by sender and resource. */
+    private final Map<String, Map<String, RightsTotal>> mAccepted = new TreeMap<>();
+
+    /** Resources with totals that were not acknowledged, with the time of the last sending. */
+    private final Map<String, Long> mUnacknowledged = new TreeMap<>();
+
     private final Set<String> mReserved = new TreeSet<>();
     private long mVersion = -1;
     private boolean mClosed;
@@ -94,6 +102,11 @@
         return total(resource, holding -> (int) Math.max(0, holding.held()));
     }
 
+    /** Returns how many requests may run on the rights of the resource at its present limit. */
+    public int allowance(String resource) {
+        return total(resource, Holding::allowance);
+    }
+
     /** Returns the rights of a team or pool that this daemon could transfer now. */
     public int givable(String resource) {
         return total(resource, Holding::givable);
@@ -126,7 +139,7 @@
         }
         List<Holding> candidates = transferable(hint.getResource());
         candidates.forEach(holding -> holding.cancelReservation(hint.getTaker()));
-        Outbox outbox = new Outbox();
+        Outbox outbox = new Outbox(nowMillis);
         int rest = giveEvenly(candidates, hint.getTaker(), hint.getCount(), outbox);
         reserveEvenly(candidates, hint.getTaker(), rest, nowMillis + RESERVATION_MILLIS);
         return outbox.messages();
@@ -134,7 +147,7 @@
 
     /** Gives promised rights that have become free. To be called every few tens of milliseconds. */
     public List<AddressedTotals> serveReservations(long nowMillis) {
-        Outbox outbox = new Outbox();
+        Outbox outbox = new Outbox(nowMillis);
         for (String resource : List.copyOf(mReserved)) {
             Holding holding = mHoldings.get(resource);
             if (holding != null && !mFrozen.contains(resource)) {
@@ -149,15 +162,27 @@
         return outbox.messages();
     }
 
-    /** Takes over the totals of a sender; returns the acknowledgement of those accepted. */
-    public RightsTotals onTotals(String sender, RightsTotals totals) {
-        RightsTotals.Builder accepted = RightsTotals.newBuilder();
-        for (RightsTotal total : totals.getTotalsList()) {
-            if (acceptTotal(sender, total)) {
-                accepted.addTotals(total);
-            }
-        }
-        return accepted.build();
+    /** Takes over the totals of a sender. */
+    public void onTotals(String sender, RightsTotals totals) {
+        totals.getTotalsList().forEach(total -> acceptTotal(sender, total));
+    }
+
+    /**
+     * Returns the acknowledgements of totals accepted since the last call, by sender. To be sent
+     * once a second: one acknowledgement covers all totals of a resource until then.
+     */
+    public List<AddressedTotals> acknowledgements() {
+        List<AddressedTotals> messages = new ArrayList<>();
+        mAccepted.forEach(
+                (sender, totals) ->
+                        messages.add(
+                                new AddressedTotals(
+                                        sender,
+                                        RightsTotals.newBuilder()
+                                                .addAllTotals(totals.values())
+                                                .build())));
+        mAccepted.clear();
+        return messages;
     }
 
     /** Records that the receiver has taken over totals. */
@@ -173,14 +198,15 @@
         }
     }
 
-    /** Returns all totals that were not acknowledged, to be sent again about once a second. */
-    public List<AddressedTotals> unacknowledged() {
-        Outbox outbox = new Outbox();
-        for (String resource : List.copyOf(mUnacknowledged)) {
-            Holding holding = mHoldings.get(resource);
+    /** Returns totals that are due to be sent again; to be called once a second. */
+    public List<AddressedTotals> unacknowledged(long nowMillis) {
+        Outbox outbox = new Outbox(nowMillis);
+        for (Map.Entry<String, Long> entry : List.copyOf(mUnacknowledged.entrySet())) {
+            Holding holding = mHoldings.get(entry.getKey());
             if (holding == null || holding.unacknowledgedTakers().isEmpty()) {
-                mUnacknowledged.remove(resource);
-            } else if (!mFrozen.contains(resource)) {
+                mUnacknowledged.remove(entry.getKey());
+            } else if (!mFrozen.contains(entry.getKey())
+                    && nowMillis - entry.getValue() >= RESEND_MILLIS) {
                 holding.unacknowledgedTakers().forEach(taker -> outbox.add(holding, taker));
             }
         }
@@ -211,9 +237,9 @@
     }
 
     /** Gives all free rights to the takers, spread over them by resource and count. */
-    public List<AddressedTotals> giveAll(Collection<String> takers) {
+    public List<AddressedTotals> giveAll(Collection<String> takers, long nowMillis) {
         List<String> others = takers.stream().filter(t -> !t.equals(mSelf)).sorted().toList();
-        Outbox outbox = new Outbox();
+        Outbox outbox = new Outbox(nowMillis);
         for (Holding holding : mHoldings.values()) {
             if (!others.isEmpty() && !mFrozen.contains(holding.resource())) {
                 giveAll(holding, others, outbox);
@@ -304,19 +330,18 @@
                 (sender, totals) -> totals.values().forEach(total -> acceptTotal(sender, total)));
     }
 
-    private boolean acceptTotal(String sender, RightsTotal total) {
+    private void acceptTotal(String sender, RightsTotal total) {
         Holding holding = mHoldings.get(total.getResource());
         if (holding == null || holding.epoch() < total.getEpoch()) {
             mEarlyTotals
                     .computeIfAbsent(sender, name -> new HashMap<>())
                     .merge(total.getResource(), total, RightsLedger::later);
-            return false;
-        }
-        if (holding.epoch() > total.getEpoch() || mFrozen.contains(total.getResource())) {
-            return false;
+        } else if (holding.epoch() == total.getEpoch() && !mFrozen.contains(total.getResource())) {
+            holding.receive(sender, total.getTotal());
+            mAccepted
+                    .computeIfAbsent(sender, name -> new TreeMap<>())
+                    .merge(total.getResource(), total, RightsLedger::later);
         }
-        holding.receive(sender, total.getTotal());
-        return true;
     }
 
     private static RightsTotal later(RightsTotal a, RightsTotal b) {
@@ -411,10 +436,15 @@
     /** Collects the totals to send, once for each receiver and resource. */
     private final class Outbox {
         private final Map<String, Set<Holding>> mByReceiver = new TreeMap<>();
+        private final long mNowMillis;
+
+        Outbox(long nowMillis) {
+            mNowMillis = nowMillis;
+        }
 
         void add(Holding holding, String receiver) {
             mByReceiver.computeIfAbsent(receiver, name -> new HashSet<>()).add(holding);
-            mUnacknowledged.add(holding.resource());
+            mUnacknowledged.put(holding.resource(), mNowMillis);
         }
 
         List<AddressedTotals> messages() {
--- a/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
+++ b/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
@@ -18,15 +18,21 @@
  * when the coordinator of a resource changes. Not thread safe; belongs to the control thread.
  */
 public final class DemandReporter {
-    /** Interval of complete reports, which repair lost ones; 15 s cost under 0.4 KB/s. */
-    public static final long COMPLETE_INTERVAL_MILLIS = 15_000;
+    /** Interval of complete reports, which repair lost ones; 30 s cost about 0.2 KB/s. */
+    public static final long COMPLETE_INTERVAL_MILLIS = 30_000;
 
-    /** A change below the threshold is reported if it lasts this long, so errors do not stay. */
+    /**
+     * A change below the threshold, or of demand that the rights held cover, is reported only if it
+     * lasts this long. Short requests in an idle pool change from and to zero all the time.
+     */
     static final long SMALL_CHANGE_MILLIS = 2000;
 
-    /** Queues far above what a team can run vary a lot without any effect on the allocation. */
+    /** Changes under an eighth have little effect on the allocation. */
     private static final int RELATIVE_THRESHOLD = 8;
 
+    /** A team with more work queued than running has more demand than its part anyway. */
+    private static final int HUNGRY_RELATIVE_THRESHOLD = 4;
+
     private static final int SLOTS_PER_THRESHOLD = 100;
     private static final TeamLoad NONE = new TeamLoad(0, 0);
 
@@ -117,31 +123,51 @@
 
     private static boolean isDue(
             Reported reported, ResourceDemand demand, Set<String> teams, long nowMillis) {
+        reported.mChangedSinceMillis.keySet().retainAll(teams);
         boolean due = reported.mHeld != demand.held();
+        boolean covered = Math.max(total(demand.loads()), total(reported.mLoads)) <= demand.held();
         for (String team : teams) {
-            int before = reported.mLoads.getOrDefault(team, NONE).demand();
-            int now = load(demand, team).demand();
-            due |= isLarge(before, now, demand.slots());
-            if (before == now) {
+            TeamLoad before = reported.mLoads.getOrDefault(team, NONE);
+            TeamLoad now = load(demand, team);
+            boolean large = isLarge(before, now, demand.slots());
+            due |= large && !covered;
+            if (!large && (covered || !isNoticeable(before, now))) {
                 reported.mChangedSinceMillis.remove(team);
             } else {
                 long since = reported.mChangedSinceMillis.computeIfAbsent(team, t -> nowMillis);
-                boolean matters = Math.abs(now - before) * RELATIVE_THRESHOLD > before;
-                due |= matters && nowMillis - since >= SMALL_CHANGE_MILLIS;
+                due |= nowMillis - since >= SMALL_CHANGE_MILLIS;
             }
         }
         return due;
     }
 
-    private static boolean isLarge(int before, int now, int slots) {
-        if ((before == 0) != (now == 0)) {
+    private static boolean isLarge(TeamLoad before, TeamLoad now, int slots) {
+        if (before.equals(NONE) != now.equals(NONE)) {
             return true;
         }
         int absolute = Math.max(1, slots / SLOTS_PER_THRESHOLD);
-        return Math.abs(now - before) > Math.max(absolute, before / RELATIVE_THRESHOLD);
+        int change = Math.abs(now.demand() - before.demand());
+        return change > absolute && isNoticeable(before, now);
+    }
+
+    private static boolean isNoticeable(TeamLoad before, TeamLoad now) {
+        boolean hungry = isHungry(before) && isHungry(now);
+        int divisor = hungry ? HUNGRY_RELATIVE_THRESHOLD : RELATIVE_THRESHOLD;
+        return Math.abs(now.demand() - before.demand()) * divisor > before.demand();
+    }
+
+    private static boolean isHungry(TeamLoad load) {
+        return load.queued() > load.running() + 1;
     }
 
     private static TeamLoad load(ResourceDemand demand, String team) {
-        return demand.loads().getOrDefault(team, NONE);
+        TeamLoad load = demand.loads().getOrDefault(team, NONE);
+        // Demand beyond all slots cannot change the allocation.
+        int queued = Math.min(load.queued(), Math.max(0, demand.slots() - load.running()));
+        return queued == load.queued() ? load : new TeamLoad(load.running(), queued);
+    }
+
+    private static int total(Map<String, TeamLoad> loads) {
+        return loads.values().stream().mapToInt(TeamLoad::demand).sum();
     }
 }
--- a/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
+++ b/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
@@ -22,6 +22,12 @@
     /** Time for which a hint counts as carried out while the giver has not reported since. */
     private static final long HINT_PENDING_MILLIS = 2000;
 
+    /** Time after which rights that a daemon no longer needs may move without need elsewhere. */
+    private static final long SETTLE_MILLIS = 5000;
+
+    /** A daemon that uses three quarters of its rights needs them all. */
+    private static final int SETTLE_DIVISOR = 4;
+
     /** Up to 1% of the rights is kept at daemons with little traffic. */
     private static final int RESERVE_DIVISOR = 100;
 
@@ -30,19 +36,28 @@
         private final Map<String, Integer> mDemands = new TreeMap<>();
         private int mHeld;
         private long mReportedAtMillis;
+
+        /** Time of the last division in which the daemon needed most of its rights. */
+        private long mNeededAtMillis;
     }
 
+    /** A hint, or the rest of it, that the giver has not reported as carried out. */
     private record PendingHint(Move move, long sentAtMillis) {}
 
     private final Map<String, DaemonState> mDaemons = new TreeMap<>();
     private final Map<String, RotatingSplit> mSplits = new HashMap<>();
     private final List<PendingHint> mPending = new ArrayList<>();
 
+    /** Rights that a giver has reported as given and the taker has not reported as received. */
+    private final List<PendingHint> mInTransit = new ArrayList<>();
+
     void onReport(String sender, DemandReport report, long nowMillis) {
         DaemonState daemon = mDaemons.computeIfAbsent(sender, id -> new DaemonState());
         if (report.getComplete()) {
             daemon.mDemands.clear();
         }
+        mInTransit.removeIf(transfer -> transfer.move().taker().equals(sender));
+        settleHints(sender, daemon.mHeld - report.getHeld(), nowMillis);
         daemon.mHeld = report.getHeld();
         daemon.mReportedAtMillis = nowMillis;
         for (TeamDemand team : report.getTeamsList()) {
@@ -53,13 +68,31 @@
                 daemon.mDemands.put(team.getTeam(), demand);
             }
         }
-        mPending.removeIf(hint -> hint.move().giver().equals(sender));
+    }
+
+    private void settleHints(String giver, int given, long nowMillis) {
+        int rest = given;
+        for (PendingHint hint : List.copyOf(mPending)) {
+            Move move = hint.move();
+            int settled = Math.min(rest, move.count());
+            if (move.giver().equals(giver) && settled > 0) {
+                rest -= settled;
+                mPending.remove(hint);
+                Move transfer = new Move(giver, move.taker(), settled);
+                mInTransit.add(new PendingHint(transfer, nowMillis));
+                if (settled < move.count()) {
+                    Move open = new Move(giver, move.taker(), move.count() - settled);
+                    mPending.add(new PendingHint(open, hint.sentAtMillis()));
+                }
+            }
+        }
     }
 
     void forgetSilent(Collection<String> answering, long nowMillis) {
         mDaemons.keySet().retainAll(answering);
         mDaemons.values().removeIf(d -> nowMillis - d.mReportedAtMillis > SILENT_MILLIS);
         mPending.removeIf(hint -> nowMillis - hint.sentAtMillis() >= HINT_PENDING_MILLIS);
+        mInTransit.removeIf(hint -> nowMillis - hint.sentAtMillis() >= HINT_PENDING_MILLIS);
     }
 
     Set<String> daemons() {
@@ -80,14 +113,15 @@
      *
      * @param claims demand of the teams of this resource
      */
-    Map<String, Map<String, Integer>> divide(int capacitySlots, List<TeamClaim> claims) {
+    Map<String, Map<String, Integer>> divide(
+            int capacitySlots, List<TeamClaim> claims, long nowMillis) {
         Map<String, Map<String, Integer>> parts = new TreeMap<>();
         mDaemons.keySet().forEach(daemon -> parts.put(daemon, new TreeMap<>()));
         mSplits.keySet().retainAll(demands().keySet());
         MaxMinAllocator.allocate(capacitySlots, claims)
                 .forEach(
                         (team, running) ->
-                                split(team, running)
+                                split(team, running, nowMillis)
                                         .forEach((d, part) -> parts.get(d).put(team, part)));
         return parts;
     }
@@ -111,13 +145,18 @@
                         positions.put(
                                 daemon,
                                 new Position(
-                                        held.get(daemon), need, need + spareParts.get(daemon))));
-        List<Move> moves = TransferPlanner.plan(positions);
+                                        held.get(daemon),
+                                        need,
+                                        need + spareParts.get(daemon),
+                                        isSettled(daemon, held.get(daemon), need, nowMillis))));
+        List<Move> moves = new ArrayList<>(TransferPlanner.plan(positions));
+        // A second hint would replace the rest of the first one at the giver.
+        moves.removeIf(this::isPending);
         moves.forEach(move -> mPending.add(new PendingHint(move, nowMillis)));
         return moves;
     }
 
-    private Map<String, Integer> split(String team, int running) {
+    private Map<String, Integer> split(String team, int running, long nowMillis) {
         Map<String, Integer> demands = new TreeMap<>();
         mDaemons.forEach(
                 (id, daemon) -> {
@@ -126,12 +165,33 @@
                         demands.put(id, demand);
                     }
                 });
-        return mSplits.computeIfAbsent(team, name -> new RotatingSplit()).split(running, demands);
+        return mSplits.computeIfAbsent(team, name -> new RotatingSplit())
+                .split(running, demands, nowMillis);
+    }
+
+    private boolean isSettled(String id, int held, int need, long nowMillis) {
+        DaemonState daemon = mDaemons.get(id);
+        if (held - need <= held / SETTLE_DIVISOR) {
+            daemon.mNeededAtMillis = nowMillis;
+        }
+        return nowMillis - daemon.mNeededAtMillis >= SETTLE_MILLIS;
+    }
+
+    private boolean isPending(Move move) {
+        return mPending.stream()
+                .map(PendingHint::move)
+                .anyMatch(
+                        hint ->
+                                hint.giver().equals(move.giver())
+                                        && hint.taker().equals(move.taker()));
     }
 
     private Map<String, Integer> effectiveHoldings() {
         Map<String, Integer> held = new TreeMap<>();
         mDaemons.forEach((id, daemon) -> held.put(id, daemon.mHeld));
+        for (PendingHint hint : mInTransit) {
+            held.computeIfPresent(hint.move().taker(), (id, n) -> n + hint.move().count());
+        }
         for (PendingHint hint : mPending) {
             held.computeIfPresent(hint.move().giver(), (id, n) -> n - hint.move().count());
             held.computeIfPresent(hint.move().taker(), (id, n) -> n + hint.move().count());
--- a/core/src/main/java/org/marigoldturn/shares/ShareCoordinator.java
+++ b/core/src/main/java/org/marigoldturn/shares/ShareCoordinator.java
@@ -90,7 +90,7 @@
         int slots = HostSlots.poolSlots(state.settings(), pool);
         List<TeamClaim> claims = new ArrayList<>();
         coordinator.demands().forEach((team, demand) -> claims.add(claim(state, team, demand)));
-        Map<String, Map<String, Integer>> parts = coordinator.divide(slots, claims);
+        Map<String, Map<String, Integer>> parts = coordinator.divide(slots, claims, nowMillis);
         boolean full = claims.stream().mapToInt(TeamClaim::cap).sum() >= slots;
         parts.forEach(
                 (daemon, teams) ->
@@ -123,7 +123,7 @@
         TeamClaim claim = new TeamClaim(team, demand, 1, limit);
         Map<String, Integer> needs = new TreeMap<>();
         coordinator
-                .divide(limit, List.of(claim))
+                .divide(limit, List.of(claim), nowMillis)
                 .forEach(
                         (daemon, parts) -> {
                             long running = parts.getOrDefault(team, 0);
--- a/core/src/main/java/org/marigoldturn/shares/TransferPlanner.java
+++ b/core/src/main/java/org/marigoldturn/shares/TransferPlanner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /** Decides which daemon gives how many rights to which other one. */
 final class TransferPlanner {
@@ -14,8 +15,17 @@
      * @param held rights held, with those promised by earlier hints already moved
      * @param need rights for its present demand
      * @param target need and its part of the rights that nobody needs
+     * @param settled whether rights above the need have been left over for some time
      */
-    record Position(int held, int need, int target) {}
+    record Position(int held, int need, int target, boolean settled) {
+        boolean isShortOfNeed() {
+            return need - held > need / NEED_HYSTERESIS;
+        }
+
+        boolean isShortOfSpare() {
+            return target - held > Math.max(MIN_SPARE_DEFICIT, target / SPARE_HYSTERESIS);
+        }
+    }
 
     /** Transfer of rights between two daemons. */
     record Move(String giver, String taker, int count) {}
@@ -32,28 +42,30 @@
 
     static List<Move> plan(Map<String, Position> positions) {
         Map<String, Integer> surplus = new TreeMap<>();
+        positions.forEach((daemon, p) -> surplus.put(daemon, Math.max(0, p.held() - p.target())));
+        List<Move> moves = new ArrayList<>();
+        takeAll(positions, Position::isShortOfNeed, surplus, moves);
+        // Spare rights stay for a while where they were needed: the need often comes back.
+        surplus.keySet().removeIf(daemon -> !positions.get(daemon).settled());
+        takeAll(positions, p -> !p.isShortOfNeed() && p.isShortOfSpare(), surplus, moves);
+        return moves;
+    }
+
+    private static void takeAll(
+            Map<String, Position> positions,
+            Predicate<Position> isTaker,
+            Map<String, Integer> surplus,
+            List<Move> moves) {
         Map<String, Integer> deficit = new TreeMap<>();
         positions.forEach(
-                (daemon, position) -> {
-                    if (position.held() > position.target()) {
-                        surplus.put(daemon, position.held() - position.target());
-                    } else if (isShort(position)) {
-                        deficit.put(daemon, position.target() - position.held());
+                (daemon, p) -> {
+                    if (isTaker.test(p)) {
+                        deficit.put(daemon, p.target() - p.held());
                     }
                 });
-        List<Move> moves = new ArrayList<>();
         for (String taker : largestFirst(deficit)) {
             take(taker, deficit.get(taker), surplus, moves);
         }
-        return moves;
-    }
-
-    private static boolean isShort(Position position) {
-        int shortOfNeed = position.need() - position.held();
-        int shortOfTarget = position.target() - position.held();
-        boolean needs = shortOfNeed > position.need() / NEED_HYSTERESIS;
-        int tolerated = Math.max(MIN_SPARE_DEFICIT, position.target() / SPARE_HYSTERESIS);
-        return needs || shortOfTarget > tolerated;
     }
 
     private static void take(
--- a/core/src/test/java/org/marigoldturn/rights/RightsLedgerProperties.java
+++ b/core/src/test/java/org/marigoldturn/rights/RightsLedgerProperties.java
@@ -56,7 +56,8 @@
                 case 4, 5 -> finish();
                 case 6, 7 -> hint(daemon);
                 case 8, 9, 10, 11 -> deliver();
-                case 12 -> send(daemon, mLive.get(daemon).unacknowledged());
+                case 12 ->
+                        send(daemon, mLive.get(daemon).unacknowledged(RightsLedger.RESEND_MILLIS));
                 case 13 -> adopt(daemon);
                 case 14 -> freeze(daemon);
                 case 15 -> redistribute();
@@ -115,11 +116,16 @@
         private void receive(String sender, AddressedTotals message) {
             RightsLedger receiver = mLive.get(message.receiver());
             if (receiver != null) {
-                var ack = receiver.onTotals(sender, message.totals());
-                mNetwork.add(
-                        () ->
-                                Optional.ofNullable(mLive.get(sender))
-                                        .ifPresent(s -> s.onAck(message.receiver(), ack)));
+                receiver.onTotals(sender, message.totals());
+                for (AddressedTotals ack : receiver.acknowledgements()) {
+                    mNetwork.add(() -> acknowledge(ack.receiver(), message.receiver(), ack));
+                }
+            }
+        }
+
+        private void acknowledge(String giver, String taker, AddressedTotals ack) {
+            if (mLive.containsKey(giver)) {
+                mLive.get(giver).onAck(taker, ack.totals());
             }
         }
 
--- a/core/src/test/java/org/marigoldturn/rights/RightsLedgerTest.java
+++ b/core/src/test/java/org/marigoldturn/rights/RightsLedgerTest.java
@@ -74,11 +74,13 @@
         a.adopt(version(2, 12, 2));
         RightsLedger b = ledger("b");
         RightsTotals totals = a.onHint(hint(TEAM, "b", 3), 0).get(0).totals();
-        assertThat(b.onTotals("a", totals).getTotalsCount()).isZero();
+        b.onTotals("a", totals);
+        assertThat(b.acknowledgements()).isEmpty();
         assertThat(b.held(TEAM)).isEqualTo(4);
         b.adopt(version(2, 12, 2));
         assertThat(b.held(TEAM)).isEqualTo(7);
-        assertThat(b.onTotals("a", totals)).as("repeated total").isEqualTo(totals);
+        b.onTotals("a", totals);
+        assertThat(b.acknowledgements()).containsExactly(new AddressedTotals("a", totals));
         assertThat(b.held(TEAM)).isEqualTo(7);
     }
 
@@ -86,16 +88,17 @@
     void leavingDaemonHandsOverEverythingAndWaitsForAcknowledgement() {
         RightsLedger a = ledger("a");
         a.tryAcquire(TEAM);
-        a.giveAll(MEMBERS);
+        a.giveAll(MEMBERS, 0);
         assertThat(a.handedOver(Set.of())).as("one request still runs").isFalse();
         a.release(TEAM);
         a.close();
-        a.giveAll(MEMBERS);
+        a.giveAll(MEMBERS, 0);
         assertThat(a.held(TEAM)).isZero();
         assertThat(a.handedOver(Set.of())).as("nothing is acknowledged").isFalse();
-        a.unacknowledged().forEach(m -> a.onAck(m.receiver(), m.totals()));
+        a.unacknowledged(RightsLedger.RESEND_MILLIS)
+                .forEach(m -> a.onAck(m.receiver(), m.totals()));
         assertThat(a.handedOver(Set.of())).isTrue();
-        assertThat(a.unacknowledged()).isEmpty();
+        assertThat(a.unacknowledged(2 * RightsLedger.RESEND_MILLIS)).isEmpty();
     }
 
     @Example
@@ -179,7 +182,8 @@
         FreezeRequest request =
                 FreezeRequest.newBuilder().setBaseVersion(1).addResources(TEAM).build();
         assertThat(b.onFreeze(request).getFrozen()).isTrue();
-        assertThat(b.onTotals("a", late).getTotalsCount()).isZero();
+        b.onTotals("a", late);
+        assertThat(b.acknowledgements()).isEmpty();
         assertThat(b.onHint(hint(TEAM, "c", 1), 0)).isEmpty();
         assertThat(b.held(TEAM)).isEqualTo(4);
         b.adopt(version(2, 12, 1));
--- a/standins/src/main/java/org/marigoldturn/standins/measure/ShareMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/ShareMeasurement.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -18,6 +19,7 @@
 public final class ShareMeasurement {
     private static final double RUN_MILLIS = 200;
     private static final int STEPS_PER_SECOND = 1000 / SimulatedFleet.STEP_MILLIS;
+    private static final int BURST_SECONDS = 6;
     private static final int CURRENT_DAEMONS = 9;
     private static final int CURRENT_POOLS = 5;
     private static final int CURRENT_HOSTS_PER_POOL = 7;
@@ -36,11 +38,14 @@
                         errors.get(second),
                         "percent_of_capacity");
             }
-            print(
-                    out,
-                    mode + ".burst_error.mean",
-                    burstError(coordinated, seed),
-                    "percent_of_capacity");
+            List<Double> bursts = burstErrors(coordinated, seed);
+            for (int second = 0; second < bursts.size(); second++) {
+                print(
+                        out,
+                        mode + ".burst_error.after_" + (second + 1) + "s",
+                        bursts.get(second),
+                        "percent_of_capacity");
+            }
             for (int limit : new int[] {4, 40, 400}) {
                 print(
                         out,
@@ -76,8 +81,11 @@
         return errors;
     }
 
-    /** Mean share error while each pool in turn has five times its mean demand for 6 s. */
-    public static double burstError(boolean coordinated, long seed) {
+    /**
+     * Mean share error in each second of a burst, while each pool in turn has five times its mean
+     * demand for 6 s and a twentieth of it otherwise.
+     */
+    public static List<Double> burstErrors(boolean coordinated, long seed) {
         List<TeamSettings> teams = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
             teams.add(team("t" + i, 1 + i % 3, 500));
@@ -85,18 +93,16 @@
         SimulatedFleet fleet = new SimulatedFleet(setup(9, teams, 500, coordinated), seed);
         // Per team and daemon; a pool of 56 slots serves 280 requests a second.
         double mean = 0.5 * 280 / teams.size() / CURRENT_DAEMONS;
-        double sum = 0;
-        int samples = 0;
+        double[] sums = new double[BURST_SECONDS];
         for (int turn = 0; turn < 2 * CURRENT_POOLS; turn++) {
             for (int pool = 0; pool < CURRENT_POOLS; pool++) {
                 setRates(fleet, pool, teams, pool == turn % CURRENT_POOLS ? 5 * mean : mean / 20);
             }
-            for (int second = 0; second < 6; second++) {
-                sum += errorOverOneSecond(fleet, turn % CURRENT_POOLS, teams);
-                samples++;
+            for (int second = 0; second < BURST_SECONDS; second++) {
+                sums[second] += errorOverOneSecond(fleet, turn % CURRENT_POOLS, teams);
             }
         }
-        return sum / samples;
+        return Arrays.stream(sums).mapToObj(sum -> sum / (2 * CURRENT_POOLS)).toList();
     }
 
     /** Use of a team's limit 5 to 10 s after all its load begins to arrive at one daemon. */
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
@@ -14,6 +14,7 @@
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.VersionedState;
 import org.marigoldturn.shares.CoordinatorOutput;
+import org.marigoldturn.shares.DemandCollector;
 import org.marigoldturn.shares.DemandReporter;
 import org.marigoldturn.shares.EntitlementTable;
 import org.marigoldturn.shares.ResourceDemand;
@@ -24,6 +25,7 @@
 final class SimulatedDaemon {
     private static final int QUEUE_CAPACITY = 1000;
     private static final int TICK_MILLIS = 1000;
+    private static final int SERVE_MILLIS = 50;
     private static final int COORDINATOR_OFFSET_MILLIS = 300;
 
     /** A request that has started. */
@@ -47,12 +49,12 @@
     private final boolean mCoordinated;
     private final int mPhaseMillis;
     private final RightsLedger mLedger;
+    private final DemandCollector mCollector = new DemandCollector();
     private final DemandReporter mReporter = new DemandReporter();
     private final ShareCoordinator mCoordinator;
     private final EntitlementTable mEntitlements = new EntitlementTable();
     private final Map<String, Map<String, Work>> mPools = new TreeMap<>();
     private final Map<String, List<String>> mHosts = new TreeMap<>();
-    private final Map<String, Integer> mPoolSlots = new TreeMap<>();
 
     SimulatedDaemon(
             String id,
@@ -74,10 +76,9 @@
                 .hosts()
                 .values()
                 .forEach(
-                        h -> {
-                            mHosts.computeIfAbsent(h.pool(), p -> new ArrayList<>()).add(h.name());
-                            mPoolSlots.merge(h.pool(), h.slots(), Integer::sum);
-                        });
+                        h ->
+                                mHosts.computeIfAbsent(h.pool(), p -> new ArrayList<>())
+                                        .add(h.name()));
     }
 
     void arrive(String pool, String team, int requests) {
@@ -119,17 +120,25 @@
         if (!mCoordinated) {
             return;
         }
-        sendTotals(mLedger.serveReservations(nowMillis));
+        if (nowMillis % SERVE_MILLIS == 0) {
+            sendTotals(mLedger.serveReservations(nowMillis));
+        }
         long phase = (nowMillis + mPhaseMillis) % TICK_MILLIS;
         if (phase == 0) {
             mReporter
-                    .tick(demands(), mMembers, nowMillis)
+                    .tick(demands(nowMillis), mMembers, nowMillis)
                     .forEach(
                             r ->
                                     mNetwork.send(
                                             r.receiver(),
                                             Envelope.newBuilder().setDemandReport(r.report())));
-            sendTotals(mLedger.unacknowledged());
+            sendTotals(mLedger.unacknowledged(nowMillis));
+            mLedger.acknowledgements()
+                    .forEach(
+                            a ->
+                                    mNetwork.send(
+                                            a.receiver(),
+                                            Envelope.newBuilder().setRightsAck(a.totals())));
         } else if (phase == COORDINATOR_OFFSET_MILLIS) {
             sendDecisions(mCoordinator.tick(mState, mMembers, nowMillis));
         }
@@ -142,10 +151,7 @@
             case ENTITLEMENTS -> mEntitlements.onEntitlements(message.getEntitlements(), nowMillis);
             case TRANSFER_HINT -> sendTotals(mLedger.onHint(message.getTransferHint(), nowMillis));
             case RIGHTS_ACK -> mLedger.onAck(sender, message.getRightsAck());
-            case RIGHTS_TOTALS -> {
-                var accepted = mLedger.onTotals(sender, message.getRightsTotals());
-                mNetwork.send(sender, Envelope.newBuilder().setRightsAck(accepted));
-            }
+            case RIGHTS_TOTALS -> mLedger.onTotals(sender, message.getRightsTotals());
             default -> throw new IllegalArgumentException("unexpected " + message.getBodyCase());
         }
     }
@@ -176,41 +182,23 @@
     private double load(String pool, String team, Work work) {
         OptionalInt entitlement = mEntitlements.entitlement(pool, team);
         TeamSettings settings = mState.settings().teams().get(team);
-        return (double) work.mRunning / entitlement.orElse(settings.shareWeight());
+        return (work.mRunning + 0.5) / entitlement.orElse(settings.shareWeight());
     }
 
-    private Map<String, ResourceDemand> demands() {
-        Map<String, ResourceDemand> demands = new TreeMap<>();
-        Map<String, TeamLoad> teamLoads = new TreeMap<>();
+    private Map<String, ResourceDemand> demands(long nowMillis) {
+        Map<String, Map<String, TeamLoad>> loads = new TreeMap<>();
         mPools.forEach(
                 (pool, teams) -> {
-                    Map<String, TeamLoad> loads = new TreeMap<>();
+                    Map<String, TeamLoad> active = new TreeMap<>();
                     teams.forEach(
                             (team, work) -> {
-                                TeamLoad load = new TeamLoad(work.mRunning, work.mQueued);
-                                if (load.demand() > 0) {
-                                    loads.put(team, load);
-                                    teamLoads.merge(team, load, SimulatedDaemon::sum);
+                                if (work.mRunning + work.mQueued > 0) {
+                                    active.put(team, new TeamLoad(work.mRunning, work.mQueued));
                                 }
                             });
-                    String resource = Resources.pool(pool);
-                    demands.put(resource, demand(resource, mPoolSlots.get(pool), loads));
+                    loads.put(pool, active);
                 });
-        for (TeamSettings team : mState.settings().teams().values()) {
-            TeamLoad load = teamLoads.get(team.name());
-            Map<String, TeamLoad> loads = load == null ? Map.of() : Map.of(team.name(), load);
-            String resource = Resources.team(team.name());
-            demands.put(resource, demand(resource, team.runningLimit(), loads));
-        }
-        return demands;
-    }
-
-    private ResourceDemand demand(String resource, int slots, Map<String, TeamLoad> loads) {
-        return new ResourceDemand(mLedger.held(resource), mLedger.givable(resource), slots, loads);
-    }
-
-    private static TeamLoad sum(TeamLoad a, TeamLoad b) {
-        return new TeamLoad(a.running() + b.running(), a.queued() + b.queued());
+        return mCollector.collect(mState, mLedger, loads, nowMillis);
     }
 
     private void sendDecisions(CoordinatorOutput output) {
