--- a/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
+++ b/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
@@ -31,7 +31,7 @@
     private static final int RELATIVE_THRESHOLD = 8;
 
     /** A team with more work queued than running has more demand than its part anyway. */
-    private static final int HUNGRY_RELATIVE_THRESHOLD = 2;
+    private static final int HUNGRY_RELATIVE_THRESHOLD = 4;
 
     private static final int SLOTS_PER_THRESHOLD = 100;
     private static final TeamLoad NONE = new TeamLoad(0, 0);
--- a/core/src/main/java/org/marigoldturn/shares/RotatingSplit.java
+++ b/core/src/main/java/org/marigoldturn/shares/RotatingSplit.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * Repeated division of a team's part among daemons by demand.
@@ -14,8 +15,11 @@
  * is carried over to later divisions, so that each gets its turn. Not thread safe.
  */
 final class RotatingSplit {
-    /** Rotating every second doubled the control bytes of a pool in a burst. */
-    static final long ROTATION_MILLIS = 4000;
+    /** One right rotates in this time; rotating all of them at once disturbed other teams. */
+    static final long ROTATION_MILLIS = 2000;
+
+    /** What a daemon must have missed more than another one before it takes over a right. */
+    private static final double SWAP_CREDIT = 1;
 
     /** A part may differ from the proportional one by 1 and a quarter of it. */
     private static final int TOLERANCE_DIVISOR = 4;
@@ -60,7 +64,10 @@
             String giver = leastShort(parts, demands, scale);
             double tolerance = 1 + (double) parts.get(taker) / TOLERANCE_DIVISOR;
             boolean near = shortage(taker, parts, demands, scale) <= tolerance;
-            if (near || shortage(giver, parts, demands, scale) >= 0) {
+            double gap =
+                    shortage(taker, parts, demands, scale) - shortage(giver, parts, demands, scale);
+            // A smaller gap would only be reversed by the move, without end.
+            if (near || gap <= 1) {
                 break;
             }
             parts.merge(taker, 1, Integer::sum);
@@ -94,17 +101,33 @@
         double scale = (double) total / sum(demands.values());
         mCredits.keySet().retainAll(demands.keySet());
         demands.forEach((daemon, demand) -> mCredits.merge(daemon, demand * scale, Double::sum));
+        TreeSet<String> holders = new TreeSet<>(byCredit());
+        TreeSet<String> others = new TreeSet<>(byCredit());
+        for (Map.Entry<String, Integer> entry : demands.entrySet()) {
+            boolean holds = mParts.getOrDefault(entry.getKey(), 0) > 0 && entry.getValue() > 0;
+            (holds ? holders : others).add(entry.getKey());
+        }
+        while (holders.size() > total) {
+            others.add(holders.pollFirst());
+        }
+        while (holders.size() < total) {
+            holders.add(others.pollLast());
+        }
+        double gap = mCredits.get(others.last()) - mCredits.get(holders.first());
+        if (gap > SWAP_CREDIT) {
+            holders.pollFirst();
+            holders.add(others.last());
+        }
         Map<String, Integer> parts = new TreeMap<>();
-        demands.keySet().forEach(daemon -> parts.put(daemon, 0));
-        demands.keySet().stream()
-                .filter(daemon -> demands.get(daemon) > 0)
-                .sorted(
-                        Comparator.comparingDouble((String daemon) -> -mCredits.get(daemon))
-                                .thenComparing(Comparator.naturalOrder()))
-                .limit(total)
-                .forEach(daemon -> parts.put(daemon, 1));
-        parts.forEach((daemon, part) -> mCredits.merge(daemon, (double) -part, Double::sum));
+        demands.keySet().forEach(d -> parts.put(d, holders.contains(d) ? 1 : 0));
         mParts = parts;
+        // After the sets are no longer used: their order depends on the credits.
+        parts.forEach((daemon, part) -> mCredits.merge(daemon, (double) -part, Double::sum));
+    }
+
+    private Comparator<String> byCredit() {
+        return Comparator.comparingDouble((String daemon) -> mCredits.get(daemon))
+                .thenComparing(Comparator.naturalOrder());
     }
 
     private static int sum(Collection<Integer> counts) {
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
@@ -25,7 +25,7 @@
 final class SimulatedDaemon {
     private static final int QUEUE_CAPACITY = 1000;
     private static final int TICK_MILLIS = 1000;
-    private static final int SERVE_MILLIS = 100;
+    private static final int SERVE_MILLIS = 50;
     private static final int COORDINATOR_OFFSET_MILLIS = 300;
 
     /** A request that has started. */
@@ -182,7 +182,7 @@
     private double load(String pool, String team, Work work) {
         OptionalInt entitlement = mEntitlements.entitlement(pool, team);
         TeamSettings settings = mState.settings().teams().get(team);
-        return (double) work.mRunning / entitlement.orElse(settings.shareWeight());
+        return (work.mRunning + 0.5) / entitlement.orElse(settings.shareWeight());
     }
 
     private Map<String, ResourceDemand> demands(long nowMillis) {
