Keep the rights of running requests in a redistribution and stamp new hosts

Cause: a redistribution after a lowered limit dropped rights in use; a new fleet was due for maintenance at once; the planner looked at the host list only at its own steps. Change: members report running requests when they freeze; hosts without a maintenance time get the present one; the planner observes each host list.

--- a/core/src/main/java/org/marigoldturn/daemon/HostListService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/HostListService.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.daemon;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,6 +28,7 @@
     private final PendingOutcomes mPending;
     private final ControlLoop mControl;
     private final LongSupplier mNowMillis;
+    private final List<Runnable> mListeners = new ArrayList<>();
     private volatile Map<String, HostReport> mReports = Map.of();
     private volatile Set<String> mLeaving = Set.of();
     private volatile Set<String> mFailed = Set.of();
@@ -46,6 +48,13 @@
         mNowMillis = nowMillis;
     }
 
+    /**
+     * Adds an action for each new list, run on the control thread; to be called before the start.
+     */
+    void addListener(Runnable listener) {
+        mListeners.add(listener);
+    }
+
     /** Returns whether the host is reported as leaving or ended. */
     boolean isLeaving(String host) {
         return mLeaving.contains(host);
@@ -77,7 +86,9 @@
                                     if (failure == null) {
                                         adopt(reports, requestedAtMillis);
                                     } else {
-                                        Logger.debug("fleet: cannot read the host list.");
+                                        Logger.warn(
+                                                "fleet: cannot read the host list: {}.",
+                                                failure.getMessage());
                                     }
                                 },
                                 mControl);
@@ -104,5 +115,6 @@
         mReports = Map.copyOf(byHost);
         mLeaving = Set.copyOf(leaving);
         mFailed = Set.copyOf(failed);
+        mListeners.forEach(Runnable::run);
     }
 }
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -85,11 +85,11 @@
         mNowMillis = nowMillis;
         mNowNanos = nowNanos;
         publisher.addListener((previous, state) -> onState(state));
+        hosts.addListener(this::observeAbsence);
     }
 
     /** Observes the fleet and commits the next step, if this daemon holds the role. */
     void tick() {
-        observeAbsence();
         if (!mRole.holds(mNowNanos.getAsLong()) || mBusy) {
             return;
         }
--- a/core/src/main/java/org/marigoldturn/operator/ResourceKind.java
+++ b/core/src/main/java/org/marigoldturn/operator/ResourceKind.java
@@ -21,7 +21,7 @@
         }
 
         @Override
-        SettingsEdit put(FleetSettings current, ObjectNode body) {
+        SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis) {
             return new SettingsEdit.PutZone(
                     StateKeeper.keep(current, convert(body, ZoneSettings.class)));
         }
@@ -33,7 +33,7 @@
         }
 
         @Override
-        SettingsEdit put(FleetSettings current, ObjectNode body) {
+        SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis) {
             return new SettingsEdit.PutPool(convert(body, PoolSettings.class));
         }
     },
@@ -44,7 +44,7 @@
         }
 
         @Override
-        SettingsEdit put(FleetSettings current, ObjectNode body) {
+        SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis) {
             return new SettingsEdit.PutService(convert(body, ServiceSettings.class));
         }
     },
@@ -55,7 +55,7 @@
         }
 
         @Override
-        SettingsEdit put(FleetSettings current, ObjectNode body) {
+        SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis) {
             return new SettingsEdit.PutTeam(
                     StateKeeper.keep(current, convert(body, TeamSettings.class)));
         }
@@ -67,17 +67,21 @@
         }
 
         @Override
-        SettingsEdit put(FleetSettings current, ObjectNode body) {
+        SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis) {
             return new SettingsEdit.PutHost(
-                    StateKeeper.keep(current, convert(body, HostSettings.class)));
+                    StateKeeper.keep(current, convert(body, HostSettings.class), nowMillis));
         }
     };
 
     /** Returns the entries of this kind by name. */
     abstract Map<String, ?> entries(FleetSettings settings);
 
-    /** Returns the edit that creates or replaces an entry. */
-    abstract SettingsEdit put(FleetSettings current, ObjectNode body);
+    /**
+     * Returns the edit that creates or replaces an entry.
+     *
+     * @param nowMillis present wall clock time
+     */
+    abstract SettingsEdit put(FleetSettings current, ObjectNode body, long nowMillis);
 
     /** Returns the kind with the given path element, such as {@code pools}. */
     static ResourceKind of(String path) {
--- a/core/src/main/java/org/marigoldturn/operator/ResourceRoutes.java
+++ b/core/src/main/java/org/marigoldturn/operator/ResourceRoutes.java
@@ -46,8 +46,9 @@
         return mChanges.change(
                 request.headers(),
                 state -> {
-                    SettingsEdit edit = ResourceKind.of(kind).put(state.settings(), body);
-                    return List.of(edit);
+                    long nowMillis = mParts.nowMillis().getAsLong();
+                    return List.of(
+                            ResourceKind.of(kind).put(state.settings(), body, nowMillis));
                 });
     }
 
--- a/core/src/main/java/org/marigoldturn/operator/SettingsRoutes.java
+++ b/core/src/main/java/org/marigoldturn/operator/SettingsRoutes.java
@@ -53,7 +53,9 @@
         return mChanges.change(
                 request.headers(),
                 state -> {
-                    FleetSettings next = StateKeeper.keep(state.settings(), wanted);
+                    FleetSettings next =
+                            StateKeeper.keep(
+                                    state.settings(), wanted, mParts.nowMillis().getAsLong());
                     return next.equals(state.settings())
                             ? List.of()
                             : List.of(new SettingsEdit.ReplaceAll(next));
@@ -63,7 +65,8 @@
     /** Checks settings without a change. */
     @Post("/settings/check")
     public HttpResponse check(AggregatedHttpRequest request) {
-        StateKeeper.keep(mParts.state().get().settings(), parse(request));
+        StateKeeper.keep(
+                mParts.state().get().settings(), parse(request), mParts.nowMillis().getAsLong());
         return Answers.json(Map.of("valid", true));
     }
 
@@ -71,7 +74,8 @@
     @Post("/settings/diff")
     public HttpResponse diff(AggregatedHttpRequest request) {
         VersionedState state = mParts.state().get();
-        FleetSettings next = StateKeeper.keep(state.settings(), parse(request));
+        FleetSettings next =
+                StateKeeper.keep(state.settings(), parse(request), mParts.nowMillis().getAsLong());
         return Answers.json(
                 Map.of(
                         "version",
--- a/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
+++ b/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
@@ -5,6 +5,7 @@
 import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
+import org.marigoldturn.settings.HostState;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.ZoneSettings;
 
@@ -19,11 +20,11 @@
     private StateKeeper() {}
 
     /** Returns the wanted settings with the state of the entries that exist already. */
-    static FleetSettings keep(FleetSettings current, FleetSettings wanted) {
+    static FleetSettings keep(FleetSettings current, FleetSettings wanted, long nowMillis) {
         Map<String, ZoneSettings> zones = new HashMap<>();
         wanted.zones().forEach((name, zone) -> zones.put(name, keep(current, zone)));
         Map<String, HostSettings> hosts = new HashMap<>();
-        wanted.hosts().forEach((name, host) -> hosts.put(name, keep(current, host)));
+        wanted.hosts().forEach((name, host) -> hosts.put(name, keep(current, host, nowMillis)));
         Map<String, TeamSettings> teams = new HashMap<>();
         wanted.teams().forEach((name, team) -> teams.put(name, keep(current, team)));
         return new FleetSettings(
@@ -50,28 +51,40 @@
                         wanted.name(), wanted.shareWeight(), wanted.runningLimit(), present.keys());
     }
 
-    static HostSettings keep(FleetSettings current, HostSettings wanted) {
+    static HostSettings keep(FleetSettings current, HostSettings wanted, long nowMillis) {
         HostSettings present = current.hosts().get(wanted.name());
         if (present == null) {
-            return wanted;
+            // Without a time a new fleet would be due for maintenance at once.
+            return wanted.maintainedAtMillis() == 0
+                    ? copy(wanted, wanted.pool(), wanted.state(), nowMillis)
+                    : wanted;
         }
         requireSamePool(current, present, wanted);
-        return new HostSettings(
-                wanted.name(),
+        return copy(
+                wanted,
                 present.pool(),
-                wanted.zone(),
-                wanted.rack(),
-                wanted.address(),
-                wanted.port(),
-                wanted.slots(),
-                wanted.connections(),
-                wanted.cores(),
-                wanted.memoryMegabytes(),
-                wanted.accelerators(),
                 present.state(),
                 Math.max(present.maintainedAtMillis(), wanted.maintainedAtMillis()));
     }
 
+    private static HostSettings copy(
+            HostSettings host, String pool, HostState state, long maintainedAtMillis) {
+        return new HostSettings(
+                host.name(),
+                pool,
+                host.zone(),
+                host.rack(),
+                host.address(),
+                host.port(),
+                host.slots(),
+                host.connections(),
+                host.cores(),
+                host.memoryMegabytes(),
+                host.accelerators(),
+                state,
+                maintainedAtMillis);
+    }
+
     /** Takes the settings of the planner, but keeps its progress. */
     static FleetPolicy keep(FleetPolicy current, FleetPolicy wanted) {
         return wanted.withWave(current.wave()).withMoves(current.pendingMoves(), current.loans());
--- a/core/src/main/java/org/marigoldturn/peer/wire/FrozenResource.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/FrozenResource.java
@@ -262,6 +262,21 @@
     return map.get(key);
   }
 
+  public static final int RUNNING_FIELD_NUMBER = 5;
+  private int running_ = 0;
+  /**
+   * <pre>
+   * Requests that use a right of the resource.
+   * </pre>
+   *
+   * <code>uint32 running = 5;</code>
+   * @return The running.
+   */
+  @java.lang.Override
+  public int getRunning() {
+    return running_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -294,6 +309,9 @@
         internalGetReceived(),
         ReceivedDefaultEntryHolder.defaultEntry,
         4);
+    if (running_ != 0) {
+      output.writeUInt32(5, running_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -330,6 +348,10 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(4, received__);
     }
+    if (running_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, running_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -353,6 +375,8 @@
         other.internalGetSent())) return false;
     if (!internalGetReceived().equals(
         other.internalGetReceived())) return false;
+    if (getRunning()
+        != other.getRunning()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -377,6 +401,8 @@
       hash = (37 * hash) + RECEIVED_FIELD_NUMBER;
       hash = (53 * hash) + internalGetReceived().hashCode();
     }
+    hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+    hash = (53 * hash) + getRunning();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -538,6 +564,7 @@
       epoch_ = 0L;
       internalGetMutableSent().clear();
       internalGetMutableReceived().clear();
+      running_ = 0;
       return this;
     }
 
@@ -585,6 +612,9 @@
         result.received_ = internalGetReceived();
         result.received_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.running_ = running_;
+      }
     }
 
     @java.lang.Override
@@ -613,6 +643,9 @@
       internalGetMutableReceived().mergeFrom(
           other.internalGetReceived());
       bitField0_ |= 0x00000008;
+      if (other.getRunning() != 0) {
+        setRunning(other.getRunning());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -667,6 +700,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              running_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1038,6 +1076,50 @@
       return this;
     }
 
+    private int running_ ;
+    /**
+     * <pre>
+     * Requests that use a right of the resource.
+     * </pre>
+     *
+     * <code>uint32 running = 5;</code>
+     * @return The running.
+     */
+    @java.lang.Override
+    public int getRunning() {
+      return running_;
+    }
+    /**
+     * <pre>
+     * Requests that use a right of the resource.
+     * </pre>
+     *
+     * <code>uint32 running = 5;</code>
+     * @param value The running to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunning(int value) {
+
+      running_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests that use a right of the resource.
+     * </pre>
+     *
+     * <code>uint32 running = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunning() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      running_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.peer.FrozenResource)
   }
 
--- a/core/src/main/java/org/marigoldturn/peer/wire/FrozenResourceOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/FrozenResourceOrBuilder.java
@@ -91,4 +91,14 @@
    */
   long getReceivedOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * Requests that use a right of the resource.
+   * </pre>
+   *
+   * <code>uint32 running = 5;</code>
+   * @return The running.
+   */
+  int getRunning();
 }
--- a/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
@@ -218,48 +218,48 @@
       "\">\n\014RightsTotals\022.\n\006totals\030\001 \003(\0132\036.marig" +
       "oldturn.peer.RightsTotal\"8\n\rFreezeReques" +
       "t\022\024\n\014base_version\030\001 \001(\004\022\021\n\tresources\030\002 \003" +
-      "(\t\"\215\002\n\016FrozenResource\022\020\n\010resource\030\001 \001(\t\022" +
+      "(\t\"\236\002\n\016FrozenResource\022\020\n\010resource\030\001 \001(\t\022" +
       "\r\n\005epoch\030\002 \001(\004\0229\n\004sent\030\003 \003(\0132+.marigoldt" +
       "urn.peer.FrozenResource.SentEntry\022A\n\010rec" +
       "eived\030\004 \003(\0132/.marigoldturn.peer.FrozenRe" +
-      "source.ReceivedEntry\032+\n\tSentEntry\022\013\n\003key" +
-      "\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\032/\n\rReceivedEnt" +
-      "ry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"i\n\013Fr" +
-      "eezeReply\022\024\n\014base_version\030\001 \001(\004\022\016\n\006froze" +
-      "n\030\002 \001(\010\0224\n\tresources\030\003 \003(\0132!.marigoldtur" +
-      "n.peer.FrozenResource\";\n\nTeamDemand\022\014\n\004t" +
-      "eam\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001" +
-      "(\r\"|\n\014DemandReport\022\020\n\010resource\030\001 \001(\t\022\014\n\004" +
-      "held\030\002 \001(\r\022\014\n\004free\030\003 \001(\r\022\020\n\010complete\030\004 \001" +
-      "(\010\022,\n\005teams\030\005 \003(\0132\035.marigoldturn.peer.Te" +
-      "amDemand\",\n\013Entitlement\022\014\n\004team\030\001 \001(\t\022\017\n" +
-      "\007running\030\002 \001(\r\"V\n\014Entitlements\022\020\n\010resour" +
-      "ce\030\001 \001(\t\0224\n\014entitlements\030\002 \003(\0132\036.marigol" +
-      "dturn.peer.Entitlement\">\n\014TransferHint\022\020" +
-      "\n\010resource\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\r\n\005count" +
-      "\030\003 \001(\r\"3\n\014ClaimRequest\022\022\n\nrequest_id\030\001 \001" +
-      "(\014\022\017\n\007version\030\002 \001(\004\"\234\001\n\nClaimReply\0224\n\006re" +
-      "sult\030\001 \001(\0162$.marigoldturn.peer.ClaimRepl" +
-      "y.Result\"X\n\006Result\022\026\n\022RESULT_UNSPECIFIED" +
-      "\020\000\022\013\n\007GRANTED\020\001\022\r\n\tDUPLICATE\020\002\022\013\n\007UNKNOW" +
-      "N\020\003\022\r\n\tNOT_OWNER\020\004\"\"\n\014ClaimRelease\022\022\n\nre" +
-      "quest_id\030\001 \001(\014\"\\\n\rClaimHandover\022\023\n\013reque" +
-      "st_ids\030\001 \003(\014\022\035\n\025complete_since_millis\030\002 " +
-      "\001(\004\022\027\n\017next_member_ids\030\003 \003(\t\"\n\n\010Farewell" +
-      "\"\036\n\rStatusRequest\022\r\n\005hosts\030\001 \003(\t\"\'\n\004Load" +
-      "\022\017\n\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\"\237\003\n\013St" +
-      "atusReply\022\017\n\007version\030\001 \001(\004\022\025\n\rreaches_st" +
-      "ore\030\002 \001(\010\0228\n\005teams\030\003 \003(\0132).marigoldturn." +
-      "peer.StatusReply.TeamsEntry\0228\n\005pools\030\004 \003" +
-      "(\0132).marigoldturn.peer.StatusReply.Pools" +
-      "Entry\0228\n\005hosts\030\005 \003(\0132).marigoldturn.peer" +
-      ".StatusReply.HostsEntry\032E\n\nTeamsEntry\022\013\n" +
-      "\003key\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn" +
-      ".peer.Load:\0028\001\032E\n\nPoolsEntry\022\013\n\003key\030\001 \001(" +
-      "\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn.peer.Loa" +
-      "d:\0028\001\032,\n\nHostsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005valu" +
-      "e\030\002 \001(\r:\0028\001B\036\n\032org.marigoldturn.peer.wir" +
-      "eP\001b\006proto3"
+      "source.ReceivedEntry\022\017\n\007running\030\005 \001(\r\032+\n" +
+      "\tSentEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\002" +
+      "8\001\032/\n\rReceivedEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005valu" +
+      "e\030\002 \001(\004:\0028\001\"i\n\013FreezeReply\022\024\n\014base_versi" +
+      "on\030\001 \001(\004\022\016\n\006frozen\030\002 \001(\010\0224\n\tresources\030\003 " +
+      "\003(\0132!.marigoldturn.peer.FrozenResource\";" +
+      "\n\nTeamDemand\022\014\n\004team\030\001 \001(\t\022\017\n\007running\030\002 " +
+      "\001(\r\022\016\n\006queued\030\003 \001(\r\"|\n\014DemandReport\022\020\n\010r" +
+      "esource\030\001 \001(\t\022\014\n\004held\030\002 \001(\r\022\014\n\004free\030\003 \001(" +
+      "\r\022\020\n\010complete\030\004 \001(\010\022,\n\005teams\030\005 \003(\0132\035.mar" +
+      "igoldturn.peer.TeamDemand\",\n\013Entitlement" +
+      "\022\014\n\004team\030\001 \001(\t\022\017\n\007running\030\002 \001(\r\"V\n\014Entit" +
+      "lements\022\020\n\010resource\030\001 \001(\t\0224\n\014entitlement" +
+      "s\030\002 \003(\0132\036.marigoldturn.peer.Entitlement\"" +
+      ">\n\014TransferHint\022\020\n\010resource\030\001 \001(\t\022\r\n\005tak" +
+      "er\030\002 \001(\t\022\r\n\005count\030\003 \001(\r\"3\n\014ClaimRequest\022" +
+      "\022\n\nrequest_id\030\001 \001(\014\022\017\n\007version\030\002 \001(\004\"\234\001\n" +
+      "\nClaimReply\0224\n\006result\030\001 \001(\0162$.marigoldtu" +
+      "rn.peer.ClaimReply.Result\"X\n\006Result\022\026\n\022R" +
+      "ESULT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\r\n\tDUPL" +
+      "ICATE\020\002\022\013\n\007UNKNOWN\020\003\022\r\n\tNOT_OWNER\020\004\"\"\n\014C" +
+      "laimRelease\022\022\n\nrequest_id\030\001 \001(\014\"\\\n\rClaim" +
+      "Handover\022\023\n\013request_ids\030\001 \003(\014\022\035\n\025complet" +
+      "e_since_millis\030\002 \001(\004\022\027\n\017next_member_ids\030" +
+      "\003 \003(\t\"\n\n\010Farewell\"\036\n\rStatusRequest\022\r\n\005ho" +
+      "sts\030\001 \003(\t\"\'\n\004Load\022\017\n\007running\030\001 \001(\r\022\016\n\006qu" +
+      "eued\030\002 \001(\r\"\237\003\n\013StatusReply\022\017\n\007version\030\001 " +
+      "\001(\004\022\025\n\rreaches_store\030\002 \001(\010\0228\n\005teams\030\003 \003(" +
+      "\0132).marigoldturn.peer.StatusReply.TeamsE" +
+      "ntry\0228\n\005pools\030\004 \003(\0132).marigoldturn.peer." +
+      "StatusReply.PoolsEntry\0228\n\005hosts\030\005 \003(\0132)." +
+      "marigoldturn.peer.StatusReply.HostsEntry" +
+      "\032E\n\nTeamsEntry\022\013\n\003key\030\001 \001(\t\022&\n\005value\030\002 \001" +
+      "(\0132\027.marigoldturn.peer.Load:\0028\001\032E\n\nPools" +
+      "Entry\022\013\n\003key\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.mari" +
+      "goldturn.peer.Load:\0028\001\032,\n\nHostsEntry\022\013\n\003" +
+      "key\030\001 \001(\t\022\r\n\005value\030\002 \001(\r:\0028\001B\036\n\032org.mari" +
+      "goldturn.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -324,7 +324,7 @@
     internal_static_marigoldturn_peer_FrozenResource_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_peer_FrozenResource_descriptor,
-        new java.lang.String[] { "Resource", "Epoch", "Sent", "Received", });
+        new java.lang.String[] { "Resource", "Epoch", "Sent", "Received", "Running", });
     internal_static_marigoldturn_peer_FrozenResource_SentEntry_descriptor =
       internal_static_marigoldturn_peer_FrozenResource_descriptor.getNestedTypes().get(0);
     internal_static_marigoldturn_peer_FrozenResource_SentEntry_fieldAccessorTable = new
--- a/core/src/main/java/org/marigoldturn/rights/Holding.java
+++ b/core/src/main/java/org/marigoldturn/rights/Holding.java
@@ -186,6 +186,7 @@
                 .setEpoch(mEpoch)
                 .putAllSent(mSent)
                 .putAllReceived(mReceived)
+                .setRunning(running())
                 .build();
     }
 
--- a/core/src/main/java/org/marigoldturn/rights/Redistribution.java
+++ b/core/src/main/java/org/marigoldturn/rights/Redistribution.java
@@ -180,17 +180,21 @@
         int limit = settings == null ? 0 : settings.runningLimit();
         Map<String, Integer> basis = new TreeMap<>();
         long scale = Math.min(limit, old.minted());
+        Map<String, FrozenResource> records = records(team);
         holdings(team)
                 .forEach(
                         (member, held) -> {
-                            long kept = old.minted() == 0 ? 0 : held * scale / old.minted();
+                            long scaled = old.minted() == 0 ? 0 : held * scale / old.minted();
+                            // Without a right for each running request, rights minted by a later
+                            // raise would allow others to start beside them.
+                            long kept = Math.max(scaled, records.get(member).getRunning());
                             basis.put(member, (int) Math.max(0, kept));
                         });
         int sum = basis.values().stream().mapToInt(Integer::intValue).sum();
-        addRemainder(basis, limit - sum);
+        addRemainder(basis, Math.max(0, limit - sum));
         // The version of the commit, so that a team created again never repeats an epoch.
         long epoch = Math.max(old.epoch(), mBase.version()) + 1;
-        return new ResourceDivision(epoch, limit, basis);
+        return new ResourceDivision(epoch, Math.max(limit, sum), basis);
     }
 
     private static void addRemainder(Map<String, Integer> basis, int remainder) {
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -48,6 +48,7 @@
     private final StoreServer mStore = new StoreServer(0);
     private final int mStorePort;
     private final Map<String, TargetServer> mHosts = new ConcurrentHashMap<>();
+    private final Map<String, String> mPresence = new ConcurrentHashMap<>();
     private final List<ChildProcess> mDaemons = new ArrayList<>();
     private final Map<String, IssuedKey> mKeys = new HashMap<>();
     private final ClientFactory mClients =
@@ -94,6 +95,11 @@
         return mHosts.get(name);
     }
 
+    /** Sets what the host list says of a host: {@code live}, {@code leaving} or {@code ended}. */
+    public void setPresence(String host, String presence) {
+        mPresence.put(host, presence);
+    }
+
     /** Returns all hosts by name. */
     public Map<String, TargetServer> hosts() {
         return Map.copyOf(mHosts);
@@ -221,7 +227,10 @@
         ArrayNode hosts = reports.putArray("hosts");
         mHosts.forEach(
                 (name, host) -> {
-                    ObjectNode report = hosts.addObject().put("name", name).put("state", "live");
+                    ObjectNode report =
+                            hosts.addObject()
+                                    .put("name", name)
+                                    .put("state", mPresence.getOrDefault(name, "live"));
                     ObjectNode running = report.putObject("running");
                     host.usage().forEach((owner, ids) -> running.put(owner, ids.size()));
                 });
