Add the measuring tool

Cause: the target values of design 2.2 had virtual-time figures for shares and maintenance only.

Change: bin/measure [NAME...] [--seed N] runs shares, maintenance, latency, spread, zone, limit and control. The last five use real daemon processes. The store stand-in counts the bytes of its port for calls. Hosts of a measurement count as maintained now, since a wave would change the capacity. The daemons are killed at the end, since nine graceful shutdowns in turn take about a minute.

Ruled out: logs on standard output; tinylog writes INFO there by default, which mixed them with the figures.

--- a/standins/src/main/java/org/marigoldturn/standins/ConnectionFaults.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ConnectionFaults.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.standins;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -8,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Faults of the connections of one server: closed at once, or open without delivering data.
@@ -17,8 +19,20 @@
 final class ConnectionFaults {
     private final Set<Gate> mOpen = ConcurrentHashMap.newKeySet();
     private volatile int mAdminPort;
+    private final LongAdder mBytesReceived = new LongAdder();
+    private final LongAdder mBytesSent = new LongAdder();
     private volatile boolean mDown;
 
+    /** Returns the bytes received on connections to the port for calls. */
+    long bytesReceived() {
+        return mBytesReceived.sum();
+    }
+
+    /** Returns the bytes sent on connections to the port for calls. */
+    long bytesSent() {
+        return mBytesSent.sum();
+    }
+
     /** Sets the port whose connections have no faults. */
     void exempt(int adminPort) {
         mAdminPort = adminPort;
@@ -77,6 +91,7 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
+            count(ctx, message, mBytesReceived);
             ctx.fireChannelRead(message);
         }
 
@@ -88,9 +103,17 @@
                 promise.setSuccess();
                 return;
             }
+            count(ctx, message, mBytesSent);
             super.write(ctx, message, promise);
         }
 
+        private void count(ChannelHandlerContext ctx, Object message, LongAdder bytes) {
+            int port = ((InetSocketAddress) ctx.channel().localAddress()).getPort();
+            if (port != mAdminPort && message instanceof ByteBuf buffer) {
+                bytes.add(buffer.readableBytes());
+            }
+        }
+
         private void closeNow() {
             ChannelHandlerContext context = mContext;
             try {
--- a/standins/src/main/java/org/marigoldturn/standins/FleetYaml.java
+++ b/standins/src/main/java/org/marigoldturn/standins/FleetYaml.java
@@ -56,6 +56,16 @@
         return this;
     }
 
+    /** Adds a host on a loopback port that was maintained at the given time. */
+    public FleetYaml host(
+            String name, String pool, String zone, int port, int slots, long maintainedAtMillis) {
+        mHosts.add(
+                ("  %s: {pool: %s, zone: %s, rack: r-%s, address: 127.0.0.1, port: %d, slots: %d,"
+                                + " maintainedAtMillis: %d}")
+                        .formatted(name, pool, zone, name, port, slots, maintainedAtMillis));
+        return this;
+    }
+
     /** Returns the settings. */
     public String text() {
         StringBuilder yaml = new StringBuilder();
--- a/standins/src/main/java/org/marigoldturn/standins/StandInMain.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StandInMain.java
@@ -1,15 +1,18 @@
 package org.marigoldturn.standins;
 
 import java.util.Arrays;
+import org.marigoldturn.standins.measure.Measure;
 
 /** Runs one stand-in as a process; prints {@code ready port=PORT} once it serves. */
 public final class StandInMain {
     private StandInMain() {}
 
-    /** Entry point: {@code store}, {@code target NAME SLOTS}, {@code quickstart}. */
+    /**
+     * Entry point: {@code store}, {@code target NAME SLOTS}, {@code quickstart}, {@code measure}.
+     */
     public static void main(String[] args) throws Exception {
         if (args.length == 0) {
-            throw new IllegalArgumentException("expected: store | target | quickstart");
+            throw new IllegalArgumentException("expected: store | target | quickstart | measure");
         }
         switch (args[0]) {
             case "store" -> {
@@ -19,6 +22,7 @@
             case "target" ->
                     announce(new TargetServer(args[1], Integer.parseInt(args[2]), 0).start());
             case "quickstart" -> Quickstart.run();
+            case "measure" -> Measure.main(Arrays.copyOfRange(args, 1, args.length));
             default ->
                     throw new IllegalArgumentException("unknown command " + Arrays.toString(args));
         }
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -111,6 +111,16 @@
         return mCalls.values().stream().mapToLong(LongAdder::sum).sum();
     }
 
+    /** Returns the bytes that callers sent, without TLS and TCP headers. */
+    public long bytesReceived() {
+        return mConnections.bytesReceived();
+    }
+
+    /** Returns the bytes sent to callers, without TLS and TCP headers. */
+    public long bytesSent() {
+        return mConnections.bytesSent();
+    }
+
     /** Sets faults; see {@link StoreFaults} for the fields. */
     public void faults(String json) throws IOException {
         setFaults(JSON.readTree(json));
