Measure control cost after warm-up and limit use in each second

Cause: a trial with 8 s of warm-up gave 6.5% of a core for an idle daemon. Thread times of that daemon show about 1.3 s of C1 compilation and 1.2 s of start-up in its first 16 s against 0.3 s of the control thread.

Change: 30 s of warm-up, three fleets at once, and the use of a limit in each second of a burst.

Ruled out: a shorter warm-up with a correction, since compilation ends gradually.

--- a/standins/src/main/java/org/marigoldturn/standins/measure/ControlMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/ControlMeasurement.java
@@ -8,6 +8,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.function.ToIntFunction;
 import org.marigoldturn.standins.measure.LinearFit.Point;
 
@@ -18,8 +22,15 @@
  * <p>One host per pool runs; the other hosts are records in a pool without a service.
  */
 final class ControlMeasurement {
-    private static final long SETTLE_MILLIS = 8_000;
-    private static final long WINDOW_MILLIS = 8_000;
+    /** After 8 s a third of the processor time was still compilation of a started daemon. */
+    private static final long SETTLE_MILLIS = 30_000;
+
+    private static final long WARM_UP_MILLIS = 10_000;
+    private static final long WINDOW_MILLIS = 12_000;
+
+    /** Processor time is counted per process, so fleets on different cores do not add to it. */
+    private static final int FLEETS_AT_ONCE = 3;
+
     private static final int CLIENTS_PER_DAEMON = 8;
     private static final long CLIENT_PAUSE_MILLIS = 200;
     private static final int RUN_MILLIS = 10;
@@ -48,20 +59,38 @@
 
     private ControlMeasurement() {}
 
-    static void run(long seed, PrintStream out) throws IOException, InterruptedException {
+    static void run(long seed, PrintStream out) throws InterruptedException, ExecutionException {
         Figures figures = new Figures("control", out);
-        Map<ControlSize, Map<String, Double>> measured = new LinkedHashMap<>();
+        Map<ControlSize, Map<String, Double>> measured = measureAll(seed);
         for (ControlSize size : SIZES) {
-            Map<String, Double> values = measure(size, seed);
-            measured.put(size, values);
-            values.forEach(
-                    (name, value) -> print(figures, "measured." + size.label(), name, value));
+            measured.get(size)
+                    .forEach(
+                            (name, value) ->
+                                    print(figures, "measured." + size.label(), name, value));
         }
         for (String name : measured.get(ControlSize.BASE).keySet()) {
             extrapolate(figures, measured, name);
         }
     }
 
+    private static Map<ControlSize, Map<String, Double>> measureAll(long seed)
+            throws InterruptedException, ExecutionException {
+        ExecutorService executor = Executors.newFixedThreadPool(FLEETS_AT_ONCE);
+        try {
+            Map<ControlSize, Future<Map<String, Double>>> pending = new LinkedHashMap<>();
+            for (ControlSize size : SIZES) {
+                pending.put(size, executor.submit(() -> measure(size, seed)));
+            }
+            Map<ControlSize, Map<String, Double>> measured = new LinkedHashMap<>();
+            for (ControlSize size : SIZES) {
+                measured.put(size, pending.get(size).get());
+            }
+            return measured;
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
     private static Map<String, Double> measure(ControlSize size, long seed)
             throws IOException, InterruptedException {
         try (MeasuredFleet fleet = new MeasuredFleet("control")) {
@@ -81,7 +110,7 @@
                                             "t" + random.nextInt(size.teams()),
                                             "p" + random.nextInt(size.pools() - 1),
                                             RUN_MILLIS))) {
-                Thread.sleep(SETTLE_MILLIS / 2);
+                Thread.sleep(WARM_UP_MILLIS);
                 long before = load.succeeded();
                 window(fleet).forEach((name, value) -> values.put("load." + name, value));
                 double requests = load.succeeded() - before;
--- a/standins/src/main/java/org/marigoldturn/standins/measure/LimitMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/LimitMeasurement.java
@@ -14,6 +14,7 @@
     private static final int RUN_MILLIS = 200;
     private static final long SETTLE_MILLIS = 5_000;
     private static final long WINDOW_MILLIS = 5_000;
+    private static final int BURST_SECONDS = (int) (SETTLE_MILLIS + WINDOW_MILLIS) / 1_000;
 
     private LimitMeasurement() {}
 
@@ -61,6 +62,13 @@
                     name + ".use-after-5s",
                     100.0 * busy / WINDOW_MILLIS / limit,
                     "percent_of_limit");
+            for (int second = 1; second <= BURST_SECONDS; second++) {
+                long to = start + second * 1_000L;
+                figures.print(
+                        name + ".use-in-second-" + second,
+                        RunTimeline.busyMillis(runs(fleet), to - 1_000, to) / 10.0 / limit,
+                        "percent_of_limit");
+            }
             figures.print(name + ".failed", load.failed(), "requests");
         }
     }
