Leave hosts of a measurement to the end of the process

Change: a measured fleet kills its daemons and nothing else; control runs five fleets at once.

Ruled out: closing the hosts in parallel, since nothing depends on their end.

--- a/standins/src/main/java/org/marigoldturn/standins/measure/ControlMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/ControlMeasurement.java
@@ -29,7 +29,7 @@
     private static final long WINDOW_MILLIS = 12_000;
 
     /** Processor time is counted per process, so fleets on different cores do not add to it. */
-    private static final int FLEETS_AT_ONCE = 3;
+    private static final int FLEETS_AT_ONCE = 5;
 
     private static final int CLIENTS_PER_DAEMON = 8;
     private static final long CLIENT_PAUSE_MILLIS = 200;
--- a/standins/src/main/java/org/marigoldturn/standins/measure/MeasuredFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/MeasuredFleet.java
@@ -136,7 +136,10 @@
                 .join();
     }
 
-    /** Kills the daemons, since a graceful shutdown of each takes seconds and is not measured. */
+    /**
+     * Kills the daemons. The store and the hosts end with this process: each takes two seconds to
+     * stop, which is minutes for the hosts of the largest fleet.
+     */
     @Override
     public void close() {
         try {
@@ -145,8 +148,6 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } finally {
-            mFleet.close();
         }
     }
 
