--- a/core/src/main/java/org/marigoldturn/operator/ResourceRoutes.java
+++ b/core/src/main/java/org/marigoldturn/operator/ResourceRoutes.java
@@ -47,8 +47,7 @@
                 request.headers(),
                 state -> {
                     long nowMillis = mParts.nowMillis().getAsLong();
-                    return List.of(
-                            ResourceKind.of(kind).put(state.settings(), body, nowMillis));
+                    return List.of(ResourceKind.of(kind).put(state.settings(), body, nowMillis));
                 });
     }
 
