--- a/standins/src/main/java/org/marigoldturn/standins/measure/MeasuredFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/MeasuredFleet.java
@@ -142,12 +142,8 @@
      */
     @Override
     public void close() {
-        try {
-            for (int i = 0; i < mFleet.daemons(); i++) {
-                mFleet.daemon(i).kill();
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        for (int i = 0; i < mFleet.daemons(); i++) {
+            mFleet.daemon(i).kill();
         }
     }
 
