--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -42,7 +42,7 @@
  */
 public final class EntryDaemon implements AutoCloseable {
     private static final int DECISION_LOG_CAPACITY = 10_000;
-    private static final long FAST_INTERVAL_MILLIS = 100;
+    private static final long FAST_INTERVAL_MILLIS = 50;
     private static final long CONFIRM_INTERVAL_MILLIS = 500;
     private static final long SHARE_INTERVAL_MILLIS = 1_000;
     private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
@@ -202,6 +202,10 @@
         mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
         mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mController::tick);
         mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
+        mControl.every(
+                "starved",
+                FAST_INTERVAL_MILLIS,
+                () -> mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering));
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -9,6 +9,7 @@
 import org.marigoldturn.peer.wire.DemandReport;
 import org.marigoldturn.peer.wire.Entitlements;
 import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.rights.Resources;
 import org.marigoldturn.rights.RightsLedger;
 import org.marigoldturn.shares.AddressedReport;
 import org.marigoldturn.shares.CoordinatorOutput;
@@ -32,6 +33,7 @@
     private final StatePublisher mPublisher;
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
+    private boolean mStarvedReport;
 
     ShareService(
             RightsLedger ledger,
@@ -51,12 +53,30 @@
 
     void onReport(String sender, DemandReport report) {
         mCoordinator.onReport(sender, report, mNowMillis.getAsLong());
+        mStarvedReport |= report.getHeld() == 0 && hasQueued(report);
     }
 
     void onEntitlements(Entitlements entitlements) {
         mEntitlements.onEntitlements(entitlements, mNowMillis.getAsLong());
     }
 
+    /**
+     * Serves daemons that hold no right at all for queued work, without waiting for the interval;
+     * called every 50 ms. A small pool has fewer slots than there are daemons, so this is the usual
+     * case there.
+     *
+     * @param hasQueued whether this daemon has queued work
+     */
+    void serveStarved(boolean hasQueued, Supplier<? extends Collection<String>> answering) {
+        if (hasQueued && isStarved()) {
+            report(answering.get());
+        }
+        if (mStarvedReport) {
+            mStarvedReport = false;
+            coordinate(answering.get());
+        }
+    }
+
     /** Sends the demand reports that are due; called every second. */
     void report(Collection<String> answering) {
         long nowMillis = mNowMillis.getAsLong();
@@ -102,4 +122,23 @@
                         });
         return mCollector.collect(mPublisher.state(), mLedger, loads, nowMillis);
     }
+
+    private boolean isStarved() {
+        for (Map.Entry<String, Map<String, TeamDemandSnapshot>> pool : mDemand.get().entrySet()) {
+            for (Map.Entry<String, TeamDemandSnapshot> team : pool.getValue().entrySet()) {
+                boolean starved =
+                        team.getValue().queued() > 0
+                                && (mLedger.held(Resources.pool(pool.getKey())) == 0
+                                        || mLedger.held(Resources.team(team.getKey())) == 0);
+                if (starved) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private static boolean hasQueued(DemandReport report) {
+        return report.getTeamsList().stream().anyMatch(team -> team.getQueued() > 0);
+    }
 }
--- a/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
@@ -145,6 +145,11 @@
         mDispatchers.values().forEach(PoolDispatcher::run);
     }
 
+    /** Returns whether a request is queued in any pool. */
+    boolean hasQueued() {
+        return mDispatchers.values().stream().anyMatch(d -> d.queue().queued() > 0);
+    }
+
     /** Returns running and queued work by pool and team. */
     Map<String, Map<String, TeamDemandSnapshot>> demand() {
         Map<String, Map<String, TeamDemandSnapshot>> demand = new TreeMap<>();
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -116,6 +116,11 @@
         mAdmit.wake();
     }
 
+    /** Returns whether a request is queued in any pool. */
+    public boolean hasQueued() {
+        return mAdmit.hasQueued();
+    }
+
     /** Returns running and queued work by pool and team. */
     public Map<String, Map<String, TeamDemandSnapshot>> demand() {
         return mAdmit.demand();
