Record decisions for explain; require acceptance and a clean stop in quickstart

Cause: explain had no records, and quickstart accepted an unconfirmed change and did not look at the stop of the daemons. Change: the dispatch and respond filters hand their decisions to a sink, which the daemon adds to the ring of the operator port. quickstart requires exit code 0 of the change, exit by SIGTERM, and the log lines of a complete hand-over. Ruled out: a dependency of the entry package on the operator package, which is above it. Conclusion: explain answers on the daemon that decided.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -15,6 +15,7 @@
 import org.marigoldturn.entry.EntryServer;
 import org.marigoldturn.membership.MembershipController;
 import org.marigoldturn.membership.RoleHolder;
+import org.marigoldturn.operator.DecisionRecord;
 import org.marigoldturn.operator.OperatorParts;
 import org.marigoldturn.operator.OperatorService;
 import org.marigoldturn.operator.RingDecisionLog;
@@ -308,12 +309,17 @@
                 mClaims,
                 host -> mHosts.isLeaving(host),
                 mDrain,
+                this::explain,
                 mMetrics,
                 System::currentTimeMillis,
                 System::nanoTime,
                 () -> ThreadLocalRandom.current().nextLong());
     }
 
+    private void explain(String requestId, String step, String detail) {
+        mDecisions.add(new DecisionRecord(requestId, System.currentTimeMillis(), step, detail));
+    }
+
     private OperatorParts operatorParts() {
         return new OperatorParts(
                 mConfig.operatorToken(),
--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -394,7 +394,16 @@
         return failure == null ? "incomplete-answer" : failure.getClass().getSimpleName();
     }
 
-    private static void log(String event, Exchange exchange, HostSettings host, String reason) {
+    private void log(String event, Exchange exchange, HostSettings host, String reason) {
+        String detail =
+                "%s: host %s, zone %s, attempt %d, reason %s"
+                        .formatted(
+                                event,
+                                host.name(),
+                                host.zone(),
+                                exchange.attempts().attempts(),
+                                reason);
+        mDependencies.decisions().add(exchange.request().id().toString(), "dispatch", detail);
         Logger.info(
                 "routing: {}. request={} team={} service={} host={} zone={} attempt={} reason={}",
                 event,
--- a/core/src/main/java/org/marigoldturn/entry/EntryDependencies.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryDependencies.java
@@ -24,6 +24,7 @@
  * @param claims request ids
  * @param leavingHosts whether the host list reports a host as leaving or ended
  * @param drain state of a graceful shutdown
+ * @param decisions receives the decisions about each request
  * @param metrics registry of the daemon
  * @param nowMillis wall clock time
  * @param nowNanos monotonic time
@@ -38,6 +39,7 @@
         ClaimRegistry claims,
         Predicate<String> leavingHosts,
         DrainState drain,
+        DecisionSink decisions,
         MetricRegistry metrics,
         LongSupplier nowMillis,
         LongSupplier nowNanos,
@@ -51,6 +53,7 @@
         Objects.requireNonNull(claims, "claims");
         Objects.requireNonNull(leavingHosts, "leavingHosts");
         Objects.requireNonNull(drain, "drain");
+        Objects.requireNonNull(decisions, "decisions");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(nowMillis, "nowMillis");
         Objects.requireNonNull(nowNanos, "nowNanos");
--- a/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
@@ -27,11 +27,13 @@
 
     private final ClaimRegistry mClaims;
     private final LongSupplier mNowNanos;
+    private final DecisionSink mDecisions;
     private final LogLimiter mLogLimiter;
     private final FilterMetrics mMetrics;
 
     RespondFilter(EntryDependencies dependencies, LogLimiter logLimiter) {
         mClaims = dependencies.claims();
+        mDecisions = dependencies.decisions();
         mNowNanos = dependencies.nowNanos();
         mLogLimiter = logLimiter;
         mMetrics = new FilterMetrics(dependencies.metrics(), "respond");
@@ -110,6 +112,11 @@
     }
 
     private void log(Exchange exchange, EntryProblem problem) {
+        mDecisions.add(
+                exchange.request().id().toString(),
+                "respond",
+                "rejected as %s, reason %s"
+                        .formatted(problem.outcome().headerValue(), problem.reason()));
         if (!mLogLimiter.tryLog(mNowNanos.getAsLong())) {
             return;
         }
--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** A Java process that prints a line starting with {@code ready} once it serves. */
@@ -38,18 +37,13 @@
         return new ChildProcess(process, output, line);
     }
 
-    /**
-     * Runs a main class to its end and returns its standard output.
-     *
-     * @param exitCodes exit codes that count as success
-     */
-    public static String run(Path log, Set<Integer> exitCodes, String mainClass, String... args)
-            throws IOException {
+    /** Runs a main class to its end, which must succeed, and returns its standard output. */
+    public static String run(Path log, String mainClass, String... args) throws IOException {
         Process process = launch(log, mainClass, args);
         try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
             String text = String.join("\n", output.lines().toList());
             int code = process.waitFor();
-            if (!exitCodes.contains(code)) {
+            if (code != 0) {
                 throw new IOException(mainClass + " exited with code " + code + "; see " + log);
             }
             return text;
--- a/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import org.marigoldturn.admission.KeyAuthenticator;
 
@@ -23,8 +22,8 @@
     private static final int HOSTS = 4;
     private static final int REQUESTS = 60;
 
-    /** 4 is "committed, not yet confirmed"; daemons do not wait for acceptance yet. */
-    private static final Set<Integer> ACCEPTED_EXIT_CODES = Set.of(0, 4);
+    /** Exit code of a Java process that ends by SIGTERM after its shutdown hooks. */
+    private static final int SIGTERM_EXIT_CODE = 143;
 
     private static final String MAIN = "org.marigoldturn.cli.Main";
     private static final String STAND_IN = StandInMain.class.getName();
@@ -68,6 +67,7 @@
                     operatorToken: quickstart
                     peerToken: quickstart-peers
                     plaintext: true
+                    drainDelayMillis: 500
                     """
                             .formatted(i, i, store.port("port")));
             daemons.add(start("entry-" + i, MAIN, "entry", "--config", config.toString()));
@@ -76,7 +76,6 @@
         String answer =
                 ChildProcess.run(
                         log("cli"),
-                        ACCEPTED_EXIT_CODES,
                         MAIN,
                         "--operator",
                         operator,
@@ -86,7 +85,6 @@
                         "apply",
                         settings.toString());
         System.out.println("quickstart: settings applied: " + answer);
-        Thread.sleep(2_000);
         Map<String, Integer> served = new TreeMap<>();
         for (int i = 0; i < REQUESTS; i++) {
             ChildProcess daemon = daemons.get(i % DAEMONS);
@@ -94,8 +92,27 @@
         }
         System.out.println("quickstart: requests served by host: " + served);
         for (ChildProcess daemon : daemons) {
-            daemon.terminate();
+            int exitCode = daemon.terminate();
+            if (exitCode != SIGTERM_EXIT_CODE) {
+                throw new IllegalStateException("a daemon exited with code " + exitCode);
+            }
         }
+        requireCleanStop();
+    }
+
+    /** Checks that every daemon handed its rights over and left, as its log says. */
+    private void requireCleanStop() throws IOException {
+        for (int i = 0; i < DAEMONS; i++) {
+            String text = Files.readString(log("entry-" + i));
+            boolean clean =
+                    text.contains("rights handed over: true")
+                            && text.contains("left the member set: true");
+            if (!clean) {
+                throw new IllegalStateException(
+                        "entry-" + i + " did not stop cleanly; see " + log("entry-" + i));
+            }
+        }
+        System.out.println("quickstart: all daemons stopped cleanly");
     }
 
     private static String request(ChildProcess daemon, String key, String body) {
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -103,6 +103,7 @@
                 new LocalClaimRegistry("d0", claims, System::currentTimeMillis),
                 host -> false,
                 mDrain,
+                (requestId, step, detail) -> {},
                 new MetricRegistry(),
                 System::currentTimeMillis,
                 System::nanoTime,
--- a/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
@@ -210,6 +210,7 @@
                     attempts.add(fleet.send(daemon, "school", id, headers));
                 }
                 attempts.forEach(a -> a.response().join());
+                assertThat(explained(fleet, id)).contains("selected host").contains("duplicate");
                 assertThat(fleet.runs(id)).isEqualTo(1);
                 assertThat(attempts.stream().filter(a -> a.status() == 200)).hasSize(1);
                 assertThat(attempts).noneMatch(Sent::isNotRun);
@@ -240,6 +241,16 @@
         }
     }
 
+    /** Returns what the daemons tell operators about a request. */
+    private static String explained(FleetUnderTest fleet, String requestId) {
+        StringBuilder text = new StringBuilder();
+        for (int daemon = 0; daemon < FleetUnderTest.DAEMONS; daemon++) {
+            String path = "/v1/explain/" + requestId;
+            text.append(fleet.fleet().operate(daemon, HttpMethod.GET, path, "").contentUtf8());
+        }
+        return text.toString();
+    }
+
     private static AggregatedHttpResponse put(FleetUnderTest fleet, int daemon, String body) {
         return fleet.fleet().operate(daemon, HttpMethod.PUT, "/v1/teams/club", body);
     }
