Split the totals outbox from the ledger and reuse the settings edits

Change: TotalsOutbox is a class of its own; EditedSettings applies edits through SettingsEdits. Ruled out: splitting the ledger by teams and hosts, which share all of its logic.

--- a/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
+++ b/core/src/main/java/org/marigoldturn/fleet/EditedSettings.java
@@ -1,13 +1,11 @@
 package org.marigoldturn.fleet;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.SettingsEdit;
+import org.marigoldturn.settings.SettingsEdits;
 import org.marigoldturn.settings.ZoneSettings;
 
 /**
@@ -31,27 +29,9 @@
      * @throws IllegalArgumentException for an edit that no planner makes
      */
     public void apply(List<SettingsEdit> edits) {
-        if (edits.isEmpty()) {
-            return;
-        }
-        Map<String, ZoneSettings> zones = new HashMap<>(mCurrent.zones());
-        Map<String, HostSettings> hosts = new HashMap<>(mCurrent.hosts());
-        FleetPolicy policy = mCurrent.policy();
-        for (SettingsEdit edit : edits) {
-            if (edit instanceof SettingsEdit.PutZone put) {
-                zones.put(put.zone().name(), put.zone());
-            } else if (edit instanceof SettingsEdit.PutHost put) {
-                hosts.put(put.host().name(), put.host());
-            } else if (edit instanceof SettingsEdit.PutPolicy put) {
-                policy = put.policy();
-            } else {
-                throw new IllegalArgumentException("no planner edits path \"" + edit.path() + "\"");
-            }
-        }
-        mEdited = true;
-        mCurrent =
-                new FleetSettings(
-                        zones, mBase.pools(), mBase.services(), mBase.teams(), hosts, policy);
+        edits.forEach(EditedSettings::requirePlanned);
+        mEdited |= !edits.isEmpty();
+        mCurrent = SettingsEdits.apply(mCurrent, edits).get();
     }
 
     /** Returns the settings with all edits so far. */
@@ -80,4 +60,14 @@
         }
         return edits;
     }
+
+    private static void requirePlanned(SettingsEdit edit) {
+        boolean planned =
+                edit instanceof SettingsEdit.PutZone
+                        || edit instanceof SettingsEdit.PutHost
+                        || edit instanceof SettingsEdit.PutPolicy;
+        if (!planned) {
+            throw new IllegalArgumentException("no planner edits path \"" + edit.path() + "\"");
+        }
+    }
 }
--- a/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
+++ b/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
@@ -139,7 +139,7 @@
         }
         List<Holding> candidates = transferable(hint.getResource());
         candidates.forEach(holding -> holding.cancelReservation(hint.getTaker()));
-        Outbox outbox = new Outbox(nowMillis);
+        TotalsOutbox outbox = new TotalsOutbox(mUnacknowledged, nowMillis);
         int rest = giveEvenly(candidates, hint.getTaker(), hint.getCount(), outbox);
         reserveEvenly(candidates, hint.getTaker(), rest, nowMillis + RESERVATION_MILLIS);
         return outbox.messages();
@@ -147,7 +147,7 @@
 
     /** Gives promised rights that have become free. To be called every few tens of milliseconds. */
     public List<AddressedTotals> serveReservations(long nowMillis) {
-        Outbox outbox = new Outbox(nowMillis);
+        TotalsOutbox outbox = new TotalsOutbox(mUnacknowledged, nowMillis);
         for (String resource : List.copyOf(mReserved)) {
             Holding holding = mHoldings.get(resource);
             if (holding != null && !mFrozen.contains(resource)) {
@@ -200,7 +200,7 @@
 
     /** Returns totals that are due to be sent again; to be called once a second. */
     public List<AddressedTotals> unacknowledged(long nowMillis) {
-        Outbox outbox = new Outbox(nowMillis);
+        TotalsOutbox outbox = new TotalsOutbox(mUnacknowledged, nowMillis);
         for (Map.Entry<String, Long> entry : List.copyOf(mUnacknowledged.entrySet())) {
             Holding holding = mHoldings.get(entry.getKey());
             if (holding == null || holding.unacknowledgedTakers().isEmpty()) {
@@ -239,7 +239,7 @@
     /** Gives all free rights to the takers, spread over them by resource and count. */
     public List<AddressedTotals> giveAll(Collection<String> takers, long nowMillis) {
         List<String> others = takers.stream().filter(t -> !t.equals(mSelf)).sorted().toList();
-        Outbox outbox = new Outbox(nowMillis);
+        TotalsOutbox outbox = new TotalsOutbox(mUnacknowledged, nowMillis);
         for (Holding holding : mHoldings.values()) {
             if (!others.isEmpty() && !mFrozen.contains(holding.resource())) {
                 giveAll(holding, others, outbox);
@@ -368,7 +368,7 @@
     }
 
     /** Gives from the holding with the most free rights first; returns the count not given. */
-    private int giveEvenly(List<Holding> holdings, String taker, int count, Outbox outbox) {
+    private int giveEvenly(List<Holding> holdings, String taker, int count, TotalsOutbox outbox) {
         int rest = count;
         while (rest > 0) {
             Holding fullest = largest(holdings, Holding::givable);
@@ -421,7 +421,7 @@
         return (dividend + divisor - 1) / divisor;
     }
 
-    private void giveAll(Holding holding, List<String> takers, Outbox outbox) {
+    private void giveAll(Holding holding, List<String> takers, TotalsOutbox outbox) {
         String first = RendezvousHash.owner(holding.resource(), takers).orElseThrow();
         int offset = takers.indexOf(first);
         int part = ceilingDivide(Math.max(1, holding.givable()), takers.size());
@@ -432,37 +432,4 @@
             }
         }
     }
-
-    /** Collects the totals to send, once for each receiver and resource. */
-    private final class Outbox {
-        private final Map<String, Set<Holding>> mByReceiver = new TreeMap<>();
-        private final long mNowMillis;
-
-        Outbox(long nowMillis) {
-            mNowMillis = nowMillis;
-        }
-
-        void add(Holding holding, String receiver) {
-            mByReceiver.computeIfAbsent(receiver, name -> new HashSet<>()).add(holding);
-            mUnacknowledged.put(holding.resource(), mNowMillis);
-        }
-
-        List<AddressedTotals> messages() {
-            List<AddressedTotals> messages = new ArrayList<>();
-            mByReceiver.forEach((receiver, holdings) -> messages.add(message(receiver, holdings)));
-            return messages;
-        }
-
-        private AddressedTotals message(String receiver, Set<Holding> holdings) {
-            RightsTotals.Builder totals = RightsTotals.newBuilder();
-            for (Holding holding : holdings) {
-                totals.addTotals(
-                        RightsTotal.newBuilder()
-                                .setResource(holding.resource())
-                                .setEpoch(holding.epoch())
-                                .setTotal(holding.sentTo(receiver)));
-            }
-            return new AddressedTotals(receiver, totals.build());
-        }
-    }
 }
