Read only the changes of the host list

Cause: each daemon read the whole host list every 2 s. With 95 running hosts that cost 4.2 KB a second of 3 KB for all control (CAPACITY.md), and 1,700 hosts would cost about 75 KB a second.

Change: a query names the instance and revision of the daemon's copy, and the answer holds changed and removed hosts only. Usage reports are sent for named hosts only: those with an attempt without proven end, those without a report since a daemon ended, and draining hosts at the planner. The copy (HostListMirror) applies changes only to the revision that they start from and ignores answers to queries older than the last applied one. Counts per state in each answer reveal a missing change. After a mismatch, a restart (another instance) and every 10 minutes the whole list is read. A report counts as evidence from the time of its request at the latest, now also for attempts without proven end and for drains.

Ruled out: a longer interval (leaving hosts are seen late) and a watch (a second connection that can fail silently and needs the same reads).

--- a/core/src/main/java/org/marigoldturn/daemon/HostListService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/HostListService.java
@@ -5,18 +5,24 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.marigoldturn.entry.PendingOutcomes;
 import org.marigoldturn.platform.HostDirectory;
+import org.marigoldturn.platform.HostListAnswer;
+import org.marigoldturn.platform.HostListMirror;
+import org.marigoldturn.platform.HostListQuery;
 import org.marigoldturn.platform.HostPresence;
-import org.marigoldturn.platform.HostReport;
+import org.marigoldturn.platform.HostUsage;
 import org.marigoldturn.rights.EndedDaemons;
 import org.tinylog.Logger;
 
 /**
- * Reads the platform's host list periodically. Belongs to the control thread; the published sets
- * are safe on any thread.
+ * Reads the changes of the platform's host list periodically, and the usage reports that this
+ * daemon needs as evidence. Belongs to the control thread; the published sets are safe on any
+ * thread.
  */
 final class HostListService {
     /** Clocks of the platform and of the daemons differ by at most this much. */
@@ -28,11 +34,23 @@
     private final PendingOutcomes mPending;
     private final ControlLoop mControl;
     private final LongSupplier mNowMillis;
+    private final HostListMirror mMirror = new HostListMirror();
     private final List<Runnable> mListeners = new ArrayList<>();
-    private volatile Map<String, HostReport> mReports = Map.of();
+    private final List<Supplier<Set<String>>> mUsageNeeds = new ArrayList<>();
+    private Map<String, Usage> mUsage = Map.of();
+    private long mQueries;
     private volatile Set<String> mLeaving = Set.of();
     private volatile Set<String> mFailed = Set.of();
 
+    /**
+     * A usage report.
+     *
+     * @param running requests of all daemons that run on the host
+     * @param madeAtMillis earliest time on this daemon's clock at which it can have been made;
+     *     never later than its request
+     */
+    record Usage(int running, long madeAtMillis) {}
+
     HostListService(
             String selfId,
             HostDirectory directory,
@@ -55,6 +73,11 @@
         mListeners.add(listener);
     }
 
+    /** Adds hosts whose usage reports are needed; asked for before each read. */
+    void addUsageNeed(Supplier<Set<String>> hosts) {
+        mUsageNeeds.add(hosts);
+    }
+
     /** Returns whether the host is reported as leaving or ended. */
     boolean isLeaving(String host) {
         return mLeaving.contains(host);
@@ -65,26 +88,32 @@
         return mFailed;
     }
 
-    /** Returns the newest report of each host. */
-    Map<String, HostReport> reports() {
-        return mReports;
+    /** Returns the state of each listed host. */
+    Map<String, HostPresence> hosts() {
+        return mMirror.hosts();
     }
 
-    /** Returns the earliest time on this daemon's clock at which a report can have been made. */
-    long earliestMadeAtMillis(HostReport report) {
-        return report.reportedAtMillis() - CLOCK_SKEW_MILLIS;
+    /** Returns the usage report of a host in the newest answer, if it was needed. */
+    Optional<Usage> usage(String host) {
+        return Optional.ofNullable(mUsage.get(host));
     }
 
     /** Starts one read of the list. */
     void refresh() {
+        read(true);
+    }
+
+    private void read(boolean repeatAfterGap) {
         long requestedAtMillis = mNowMillis.getAsLong();
+        long number = mQueries++;
+        HostListQuery query = mMirror.query(neededUsage(), requestedAtMillis);
         var unused =
                 mDirectory
-                        .list()
+                        .read(query)
                         .whenCompleteAsync(
-                                (reports, failure) -> {
+                                (answer, failure) -> {
                                     if (failure == null) {
-                                        adopt(reports, requestedAtMillis);
+                                        adopt(answer, number, requestedAtMillis, repeatAfterGap);
                                     } else {
                                         Logger.warn(
                                                 "fleet: cannot read the host list: {}.",
@@ -94,27 +123,61 @@
                                 mControl);
     }
 
-    private void adopt(List<HostReport> reports, long requestedAtMillis) {
-        Map<String, HostReport> byHost = new HashMap<>();
-        Set<String> leaving = new HashSet<>();
-        Set<String> failed = new HashSet<>();
-        for (HostReport report : reports) {
-            byHost.put(report.host(), report);
-            if (report.presence() != HostPresence.LIVE) {
-                leaving.add(report.host());
+    private Set<String> neededUsage() {
+        Set<String> needed = new HashSet<>(mPending.hosts());
+        needed.addAll(mEnded.unreported(mMirror.hosts().keySet()));
+        mUsageNeeds.forEach(hosts -> needed.addAll(hosts.get()));
+        return needed;
+    }
+
+    private void adopt(
+            HostListAnswer answer, long number, long requestedAtMillis, boolean repeatAfterGap) {
+        switch (mMirror.apply(answer, number, requestedAtMillis)) {
+            case APPLIED -> {
+                publish(mMirror.hosts());
+                evaluate(answer.usage(), requestedAtMillis);
+                mListeners.forEach(Runnable::run);
             }
-            if (report.presence() == HostPresence.ENDED) {
-                failed.add(report.host());
+            case OUTDATED -> Logger.debug("fleet: late answer of the host list ignored.");
+            case GAP -> {
+                Logger.info(
+                        "fleet: host list at revision {} does not follow the held one.",
+                        answer.revision());
+                if (repeatAfterGap) {
+                    read(false);
+                }
             }
-            long madeAtMillis = Math.min(requestedAtMillis, earliestMadeAtMillis(report));
+        }
+    }
+
+    private void publish(Map<String, HostPresence> hosts) {
+        Set<String> leaving = new HashSet<>();
+        Set<String> failed = new HashSet<>();
+        hosts.forEach(
+                (host, presence) -> {
+                    if (presence != HostPresence.LIVE) {
+                        leaving.add(host);
+                    }
+                    if (presence == HostPresence.ENDED) {
+                        failed.add(host);
+                    }
+                });
+        mLeaving = Set.copyOf(leaving);
+        mFailed = Set.copyOf(failed);
+    }
+
+    private void evaluate(List<HostUsage> reports, long requestedAtMillis) {
+        Map<String, Usage> usage = new HashMap<>();
+        for (HostUsage report : reports) {
+            long madeAtMillis =
+                    Math.min(requestedAtMillis, report.reportedAtMillis() - CLOCK_SKEW_MILLIS);
+            int running = report.runningByOwner().values().stream().mapToInt(n -> n).sum();
+            usage.put(report.host(), new Usage(running, madeAtMillis));
             mEnded.onUsageReport(report.host(), madeAtMillis, report.runningByOwner().keySet());
             if (report.runningOf(mSelfId) == 0) {
-                mPending.onUsageReport(report.host(), report.reportedAtMillis(), Set.of());
+                mPending.onUsageReport(report.host(), madeAtMillis + CLOCK_SKEW_MILLIS, Set.of());
             }
         }
-        mReports = Map.copyOf(byHost);
-        mLeaving = Set.copyOf(leaving);
-        mFailed = Set.copyOf(failed);
-        mListeners.forEach(Runnable::run);
+        mUsage = Map.copyOf(usage);
     }
 }
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -18,7 +18,6 @@
 import org.marigoldturn.peer.wire.Load;
 import org.marigoldturn.peer.wire.StatusReply;
 import org.marigoldturn.platform.HostPresence;
-import org.marigoldturn.platform.HostReport;
 import org.marigoldturn.settings.ChangeResult;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.HostState;
@@ -86,6 +85,7 @@
         mNowNanos = nowNanos;
         publisher.addListener((previous, state) -> onState(state));
         hosts.addListener(this::observeAbsence);
+        hosts.addUsageNeed(this::draining);
     }
 
     /** Observes the fleet and commits the next step, if this daemon holds the role. */
@@ -128,12 +128,29 @@
     }
 
     private void observeAbsence() {
-        for (HostReport report : mHosts.reports().values()) {
-            boolean maintained = mStates.get(report.host()) == HostState.MAINTENANCE;
-            if (maintained && report.presence() != HostPresence.LIVE) {
-                mSeenAway.add(report.host());
-            }
+        mHosts.hosts()
+                .forEach(
+                        (host, presence) -> {
+                            boolean maintained = mStates.get(host) == HostState.MAINTENANCE;
+                            if (maintained && presence != HostPresence.LIVE) {
+                                mSeenAway.add(host);
+                            }
+                        });
+    }
+
+    /** Returns the hosts that this daemon, as the planner, waits for. */
+    private Set<String> draining() {
+        if (!mRole.holds(mNowNanos.getAsLong())) {
+            return Set.of();
         }
+        Set<String> draining = new HashSet<>();
+        mStates.forEach(
+                (host, state) -> {
+                    if (state == HostState.DRAINING) {
+                        draining.add(host);
+                    }
+                });
+        return draining;
     }
 
     private void plan(VersionedState state, Map<String, StatusReply> replies, long askedAtMillis) {
@@ -188,9 +205,9 @@
             HostSettings host,
             Map<String, StatusReply> replies,
             long askedAtMillis) {
-        HostReport report = mHosts.reports().get(host.name());
-        boolean live = report != null && report.presence() == HostPresence.LIVE;
-        boolean ended = report != null && report.presence() == HostPresence.ENDED;
+        HostPresence presence = mHosts.hosts().get(host.name());
+        boolean live = presence == HostPresence.LIVE;
+        boolean ended = presence == HostPresence.ENDED;
         Set<String> members = new HashSet<>();
         state.members().members().stream().map(Member::id).forEach(members::add);
         long drainVersion = mStateVersions.getOrDefault(host.name(), Long.MAX_VALUE);
@@ -206,16 +223,15 @@
                                         reply.getVersion(), running, askedAtMillis));
                     }
                 });
-        DrainEvidence drain = new DrainEvidence(drainVersion, members, idle, usage(report), ended);
+        DrainEvidence drain =
+                new DrainEvidence(drainVersion, members, idle, usage(host.name()), ended);
         return new HostObservation(drain, live && mSeenAway.contains(host.name()), live);
     }
 
-    private DrainEvidence.UsageReport usage(HostReport report) {
-        if (report == null) {
-            return null;
-        }
-        int running = report.runningByOwner().values().stream().mapToInt(n -> n).sum();
-        return new DrainEvidence.UsageReport(running, mHosts.earliestMadeAtMillis(report));
+    private DrainEvidence.UsageReport usage(String host) {
+        return mHosts.usage(host)
+                .map(usage -> new DrainEvidence.UsageReport(usage.running(), usage.madeAtMillis()))
+                .orElse(null);
     }
 
     private Map<String, PoolDemand> demands(
--- a/core/src/main/java/org/marigoldturn/entry/PendingOutcomes.java
+++ b/core/src/main/java/org/marigoldturn/entry/PendingOutcomes.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Attempts whose callers were answered while the target may still run them. Their rights stay taken
@@ -76,6 +77,11 @@
         return ended.size();
     }
 
+    /** Returns the hosts of the attempts whose end is not proven. */
+    public Set<String> hosts() {
+        return mPending.values().stream().map(Pending::host).collect(Collectors.toSet());
+    }
+
     /** Returns the number of attempts whose end is not proven. */
     public int size() {
         return mPending.size();
--- a/core/src/main/java/org/marigoldturn/platform/HostDirectory.java
+++ b/core/src/main/java/org/marigoldturn/platform/HostDirectory.java
@@ -1,6 +1,5 @@
 package org.marigoldturn.platform;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -10,7 +9,7 @@
  */
 public interface HostDirectory extends AutoCloseable {
     /** Reads the list; fails with {@link HostDirectoryException} if it cannot be read. */
-    CompletableFuture<List<HostReport>> list();
+    CompletableFuture<HostListAnswer> read(HostListQuery query);
 
     @Override
     void close();
--- a/core/src/main/java/org/marigoldturn/platform/HostReport.java
+++ b/core/src/main/java/org/marigoldturn/platform/HostUsage.java
@@ -6,21 +6,15 @@
 import java.util.TreeMap;
 
 /**
- * What the platform reports about one host.
+ * What the platform reports about the use of one host.
  *
  * @param host name of the host
- * @param presence state of the host at the time of the report
  * @param reportedAtMillis wall clock time at which the platform observed the host
  * @param runningByOwner running requests by id of the daemon that owns them
  */
-public record HostReport(
-        String host,
-        HostPresence presence,
-        long reportedAtMillis,
-        Map<String, Integer> runningByOwner) {
-    public HostReport {
+public record HostUsage(String host, long reportedAtMillis, Map<String, Integer> runningByOwner) {
+    public HostUsage {
         Objects.requireNonNull(host, "host");
-        Objects.requireNonNull(presence, "presence");
         runningByOwner = Collections.unmodifiableMap(new TreeMap<>(runningByOwner));
     }
 
--- a/core/src/main/java/org/marigoldturn/platform/HttpHostDirectory.java
+++ b/core/src/main/java/org/marigoldturn/platform/HttpHostDirectory.java
@@ -6,28 +6,38 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.QueryParams;
+import com.linecorp.armeria.common.QueryParamsBuilder;
 import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 
 /**
- * Reads the host list as JSON from {@code GET /hosts}.
+ * Reads the host list as JSON from {@code GET /hosts}; docs/operators.md describes the endpoint.
  *
- * <p>Form: {@code {"hosts": [{"name": "h1", "state": "live", "reportedAtMillis": 1, "running":
- * {"entry-1-0a": 2}}]}}. A list with any invalid entry is rejected as a whole, since a missing host
- * must not look like one without running requests. Thread safe.
+ * <p>An answer with any invalid entry is rejected as a whole, since a missing host must not look
+ * like one without running requests. Thread safe.
  */
 public final class HttpHostDirectory implements HostDirectory {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long PING_INTERVAL_MILLIS = 5_000;
     private static final long MAX_RESPONSE_BYTES = 8L << 20;
 
+    /** Above this number the query asks for the reports of all hosts, to bound its length. */
+    private static final int MAX_NAMED_HOSTS = 64;
+
+    private static final String ALL_HOSTS = "*";
+
     private final ClientFactory mClientFactory;
     private final WebClient mClient;
 
@@ -56,8 +66,8 @@
     }
 
     @Override
-    public CompletableFuture<List<HostReport>> list() {
-        return mClient.get("/hosts")
+    public CompletableFuture<HostListAnswer> read(HostListQuery query) {
+        return mClient.get("/hosts?" + encode(query))
                 .aggregate()
                 .handle(
                         (response, failure) -> {
@@ -77,38 +87,95 @@
         mClientFactory.close();
     }
 
-    private static List<HostReport> decode(AggregatedHttpResponse response) {
+    private static String encode(HostListQuery query) {
+        QueryParamsBuilder parameters = QueryParams.builder();
+        if (!query.isComplete()) {
+            parameters.add("instance", query.instance());
+            parameters.add("since", Long.toString(query.sinceRevision()));
+        }
+        if (query.usageOf().size() > MAX_NAMED_HOSTS) {
+            parameters.add("usage", ALL_HOSTS);
+        } else {
+            query.usageOf().forEach(host -> parameters.add("usage", host));
+        }
+        return parameters.toQueryString();
+    }
+
+    private static HostListAnswer decode(AggregatedHttpResponse response) {
         if (!response.status().equals(HttpStatus.OK)) {
             throw new HostDirectoryException("host list answered " + response.status(), null);
         }
         try {
-            JsonNode hosts = JSON.readTree(response.content().array()).path("hosts");
-            if (!hosts.isArray()) {
-                throw new IllegalArgumentException("array \"hosts\" is missing");
-            }
-            List<HostReport> reports = new ArrayList<>();
-            hosts.forEach(host -> reports.add(decode(host)));
-            return List.copyOf(reports);
+            return decode(JSON.readTree(response.content().array()));
         } catch (IOException | IllegalArgumentException e) {
             throw new HostDirectoryException("host list is invalid: " + e.getMessage(), e);
         }
     }
 
-    private static HostReport decode(JsonNode host) {
-        if (!host.path("name").isTextual() || !host.path("reportedAtMillis").isIntegralNumber()) {
-            throw new IllegalArgumentException("host without name or reportedAtMillis: " + host);
+    private static HostListAnswer decode(JsonNode answer) {
+        JsonNode hosts = answer.path("hosts");
+        boolean incremental = answer.has("since");
+        if (!hosts.isArray() || !answer.path("counts").isObject()) {
+            throw new IllegalArgumentException("array \"hosts\" or object \"counts\" is missing");
         }
-        Map<String, Integer> running = new TreeMap<>();
-        for (Map.Entry<String, JsonNode> owner : host.path("running").properties()) {
-            if (!owner.getValue().canConvertToInt() || owner.getValue().asInt() < 0) {
-                throw new IllegalArgumentException("invalid running count in " + host);
+        Map<String, HostPresence> changed = new TreeMap<>();
+        for (JsonNode host : hosts) {
+            HostPresence presence = presence(host.path("state").asText());
+            if (changed.put(text(host, "name"), presence) != null) {
+                throw new IllegalArgumentException("host listed twice: " + host);
             }
-            running.put(owner.getKey(), owner.getValue().asInt());
         }
-        return new HostReport(
-                host.path("name").asText(),
-                HostPresence.valueOf(host.path("state").asText().toUpperCase(Locale.ROOT)),
-                host.path("reportedAtMillis").asLong(),
-                running);
+        Map<HostPresence, Integer> counts = new EnumMap<>(HostPresence.class);
+        for (Map.Entry<String, JsonNode> count : answer.path("counts").properties()) {
+            counts.put(presence(count.getKey()), count(count.getValue(), answer));
+        }
+        Set<String> removed = new TreeSet<>();
+        answer.path("removed").forEach(name -> removed.add(name.asText()));
+        List<HostUsage> usage = new ArrayList<>();
+        answer.path("usage").forEach(report -> usage.add(usage(report)));
+        return new HostListAnswer(
+                text(answer, "instance"),
+                incremental ? OptionalLong.of(number(answer, "since")) : OptionalLong.empty(),
+                number(answer, "revision"),
+                counts,
+                changed,
+                removed,
+                usage);
+    }
+
+    private static HostUsage usage(JsonNode report) {
+        if (!report.path("running").isObject()) {
+            throw new IllegalArgumentException("usage report without \"running\": " + report);
+        }
+        Map<String, Integer> running = new TreeMap<>();
+        for (Map.Entry<String, JsonNode> owner : report.path("running").properties()) {
+            running.put(owner.getKey(), count(owner.getValue(), report));
+        }
+        return new HostUsage(text(report, "name"), number(report, "reportedAtMillis"), running);
+    }
+
+    private static HostPresence presence(String state) {
+        return HostPresence.valueOf(state.toUpperCase(Locale.ROOT));
+    }
+
+    private static String text(JsonNode node, String field) {
+        if (!node.path(field).isTextual()) {
+            throw new IllegalArgumentException("no text \"" + field + "\" in " + node);
+        }
+        return node.path(field).asText();
+    }
+
+    private static long number(JsonNode node, String field) {
+        if (!node.path(field).isIntegralNumber()) {
+            throw new IllegalArgumentException("no integer \"" + field + "\" in " + node);
+        }
+        return node.path(field).asLong();
+    }
+
+    private static int count(JsonNode value, JsonNode context) {
+        if (!value.canConvertToInt() || value.asInt() < 0) {
+            throw new IllegalArgumentException("invalid count " + value + " in " + context);
+        }
+        return value.asInt();
     }
 }
--- a/core/src/main/java/org/marigoldturn/rights/EndedDaemons.java
+++ b/core/src/main/java/org/marigoldturn/rights/EndedDaemons.java
@@ -68,6 +68,18 @@
         return clear;
     }
 
+    /** Returns the given hosts of which a report is still needed for some ended daemon. */
+    public Set<String> unreported(Set<String> hosts) {
+        Set<String> unreported = new TreeSet<>();
+        for (String daemon : mEndedAtMillis.keySet()) {
+            if (!mFarewells.contains(daemon)) {
+                Set<String> reported = mClearAtMillis.getOrDefault(daemon, Map.of()).keySet();
+                hosts.stream().filter(host -> !reported.contains(host)).forEach(unreported::add);
+            }
+        }
+        return unreported;
+    }
+
     /** Drops the evidence of a daemon that is no longer part of any division. */
     public void forget(String daemon) {
         mEndedAtMillis.remove(daemon);
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/rights/EndedDaemonsTest.java
@@ -0,0 +1,28 @@
+package org.marigoldturn.rights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import net.jqwik.api.Example;
+
+/** Guards against usage reports that are never asked for, or asked for without end. */
+class EndedDaemonsTest {
+    @Example
+    void reportsAreNeededUntilEachHostIsClear() {
+        Set<String> hosts = Set.of("h1", "h2");
+        EndedDaemons ended = new EndedDaemons();
+        assertThat(ended.unreported(hosts)).isEmpty();
+        ended.onEnded("d1", 100);
+        assertThat(ended.unreported(hosts)).isEqualTo(hosts);
+        ended.onUsageReport("h1", 101, Set.of());
+        ended.onUsageReport("h2", 100, Set.of());
+        assertThat(ended.unreported(hosts)).containsExactly("h2");
+        ended.onUsageReport("h2", 101, Set.of("d1"));
+        assertThat(ended.unreported(hosts)).containsExactly("h2");
+        ended.onUsageReport("h2", 102, Set.of());
+        assertThat(ended.unreported(hosts)).isEmpty();
+        assertThat(ended.clear(hosts)).containsExactly("d1");
+        ended.onFarewell("d2", 200);
+        assertThat(ended.unreported(hosts)).isEmpty();
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -10,6 +10,7 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.QueryParams;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.stream.AbortedStreamException;
 import com.linecorp.armeria.server.Server;
@@ -78,7 +79,7 @@
                 "/v3/lease/keepalive", (ctx, req) -> json(req, body -> call("keepalive", body)));
         builder.service("/v3/lease/revoke", (ctx, req) -> json(req, body -> call("revoke", body)));
         builder.service("/v3/watch", (ctx, req) -> watch(req));
-        builder.service("/hosts", (ctx, req) -> json(req, body -> call("hosts", body)));
+        builder.service("/hosts", (ctx, req) -> json(req, body -> hostsCall(ctx.query())));
         builder.service("/standin/faults", (ctx, req) -> admin(req, this::setFaults));
         builder.service("/standin/calls", (ctx, req) -> admin(req, body -> callCounts()));
         builder.service(
@@ -156,10 +157,16 @@
             case "grant" -> new Call(kind, true, () -> grant(body));
             case "keepalive" -> new Call(kind, true, () -> keepAlive(body));
             case "revoke" -> new Call(kind, true, () -> revoke(body));
-            default -> new Call(kind, false, () -> mHosts.list(System.currentTimeMillis()));
+            default -> throw new IllegalArgumentException("unknown call: " + kind);
         };
     }
 
+    private Call hostsCall(String query) {
+        QueryParams parameters =
+                query == null ? QueryParams.of() : QueryParams.fromQueryString(query);
+        return new Call("hosts", false, () -> mHosts.list(parameters, System.currentTimeMillis()));
+    }
+
     private Call transactionKind(JsonNode body) {
         boolean writes = writes(body.path("success")) || writes(body.path("failure"));
         return new Call(writes ? "write" : "read", writes, () -> transaction(body));
