Run the waiting timers only while work waits

Cause: an idle daemon was woken about 90 times a second: the entry port looked for rights every 20 ms on an event loop, and the control thread looked for promised rights and for starved daemons every 50 ms each. With nothing queued and nothing promised these runs do nothing.

Change: DemandTimer runs a task at its interval only while there is something to do. The entry timer is armed when a request is left in a queue; the control timer then too, when a hint promises rights that are not free yet, and when a daemon without rights reports queued work. The intervals (20 ms and 50 ms) are the same while work waits.

Ruled out: longer intervals, which would delay queued work.

--- a/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.marigoldturn.entry.DemandTimer;
 import org.tinylog.Logger;
 
 /**
@@ -47,6 +49,11 @@
                         guarded(name, task), 0, intervalMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns a timer of this loop that runs only while there is something to do. */
+    public DemandTimer whileNeeded(long intervalMillis, Runnable task, BooleanSupplier needed) {
+        return new DemandTimer(mExecutor, intervalMillis, task, needed);
+    }
+
     /** Runs a task once after a delay. */
     public void after(String name, long delayMillis, Runnable task) {
         var unused = mExecutor.schedule(guarded(name, task), delayMillis, TimeUnit.MILLISECONDS);
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.marigoldturn.entry.DemandTimer;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
@@ -52,6 +53,8 @@
     private final String mId;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlLoop mControl = new ControlLoop();
+    private final DemandTimer mWaiting =
+            mControl.whileNeeded(FAST_INTERVAL_MILLIS, this::serveWaiting, this::hasWaiting);
     private final StatePublisher mPublisher = new StatePublisher();
     private final KeyValueStore mStore;
     private final SettingsRepository mRepository;
@@ -107,7 +110,7 @@
         mController = controller();
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
-        mEntry = new EntryServer(entryDependencies(entitlements));
+        mEntry = new EntryServer(entryDependencies(entitlements), mWaiting::arm);
         mRights = rightsService();
         mShares =
                 new ShareService(
@@ -116,7 +119,8 @@
                         mPeers,
                         mPublisher,
                         mEntry.callers()::demand,
-                        System::currentTimeMillis);
+                        System::currentTimeMillis,
+                        mWaiting::arm);
         mHosts = hostListService();
         mStatus = statusService();
         mPlannerRole = role("planner");
@@ -202,11 +206,6 @@
         mControl.execute(mSync::load);
         mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
         mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mController::tick);
-        mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
-        mControl.every(
-                "starved",
-                FAST_INTERVAL_MILLIS,
-                () -> mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering));
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
@@ -221,6 +220,17 @@
         mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
     }
 
+    private void serveWaiting() {
+        mRights.serveReservations();
+        mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering);
+    }
+
+    private boolean hasWaiting() {
+        return mRights.hasReservations()
+                || mShares.hasStarvedReport()
+                || mEntry.callers().hasQueued();
+    }
+
     private void tickRoles() {
         long nowNanos = System.nanoTime();
         mPlannerRole.tick(nowNanos);
@@ -250,7 +260,8 @@
                 mRepository,
                 mControl,
                 System::currentTimeMillis,
-                () -> mEntry.callers().wake());
+                () -> mEntry.callers().wake(),
+                mWaiting::arm);
     }
 
     private HostListService hostListService() {
--- a/core/src/main/java/org/marigoldturn/daemon/RightsService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/RightsService.java
@@ -46,6 +46,7 @@
     private final ControlLoop mControl;
     private final LongSupplier mNowMillis;
     private final Runnable mOnRightsArrived;
+    private final Runnable mOnPromised;
     private Redistribution mAttempt;
     private VersionedState mAttemptBase;
     private boolean mCommitting;
@@ -59,7 +60,8 @@
             SettingsRepository repository,
             ControlLoop control,
             LongSupplier nowMillis,
-            Runnable onRightsArrived) {
+            Runnable onRightsArrived,
+            Runnable onPromised) {
         mLedger = ledger;
         mEnded = ended;
         mPeers = peers;
@@ -68,6 +70,7 @@
         mControl = control;
         mNowMillis = nowMillis;
         mOnRightsArrived = onRightsArrived;
+        mOnPromised = onPromised;
     }
 
     void onTotals(String sender, RightsTotals totals) {
@@ -81,9 +84,17 @@
 
     void onHint(TransferHint hint) {
         send(mLedger.onHint(hint, mNowMillis.getAsLong()));
+        if (hasReservations()) {
+            mOnPromised.run();
+        }
+    }
+
+    /** Returns whether rights are promised that were not free yet. */
+    boolean hasReservations() {
+        return mLedger.hasReservations();
     }
 
-    /** Gives promised rights; called every 100 ms. */
+    /** Gives promised rights; called every 50 ms while there are any. */
     void serveReservations() {
         send(mLedger.serveReservations(mNowMillis.getAsLong()));
     }
--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -33,6 +33,7 @@
     private final StatePublisher mPublisher;
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
+    private final Runnable mOnStarved;
     private boolean mStarvedReport;
 
     ShareService(
@@ -41,7 +42,8 @@
             PeerLink peers,
             StatePublisher publisher,
             Supplier<Map<String, Map<String, TeamDemandSnapshot>>> demand,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            Runnable onStarved) {
         mLedger = ledger;
         mEntitlements = entitlements;
         mCoordinator = new ShareCoordinator(peers.selfId());
@@ -49,11 +51,20 @@
         mPublisher = publisher;
         mDemand = demand;
         mNowMillis = nowMillis;
+        mOnStarved = onStarved;
     }
 
     void onReport(String sender, DemandReport report) {
         mCoordinator.onReport(sender, report, mNowMillis.getAsLong());
-        mStarvedReport |= report.getHeld() == 0 && hasQueued(report);
+        if (report.getHeld() == 0 && hasQueued(report)) {
+            mStarvedReport = true;
+            mOnStarved.run();
+        }
+    }
+
+    /** Returns whether a daemon without any right waits for an answer. */
+    boolean hasStarvedReport() {
+        return mStarvedReport;
     }
 
     void onEntitlements(Entitlements entitlements) {
@@ -62,8 +73,8 @@
 
     /**
      * Serves daemons that hold no right at all for queued work, without waiting for the interval;
-     * called every 50 ms. A small pool has fewer slots than there are daemons, so this is the usual
-     * case there.
+     * called every 50 ms while work is queued here or there. A small pool has fewer slots than
+     * there are daemons, so this is the usual case there.
      *
      * @param hasQueued whether this daemon has queued work
      */
--- a/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
@@ -209,6 +209,9 @@
         if (offered.isRight()) {
             mMetrics.passed();
             dispatcher.run();
+            if (dispatcher.queue().queued() > 0) {
+                mListener.onWaiting();
+            }
             return;
         }
         exchange.setQueued(null);
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.entry;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.ContentTooLargeException;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -27,6 +28,9 @@
 public final class CallerService implements HttpService, AutoCloseable {
     private static final String PATH_PREFIX = "/services/";
 
+    /** Bounds how long a request waits for rights that arrive without a call of wake(). */
+    private static final long WAKE_INTERVAL_MILLIS = 20;
+
     private final EntryDependencies mDependencies;
     private final TargetClients mClients = new TargetClients();
     private final PendingOutcomes mPending = new PendingOutcomes();
@@ -40,15 +44,28 @@
     private final SelectFilter mSelect;
     private final DispatchFilter mDispatch;
     private final RespondFilter mRespond;
-
-    /** Creates the filter chain. */
-    public CallerService(EntryDependencies dependencies) {
+    private final DemandTimer mWake;
+    private final Runnable mOnQueued;
+
+    /**
+     * Creates the filter chain.
+     *
+     * @param onQueued called on any thread when a request could not start at once
+     */
+    public CallerService(EntryDependencies dependencies, Runnable onQueued) {
         mDependencies = dependencies;
+        mOnQueued = onQueued;
+        mWake =
+                new DemandTimer(
+                        CommonPools.workerGroup().next(),
+                        WAKE_INTERVAL_MILLIS,
+                        this::wake,
+                        this::hasQueued);
         mAuthenticate = new AuthenticateFilter(dependencies.metrics());
         mClassify = new ClassifyFilter(dependencies.metrics(), dependencies.random());
         mSelect = new SelectFilter(dependencies);
         mRespond = new RespondFilter(dependencies, mLogLimiter);
-        mAdmit = new AdmitFilter(dependencies, this::view, mSelect, mRespond, new QueueExits());
+        mAdmit = new AdmitFilter(dependencies, this::view, mSelect, mRespond, new Queues());
         mDispatch =
                 new DispatchFilter(
                         dependencies,
@@ -59,7 +76,13 @@
     }
 
     /** Hands requests that leave a queue to their event loops. */
-    private final class QueueExits implements PoolDispatcher.Listener {
+    private final class Queues implements PoolDispatcher.Listener {
+        @Override
+        public void onWaiting() {
+            mWake.arm();
+            mOnQueued.run();
+        }
+
         @Override
         public void onSelected(QueuedRequest<Exchange> request, Selection selection) {
             request.attachment().execute(() -> mDispatch.begin(request, selection));
@@ -134,6 +157,7 @@
     /** Closes the connections to targets. */
     @Override
     public void close() {
+        mWake.close();
         mClients.close();
     }
 
--- a/core/src/main/java/org/marigoldturn/entry/EntryServer.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryServer.java
@@ -1,11 +1,8 @@
 package org.marigoldturn.entry;
 
-import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.ServerBuilder;
-import io.netty.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import org.marigoldturn.settings.VersionedState;
 
 /** The caller port: routes, limits and health checks around a {@link CallerService}. */
@@ -14,25 +11,17 @@
     static final int MAX_REQUEST_LINE_BYTES = 8_192;
     static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
-    /** Bounds how long a request waits for rights that arrive without a call of wake(). */
-    private static final long WAKE_INTERVAL_MILLIS = 20;
-
     private final EntryDependencies mDependencies;
     private final CallerService mService;
-    private final ScheduledFuture<?> mWake;
 
-    /** Creates the caller port's services. */
-    public EntryServer(EntryDependencies dependencies) {
+    /**
+     * Creates the caller port's services.
+     *
+     * @param onQueued called on any thread when a request could not start at once
+     */
+    public EntryServer(EntryDependencies dependencies, Runnable onQueued) {
         mDependencies = dependencies;
-        mService = new CallerService(dependencies);
-        mWake =
-                CommonPools.workerGroup()
-                        .next()
-                        .scheduleAtFixedRate(
-                                mService::wake,
-                                WAKE_INTERVAL_MILLIS,
-                                WAKE_INTERVAL_MILLIS,
-                                TimeUnit.MILLISECONDS);
+        mService = new CallerService(dependencies, onQueued);
     }
 
     /** Adds routes and limits to a server. */
@@ -65,7 +54,6 @@
 
     @Override
     public void close() {
-        mWake.cancel(false);
         mService.close();
     }
 
--- a/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
+++ b/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
@@ -23,8 +23,11 @@
  * missed.
  */
 final class PoolDispatcher {
-    /** Receives the requests that leave the queue. */
+    /** Receives the requests that wait in the queue or leave it. */
     interface Listener {
+        /** Requests are left in the queue after a request was added. */
+        void onWaiting();
+
         /** The request starts on the host; its rights are taken. */
         void onSelected(QueuedRequest<Exchange> request, Selection selection);
 
--- a/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
+++ b/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
@@ -145,6 +145,11 @@
         return outbox.messages();
     }
 
+    /** Returns whether rights are promised that were not free yet. */
+    public boolean hasReservations() {
+        return !mReserved.isEmpty();
+    }
+
     /** Gives promised rights that have become free. To be called every few tens of milliseconds. */
     public List<AddressedTotals> serveReservations(long nowMillis) {
         TotalsOutbox outbox = new TotalsOutbox(mUnacknowledged, nowMillis);
