Start daemons with JVM options for a small process

Cause: bin/marigoldturn gave the runtime no options, so it took a heap of a quarter of the machine, G1 with a thread per core, the optimizing compiler and two event loops per core. Control code runs a few times a second, so most of it stayed interpreted for minutes.

Change: config/jvm.options holds the options; bin/marigoldturn and ChildProcess of the stand-ins both read it, so tests and measurements run what is shipped.

--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -56,8 +57,10 @@
     private static Process launch(Path log, String mainClass, String... args) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.add("-Xmx192m");
-        command.add("-XX:TieredStopAtLevel=1");
+        command.add("@" + optionsFile());
+        command.add(
+                "-Dcom.linecorp.armeria.numCommonWorkers="
+                        + Runtime.getRuntime().availableProcessors());
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
         command.add(mainClass);
@@ -67,6 +70,17 @@
                 .start();
     }
 
+    /** Returns the options that {@code bin/marigoldturn} gives, from the root or a module. */
+    private static Path optionsFile() throws IOException {
+        for (Path root : List.of(Path.of(""), Path.of(".."))) {
+            Path file = root.resolve("config").resolve("jvm.options");
+            if (Files.isReadable(file)) {
+                return file;
+            }
+        }
+        throw new IOException("config/jvm.options not found from " + Path.of("").toAbsolutePath());
+    }
+
     /** Returns the value of {@code name=value} in the ready line. */
     public int port(String name) {
         for (String word : mReadyLine.split(" ")) {
