Test the reads of the host list service

Guards against evidence that is older than its event, usage reports that are read without need or not at all, and a gap that waits for the next interval.

--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/daemon/HostListServiceTest.java
@@ -0,0 +1,168 @@
+package org.marigoldturn.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.entry.PendingOutcomes;
+import org.marigoldturn.platform.HostDirectory;
+import org.marigoldturn.platform.HostDirectoryException;
+import org.marigoldturn.platform.HostListAnswer;
+import org.marigoldturn.platform.HostListQuery;
+import org.marigoldturn.platform.HostPresence;
+import org.marigoldturn.platform.HostUsage;
+import org.marigoldturn.rights.EndedDaemons;
+
+/** Guards against evidence that is missing, older than its event, or read without need. */
+class HostListServiceTest {
+    private static final long SKEW_MILLIS = 2_000;
+
+    private final List<HostListQuery> mQueries = new ArrayList<>();
+    private final List<CompletableFuture<HostListAnswer>> mAnswers = new ArrayList<>();
+    private final AtomicLong mNowMillis = new AtomicLong(1_000_000);
+    private final EndedDaemons mEnded = new EndedDaemons();
+    private final ControlLoop mControl = new ControlLoop();
+    private final HostListService mService =
+            new HostListService(
+                    "self",
+                    new FakeDirectory(),
+                    mEnded,
+                    new PendingOutcomes(),
+                    mControl,
+                    mNowMillis::get);
+
+    private final class FakeDirectory implements HostDirectory {
+        @Override
+        public CompletableFuture<HostListAnswer> read(HostListQuery query) {
+            CompletableFuture<HostListAnswer> answer = new CompletableFuture<>();
+            mQueries.add(query);
+            mAnswers.add(answer);
+            return answer;
+        }
+
+        @Override
+        public void close() {}
+    }
+
+    @AfterTry
+    void close() {
+        mControl.close();
+    }
+
+    @Example
+    void usageIsAskedForOnlyUntilAnEndedDaemonIsClear() {
+        readAll();
+        onControl(mService::refresh);
+        assertThat(mQueries.get(1)).isEqualTo(new HostListQuery("i", 1, Set.of()));
+        answer(1, List.of());
+        onControl(() -> mEnded.onEnded("d1", mNowMillis.get()));
+        mNowMillis.addAndGet(1);
+        onControl(mService::refresh);
+        assertThat(mQueries.get(2).usageOf()).containsExactly("h1");
+        answer(2, List.of(new HostUsage("h1", mNowMillis.get() + SKEW_MILLIS, Map.of())));
+        onControl(mService::refresh);
+        assertThat(mQueries.get(3).usageOf()).isEmpty();
+        onControl(() -> assertThat(mEnded.clear(Set.of("h1"))).containsExactly("d1"));
+    }
+
+    /** Guards against a request that the daemon started between the read and its end. */
+    @Example
+    void reportRequestedBeforeTheEndIsNoEvidence() {
+        mService.addUsageNeed(() -> Set.of("h1"));
+        readAll();
+        onControl(mService::refresh);
+        mNowMillis.addAndGet(1);
+        onControl(() -> mEnded.onEnded("d1", mNowMillis.get()));
+        answer(1, List.of(new HostUsage("h1", mNowMillis.get() + 2 * SKEW_MILLIS, Map.of())));
+        onControl(() -> assertThat(mEnded.clear(Set.of("h1"))).isEmpty());
+        assertThat(mService.usage("h1").orElseThrow().madeAtMillis())
+                .isEqualTo(mNowMillis.get() - 1);
+    }
+
+    /** Guards against a report that the platform made before the end but delivers after it. */
+    @Example
+    void reportMadeBeforeTheEndIsNoEvidence() {
+        readAll();
+        onControl(() -> mEnded.onEnded("d1", mNowMillis.get()));
+        mNowMillis.addAndGet(10_000);
+        onControl(mService::refresh);
+        answer(1, List.of(new HostUsage("h1", mNowMillis.get() - 9_000, Map.of())));
+        onControl(() -> assertThat(mEnded.clear(Set.of("h1"))).isEmpty());
+    }
+
+    /** Guards against a leaving host that is seen only at the next complete read. */
+    @Example
+    void gapIsFollowedByACompleteReadAtOnceButOnlyOne() {
+        readAll();
+        onControl(mService::refresh);
+        complete(1, answer(OptionalLong.of(9), HostPresence.LIVE, List.of()));
+        assertThat(mQueries).hasSize(3);
+        assertThat(mQueries.get(2).isComplete()).isTrue();
+        complete(2, answer(OptionalLong.of(9), HostPresence.LIVE, List.of()));
+        assertThat(mQueries).hasSize(3);
+        onControl(mService::refresh);
+        assertThat(mQueries.get(3).isComplete()).isTrue();
+        complete(3, answer(OptionalLong.empty(), HostPresence.LEAVING, List.of()));
+        assertThat(mService.isLeaving("h1")).isTrue();
+    }
+
+    /** Guards against a failed read that ends the reading or loses the held list. */
+    @Example
+    void failedReadKeepsTheListAndIsRepeated() {
+        readAll();
+        onControl(mService::refresh);
+        mAnswers.get(1).completeExceptionally(new HostDirectoryException("no answer", null));
+        onControl(mService::refresh);
+        assertThat(mQueries.get(2)).isEqualTo(mQueries.get(1));
+        assertThat(mService.hosts()).containsKey("h1");
+    }
+
+    private void readAll() {
+        onControl(mService::refresh);
+        assertThat(mQueries.get(0).isComplete()).isTrue();
+        complete(0, answer(OptionalLong.empty(), HostPresence.LIVE, List.of()));
+    }
+
+    private void answer(int query, List<HostUsage> usage) {
+        long since = mQueries.get(query).sinceRevision();
+        complete(
+                query,
+                new HostListAnswer(
+                        "i",
+                        OptionalLong.of(since),
+                        since,
+                        Map.of(HostPresence.LIVE, 1),
+                        Map.of(),
+                        Set.of(),
+                        usage));
+    }
+
+    private static HostListAnswer answer(
+            OptionalLong since, HostPresence presence, List<HostUsage> usage) {
+        long revision = since.orElse(1);
+        return new HostListAnswer(
+                "i",
+                since,
+                revision,
+                Map.of(presence, 1),
+                Map.of("h1", presence),
+                Set.of(),
+                usage);
+    }
+
+    private void complete(int query, HostListAnswer answer) {
+        mAnswers.get(query).complete(answer);
+        onControl(() -> {});
+    }
+
+    private void onControl(Runnable task) {
+        CompletableFuture.runAsync(task, mControl).join();
+    }
+}
