Divide the slots of a host among the members when it is added

Cause: the slots of all hosts belonged to one list of daemons, which was set when the first daemon joined and changed only when a daemon of it ended. So the first daemon of a fleet owned all slots until spare ones had moved, a host added after all daemons had been replaced had no usable slot, and a fleet whose last daemon had left lost all slots. A daemon that was paused while it held all slots of a pool stopped that pool for the whole pause. It depended on which daemon joined first.

Change: SlotDivision holds the epoch of each host and the daemons of each epoch. A host is divided when it is added, among the members of that version. The coordinator of a pool has lost slots divided anew among the answering members (SlotAudit, SlotRenewal) when half are missing for 5 s or any for 60 s and a majority answers. The division is kept in system/slots, apart from the rights of teams, which change more often.

Ruled out: a stored basis for each host and daemon (about 400 KB at 1,700 hosts, rewritten at each change, computed); a reserve of slots at each daemon (17% of a pool of 48 slots with 9 daemons, computed); taking back rights of teams from silent daemons (a paused daemon could exceed the limit).

A new division can oversubscribe hosts for a short time.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -116,7 +116,9 @@
                         mPeers,
                         mPublisher,
                         mEntry.callers()::demand,
-                        System::currentTimeMillis);
+                        System::currentTimeMillis,
+                        new SlotRenewal(
+                                mPublisher, mRepository, mControl, System::currentTimeMillis));
         mHosts = hostListService();
         mStatus = statusService();
         mPlannerRole = role("planner");
--- a/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
@@ -165,13 +165,11 @@
         RightsDivision rights = state.rights();
         Set<String> removed = new HashSet<>(ids(state.members()));
         removed.removeAll(ids(members));
-        // A daemon that left gracefully has given its slots away; those of others are lost.
-        boolean slotsLost = removed.stream().anyMatch(this::endedWithoutFarewell);
-        return new SystemState(
-                members,
-                slotsLost || rights.slotDaemons().isEmpty()
-                        ? withSlotDaemons(rights, ids(members))
-                        : rights);
+        // A daemon that left gracefully has given its slots away, unless it was the last one.
+        boolean slotsLost =
+                state.members().members().isEmpty()
+                        || removed.stream().anyMatch(this::endedWithoutFarewell);
+        return new SystemState(members, slotsLost ? withNewSlots(state, ids(members)) : rights);
     }
 
     private boolean endedWithoutFarewell(String memberId) {
@@ -183,8 +181,11 @@
                         .isEmpty();
     }
 
-    private static RightsDivision withSlotDaemons(RightsDivision rights, List<String> daemons) {
-        return new RightsDivision(rights.teams(), rights.slotEpoch() + 1, daemons);
+    private static RightsDivision withNewSlots(VersionedState state, List<String> daemons) {
+        RightsDivision rights = state.rights();
+        Set<String> hosts = state.settings().hosts().keySet();
+        return new RightsDivision(
+                rights.teams(), rights.slots().renew(hosts, daemons, state.version() + 1));
     }
 
     private static MemberSet without(MemberSet members, String memberId) {
--- a/core/src/main/java/org/marigoldturn/daemon/RightsService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/RightsService.java
@@ -199,7 +199,7 @@
             RightsDivision rights, Map<String, ResourceDivision> divisions) {
         Map<String, ResourceDivision> teams = new TreeMap<>(rights.teams());
         teams.putAll(divisions);
-        return new RightsDivision(teams, rights.slotEpoch(), rights.slotDaemons());
+        return new RightsDivision(teams, rights.slots());
     }
 
     private Set<String> clear(VersionedState state) {
--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -33,6 +33,7 @@
     private final StatePublisher mPublisher;
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
+    private final SlotRenewal mSlotRenewal;
     private boolean mStarvedReport;
 
     ShareService(
@@ -41,7 +42,8 @@
             PeerLink peers,
             StatePublisher publisher,
             Supplier<Map<String, Map<String, TeamDemandSnapshot>>> demand,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            SlotRenewal slotRenewal) {
         mLedger = ledger;
         mEntitlements = entitlements;
         mCoordinator = new ShareCoordinator(peers.selfId());
@@ -49,6 +51,7 @@
         mPublisher = publisher;
         mDemand = demand;
         mNowMillis = nowMillis;
+        mSlotRenewal = slotRenewal;
     }
 
     void onReport(String sender, DemandReport report) {
@@ -86,7 +89,7 @@
         mEntitlements.expire(nowMillis);
     }
 
-    /** Sends entitlements and hints; called every second. */
+    /** Sends entitlements and hints, and has lost slots divided anew; called every second. */
     void coordinate(Collection<String> answering) {
         CoordinatorOutput output =
                 mCoordinator.tick(mPublisher.state(), answering, mNowMillis.getAsLong());
@@ -102,6 +105,7 @@
                                 mPeers.send(
                                         h.receiver(),
                                         Envelope.newBuilder().setTransferHint(h.hint())));
+        mSlotRenewal.renew(output.lostPools(), answering);
     }
 
     private Map<String, ResourceDemand> demands(long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/rights/HostSlots.java
+++ b/core/src/main/java/org/marigoldturn/rights/HostSlots.java
@@ -17,15 +17,15 @@
      * Returns the epoch of a host's division. It includes the number of slots: totals transferred
      * under another number of slots belong to another derived basis.
      */
-    static long epoch(long slotEpoch, int slots) {
-        return (slotEpoch << SLOT_BITS) | slots;
+    static long epoch(long divisionEpoch, int slots) {
+        return (divisionEpoch << SLOT_BITS) | slots;
     }
 
     /** Returns how many slots of the host belong to the daemon at the start of the epoch. */
-    static int basis(String host, int slots, String daemon, List<String> slotDaemons) {
+    static int basis(String host, int slots, String daemon, List<String> daemons) {
         int owned = 0;
         for (int slot = 0; slot < slots; slot++) {
-            String owner = RendezvousHash.owner(host + '/' + slot, slotDaemons).orElse("");
+            String owner = RendezvousHash.owner(host + '/' + slot, daemons).orElse("");
             if (owner.equals(daemon)) {
                 owned++;
             }
--- a/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
+++ b/core/src/main/java/org/marigoldturn/rights/RightsLedger.java
@@ -21,6 +21,7 @@
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.ResourceDivision;
+import org.marigoldturn.settings.SlotDivision;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.VersionedState;
 
@@ -278,10 +279,11 @@
     private void adoptHost(VersionedState state, HostSettings host, Set<String> known) {
         String resource = Resources.host(host.name());
         known.add(resource);
-        long epoch = HostSlots.epoch(state.rights().slotEpoch(), host.slots());
+        SlotDivision slots = state.rights().slots();
+        long epoch = HostSlots.epoch(slots.epoch(host.name()), host.slots());
         Holding existing = mHoldings.get(resource);
         if (existing == null || existing.epoch() != epoch) {
-            List<String> daemons = state.rights().slotDaemons();
+            List<String> daemons = slots.daemons(host.name());
             int basis = HostSlots.basis(host.name(), host.slots(), mSelf, daemons);
             enterEpoch(resource, epoch).configure(basis, host.slots(), host.slots());
         }
--- a/core/src/main/java/org/marigoldturn/settings/RightsMinting.java
+++ b/core/src/main/java/org/marigoldturn/settings/RightsMinting.java
@@ -6,11 +6,12 @@
 import java.util.TreeMap;
 
 /**
- * Creates the rights of teams from their limits. Stateless.
+ * Creates the rights of teams from their limits, and those of new hosts from their slots.
+ * Stateless.
  *
- * <p>Rights are only ever added here: a lowered limit and a deleted team keep their minted rights,
- * because requests may still run under them. Only a redistribution, which knows every holding, may
- * remove rights.
+ * <p>Rights of teams are only ever added here: a lowered limit and a deleted team keep their minted
+ * rights, because requests may still run under them. Only a redistribution, which knows every
+ * holding, may remove rights.
  */
 public final class RightsMinting {
     private RightsMinting() {}
@@ -42,7 +43,9 @@
                     present == null ? new ResourceDivision(newVersion, 0, Map.of()) : present;
             teams.put(team.name(), mint(division, team.runningLimit(), members));
         }
-        return new RightsDivision(teams, old.slotEpoch(), old.slotDaemons());
+        List<String> ids = members.members().stream().map(Member::id).toList();
+        SlotDivision slots = old.slots().withHosts(settings.hosts().keySet(), ids, newVersion);
+        return new RightsDivision(teams, slots);
     }
 
     private static ResourceDivision mint(ResourceDivision division, int limit, MemberSet members) {
--- a/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsPaths.java
@@ -13,6 +13,7 @@
     static final String POLICY = "policy";
     static final String MEMBERS = "system/members";
     static final String RIGHTS = "system/rights";
+    static final String SLOTS = "system/slots";
     private static final String SYSTEM_PREFIX = "system/";
 
     private SettingsPaths() {}
@@ -43,7 +44,9 @@
     static Map<String, Record> all(VersionedState state) {
         Map<String, Record> entries = entries(state.settings());
         entries.put(MEMBERS, state.members());
-        entries.put(RIGHTS, state.rights());
+        RightsDivision rights = state.rights();
+        entries.put(RIGHTS, new RightsDivision(rights.teams(), SlotDivision.EMPTY));
+        entries.put(SLOTS, rights.slots());
         return entries;
     }
 
--- a/core/src/main/java/org/marigoldturn/settings/StateCodec.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateCodec.java
@@ -35,8 +35,10 @@
             shards.computeIfAbsent(path, p -> new TreeMap<>()).put(host.name(), host);
         }
         shards.forEach((path, hosts) -> contents.put(path, write(hosts)));
-        contents.put("system/members", write(members));
-        contents.put("system/rights", write(rights));
+        contents.put(SettingsPaths.MEMBERS, write(members));
+        contents.put(SettingsPaths.RIGHTS, write(rights.teams()));
+        // The largest content: kept apart, since rights of teams change more often than hosts.
+        contents.put(SettingsPaths.SLOTS, write(rights.slots()));
         return contents;
     }
 
@@ -82,15 +84,22 @@
                 readPath(
                         manifest,
                         blobs,
-                        "system/members",
+                        SettingsPaths.MEMBERS,
                         new TypeReference<>() {},
                         MemberSet.EMPTY),
-                readPath(
-                        manifest,
-                        blobs,
-                        "system/rights",
-                        new TypeReference<>() {},
-                        RightsDivision.EMPTY));
+                new RightsDivision(
+                        readPath(
+                                manifest,
+                                blobs,
+                                SettingsPaths.RIGHTS,
+                                new TypeReference<>() {},
+                                Map.of()),
+                        readPath(
+                                manifest,
+                                blobs,
+                                SettingsPaths.SLOTS,
+                                new TypeReference<>() {},
+                                SlotDivision.EMPTY)));
     }
 
     /** Writes a manifest as JSON. */
--- a/core/src/main/java/org/marigoldturn/shares/CoordinatorOutput.java
+++ b/core/src/main/java/org/marigoldturn/shares/CoordinatorOutput.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.shares;
 
 import java.util.List;
+import java.util.Set;
 import org.marigoldturn.peer.wire.Entitlements;
 import org.marigoldturn.peer.wire.TransferHint;
 
@@ -9,9 +10,12 @@
  *
  * @param entitlements entitlements by daemon
  * @param hints hints to daemons that hold more than they need
+ * @param lostPools pools whose slots must be divided anew, see {@link SlotAudit}
  */
 public record CoordinatorOutput(
-        List<AddressedEntitlements> entitlements, List<AddressedHint> hints) {
+        List<AddressedEntitlements> entitlements,
+        List<AddressedHint> hints,
+        Set<String> lostPools) {
     /** Entitlements of one daemon. */
     public record AddressedEntitlements(String receiver, Entitlements entitlements) {}
 
@@ -21,5 +25,6 @@
     public CoordinatorOutput {
         entitlements = List.copyOf(entitlements);
         hints = List.copyOf(hints);
+        lostPools = Set.copyOf(lostPools);
     }
 }
--- a/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
+++ b/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
@@ -99,6 +99,11 @@
         return mDaemons.keySet();
     }
 
+    /** Returns the rights that the daemons have reported to hold. */
+    int held() {
+        return mDaemons.values().stream().mapToInt(daemon -> daemon.mHeld).sum();
+    }
+
     /** Returns the running and queued requests of each team at all daemons. */
     Map<String, Integer> demands() {
         Map<String, Integer> demands = new TreeMap<>();
--- a/core/src/main/java/org/marigoldturn/shares/ShareCoordinator.java
+++ b/core/src/main/java/org/marigoldturn/shares/ShareCoordinator.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.marigoldturn.peer.wire.DemandReport;
 import org.marigoldturn.peer.wire.Entitlement;
 import org.marigoldturn.peer.wire.Entitlements;
@@ -44,6 +46,8 @@
     /** Entitlements sent last, by resource and daemon. */
     private final Map<String, Map<String, Sent>> mSent = new HashMap<>();
 
+    private final SlotAudit mAudit = new SlotAudit();
+
     /** Creates the coordinator part of the daemon with the given member id. */
     public ShareCoordinator(String self) {
         mSelf = self;
@@ -57,7 +61,7 @@
     }
 
     /**
-     * Returns entitlements and hints that are due; to be called once a second.
+     * Returns what is due; to be called once a second.
      *
      * @param answering ids of the members that answer, including this daemon
      */
@@ -65,6 +69,7 @@
             VersionedState state, Collection<String> answering, long nowMillis) {
         List<AddressedEntitlements> entitlements = new ArrayList<>();
         List<AddressedHint> hints = new ArrayList<>();
+        Set<String> lostPools = new TreeSet<>();
         mResources.keySet().removeIf(r -> !Coordinators.of(r, answering).orElse("").equals(mSelf));
         mSent.keySet().retainAll(mResources.keySet());
         mResources.forEach(
@@ -72,11 +77,20 @@
                     coordinator.forgetSilent(answering, nowMillis);
                     if (resource.startsWith(POOL_PREFIX)) {
                         coordinatePool(state, resource, nowMillis, entitlements, hints);
+                        if (isLost(state, resource, nowMillis)) {
+                            lostPools.add(resource.substring(POOL_PREFIX.length()));
+                        }
                     } else if (resource.startsWith(TEAM_PREFIX)) {
                         coordinateTeam(state, resource, nowMillis, hints);
                     }
                 });
-        return new CoordinatorOutput(entitlements, hints);
+        mAudit.retain(mResources.keySet());
+        return new CoordinatorOutput(entitlements, hints, lostPools);
+    }
+
+    private boolean isLost(VersionedState state, String resource, long nowMillis) {
+        int slots = HostSlots.poolSlots(state.settings(), resource.substring(POOL_PREFIX.length()));
+        return mAudit.isLost(resource, slots, mResources.get(resource).held(), nowMillis);
     }
 
     private void coordinatePool(
--- a/core/src/test/java/org/marigoldturn/rights/RedistributionTest.java
+++ b/core/src/test/java/org/marigoldturn/rights/RedistributionTest.java
@@ -12,6 +12,7 @@
 import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.ResourceDivision;
 import org.marigoldturn.settings.RightsDivision;
+import org.marigoldturn.settings.SlotDivision;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.VersionedState;
 
@@ -51,8 +52,7 @@
                 new MemberSet(List.of(member("a"), member("b"))),
                 new RightsDivision(
                         Map.of("club", new ResourceDivision(1, BEFORE, Map.of("a", BEFORE))),
-                        1,
-                        List.of("a", "b")));
+                        SlotDivision.EMPTY));
     }
 
     private static Member member(String id) {
--- a/core/src/test/java/org/marigoldturn/rights/TestStates.java
+++ b/core/src/test/java/org/marigoldturn/rights/TestStates.java
@@ -9,6 +9,7 @@
 import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.ResourceDivision;
 import org.marigoldturn.settings.RightsDivision;
+import org.marigoldturn.settings.SlotDivision;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.VersionedState;
 
@@ -47,6 +48,8 @@
                         members.stream()
                                 .map(id -> new Member(id, "z", "127.0.0.1", 1, 2, 0))
                                 .toList()),
-                new RightsDivision(Map.of("ploughing", division), slotEpoch, slotDaemons));
+                new RightsDivision(
+                        Map.of("ploughing", division),
+                        SlotDivision.EMPTY.renew(hostMap.keySet(), slotDaemons, slotEpoch)));
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/shares/SlotAuditTest.java
@@ -0,0 +1,40 @@
+package org.marigoldturn.shares;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+
+/** Guards against slots that stay lost, and against divisions for transfers that are under way. */
+class SlotAuditTest {
+    private static final String POOL = "pool:desk";
+
+    private final SlotAudit mAudit = new SlotAudit();
+
+    @Example
+    void aLastingLossOfHalfOfTheSlotsIsRepairedSoon() {
+        assertThat(mAudit.isLost(POOL, 8, 3, 0)).isFalse();
+        assertThat(mAudit.isLost(POOL, 8, 3, SlotAudit.SEVERE_MILLIS - 1)).isFalse();
+        assertThat(mAudit.isLost(POOL, 8, 3, SlotAudit.SEVERE_MILLIS)).isTrue();
+    }
+
+    @Example
+    void aSmallLossIsRepairedLater() {
+        assertThat(mAudit.isLost(POOL, 8, 7, 0)).isFalse();
+        assertThat(mAudit.isLost(POOL, 8, 7, SlotAudit.MINOR_MILLIS - 1)).isFalse();
+        assertThat(mAudit.isLost(POOL, 8, 7, SlotAudit.MINOR_MILLIS)).isTrue();
+    }
+
+    @Example
+    void slotsThatArriveEndTheLoss() {
+        mAudit.isLost(POOL, 8, 0, 0);
+        assertThat(mAudit.isLost(POOL, 8, 8, SlotAudit.SEVERE_MILLIS)).isFalse();
+        assertThat(mAudit.isLost(POOL, 8, 0, SlotAudit.SEVERE_MILLIS + 1)).isFalse();
+    }
+
+    @Example
+    void aPoolThatAnotherDaemonCoordinatedStartsAnew() {
+        mAudit.isLost(POOL, 8, 0, 0);
+        mAudit.retain(java.util.List.of());
+        assertThat(mAudit.isLost(POOL, 8, 0, SlotAudit.SEVERE_MILLIS)).isFalse();
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.marigoldturn.settings.PoolSettings;
 import org.marigoldturn.settings.ResourceDivision;
 import org.marigoldturn.settings.RightsDivision;
+import org.marigoldturn.settings.SlotDivision;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.VersionedState;
 import org.marigoldturn.standins.measure.SimulatedDaemon.Start;
@@ -209,7 +210,7 @@
                 new FleetSettings(Map.of(), pools, Map.of(), teams, hosts),
                 new MemberSet(
                         ids.stream().map(id -> new Member(id, "z", "127.0.0.1", 1, 2, 0)).toList()),
-                new RightsDivision(divisions, 1, ids));
+                new RightsDivision(divisions, SlotDivision.EMPTY.renew(hosts.keySet(), ids, 1)));
     }
 
     private static ResourceDivision equalDivision(int minted, List<String> ids) {
