Keep one confirmation through the store

Cause: settings.SettingsRepository.confirm with StoreConfirmation and membership.StoreConfirmer built the same conditional write. Daemons use the latter only; the former was reached by tests alone.

Change: StoreConfirmation, ConfirmResult, SettingsRepository.confirm and what only they used are gone (about 130 lines). That the adapter reports an ended lease, and that stale contents of a new manifest are refused, stay tested on their own in StoreFaultsTest.

Ruled out: letting StoreConfirmer call the repository. It would move the handling of leases and of the in-flight attempt into two classes.

Conclusion: daemons behave as before.

--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -7,11 +7,10 @@
 import org.marigoldturn.platform.KeyValueStore;
 
 /**
- * Reads, confirms and commits versioned states in the platform's store.
+ * Reads and commits versioned states in the platform's store.
  *
  * <p>Remembers the newest state it has seen and never returns an older one as the newest. Thread
- * safe. Futures fail with a {@link SettingsException}, or with a store exception for a
- * confirmation.
+ * safe. Futures fail with a {@link SettingsException}.
  */
 public final class SettingsRepository implements SettingsCommitter {
     private final StoreKeys mKeys;
@@ -19,7 +18,6 @@
     private final SettingsHistory mHistory;
     private final ChangeCommitter mCommitter;
     private final StoreCleanUp mCleanUp;
-    private final StoreConfirmation mConfirmation;
 
     /**
      * Creates a repository.
@@ -39,7 +37,6 @@
         mHistory = new SettingsHistory(calls, mKeys, mReader);
         mCommitter = new ChangeCommitter(calls, mKeys, blobs, mReader, mHistory);
         mCleanUp = new StoreCleanUp(calls, mKeys, mHistory);
-        mConfirmation = new StoreConfirmation(calls, mKeys, mReader);
     }
 
     /** Reads the newest state, fetching only contents that {@code known} lacks. */
@@ -79,22 +76,6 @@
                 StateChange.ofSystem(changeId, author, baseVersion, step), nowMillis);
     }
 
-    /**
-     * Confirms through the store that {@code held} is the newest state, by a write.
-     *
-     * <p>The confirmation counts from the time of the call, which the caller takes before it. A
-     * state that came from another daemon may lack the revision of its manifest (0); it is then
-     * looked up and compared in a second transaction.
-     *
-     * @param leaseId lease to which the record of the confirmation is attached
-     * @return the result; fails with a store exception if the store does not answer, and with a
-     *     {@link SettingsException} if the store's answer is older than {@code held}
-     */
-    public CompletableFuture<ConfirmResult> confirm(
-            String daemonId, LoadedState held, long leaseId) {
-        return mConfirmation.confirm(daemonId, held, leaseId);
-    }
-
     /** Returns the change summaries of {@code count} versions from {@code from}, if kept. */
     public CompletableFuture<List<HistoryEntry>> history(long from, int count) {
         return asSettings(mHistory.entries(from, count));
--- a/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
+++ b/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
@@ -46,11 +46,6 @@
         return attempt(transaction, 0, false);
     }
 
-    /** Executes a transaction once. */
-    CompletableFuture<TransactionResult> once(Transaction transaction) {
-        return mStore.commit(transaction);
-    }
-
     private CompletableFuture<TransactionResult> attempt(
             Transaction transaction, int attempt, boolean lostBefore) {
         return mStore.commit(transaction)
--- a/core/src/main/java/org/marigoldturn/settings/StoreKeys.java
+++ b/core/src/main/java/org/marigoldturn/settings/StoreKeys.java
@@ -28,10 +28,6 @@
         return prefix + "changes/" + changeId;
     }
 
-    String confirmation(String daemonId) {
-        return prefix + "confirmations/" + daemonId;
-    }
-
     /** Key that is written to prove that the compared state was the newest one. */
     String fence() {
         return prefix + "fence";
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -262,27 +262,6 @@
                 .isInstanceOf(ChangeResult.Invalid.class);
     }
 
-    @Example
-    void confirmationIsRefusedForAnOldVersionAndReturnsTheNewOne() {
-        importFleet(1);
-        LoadedState held = mOther.load(Map.of()).join();
-        assertThat(mOther.confirm("d1", held, 7).join())
-                .isInstanceOf(ConfirmResult.Confirmed.class);
-        mRepository.commit(change("c", ANY, team("a", 1)), 1).join();
-        mStore.setStaleReads(true);
-        ConfirmResult result = mOther.confirm("d1", held, 7).join();
-        assertThat(((ConfirmResult.Newer) result).state().state().version()).isEqualTo(2);
-    }
-
-    @Example
-    void stateFromAPeerWithoutRevisionIsConfirmedAndGetsItsRevision() {
-        importFleet(1);
-        LoadedState held = mOther.load(Map.of()).join();
-        LoadedState fromPeer = new LoadedState(held.state(), held.contents(), 0);
-        assertThat(mOther.confirm("d1", fromPeer, 7).join())
-                .isEqualTo(new ConfirmResult.Confirmed(held));
-    }
-
     @Example
     void alteredContentIsRejectedWithItsPath() {
         importFleet(1);
--- a/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
@@ -16,6 +16,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.membership.ConfirmationTracker;
+import org.marigoldturn.membership.PeerVersions;
+import org.marigoldturn.membership.StoreConfirmer;
 import org.marigoldturn.platform.EtcdJsonStore;
 import org.marigoldturn.platform.HostDirectoryException;
 import org.marigoldturn.platform.HostPresence;
@@ -31,11 +34,12 @@
 import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.ChangeNotCommittedException;
 import org.marigoldturn.settings.ChangeResult;
-import org.marigoldturn.settings.ConfirmResult;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.HostState;
 import org.marigoldturn.settings.LoadedState;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.PoolSettings;
 import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsEdit;
@@ -131,7 +135,7 @@
     }
 
     @Example
-    void staleReadsNeverTakeTheRepositoryBack() throws IOException {
+    void staleReadsNeverTakeTheRepositoryBack() throws Exception {
         commit("p1");
         SettingsRepository other = new SettingsRepository(mStore, PREFIX);
         LoadedState old = other.load(Map.of()).join();
@@ -139,23 +143,45 @@
         commit("p2");
         assertThat(mRepository.load(Map.of()).join().state().version()).isEqualTo(2);
         assertThat(other.load(Map.of()).join().state().version()).isEqualTo(1);
-        long lease = mStore.grantLease(5_000).join();
-        assertThatThrownBy(() -> other.confirm("d1", old, lease).join())
+        ConfirmationTracker tracker = new ConfirmationTracker("d1", new PeerVersions());
+        Member self = new Member("d1", "z0", "127.0.0.1", 1, 2, 0);
+        tracker.adopt(1, new MemberSet(List.of(self)));
+        AtomicInteger otherManifests = new AtomicInteger();
+        StoreConfirmer confirmer =
+                new StoreConfirmer(
+                        mStore,
+                        PREFIX,
+                        "d1",
+                        tracker,
+                        otherManifests::incrementAndGet,
+                        Runnable::run);
+        FleetUnderTest.await(
+                () -> {
+                    confirmer.tick(1, old.manifestRevision(), System.nanoTime());
+                    return otherManifests.get() > 0;
+                });
+        assertThat(tracker.mayServe(System.nanoTime())).isFalse();
+        // The failed compare returns the new manifest, whose contents the stale reads lack.
+        assertThatThrownBy(() -> other.commit(putPool("p3"), 1).join())
                 .hasMessageContaining("content of path");
         mServer.faults("{\"staleReadsMillis\": 0}");
-        ConfirmResult result = other.confirm("d1", old, lease).join();
-        assertThat(((ConfirmResult.Newer) result).state().state().version()).isEqualTo(2);
+        LoadedState newest = other.load(old.contents()).join();
+        assertThat(newest.state().version()).isEqualTo(2);
+        tracker.adopt(2, new MemberSet(List.of(self)));
+        FleetUnderTest.await(
+                () -> {
+                    confirmer.tick(2, newest.manifestRevision(), System.nanoTime());
+                    return tracker.mayServe(System.nanoTime());
+                });
     }
 
     @Example
-    void confirmationWithAnEndedLeaseSaysSo() {
-        commit("p1");
-        LoadedState held = mRepository.load(Map.of()).join();
+    void writeWithAnEndedLeaseSaysSo() {
         long lease = mStore.grantLease(5_000).join();
-        assertThat(mRepository.confirm("d1", held, lease).join())
-                .isInstanceOf(ConfirmResult.Confirmed.class);
+        Operation put = new Operation.Put("k", ByteString.EMPTY, lease);
+        mStore.commit(Transaction.unconditional(List.of(put))).join();
         mStore.revokeLease(lease).join();
-        assertThatThrownBy(() -> mRepository.confirm("d1", held, lease).join())
+        assertThatThrownBy(() -> mStore.commit(Transaction.unconditional(List.of(put))).join())
                 .hasCauseInstanceOf(LeaseExpiredException.class);
     }
 
