Keep one comparison of settings

Cause: settings.SettingsDifference with SettingsRepository.diff listed the entries that differ between two versions; operator.SettingsDifference lists the differing fields of two settings. Only the latter is used, by `settings diff`; the former was reached by a test alone.

Change: the comparison in `settings` is gone. The test still reads both kept versions through the repository and checks the paths that differ, with SettingsPaths.changed, which the history uses.

Ruled out: keeping the comparison by entry.

--- a/core/src/main/java/org/marigoldturn/settings/SettingsHistory.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsHistory.java
@@ -3,9 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.platform.Operation;
 import org.marigoldturn.platform.StoredValue;
@@ -52,12 +50,6 @@
                         });
     }
 
-    /** Returns the entries that differ between two versions. */
-    CompletableFuture<List<SettingsDifference>> diff(long versionA, long versionB) {
-        return state(versionA)
-                .thenCombine(state(versionB), (a, b) -> differences(a.state(), b.state()));
-    }
-
     /**
      * Returns the newest change in {@code (after, last]} that touched one of the paths.
      *
@@ -104,20 +96,4 @@
                             return collect(to, end, entries);
                         });
     }
-
-    private static List<SettingsDifference> differences(VersionedState a, VersionedState b) {
-        Map<String, Record> before = SettingsPaths.all(a);
-        Map<String, Record> after = SettingsPaths.all(b);
-        TreeSet<String> paths = new TreeSet<>(before.keySet());
-        paths.addAll(after.keySet());
-        return paths.stream()
-                .filter(path -> !Objects.equals(before.get(path), after.get(path)))
-                .map(
-                        path ->
-                                new SettingsDifference(
-                                        path,
-                                        Optional.ofNullable(before.get(path)),
-                                        Optional.ofNullable(after.get(path))))
-                .toList();
-    }
 }
--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -81,11 +81,6 @@
         return asSettings(mHistory.entries(from, count));
     }
 
-    /** Returns the entries that differ between two kept versions, by path. */
-    public CompletableFuture<List<SettingsDifference>> diff(long versionA, long versionB) {
-        return asSettings(mHistory.diff(versionA, versionB));
-    }
-
     /** Reads the state of a kept version. */
     public CompletableFuture<LoadedState> version(long version) {
         return asSettings(mHistory.state(version));
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -273,14 +273,15 @@
     }
 
     @Example
-    void historyAndDiffNameTheChangedPaths() {
+    void historyAndKeptVersionsNameTheChangedPaths() {
         importFleet(1);
         mRepository.commit(change("c", ANY, team("a", 1)), 5).join();
         List<HistoryEntry> history = mOther.history(1, 10).join();
         assertThat(history).extracting(e -> e.manifest().changeId()).containsExactly("import", "c");
         assertThat(history.get(1).changedPaths()).containsExactly("system/rights", "teams/a");
-        assertThat(mOther.diff(1, 2).join())
-                .extracting(SettingsDifference::path)
+        VersionedState first = mOther.version(1).join().state();
+        VersionedState second = mOther.version(2).join().state();
+        assertThat(SettingsPaths.changed(first, second))
                 .containsExactly("system/rights", "teams/a");
     }
 
