Use one in-memory store in the tests of core

Cause: the packages membership and settings each had a FakeStore with transactions of their own; one knew leases and connections, the other faults by plan, stale reads and prefixes.

Change: platform.FakeStore (test code) has all of it. A connection passes its calls to the store, so faults by plan apply to it as well.

Ruled out: a common base class; the two differed in details of one behaviour, not in kind.

--- a/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
@@ -21,6 +21,7 @@
 import org.marigoldturn.peer.NettyPeerNetwork;
 import org.marigoldturn.peer.PeerOptions;
 import org.marigoldturn.platform.Compare;
+import org.marigoldturn.platform.FakeStore;
 import org.marigoldturn.platform.Operation;
 import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.ContentHash;
@@ -82,7 +83,7 @@
         }
 
         private void reload() {
-            if (mConnection.mReachable) {
+            if (mConnection.isReachable()) {
                 mController.adopt(mLatest);
             }
         }
@@ -142,7 +143,7 @@
     @Example
     void aDaemonWithoutTheStoreReceivesAndServesAnAcceptedChange() throws Exception {
         startThree();
-        mDaemons.get(2).mConnection.mReachable = false;
+        mDaemons.get(2).mConnection.setReachable(false);
         long next = mLatest.state().version() + 1;
 
         commit(next - 1, mLatest.state().members()).join();
--- a/core/src/test/java/org/marigoldturn/membership/RoleHolderTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/RoleHolderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import net.jqwik.api.Example;
+import org.marigoldturn.platform.FakeStore;
 
 /** A role held through a lease, with pauses, outages and lost replies. */
 class RoleHolderTest {
@@ -50,7 +51,7 @@
     @Example
     void aHolderWithoutTheStoreStopsBeforeTheLeaseEnds() {
         run(2_000, mA, mB);
-        mConnectionA.mReachable = false;
+        mConnectionA.setReachable(false);
         run(RoleHolder.LEASE_TTL_MILLIS - 1_000, mA);
         assertThat(holds(mA)).isFalse();
 
@@ -61,10 +62,10 @@
     /** Guards against a role that is written, not noticed, and blocked until restart. */
     @Example
     void aLostReplyDoesNotBlockTheRole() {
-        mConnectionA.mLosesReplies = true;
+        mConnectionA.setLosesAnswers(true);
         run(4_000, mA);
         assertThat(holds(mA)).isFalse();
-        mConnectionA.mLosesReplies = false;
+        mConnectionA.setLosesAnswers(false);
 
         run(12_000, mA);
         assertThat(holds(mA)).isTrue();
--- a/core/src/test/java/org/marigoldturn/membership/StoreConfirmerTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/StoreConfirmerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import org.marigoldturn.platform.Compare;
+import org.marigoldturn.platform.FakeStore;
 import org.marigoldturn.platform.Operation;
 import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.Member;
@@ -111,11 +112,11 @@
         long revision = putManifest(1);
         adopt(1);
         tick(1, revision, 1);
-        mConnection.mLosesReplies = true;
+        mConnection.setLosesAnswers(true);
         tick(1, revision, 3);
         assertThat(mayServe()).isFalse();
 
-        mConnection.mLosesReplies = false;
+        mConnection.setLosesAnswers(false);
         tick(1, revision, 1);
         assertThat(mayServe()).isTrue();
     }
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -15,7 +15,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.marigoldturn.settings.FakeStore.Fault;
+import org.marigoldturn.platform.FakeStore;
+import org.marigoldturn.platform.FakeStore.Fault;
 
 /** Guards against lost, doubled and unnoticed changes when the store or operators interfere. */
 class SettingsCommitProperties {
@@ -51,16 +52,16 @@
         SettingsEdit all = new SettingsEdit.ReplaceAll(SampleSettings.fleet(3));
         repository.commit(change("import", ANY, all), 1).join();
         for (int i = 0; i < skip; i++) {
-            store.mFaults.add(Fault.NONE);
+            store.faults().add(Fault.NONE);
         }
-        plan.stream().limit(3).forEach(store.mFaults::add);
+        plan.stream().limit(3).forEach(store.faults()::add);
         SettingsChange change = change("c1", ANY, team("late", 5));
         try {
             assertThat(version(repository.commit(change, 2).join())).isEqualTo(2);
         } catch (CompletionException e) {
             assertThat(e.getCause()).isInstanceOf(SettingsException.class);
         }
-        store.mFaults.clear();
+        store.faults().clear();
         SettingsRepository fresh = new SettingsRepository(store, PREFIX, 0);
         assertThat(version(fresh.commit(change, 3).join())).isEqualTo(2);
         assertThat(version(repository.commit(change, 4).join())).isEqualTo(2);
@@ -70,7 +71,7 @@
     @Example
     void refusedCommitIsReportedAsNotCommitted() {
         importFleet(1);
-        mStore.mFaults.addAll(List.of(Fault.NONE, Fault.NONE, Fault.REFUSE));
+        mStore.faults().addAll(List.of(Fault.NONE, Fault.NONE, Fault.REFUSE));
         assertThatThrownBy(() -> mRepository.commit(change("c", ANY, team("a", 1)), 1).join())
                 .hasCauseInstanceOf(ChangeNotCommittedException.class);
         assertThat(mOther.load(Map.of()).join().state().version()).isEqualTo(1);
@@ -134,14 +135,14 @@
     @Example
     void samePathConflictsWithTheNameOfTheWinnerAndOtherPathsAreRetried() {
         importFleet(1);
-        mStore.mBeforeCommit = () -> mOther.commit(change("win", ANY, team("a", 1)), 1).join();
+        mStore.beforeCommit(() -> mOther.commit(change("win", ANY, team("a", 1)), 1).join());
         ChangeResult lost = mRepository.commit(change("c", ANY, team("a", 2)), 1).join();
         assertThat(lost).isInstanceOf(ChangeResult.Conflict.class);
         ChangeResult.Conflict conflict = (ChangeResult.Conflict) lost;
         assertThat(conflict.path()).isEqualTo("teams/a");
         assertThat(conflict.winner().changeId()).isEqualTo("win");
         assertThat(conflict.winner().author()).isEqualTo("author-of-win");
-        mStore.mBeforeCommit = () -> mOther.commit(change("x", ANY, team("b", 1)), 1).join();
+        mStore.beforeCommit(() -> mOther.commit(change("x", ANY, team("b", 1)), 1).join());
         ChangeResult.Committed retried =
                 (ChangeResult.Committed)
                         mRepository.commit(change("d", ANY, team("c", 2)), 1).join();
@@ -168,7 +169,7 @@
                         1)
                 .join();
         SettingsChange delete = change("del", ANY, new SettingsEdit.Delete("pools/spare"));
-        mStore.mBeforeCommit = () -> mOther.commit(delete, 1).join();
+        mStore.beforeCommit(() -> mOther.commit(delete, 1).join());
         ChangeResult result = mRepository.commit(change("c", ANY, service), 1).join();
         assertThat(((ChangeResult.Invalid) result).errors())
                 .extracting(SettingsError::path)
@@ -214,7 +215,7 @@
         // FakeStore throws when a transaction has more than 100 operations.
         importFleet(1_700);
         assertThat(mOther.load(Map.of()).join().state().settings().hosts()).hasSize(1_700);
-        assertThat(mStore.mCalls).hasSizeLessThan(10);
+        assertThat(mStore.calls()).hasSizeLessThan(10);
     }
 
     @Example
@@ -245,7 +246,7 @@
     @Example
     void systemCommitWithoutBaseIsComputedAgainAfterALostRace() {
         importFleet(0);
-        mStore.mBeforeCommit = () -> mOther.commit(change("x", ANY, team("b", 6)), 1).join();
+        mStore.beforeCommit(() -> mOther.commit(change("x", ANY, team("b", 6)), 1).join());
         ChangeResult joined =
                 mRepository
                         .commitSystem(
@@ -292,16 +293,16 @@
             mRepository.commit(change("c" + i, ANY, team("a", i)), 1).join();
         }
         SettingsChange running = change("r", ANY, team("a", 3));
-        mStore.mBeforeCommit = () -> mOther.cleanUp().join();
+        mStore.beforeCommit(() -> mOther.cleanUp().join());
         assertThat(version(mRepository.commit(running, 1).join())).isEqualTo(1_107);
         mOther.cleanUp().join();
-        assertThat(mStore.mValues).doesNotContainKey(PREFIX + "history/107");
-        assertThat(mStore.mValues).doesNotContainKey(PREFIX + "changes/import");
-        assertThat(mStore.mValues).containsKey(PREFIX + "history/108");
+        assertThat(mStore.values()).doesNotContainKey(PREFIX + "history/107");
+        assertThat(mStore.values()).doesNotContainKey(PREFIX + "changes/import");
+        assertThat(mStore.values()).containsKey(PREFIX + "history/108");
         SettingsRepository fresh = new SettingsRepository(mStore, PREFIX, 0);
         assertThat(fresh.load(Map.of()).join().state().version()).isEqualTo(1_107);
         assertThat(fresh.version(108).join().state().settings().hosts()).hasSize(40);
-        long blobs = mStore.mValues.keySet().stream().filter(k -> k.contains("/blobs/")).count();
+        long blobs = mStore.values().keySet().stream().filter(k -> k.contains("/blobs/")).count();
         // One team and one rights content for each kept version, and those that never change.
         assertThat(blobs).isLessThan(2 * 1_000 + 50);
     }
