--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -8,7 +8,6 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.stream.ClosedStreamException;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.marigoldturn.admission.QueuedRequest;
@@ -34,14 +33,6 @@
     static final String INVALID_KEY = "invalid-key";
     static final String CALLER_GONE = "caller-gone";
 
-    /** 501 and 505 describe the request, not the state of the host. */
-    private static final int NOT_IMPLEMENTED = 501;
-
-    private static final int VERSION_NOT_SUPPORTED = 505;
-    private static final int FIRST_SERVER_ERROR = 500;
-
-    private static final String RESET_BY_TARGET = "received a RST_STREAM frame";
-
     private final EntryDependencies mDependencies;
     private final Supplier<FleetView> mView;
     private final TargetClients mClients;
@@ -139,7 +130,7 @@
             follow(attempt, AttemptFailure.NOT_PROCESSED, "status-" + status);
             return false;
         }
-        if (isServerError(headers) && tryReplace(attempt, "status-" + status)) {
+        if (AttemptRules.isServerError(headers) && tryReplace(attempt, "status-" + status)) {
             return false;
         }
         exchange.attempts().answered();
@@ -161,8 +152,8 @@
     @Override
     public void onEnd(TargetAttempt attempt, Throwable failure) {
         boolean complete = failure == null && attempt.isComplete();
-        report(attempt, complete && !isServerError(attempt.head()));
-        if (provesEnd(failure)) {
+        report(attempt, complete && !AttemptRules.isServerError(attempt.head()));
+        if (AttemptRules.provesEnd(failure)) {
             mPending.remove(attempt);
             release(attempt);
         } else {
@@ -181,7 +172,7 @@
             mMetrics.rejected();
             mRespond.abort(exchange, "truncated-answer", failure);
         } else {
-            follow(attempt, kind(failure), describe(failure));
+            follow(attempt, AttemptRules.kind(failure), AttemptRules.describe(failure));
         }
     }
 
@@ -319,19 +310,14 @@
             if (attempt.selection().trial() && attempt.tryReportHealth()) {
                 mSelect.abandonTrial(pool, attempt.selection().host().name());
             }
-        } else if (attempt.selection().trial() || wasSlow(attempt)) {
+        } else if (attempt.selection().trial()
+                || AttemptRules.wasSlow(
+                        mDependencies.nowNanos().getAsLong() - attempt.startedNanos(),
+                        attempt.exchange().request().service())) {
             report(attempt, false);
         }
     }
 
-    /** Short deadlines that callers chose must not eject hosts that others can use. */
-    private boolean wasSlow(TargetAttempt attempt) {
-        long elapsedNanos = mDependencies.nowNanos().getAsLong() - attempt.startedNanos();
-        long defaultMillis = attempt.exchange().request().service().defaultDeadlineMillis();
-        // Half of the default deadline, less a tolerance for the timer that gives up there.
-        return elapsedNanos >= defaultMillis * 1_000_000 * 45 / 100;
-    }
-
     private void awaitProof(TargetAttempt attempt) {
         if (attempt.released()) {
             return;
@@ -365,35 +351,6 @@
         }
     }
 
-    private static boolean isServerError(ResponseHeaders headers) {
-        int status = headers.status().code();
-        return status >= FIRST_SERVER_ERROR
-                && status != NOT_IMPLEMENTED
-                && status != VERSION_NOT_SUPPORTED;
-    }
-
-    /**
-     * A lost connection proves nothing; a complete answer or a reset by the target does. Armeria
-     * uses one exception type for a reset by the target and for a connection that it closed after a
-     * PING without an answer, so the message decides; another message keeps the rights.
-     */
-    private static boolean provesEnd(Throwable failure) {
-        return failure == null
-                || failure instanceof UnprocessedRequestException
-                || (failure instanceof ClosedStreamException
-                        && String.valueOf(failure.getMessage()).startsWith(RESET_BY_TARGET));
-    }
-
-    private static AttemptFailure kind(Throwable failure) {
-        return failure instanceof UnprocessedRequestException
-                ? AttemptFailure.NOT_PROCESSED
-                : AttemptFailure.MAY_HAVE_RUN;
-    }
-
-    private static String describe(Throwable failure) {
-        return failure == null ? "incomplete-answer" : failure.getClass().getSimpleName();
-    }
-
     private void log(String event, Exchange exchange, HostSettings host, String reason) {
         String detail =
                 "%s: host %s, zone %s, attempt %d, reason %s"
