Build the commands of all kinds of entries in one place

Cause: five command groups listed the same four commands (list, show, set, delete) of ResourceCommands.

Change: ResourceCommands.all returns them, followed by further ones.

--- a/core/src/main/java/org/marigoldturn/cli/HostCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/HostCommands.java
@@ -17,11 +17,7 @@
                         "rack",
                         "slots",
                         "state");
-        return List.of(
-                resource.list(),
-                resource.show(),
-                resource.set(),
-                resource.delete(),
+        return resource.all(
                 new Command(
                         "host drain",
                         List.of("NAME"),
--- a/core/src/main/java/org/marigoldturn/cli/PoolCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/PoolCommands.java
@@ -7,6 +7,6 @@
     @Override
     public List<Command> commands() {
         ResourceCommands resource = new ResourceCommands("pool", "spare=true", "name", "spare");
-        return List.of(resource.list(), resource.show(), resource.set(), resource.delete());
+        return resource.all();
     }
 }
--- a/core/src/main/java/org/marigoldturn/cli/ResourceCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/ResourceCommands.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Builds the commands that list, show, set and delete entries of one kind. */
 final class ResourceCommands {
@@ -29,7 +30,13 @@
         mColumns = columns;
     }
 
-    Command list() {
+    /** Returns the commands and further ones of the same kind of entries. */
+    List<Command> all(Command... further) {
+        return Stream.concat(Stream.of(list(), show(), set(), delete()), Stream.of(further))
+                .toList();
+    }
+
+    private Command list() {
         return new Command(
                 mWord + " list",
                 List.of(),
@@ -39,7 +46,7 @@
                 call -> call.printRows(call.client().get(mPath), mColumns));
     }
 
-    Command show() {
+    private Command show() {
         return new Command(
                 mWord + " show",
                 List.of("NAME"),
@@ -49,7 +56,7 @@
                 call -> call.printDocument(call.client().get(entry(call))));
     }
 
-    Command set() {
+    private Command set() {
         return new Command(
                 mWord + " set",
                 List.of("NAME", "FIELD=VALUE..."),
@@ -59,7 +66,7 @@
                 this::runSet);
     }
 
-    Command delete() {
+    private Command delete() {
         return new Command(
                 mWord + " delete",
                 List.of("NAME"),
--- a/core/src/main/java/org/marigoldturn/cli/ServiceCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/ServiceCommands.java
@@ -15,6 +15,6 @@
                         "open",
                         "protocol",
                         "maxUnavailablePercent");
-        return List.of(resource.list(), resource.show(), resource.set(), resource.delete());
+        return resource.all();
     }
 }
--- a/core/src/main/java/org/marigoldturn/cli/TeamCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/TeamCommands.java
@@ -13,6 +13,6 @@
                         "name",
                         "shareWeight",
                         "runningLimit");
-        return List.of(resource.list(), resource.show(), resource.set(), resource.delete());
+        return resource.all();
     }
 }
--- a/core/src/main/java/org/marigoldturn/cli/ZoneCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/ZoneCommands.java
@@ -10,11 +10,7 @@
     public List<Command> commands() {
         ResourceCommands resource =
                 new ResourceCommands("zone", "region=r1", "name", "region", "state");
-        return List.of(
-                resource.list(),
-                resource.show(),
-                resource.set(),
-                resource.delete(),
+        return resource.all(
                 new Command(
                         "zone drain",
                         List.of("NAME"),
