Copy hosts in one place

Cause: HostLifecycle and StateKeeper each built the copy of a host with another pool and state from all 13 fields; a new field could be forgotten in one of them.

Change: HostSettings.with makes the copy.

Run: mvn -o -B test -pl core on settings, operator and fleet: 83 tests with those of cli and membership pass.

--- a/core/src/main/java/org/marigoldturn/fleet/HostLifecycle.java
+++ b/core/src/main/java/org/marigoldturn/fleet/HostLifecycle.java
@@ -148,18 +148,8 @@
     private static SettingsEdit put(
             HostSettings host, String pool, HostState state, long maintainedAtMillis) {
         return new SettingsEdit.PutHost(
-                new HostSettings(
-                        host.name(),
+                host.with(
                         pool,
-                        host.zone(),
-                        host.rack(),
-                        host.address(),
-                        host.port(),
-                        host.slots(),
-                        host.connections(),
-                        host.cores(),
-                        host.memoryMegabytes(),
-                        host.accelerators(),
                         state,
                         maintainedAtMillis == 0 ? host.maintainedAtMillis() : maintainedAtMillis));
     }
--- a/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
+++ b/core/src/main/java/org/marigoldturn/operator/StateKeeper.java
@@ -5,7 +5,6 @@
 import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.FleetSettings;
 import org.marigoldturn.settings.HostSettings;
-import org.marigoldturn.settings.HostState;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.settings.ZoneSettings;
 
@@ -56,35 +55,16 @@
         if (present == null) {
             // Without a time a new fleet would be due for maintenance at once.
             return wanted.maintainedAtMillis() == 0
-                    ? copy(wanted, wanted.pool(), wanted.state(), nowMillis)
+                    ? wanted.with(wanted.pool(), wanted.state(), nowMillis)
                     : wanted;
         }
         requireSamePool(current, present, wanted);
-        return copy(
-                wanted,
+        return wanted.with(
                 present.pool(),
                 present.state(),
                 Math.max(present.maintainedAtMillis(), wanted.maintainedAtMillis()));
     }
 
-    private static HostSettings copy(
-            HostSettings host, String pool, HostState state, long maintainedAtMillis) {
-        return new HostSettings(
-                host.name(),
-                pool,
-                host.zone(),
-                host.rack(),
-                host.address(),
-                host.port(),
-                host.slots(),
-                host.connections(),
-                host.cores(),
-                host.memoryMegabytes(),
-                host.accelerators(),
-                state,
-                maintainedAtMillis);
-    }
-
     /** Takes the settings of the planner, but keeps its progress. */
     static FleetPolicy keep(FleetPolicy current, FleetPolicy wanted) {
         return wanted.withWave(current.wave()).withMoves(current.pendingMoves(), current.loans());
--- a/core/src/main/java/org/marigoldturn/settings/HostSettings.java
+++ b/core/src/main/java/org/marigoldturn/settings/HostSettings.java
@@ -44,4 +44,22 @@
                     "port of host " + name + " must be 1 to 65535, not " + port);
         }
     }
+
+    /** Returns a copy in the given pool and state of the life cycle. */
+    public HostSettings with(String nextPool, HostState nextState, long nextMaintainedAtMillis) {
+        return new HostSettings(
+                name,
+                nextPool,
+                zone,
+                rack,
+                address,
+                port,
+                slots,
+                connections,
+                cores,
+                memoryMegabytes,
+                accelerators,
+                nextState,
+                nextMaintainedAtMillis);
+    }
 }
