Copy the policy in one place

Cause: FleetPolicy built its copies with another wave and with other moves from all eight fields twice.

Change: both go through one private method.

--- a/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
+++ b/core/src/main/java/org/marigoldturn/settings/FleetPolicy.java
@@ -61,26 +61,23 @@
 
     /** Returns a copy with the given wave. */
     public FleetPolicy withWave(WaveProgress next) {
-        return new FleetPolicy(
-                maintenanceIntervalMillis,
-                maintenanceLeadMillis,
-                returnWithinMillis,
-                loanAfterMillis,
-                costWeights,
-                next,
-                pendingMoves,
-                loans);
+        return withProgress(next, pendingMoves, loans);
     }
 
     /** Returns a copy with the given moves and loans. */
     public FleetPolicy withMoves(Map<String, String> nextMoves, Map<String, String> nextLoans) {
+        return withProgress(wave, nextMoves, nextLoans);
+    }
+
+    private FleetPolicy withProgress(
+            WaveProgress nextWave, Map<String, String> nextMoves, Map<String, String> nextLoans) {
         return new FleetPolicy(
                 maintenanceIntervalMillis,
                 maintenanceLeadMillis,
                 returnWithinMillis,
                 loanAfterMillis,
                 costWeights,
-                wave,
+                nextWave,
                 nextMoves,
                 nextLoans);
     }
