--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -18,6 +18,8 @@
  * @param callerPort port for callers; 0 takes a free one
  * @param operatorPort port for operators; 0 takes a free one
  * @param peerPort port for other daemons; 0 takes a free one
+ * @param advertisedPeerPort port at which other daemons reach {@code peerPort} if a port mapping is
+ *     in between; 0 is the port itself
  * @param storeEndpoint base URI of the key-value service
  * @param storePrefix key prefix in the store, ending in a slash
  * @param storeTimeoutMillis time limit of each store call
@@ -37,6 +39,7 @@
         int callerPort,
         int operatorPort,
         int peerPort,
+        int advertisedPeerPort,
         URI storeEndpoint,
         String storePrefix,
         long storeTimeoutMillis,
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -45,6 +45,7 @@
     private static final int DECISION_LOG_CAPACITY = 10_000;
     private static final long FAST_INTERVAL_MILLIS = 50;
     private static final long CONFIRM_INTERVAL_MILLIS = 500;
+    private static final long CLAIM_HANDOVER_INTERVAL_MILLIS = 100;
     private static final long SHARE_INTERVAL_MILLIS = 1_000;
     private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
 
@@ -137,7 +138,7 @@
                         mId,
                         mConfig.zone(),
                         mConfig.address(),
-                        peerPort,
+                        mConfig.advertisedPeerPort() == 0 ? peerPort : mConfig.advertisedPeerPort(),
                         mOperatorServer.activeLocalPort(),
                         System.currentTimeMillis());
         mControl.execute(() -> mController.join(self));
@@ -207,6 +208,7 @@
                 "starved",
                 FAST_INTERVAL_MILLIS,
                 () -> mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering));
+        mControl.every("claims", CLAIM_HANDOVER_INTERVAL_MILLIS, mClaims::handOverToJoined);
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
--- a/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
+++ b/core/src/main/java/org/marigoldturn/daemon/GracefulShutdown.java
@@ -63,7 +63,7 @@
                     mParts.ledger().close();
                 });
         boolean handedOver = await(HANDOVER_TIMEOUT_MILLIS, this::handOverStep);
-        onControl(this::handOverClaims);
+        onControl(mParts.claims()::handOverAll);
         if (proven && handedOver) {
             sayFarewell();
         }
@@ -93,13 +93,6 @@
                         }));
     }
 
-    private void handOverClaims() {
-        List<String> others = others();
-        if (!others.isEmpty()) {
-            mParts.claims().handOver(others);
-        }
-    }
-
     private void sayFarewell() {
         for (String member : others()) {
             mParts.peers()
--- a/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
@@ -28,9 +28,6 @@
     /** Longest wait for the acceptance of a member set before it is asked for again. */
     private static final long ACCEPTANCE_TIMEOUT_MILLIS = 60_000;
 
-    /** Stands for the owners of member sets that this daemon has not seen. */
-    private static final List<String> UNSEEN_MEMBERS = List.of("unseen");
-
     private final String mSelfId;
     private final EndedDaemons mEndedDaemons;
     private final RequestClaims mClaims;
@@ -116,6 +113,8 @@
 
     private void onState(VersionedState state) {
         long generation = state.members().generation();
+        // Before the version is published, and so before other daemons see that it is held.
+        mClaims.onMembersAdopted(generation, ids(state.members()));
         if (generation > mAccepted.generation() && generation > mAwaitedGeneration) {
             mAwaitedGeneration = generation;
             // The trackers adopt the version after this call.
@@ -153,11 +152,7 @@
         state.rights().teams().values().forEach(d -> removed.addAll(d.basis().keySet()));
         removed.removeAll(ids(members));
         removed.forEach(id -> mEndedDaemons.onEnded(id, nowMillis));
-        if (members.generation() > mAccepted.generation() + 1) {
-            // An owner in a set that was not seen may have granted any id.
-            mClaims.onMembersAccepted(UNSEEN_MEMBERS, nowMillis);
-        }
-        mClaims.onMembersAccepted(ids(members), nowMillis);
+        mClaims.onMembersAccepted(members.generation(), nowMillis);
         mAccepted = members;
     }
 
--- a/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
@@ -4,12 +4,15 @@
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.marigoldturn.membership.AcceptanceTracker;
 import org.marigoldturn.peer.PeerException;
 import org.marigoldturn.peer.wire.ClaimHandover;
 import org.marigoldturn.peer.wire.ClaimRelease;
@@ -22,13 +25,25 @@
 import org.marigoldturn.routing.RequestClaims;
 import org.marigoldturn.routing.RequestId;
 import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.VersionedState;
+import org.tinylog.Logger;
 
 /** Claims request ids at their owners among the members. Thread safe. */
 final class PeerClaimRegistry implements ClaimRegistry {
+    /** Longest time in which a claim is repeated while its range has no owner that can decide. */
+    private static final long RETRY_TIMEOUT_MILLIS =
+            AcceptanceTracker.ACCEPTANCE_WAIT_MILLIS + 1_500;
+
+    private static final long RETRY_INTERVAL_MILLIS = 20;
+
+    private static final Executor RETRY_DELAY =
+            CompletableFuture.delayedExecutor(RETRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+
     private final PeerLink mPeers;
     private final RequestClaims mClaims;
     private final StatePublisher mPublisher;
     private final LongSupplier mNowMillis;
+    private final Set<String> mHandingOver = ConcurrentHashMap.newKeySet();
 
     PeerClaimRegistry(
             PeerLink peers,
@@ -43,14 +58,34 @@
 
     @Override
     public CompletableFuture<ClaimResult> claim(RequestId id) {
-        Optional<String> owner = owner(id);
+        return claim(id, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_TIMEOUT_MILLIS));
+    }
+
+    /** Repeats a claim that was certainly not granted; one without an answer is not repeated. */
+    private CompletableFuture<ClaimResult> claim(RequestId id, long giveUpNanos) {
+        return claimOnce(id)
+                .thenCompose(
+                        result -> {
+                            if (result != ClaimResult.NOT_OWNER
+                                    || System.nanoTime() - giveUpNanos >= 0) {
+                                return CompletableFuture.completedFuture(result);
+                            }
+                            return CompletableFuture.supplyAsync(
+                                            () -> claim(id, giveUpNanos), RETRY_DELAY)
+                                    .thenCompose(next -> next);
+                        });
+    }
+
+    private CompletableFuture<ClaimResult> claimOnce(RequestId id) {
+        VersionedState state = mPublisher.state();
+        Optional<String> owner = RequestClaims.owner(id, memberIds(state));
         if (owner.isEmpty()) {
             return CompletableFuture.failedFuture(new PeerException("there are no members", null));
         }
         ClaimRequest request =
                 ClaimRequest.newBuilder()
                         .setRequestId(bytes(id))
-                        .setVersion(mPublisher.state().version())
+                        .setVersion(state.version())
                         .build();
         return mPeers.call(owner.get(), Envelope.newBuilder().setClaimRequest(request))
                 .thenApply(reply -> result(reply.getClaimReply()));
@@ -64,8 +99,11 @@
 
     /** Decides a claim of another daemon, or of this one. */
     Envelope.Builder onRequest(String sender, ClaimRequest request) {
+        // At an older version this daemon may not know that the id was another owner's meanwhile.
         ClaimResult result =
-                mClaims.claim(id(request.getRequestId()), sender, mNowMillis.getAsLong());
+                request.getVersion() > mPublisher.state().version()
+                        ? ClaimResult.NOT_OWNER
+                        : mClaims.claim(id(request.getRequestId()), sender, mNowMillis.getAsLong());
         ClaimReply.Result wire =
                 switch (result) {
                     case GRANTED -> ClaimReply.Result.GRANTED;
@@ -92,23 +130,48 @@
     }
 
     /** Stops granting and hands the records to the members that remain. */
-    void handOver(List<String> nextMemberIds) {
-        Map<String, ClaimHandoverData> handovers =
-                mClaims.handOver(nextMemberIds, mNowMillis.getAsLong());
-        handovers.forEach(
-                (owner, data) -> {
-                    ClaimHandover.Builder message =
-                            ClaimHandover.newBuilder()
-                                    .setCompleteSinceMillis(data.completeSinceMillis())
-                                    .addAllNextMemberIds(data.nextMemberIds());
-                    data.ids().forEach(id -> message.addRequestIds(bytes(id)));
-                    mPeers.send(owner, Envelope.newBuilder().setClaimHandover(message));
-                });
+    void handOverAll() {
+        mClaims.handOverAll(mNowMillis.getAsLong())
+                .forEach((owner, data) -> mPeers.send(owner, message(data)));
+    }
+
+    /** Hands the records of moved ids to members that joined, until they have confirmed them. */
+    void handOverToJoined() {
+        mClaims.joinHandovers(mNowMillis.getAsLong(), mHandingOver).forEach(this::handOver);
+    }
+
+    private void handOver(String joiner, ClaimHandoverData data) {
+        mHandingOver.add(joiner);
+        var unused =
+                mPeers.call(joiner, message(data))
+                        .whenComplete(
+                                (reply, failure) -> {
+                                    if (failure == null) {
+                                        mClaims.onHandedOver(joiner);
+                                        Logger.info(
+                                                "routing: handed {} request ids to {}.",
+                                                data.ids().size(),
+                                                joiner);
+                                    }
+                                    mHandingOver.remove(joiner);
+                                });
+    }
+
+    private static Envelope.Builder message(ClaimHandoverData data) {
+        ClaimHandover.Builder message =
+                ClaimHandover.newBuilder()
+                        .setCompleteSinceMillis(data.completeSinceMillis())
+                        .addAllNextMemberIds(data.nextMemberIds());
+        data.ids().forEach(id -> message.addRequestIds(bytes(id)));
+        return Envelope.newBuilder().setClaimHandover(message);
     }
 
     private Optional<String> owner(RequestId id) {
-        List<String> ids = mPublisher.state().members().members().stream().map(Member::id).toList();
-        return RequestClaims.owner(id, ids);
+        return RequestClaims.owner(id, memberIds(mPublisher.state()));
+    }
+
+    private static List<String> memberIds(VersionedState state) {
+        return state.members().members().stream().map(Member::id).toList();
     }
 
     private static ClaimResult result(ClaimReply reply) {
--- a/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
@@ -62,6 +62,13 @@
                                                     services.ledger()
                                                             .onFreeze(message.getFreezeRequest())),
                             services.control());
+            case CLAIM_HANDOVER ->
+                    CompletableFuture.supplyAsync(
+                            () -> {
+                                services.claims().onHandover(sender, message.getClaimHandover());
+                                return Envelope.newBuilder();
+                            },
+                            services.control());
             case STATUS_REQUEST ->
                     CompletableFuture.supplyAsync(
                             () -> services.status().reply(message.getStatusRequest()),
@@ -81,7 +88,6 @@
             case DEMAND_REPORT -> services.shares().onReport(sender, message.getDemandReport());
             case ENTITLEMENTS -> services.shares().onEntitlements(message.getEntitlements());
             case CLAIM_RELEASE -> services.claims().onRelease(sender, message.getClaimRelease());
-            case CLAIM_HANDOVER -> services.claims().onHandover(sender, message.getClaimHandover());
             default ->
                     throw new IllegalArgumentException(
                             "unexpected message " + message.getBodyCase() + " from " + sender);
