Refuse waiting requests when the confirmation stays away

Cause: a daemon without a confirmation of its settings refused new requests, but those that already waited stayed until their deadline unless a right became free.

Ruled out: refusing at once, since every pause of a daemon would refuse its whole queue although the next replies confirm it again.

Test: waitingRequestsAreRefusedWhenTheConfirmationStaysAway waits on a request with a deadline of 600 s; it was not run against the old code, which by reading keeps the request until then.

--- a/core/src/main/java/org/marigoldturn/admission/PoolQueue.java
+++ b/core/src/main/java/org/marigoldturn/admission/PoolQueue.java
@@ -145,16 +145,12 @@
 
     /** Removes and returns the requests whose time to start has passed. */
     public synchronized List<QueuedRequest<T>> expire(long nowNanos) {
-        List<QueuedRequest<T>> expired = new ArrayList<>();
-        long due = Math.floorDiv(nowNanos, EXPIRY_STEP_NANOS);
-        while (!mExpiry.isEmpty() && mExpiry.firstKey() <= due) {
-            expired.addAll(mExpiry.pollFirstEntry().getValue());
-        }
-        for (QueuedRequest<T> request : expired) {
-            remove(request);
-            dropIfIdle(request.terms().team());
-        }
-        return expired;
+        return removeUntil(Math.floorDiv(nowNanos, EXPIRY_STEP_NANOS));
+    }
+
+    /** Removes and returns all queued requests. */
+    public synchronized List<QueuedRequest<T>> removeAll() {
+        return removeUntil(Long.MAX_VALUE);
     }
 
     /** Returns the number of queued requests without taking the lock. */
@@ -171,6 +167,18 @@
         return demand;
     }
 
+    private List<QueuedRequest<T>> removeUntil(long lastBucket) {
+        List<QueuedRequest<T>> removed = new ArrayList<>();
+        while (!mExpiry.isEmpty() && mExpiry.firstKey() <= lastBucket) {
+            removed.addAll(mExpiry.pollFirstEntry().getValue());
+        }
+        for (QueuedRequest<T> request : removed) {
+            remove(request);
+            dropIfIdle(request.terms().team());
+        }
+        return removed;
+    }
+
     private List<Candidate<T>> candidates(int localSlots, Predicate<QueuedRequest<T>> filter) {
         // At least one, so that urgent work has priority at daemons that hold few slots.
         int urgentLimit = Math.max(1, localSlots * URGENT_SHARE_PERCENT / 100);
--- a/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/AdmitFilter.java
@@ -68,6 +68,7 @@
     private final PoolDispatcher.Listener mListener;
     private final FilterMetrics mMetrics;
     private final Map<String, PoolDispatcher> mDispatchers = new ConcurrentHashMap<>();
+    private final ConfirmationLapse mLapse = new ConfirmationLapse();
 
     AdmitFilter(
             EntryDependencies dependencies,
@@ -140,9 +141,17 @@
         mMetrics.took(nowNanos - exchange.arrivedNanos());
     }
 
-    /** Starts what can start now and ends what waited too long, in all pools. */
+    /**
+     * Starts what can start now and ends what waited too long, in all pools. Without a confirmation
+     * nothing can start here, so the queued requests are refused after a short time.
+     */
     void wake() {
-        mDispatchers.values().forEach(PoolDispatcher::run);
+        long nowNanos = mDependencies.nowNanos().getAsLong();
+        if (mLapse.lasts(mDependencies.gate().mayServe(nowNanos), nowNanos)) {
+            mDispatchers.values().forEach(PoolDispatcher::refuseAll);
+        } else {
+            mDispatchers.values().forEach(PoolDispatcher::run);
+        }
     }
 
     /** Returns whether a request is queued in any pool. */
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -75,6 +75,11 @@
                         }
                     });
         }
+
+        @Override
+        public void onUnconfirmed(QueuedRequest<Exchange> request) {
+            request.attachment().execute(() -> mDispatch.refuseUnconfirmed(request.attachment()));
+        }
     }
 
     @Override
--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -104,6 +104,15 @@
         mRespond.finish(exchange, exchange.attempts().abandon(DEADLINE_PASSED));
     }
 
+    /** The request left the queue because this daemon may start no work. */
+    void refuseUnconfirmed(Exchange exchange) {
+        exchange.setQueued(null);
+        if (!exchange.ended()) {
+            mMetrics.rejected();
+            mRespond.finish(exchange, exchange.attempts().abandon(NOT_CONFIRMED));
+        }
+    }
+
     /** The caller has closed its stream. */
     void onCallerGone(Exchange exchange) {
         if (exchange.ended()) {
--- a/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
+++ b/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
@@ -30,6 +30,9 @@
 
         /** The request waited too long. */
         void onExpired(QueuedRequest<Exchange> request);
+
+        /** This daemon may start no work, since its settings are not confirmed. */
+        void onUnconfirmed(QueuedRequest<Exchange> request);
     }
 
     /** Requests that either all fit a free host or all do not. */
@@ -84,6 +87,11 @@
         } while (done != 0);
     }
 
+    /** Ends all waiting requests, so that their callers can try another daemon. */
+    void refuseAll() {
+        mQueue.removeAll().forEach(mListener::onUnconfirmed);
+    }
+
     /** A fault must not stop the pool: the mark is taken back, and the next pass tries again. */
     private void tryPass() {
         try {
--- a/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
@@ -298,6 +298,28 @@
         }
     }
 
+    /**
+     * Guards against requests that wait until their deadline at a daemon which may not start them,
+     * although another daemon could.
+     */
+    @Example
+    void waitingRequestsAreRefusedWhenTheConfirmationStaysAway() {
+        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
+            fixture.mRights.limit("host:h0", 0);
+            var waiting =
+                    fixture.send(
+                            post(fixture, newId()).setInt("marigoldturn-deadline-millis", 600_000),
+                            BODY);
+            EntryFixture.await("request waits", () -> fixture.queued() == 1);
+            fixture.setConfirmed(false);
+            assertThat(outcome(waiting.join())).isEqualTo(NOT_RUN);
+            assertThat(waiting.join().contentUtf8()).contains("not-confirmed");
+            assertThat(waiting.join().headers().contains("retry-after")).isTrue();
+            assertThat(fixture.queued()).isZero();
+            fixture.awaitNoRightTaken();
+        }
+    }
+
     private static RequestHeadersBuilder slow(EntryFixture fixture, int millis) {
         return fixture.headers(HttpMethod.POST).setInt("x-run-millis", millis);
     }
