Report the loss of the last right

Cause: a daemon that had given its last right had nothing to report, so its coordinator kept it as a holder. It sent hints to it without end, and the rights of other daemons stayed where they were. This is the slow second after a move: a trace in virtual time (limit of 40, 5 daemons) shows hints of 8 rights every 2 s to a daemon that had given 32 and held none. The end of demand at a daemon without rights was not reported either.

Change: a resource that was reported and is no longer in the demand gets one last report with nothing held and no work.

--- a/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
+++ b/core/src/main/java/org/marigoldturn/shares/DemandReporter.java
@@ -35,6 +35,7 @@
 
     private static final int SLOTS_PER_THRESHOLD = 100;
     private static final TeamLoad NONE = new TeamLoad(0, 0);
+    private static final ResourceDemand NOTHING = new ResourceDemand(0, 0, 0, Map.of());
 
     /** What was reported last for one resource. */
     private static final class Reported {
@@ -56,14 +57,16 @@
      */
     public List<AddressedReport> tick(
             Map<String, ResourceDemand> demands, Collection<String> answering, long nowMillis) {
-        mReported.keySet().retainAll(demands.keySet());
         List<AddressedReport> reports = new ArrayList<>();
-        new TreeMap<>(demands)
-                .forEach(
-                        (resource, demand) ->
-                                Coordinators.of(resource, answering)
-                                        .flatMap(c -> report(resource, c, demand, nowMillis))
-                                        .ifPresent(reports::add));
+        Map<String, ResourceDemand> reportable = new TreeMap<>(demands);
+        // A daemon that has given its last right would otherwise stay a giver for its coordinator.
+        mReported.keySet().forEach(resource -> reportable.putIfAbsent(resource, NOTHING));
+        reportable.forEach(
+                (resource, demand) ->
+                        Coordinators.of(resource, answering)
+                                .flatMap(c -> report(resource, c, demand, nowMillis))
+                                .ifPresent(reports::add));
+        mReported.keySet().retainAll(demands.keySet());
         return reports;
     }
 
--- a/core/src/test/java/org/marigoldturn/shares/DemandReporterTest.java
+++ b/core/src/test/java/org/marigoldturn/shares/DemandReporterTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import net.jqwik.api.Example;
+import org.marigoldturn.peer.wire.DemandReport;
 import org.marigoldturn.peer.wire.Entitlement;
 import org.marigoldturn.peer.wire.Entitlements;
 import org.marigoldturn.shares.ResourceDemand.TeamLoad;
@@ -49,6 +50,23 @@
         assertThat(tick(6, 1, 5000, MEMBERS)).isEmpty();
     }
 
+    /** A coordinator would take the rights from a daemon that has none, and none from others. */
+    @Example
+    void lossOfTheLastRightIsReportedOnce() {
+        tick(2, 0, 0, MEMBERS);
+        DemandReport report = mReporter.tick(Map.of(), MEMBERS, 1000).get(0).report();
+        assertThat(report.getHeld()).isZero();
+        assertThat(mReporter.tick(Map.of(), MEMBERS, 2000)).isEmpty();
+    }
+
+    /** Queued work of a daemon without rights kept its part after it was cancelled. */
+    @Example
+    void endOfDemandWithoutRightsIsReported() {
+        tick(0, 3, 0, MEMBERS);
+        DemandReport report = mReporter.tick(Map.of(), MEMBERS, 1000).get(0).report();
+        assertThat(report.getTeams(0).getRunning() + report.getTeams(0).getQueued()).isZero();
+    }
+
     @Example
     void newCoordinatorGetsACompleteReport() {
         String first = tick(2, 2, 0, MEMBERS).get(0).receiver();
