Settle both sides of a transfer in either order of reports

Cause: a coordinator counted rights as in transit from the report of the giver to the next report of the taker. When the taker had reported them first, they were counted twice for 2 s. A taker short of 24 rights then got 8 of them, and the rest in further rounds of 2 s each (trace of a limit of 40: 16, 8, 8 and 8 rights at 0.1, 1.8, 3.8 and 7.8 s). It depended on the phases of the daemons.

Change: PendingTransfers keeps for each transfer what the giver has still to report and what the taker has still to report, and settles each side by its own reports.

Ruled out: earlier reports of takers. The coordinator had the reports of both sides and still sent too small a hint.

--- a/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
+++ b/core/src/main/java/org/marigoldturn/shares/ResourceCoordinator.java
@@ -19,9 +19,6 @@
     /** A daemon is silent when it has missed two complete reports. */
     private static final long SILENT_MILLIS = 2 * DemandReporter.COMPLETE_INTERVAL_MILLIS + 1000;
 
-    /** Time for which a hint counts as carried out while the giver has not reported since. */
-    private static final long HINT_PENDING_MILLIS = 2000;
-
     /** Time after which rights that a daemon no longer needs may move without need elsewhere. */
     private static final long SETTLE_MILLIS = 5000;
 
@@ -41,23 +38,16 @@
         private long mNeededAtMillis;
     }
 
-    /** A hint, or the rest of it, that the giver has not reported as carried out. */
-    private record PendingHint(Move move, long sentAtMillis) {}
-
     private final Map<String, DaemonState> mDaemons = new TreeMap<>();
     private final Map<String, RotatingSplit> mSplits = new HashMap<>();
-    private final List<PendingHint> mPending = new ArrayList<>();
-
-    /** Rights that a giver has reported as given and the taker has not reported as received. */
-    private final List<PendingHint> mInTransit = new ArrayList<>();
+    private final PendingTransfers mPending = new PendingTransfers();
 
     void onReport(String sender, DemandReport report, long nowMillis) {
         DaemonState daemon = mDaemons.computeIfAbsent(sender, id -> new DaemonState());
         if (report.getComplete()) {
             daemon.mDemands.clear();
         }
-        mInTransit.removeIf(transfer -> transfer.move().taker().equals(sender));
-        settleHints(sender, daemon.mHeld - report.getHeld(), nowMillis);
+        mPending.onReport(sender, report.getHeld() - daemon.mHeld, nowMillis);
         daemon.mHeld = report.getHeld();
         daemon.mReportedAtMillis = nowMillis;
         for (TeamDemand team : report.getTeamsList()) {
@@ -70,29 +60,10 @@
         }
     }
 
-    private void settleHints(String giver, int given, long nowMillis) {
-        int rest = given;
-        for (PendingHint hint : List.copyOf(mPending)) {
-            Move move = hint.move();
-            int settled = Math.min(rest, move.count());
-            if (move.giver().equals(giver) && settled > 0) {
-                rest -= settled;
-                mPending.remove(hint);
-                Move transfer = new Move(giver, move.taker(), settled);
-                mInTransit.add(new PendingHint(transfer, nowMillis));
-                if (settled < move.count()) {
-                    Move open = new Move(giver, move.taker(), move.count() - settled);
-                    mPending.add(new PendingHint(open, hint.sentAtMillis()));
-                }
-            }
-        }
-    }
-
     void forgetSilent(Collection<String> answering, long nowMillis) {
         mDaemons.keySet().retainAll(answering);
         mDaemons.values().removeIf(d -> nowMillis - d.mReportedAtMillis > SILENT_MILLIS);
-        mPending.removeIf(hint -> nowMillis - hint.sentAtMillis() >= HINT_PENDING_MILLIS);
-        mInTransit.removeIf(hint -> nowMillis - hint.sentAtMillis() >= HINT_PENDING_MILLIS);
+        mPending.expire(nowMillis);
     }
 
     Set<String> daemons() {
@@ -151,8 +122,8 @@
                                         isSettled(daemon, held.get(daemon), need, nowMillis))));
         List<Move> moves = new ArrayList<>(TransferPlanner.plan(positions));
         // A second hint would replace the rest of the first one at the giver.
-        moves.removeIf(this::isPending);
-        moves.forEach(move -> mPending.add(new PendingHint(move, nowMillis)));
+        moves.removeIf(mPending::isOpen);
+        moves.forEach(move -> mPending.add(move, nowMillis));
         return moves;
     }
 
@@ -177,25 +148,10 @@
         return nowMillis - daemon.mNeededAtMillis >= SETTLE_MILLIS;
     }
 
-    private boolean isPending(Move move) {
-        return mPending.stream()
-                .map(PendingHint::move)
-                .anyMatch(
-                        hint ->
-                                hint.giver().equals(move.giver())
-                                        && hint.taker().equals(move.taker()));
-    }
-
     private Map<String, Integer> effectiveHoldings() {
         Map<String, Integer> held = new TreeMap<>();
         mDaemons.forEach((id, daemon) -> held.put(id, daemon.mHeld));
-        for (PendingHint hint : mInTransit) {
-            held.computeIfPresent(hint.move().taker(), (id, n) -> n + hint.move().count());
-        }
-        for (PendingHint hint : mPending) {
-            held.computeIfPresent(hint.move().giver(), (id, n) -> n - hint.move().count());
-            held.computeIfPresent(hint.move().taker(), (id, n) -> n + hint.move().count());
-        }
+        mPending.applyTo(held);
         return held;
     }
 
