Let simulated daemons report and coordinate as real ones do

Cause: the simulated fleet could not show the slow second after a move. Its daemons coordinated 300 ms after their reports, ticked at equal distances, did not serve daemons without rights at once, and had open load only.

Change: a simulated daemon reports and coordinates in one tick at a random phase, and serves daemons without rights every 50 ms, as EntryDaemon does. setClients adds closed load, and movedLimitUse repeats the move of LimitMeasurement in virtual time. A new property moves the load for 40 seeds and limits from 4 to 60; its bound is the target of 95%.

Ruled out: a simulated network that reorders or loses messages; the cause showed without it.

--- a/standins/src/main/java/org/marigoldturn/standins/measure/ShareMeasurement.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/ShareMeasurement.java
@@ -53,6 +53,16 @@
                         limitUse(limit, limit, coordinated, seed),
                         "percent_of_limit");
             }
+            for (int limit : new int[] {10, 40}) {
+                List<Double> use = movedLimitUse(limit, coordinated, seed);
+                for (int second = 0; second < use.size(); second++) {
+                    print(
+                            out,
+                            mode + ".limit_use.moved.limit_" + limit + ".second_" + (second + 1),
+                            use.get(second),
+                            "percent_of_limit");
+                }
+            }
             print(
                     out,
                     mode + ".limit_use.one_daemon.limit_4_of_100_minted",
@@ -115,15 +125,38 @@
         long sum = 0;
         for (int step = 0; step < 5 * STEPS_PER_SECOND; step++) {
             fleet.step();
-            int running = fleet.running("a");
-            if (running > limit) {
-                throw new IllegalStateException(running + " requests run at limit " + limit);
-            }
-            sum += running;
+            sum += checkedRunning(fleet, limit);
         }
         return 100.0 * sum / (5 * STEPS_PER_SECOND) / limit;
     }
 
+    /**
+     * Use of a team's limit in each of 10 s after all its load has moved from one of 5 daemons to
+     * another one, as {@link LimitMeasurement} does it with processes.
+     */
+    public static List<Double> movedLimitUse(int limit, boolean coordinated, long seed) {
+        List<TeamSettings> teams = List.of(team("a", 1, limit));
+        Setup setup = new Setup(5, 1, 12, teams, limit, RUN_MILLIS, coordinated);
+        SimulatedFleet fleet = new SimulatedFleet(setup, seed);
+        fleet.setClients(0, 0, "a", 2 * limit);
+        seconds(fleet, 10);
+        fleet.setClients(0, 0, "a", 0);
+        while (fleet.demand(0, "a") > 0) {
+            fleet.step();
+        }
+        fleet.setClients(2, 0, "a", 2 * limit);
+        List<Double> use = new ArrayList<>();
+        for (int second = 0; second < 10; second++) {
+            long sum = 0;
+            for (int step = 0; step < STEPS_PER_SECOND; step++) {
+                fleet.step();
+                sum += checkedRunning(fleet, limit);
+            }
+            use.add(100.0 * sum / STEPS_PER_SECOND / limit);
+        }
+        return use;
+    }
+
     /** Bytes a second and daemon with each pool in turn in a burst. */
     public static double bytesPerDaemonAndSecond(int daemons, int pools, int teams, long seed) {
         List<TeamSettings> all = new ArrayList<>();
@@ -149,6 +182,14 @@
         return (double) fleet.controlBytes() / seconds / daemons;
     }
 
+    private static int checkedRunning(SimulatedFleet fleet, int limit) {
+        int running = fleet.running("a");
+        if (running > limit) {
+            throw new IllegalStateException(running + " requests run at limit " + limit);
+        }
+        return running;
+    }
+
     private static void printBytes(PrintStream out, long seed) {
         int[][] sizes = {
             {3, 5, 6}, {6, 5, 6}, {9, 5, 6}, {9, 20, 6}, {9, 95, 6}, {9, 95, 51}, {18, 95, 51},
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.TreeMap;
+import org.marigoldturn.peer.wire.DemandReport;
 import org.marigoldturn.peer.wire.Envelope;
 import org.marigoldturn.rights.AddressedTotals;
 import org.marigoldturn.rights.Resources;
@@ -26,7 +27,6 @@
     private static final int QUEUE_CAPACITY = 1000;
     private static final int TICK_MILLIS = 1000;
     private static final int SERVE_MILLIS = 50;
-    private static final int COORDINATOR_OFFSET_MILLIS = 300;
 
     /** A request that has started. */
     record Start(String pool, String team, String host) {}
@@ -55,6 +55,7 @@
     private final EntitlementTable mEntitlements = new EntitlementTable();
     private final Map<String, Map<String, Work>> mPools = new TreeMap<>();
     private final Map<String, List<String>> mHosts = new TreeMap<>();
+    private boolean mStarvedReport;
 
     SimulatedDaemon(
             String id,
@@ -122,16 +123,10 @@
         }
         if (nowMillis % SERVE_MILLIS == 0) {
             sendTotals(mLedger.serveReservations(nowMillis));
+            serveStarved(nowMillis);
         }
         long phase = (nowMillis + mPhaseMillis) % TICK_MILLIS;
         if (phase == 0) {
-            mReporter
-                    .tick(demands(nowMillis), mMembers, nowMillis)
-                    .forEach(
-                            r ->
-                                    mNetwork.send(
-                                            r.receiver(),
-                                            Envelope.newBuilder().setDemandReport(r.report())));
             sendTotals(mLedger.unacknowledged(nowMillis));
             mLedger.acknowledgements()
                     .forEach(
@@ -139,15 +134,51 @@
                                     mNetwork.send(
                                             a.receiver(),
                                             Envelope.newBuilder().setRightsAck(a.totals())));
-        } else if (phase == COORDINATOR_OFFSET_MILLIS) {
+            report(nowMillis);
             sendDecisions(mCoordinator.tick(mState, mMembers, nowMillis));
         }
     }
 
+    private void serveStarved(long nowMillis) {
+        if (isStarved()) {
+            report(nowMillis);
+        }
+        if (mStarvedReport) {
+            mStarvedReport = false;
+            sendDecisions(mCoordinator.tick(mState, mMembers, nowMillis));
+        }
+    }
+
+    private boolean isStarved() {
+        return mPools.entrySet().stream()
+                .anyMatch(
+                        pool ->
+                                pool.getValue().entrySet().stream()
+                                        .anyMatch(
+                                                team ->
+                                                        team.getValue().mQueued > 0
+                                                                && lacksRights(
+                                                                        pool.getKey(),
+                                                                        team.getKey())));
+    }
+
+    private boolean lacksRights(String pool, String team) {
+        return mLedger.held(Resources.pool(pool)) == 0 || mLedger.held(Resources.team(team)) == 0;
+    }
+
+    private void report(long nowMillis) {
+        mReporter
+                .tick(demands(nowMillis), mMembers, nowMillis)
+                .forEach(
+                        r ->
+                                mNetwork.send(
+                                        r.receiver(),
+                                        Envelope.newBuilder().setDemandReport(r.report())));
+    }
+
     void onMessage(String sender, Envelope message, long nowMillis) {
         switch (message.getBodyCase()) {
-            case DEMAND_REPORT ->
-                    mCoordinator.onReport(sender, message.getDemandReport(), nowMillis);
+            case DEMAND_REPORT -> onReport(sender, message.getDemandReport(), nowMillis);
             case ENTITLEMENTS -> mEntitlements.onEntitlements(message.getEntitlements(), nowMillis);
             case TRANSFER_HINT -> sendTotals(mLedger.onHint(message.getTransferHint(), nowMillis));
             case RIGHTS_ACK -> mLedger.onAck(sender, message.getRightsAck());
@@ -156,6 +187,13 @@
         }
     }
 
+    private void onReport(String sender, DemandReport report, long nowMillis) {
+        mCoordinator.onReport(sender, report, nowMillis);
+        mStarvedReport |=
+                report.getHeld() == 0
+                        && report.getTeamsList().stream().anyMatch(team -> team.getQueued() > 0);
+    }
+
     private Optional<Start> startOne(String pool, Map<String, Work> teams) {
         Optional<String> team =
                 teams.keySet().stream()
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -67,6 +68,7 @@
     private final Deque<Message> mMessages = new ArrayDeque<>();
     private final PriorityQueue<Running> mRunning =
             new PriorityQueue<>(Comparator.comparingLong(Running::endMillis));
+    private final Map<Flow, Integer> mClients = new LinkedHashMap<>();
     private long mNowMillis;
     private long mControlBytes;
 
@@ -77,7 +79,7 @@
         VersionedState state = state(setup);
         for (int i = 0; i < setup.daemons(); i++) {
             String id = daemonId(i);
-            int phase = i * 1000 / setup.daemons() / STEP_MILLIS * STEP_MILLIS;
+            int phase = mRandom.nextInt(1000 / STEP_MILLIS) * STEP_MILLIS;
             mDaemons.put(
                     id,
                     new SimulatedDaemon(
@@ -102,6 +104,14 @@
         }
     }
 
+    /**
+     * Sets the number of clients of one team in one pool at one daemon, each of which sends its
+     * next request when the previous one has ended.
+     */
+    public void setClients(int daemon, int pool, String team, int clients) {
+        mClients.put(new Flow(daemon, pool(pool), team), clients);
+    }
+
     /** Advances virtual time by one step. */
     public void step() {
         mNowMillis += STEP_MILLIS;
@@ -115,6 +125,12 @@
                 mDaemons.get(daemonId(flow.daemon())).arrive(flow.pool(), flow.team(), arrivals);
             }
         }
+        mClients.forEach(
+                (flow, clients) -> {
+                    SimulatedDaemon daemon = mDaemons.get(daemonId(flow.daemon()));
+                    int pending = daemon.demand(flow.pool(), flow.team());
+                    daemon.arrive(flow.pool(), flow.team(), Math.max(0, clients - pending));
+                });
         while (!mMessages.isEmpty() && mMessages.peek().dueMillis() <= mNowMillis) {
             Message message = mMessages.poll();
             mDaemons.get(message.receiver())
--- a/standins/src/test/java/org/marigoldturn/standins/measure/ShareConvergenceProperties.java
+++ b/standins/src/test/java/org/marigoldturn/standins/measure/ShareConvergenceProperties.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.marigoldturn.settings.TeamSettings;
 import org.marigoldturn.standins.measure.SimulatedFleet.Setup;
 
@@ -33,6 +34,18 @@
         assertThat(ShareMeasurement.limitUse(1, 100, true, 7)).isGreaterThan(95);
     }
 
+    /**
+     * Rights that stayed where the load had been kept the use at 78% for the rest of a burst: a
+     * daemon did not report that it had given its last right, and rights reported by their taker
+     * first were counted twice. The phases of the daemons depend on the seed.
+     */
+    @Property(tries = 40, seed = "4720")
+    void limitIsUsableWhereTheLoadHasMovedTo(
+            @ForAll long seed, @ForAll @IntRange(min = 4, max = 60) int limit) {
+        List<Double> use = ShareMeasurement.movedLimitUse(limit, true, seed);
+        assertThat(use.subList(5, 10)).allMatch(u -> u >= 95);
+    }
+
     /** Random demand: limits hold at each step and the pool is not left idle in the end. */
     @Property(tries = 8, seed = "4718")
     void convergesFromRandomDemand(@ForAll long seed) {
