Count rights that arrived before those that were given

Cause: a daemon often receives and gives rights between two reports, and the coordinator attributed only the difference to its hints. A daemon that had received 3 and given 4 counted as having given 1, so its holding was taken for too low. In a trace of a burst one daemon got 12 rights that it had no need for and kept 11 too many for 2 s while others were 6 or 7 short, with correct entitlements at all daemons from the second second on.

Change: what the givers have reported before is taken out of the change of a holding first; the rest is attributed to the other side.

Ruled out: late or wrong entitlements (their sums equal the allocation from second 3), reports that come too late, and the rotation of small parts.

--- a/core/src/main/java/org/marigoldturn/shares/PendingTransfers.java
+++ b/core/src/main/java/org/marigoldturn/shares/PendingTransfers.java
@@ -43,25 +43,36 @@
 
     /** Takes over a report that changes the holding of a daemon by the given number of rights. */
     void onReport(String daemon, int change, long nowMillis) {
-        int given = Math.max(0, -change);
-        int received = Math.max(0, change);
+        // A daemon may have given and received since its last report, so what has certainly
+        // arrived is taken out of the change before the rest of it is attributed.
+        int rest = change - settleArrived(daemon);
         for (Transfer transfer : mTransfers) {
-            if (transfer.mMove.giver().equals(daemon)) {
-                int settled = Math.min(given, transfer.mToGive);
-                given -= settled;
-                transfer.mToGive -= settled;
-                transfer.mSettledAtMillis = settled > 0 ? nowMillis : transfer.mSettledAtMillis;
-            } else if (transfer.mMove.taker().equals(daemon)) {
-                // What the giver has reported as given arrived before this report.
-                int arrived = Math.max(0, transfer.mToReceive - transfer.mToGive);
-                int settled = Math.max(arrived, Math.min(received, transfer.mToReceive));
-                received -= Math.min(received, settled);
-                transfer.mToReceive -= settled;
+            if (rest < 0 && transfer.mMove.giver().equals(daemon)) {
+                int given = Math.min(-rest, transfer.mToGive);
+                rest += given;
+                transfer.mToGive -= given;
+                transfer.mSettledAtMillis = given > 0 ? nowMillis : transfer.mSettledAtMillis;
+            } else if (rest > 0 && transfer.mMove.taker().equals(daemon)) {
+                int received = Math.min(rest, transfer.mToReceive);
+                rest -= received;
+                transfer.mToReceive -= received;
             }
         }
         mTransfers.removeIf(transfer -> transfer.mToGive == 0 && transfer.mToReceive == 0);
     }
 
+    /** Settles and returns the rights that their givers had reported as given before. */
+    private int settleArrived(String taker) {
+        int arrived = 0;
+        for (Transfer transfer : mTransfers) {
+            if (transfer.mMove.taker().equals(taker) && transfer.mToReceive > transfer.mToGive) {
+                arrived += transfer.mToReceive - transfer.mToGive;
+                transfer.mToReceive = transfer.mToGive;
+            }
+        }
+        return arrived;
+    }
+
     void expire(long nowMillis) {
         mTransfers.removeIf(t -> nowMillis - t.mSettledAtMillis >= PENDING_MILLIS);
     }
--- a/core/src/test/java/org/marigoldturn/shares/PendingTransfersTest.java
+++ b/core/src/test/java/org/marigoldturn/shares/PendingTransfersTest.java
@@ -37,6 +37,17 @@
         assertThat(after(24, 16)).isEqualTo(Map.of("a", 24, "b", 16));
     }
 
+    /** The change of a holding is the difference of what was received and given. */
+    @Example
+    void holdingsAreCorrectWhenADaemonReceivesAndGivesBetweenReports() {
+        mPending.add(new Move("c", "a", 3), 0);
+        mPending.onReport("c", -3, 100);
+        mPending.add(MOVE, 200);
+        mPending.onReport("a", 3 - 16, 300);
+        assertThat(after(27, 0)).isEqualTo(Map.of("a", 27, "b", 16));
+        assertThat(mPending.isOpen(MOVE)).isFalse();
+    }
+
     /** Rights in use are given one after another as their requests end. */
     @Example
     void partOfATransferStaysOpen() {
--- a/standins/src/test/java/org/marigoldturn/standins/measure/ShareConvergenceProperties.java
+++ b/standins/src/test/java/org/marigoldturn/standins/measure/ShareConvergenceProperties.java
@@ -19,10 +19,11 @@
         assertThat(ShareMeasurement.stepErrors(true, seed).subList(5, 10)).allMatch(e -> e < 2);
     }
 
-    @Property(tries = 2, seed = "4717")
+    /** Rights that a coordinator lost track of made daemons hold more than their part. */
+    @Property(tries = 6, seed = "4717")
     void burstsOfFiveTimesTheMeanAreSharedWithinTheBurst(@ForAll long seed) {
         List<Double> errors = ShareMeasurement.burstErrors(true, seed);
-        assertThat(errors.get(5)).isLessThan(2);
+        assertThat(errors.subList(4, 6)).allMatch(e -> e < 2);
     }
 
     @Example
