Decide which ejections of other daemons to believe

Cause: a daemon learns of a faulty host only by failures of its own requests, and an ejected host does not count in availability budgets. HostHealth takes suspect hosts out of use within the limit of 30% that own ejections share and returns them by a trial, by a success, when the reports end, or after 60 s. Own ejections displace suspects, and stronger reports displace weaker ones. Ruled out: an ejection at the first report, because one daemon with a broken path would empty hosts for all; reports without expiry.

--- a/core/src/main/java/org/marigoldturn/routing/HostHealth.java
+++ b/core/src/main/java/org/marigoldturn/routing/HostHealth.java
@@ -3,14 +3,20 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 
 /**
- * Health of the hosts of one pool, judged by the outcomes of this daemon's requests.
+ * Health of the hosts of one pool, judged by the outcomes of this daemon's requests and by the
+ * ejections that other daemons report.
  *
- * <p>Invariant: at most {@link #MAX_EJECTED_PERCENT} of the pool's hosts are ejected. Thread safe;
- * the present time is an argument.
+ * <p>Invariant: at most {@link #MAX_EJECTED_PERCENT} of the pool's hosts are out of use, own and
+ * reported ejections together. Own outcomes outweigh reports: a success contradicts them, and an
+ * own ejection takes the place of a reported one when the limit is reached. Thread safe; the
+ * present time is an argument.
  */
 public final class HostHealth {
     /** Beyond this part a common cause is more likely than many faulty hosts. */
@@ -47,6 +53,9 @@
             record.forgetOutcomes();
         }
         record.add(true, nowNanos);
+        if (record.mSuspect && record.mostlySucceeds(nowNanos)) {
+            clearSuspicion(record);
+        }
         boolean recovered = !record.mEjected && record.outcomes(nowNanos) >= MIN_OUTCOMES;
         if (recovered && record.failures(nowNanos) == 0) {
             record.mEjections = 0;
@@ -65,7 +74,7 @@
         if (record.mEjected || !failsTooOften(record, nowNanos)) {
             return false;
         }
-        if ((ejected() + 1) * 100 > poolHosts * MAX_EJECTED_PERCENT) {
+        if (!record.mSuspect && !hasPlace(poolHosts) && !releaseSuspect()) {
             return false;
         }
         eject(record, nowNanos);
@@ -75,7 +84,7 @@
     /** Returns what the host may be used for. */
     public synchronized HostVerdict verdict(String host, long nowNanos) {
         HostRecord record = mRecords.get(host);
-        if (record == null || !record.mEjected) {
+        if (record == null || !record.isOutOfUse()) {
             return HostVerdict.USABLE;
         }
         boolean due = nowNanos - record.mEjectedUntilNanos >= 0 && !record.mTrialRunning;
@@ -102,6 +111,68 @@
         return record == null ? 0 : record.failures(nowNanos);
     }
 
+    /**
+     * Takes hosts out of use that other daemons have ejected, within the limit of the pool.
+     *
+     * <p>A suspect host returns by a trial request, by any success, when the reports end, and after
+     * {@link #MAX_EJECTION_NANOS} at the latest, so that a wrong report cannot keep it out of use
+     * where no request can serve as a trial.
+     *
+     * @param suspects all suspect hosts of the pool, those with the most evidence first
+     */
+    public synchronized void adoptSuspects(List<String> suspects, int poolHosts, long nowNanos) {
+        Set<String> reported = new HashSet<>(suspects);
+        mRecords.forEach(
+                (host, record) -> {
+                    if (!reported.contains(host)) {
+                        endSuspicion(record);
+                        record.mSuspicionCleared = false;
+                    } else if (record.mSuspect
+                            && nowNanos - record.mSuspectedSinceNanos >= MAX_EJECTION_NANOS) {
+                        clearSuspicion(record);
+                    }
+                });
+        for (int i = 0; i < suspects.size(); i++) {
+            HostRecord record = record(suspects.get(i));
+            boolean contradicted = record.mSuspicionCleared || record.mostlySucceeds(nowNanos);
+            if (!record.isOutOfUse()
+                    && !contradicted
+                    && (hasPlace(poolHosts) || releaseWeaker(suspects, i))) {
+                record.mSuspect = true;
+                record.mSuspectedSinceNanos = nowNanos;
+                record.mOutcomesBefore = record.outcomes(nowNanos);
+                record.mEjectedUntilNanos = nowNanos + withJitter(FIRST_EJECTION_NANOS);
+            }
+        }
+    }
+
+    /** Returns what this daemon reports about a host to the others. */
+    public synchronized HostHealthReport report(String host, long nowNanos) {
+        HostRecord record = mRecords.get(host);
+        if (record == null) {
+            return new HostHealthReport(host, false, 0);
+        }
+        int outcomes = record.isOutOfUse() ? record.mOutcomesBefore : record.outcomes(nowNanos);
+        return new HostHealthReport(host, record.mEjected, outcomes);
+    }
+
+    /** Returns the hosts that are ejected by the outcomes of this daemon. */
+    public synchronized Set<String> ejectedHosts() {
+        Set<String> hosts = new TreeSet<>();
+        mRecords.forEach(
+                (host, record) -> {
+                    if (record.mEjected) {
+                        hosts.add(host);
+                    }
+                });
+        return hosts;
+    }
+
+    /** Returns the number of hosts that are ejected or suspect. */
+    public synchronized int outOfUse() {
+        return (int) mRecords.values().stream().filter(HostRecord::isOutOfUse).count();
+    }
+
     /** Returns the number of ejected hosts. */
     public synchronized int ejected() {
         return (int) mRecords.values().stream().filter(record -> record.mEjected).count();
@@ -120,9 +191,55 @@
                 Math.min(
                         MAX_EJECTION_NANOS, FIRST_EJECTION_NANOS << Math.min(4, record.mEjections));
         record.mEjections++;
+        if (!record.isOutOfUse()) {
+            record.mOutcomesBefore = record.outcomes(nowNanos);
+        }
         record.mEjected = true;
-        long jitter = (long) (duration * JITTER * mRandom.nextDouble());
-        record.mEjectedUntilNanos = nowNanos + Math.min(MAX_EJECTION_NANOS, duration + jitter);
+        record.mSuspect = false;
+        record.mEjectedUntilNanos = nowNanos + Math.min(MAX_EJECTION_NANOS, withJitter(duration));
+    }
+
+    private long withJitter(long durationNanos) {
+        return durationNanos + (long) (durationNanos * JITTER * mRandom.nextDouble());
+    }
+
+    private boolean hasPlace(int poolHosts) {
+        return (outOfUse() + 1) * 100 <= poolHosts * MAX_EJECTED_PERCENT;
+    }
+
+    /** Puts the suspect host with the least evidence after the given one back in use. */
+    private boolean releaseWeaker(List<String> suspects, int index) {
+        for (int i = suspects.size() - 1; i > index; i--) {
+            HostRecord record = record(suspects.get(i));
+            if (record.mSuspect) {
+                endSuspicion(record);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Puts one suspect host back in use, so that an own ejection can take its place. */
+    private boolean releaseSuspect() {
+        for (HostRecord record : mRecords.values()) {
+            if (record.mSuspect) {
+                clearSuspicion(record);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static void clearSuspicion(HostRecord record) {
+        endSuspicion(record);
+        record.mSuspicionCleared = true;
+    }
+
+    private static void endSuspicion(HostRecord record) {
+        if (record.mSuspect) {
+            record.mSuspect = false;
+            record.mTrialRunning = false;
+        }
     }
 
     private HostRecord record(String host) {
--- a/core/src/main/java/org/marigoldturn/routing/HostRecord.java
+++ b/core/src/main/java/org/marigoldturn/routing/HostRecord.java
@@ -15,6 +15,18 @@
 
     boolean mEjected;
     boolean mTrialRunning;
+
+    /** Whether the host is out of use because of reports of other daemons. */
+    boolean mSuspect;
+
+    /** Whether own requests have contradicted the reports, until these end. */
+    boolean mSuspicionCleared;
+
+    long mSuspectedSinceNanos;
+
+    /** Outcomes of the last 10 s before the host went out of use. */
+    int mOutcomesBefore;
+
     long mEjectedUntilNanos;
     int mEjections;
 
@@ -42,6 +54,16 @@
         return failures(nowNanos) + Arrays.stream(mSuccesses).sum();
     }
 
+    /** Returns whether most of the latest outcomes were successes; false without any. */
+    boolean mostlySucceeds(long nowNanos) {
+        int outcomes = outcomes(nowNanos);
+        return outcomes > 0 && failures(nowNanos) * 2 < outcomes;
+    }
+
+    boolean isOutOfUse() {
+        return mEjected || mSuspect;
+    }
+
     void forgetOutcomes() {
         Arrays.fill(mSuccesses, 0);
         Arrays.fill(mFailures, 0);
