--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.marigoldturn.entry.DemandTimer;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
@@ -53,6 +54,8 @@
     private final String mId;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlLoop mControl = new ControlLoop();
+    private final DemandTimer mWaiting =
+            mControl.whileNeeded(FAST_INTERVAL_MILLIS, this::serveWaiting, this::hasWaiting);
     private final StatePublisher mPublisher = new StatePublisher();
     private final KeyValueStore mStore;
     private final SettingsRepository mRepository;
@@ -108,7 +111,7 @@
         mController = controller();
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
-        mEntry = new EntryServer(entryDependencies(entitlements));
+        mEntry = new EntryServer(entryDependencies(entitlements), mWaiting::arm);
         mRights = rightsService();
         mShares =
                 new ShareService(
@@ -119,7 +122,8 @@
                         mEntry.callers()::demand,
                         System::currentTimeMillis,
                         new SlotRenewal(
-                                mPublisher, mRepository, mControl, System::currentTimeMillis));
+                                mPublisher, mRepository, mControl, System::currentTimeMillis),
+                        mWaiting::arm);
         mHosts = hostListService();
         mStatus = statusService();
         mPlannerRole = role("planner");
@@ -186,6 +190,12 @@
         mMembership.connect(mController);
         mPublisher.setAdopter(mController::adopt);
         mPublisher.addListener((previous, state) -> mLedger.adopt(state));
+        DemandTimer claimHandover =
+                mControl.whileNeeded(
+                        CLAIM_HANDOVER_INTERVAL_MILLIS,
+                        mClaims::handOverToJoined,
+                        mClaimTable::hasJoiners);
+        mPublisher.addListener((previous, state) -> claimHandover.arm());
         mPublisher.addListener(
                 (previous, state) -> mControl.execute(() -> mEntry.callers().wake()));
         mController.attach(mNetwork, mNetwork);
@@ -205,12 +215,6 @@
         mControl.execute(mSync::load);
         mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
         mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mController::tick);
-        mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
-        mControl.every(
-                "starved",
-                FAST_INTERVAL_MILLIS,
-                () -> mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering));
-        mControl.every("claims", CLAIM_HANDOVER_INTERVAL_MILLIS, mClaims::handOverToJoined);
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
@@ -225,6 +229,17 @@
         mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
     }
 
+    private void serveWaiting() {
+        mRights.serveReservations();
+        mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering);
+    }
+
+    private boolean hasWaiting() {
+        return mRights.hasReservations()
+                || mShares.hasStarvedReport()
+                || mEntry.callers().hasQueued();
+    }
+
     private void tickRoles() {
         long nowNanos = System.nanoTime();
         mPlannerRole.tick(nowNanos);
@@ -254,7 +269,8 @@
                 mRepository,
                 mControl,
                 System::currentTimeMillis,
-                () -> mEntry.callers().wake());
+                () -> mEntry.callers().wake(),
+                mWaiting::arm);
     }
 
     private HostListService hostListService() {
