--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -46,6 +46,7 @@
     private static final int DECISION_LOG_CAPACITY = 10_000;
     private static final long FAST_INTERVAL_MILLIS = 50;
     private static final long CONFIRM_INTERVAL_MILLIS = 500;
+    private static final long CLAIM_HANDOVER_INTERVAL_MILLIS = 100;
     private static final long SHARE_INTERVAL_MILLIS = 1_000;
     private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
 
@@ -120,6 +121,8 @@
                         mPublisher,
                         mEntry.callers()::demand,
                         System::currentTimeMillis,
+                        new SlotRenewal(
+                                mPublisher, mRepository, mControl, System::currentTimeMillis),
                         mWaiting::arm);
         mHosts = hostListService();
         mStatus = statusService();
@@ -141,7 +144,7 @@
                         mId,
                         mConfig.zone(),
                         mConfig.address(),
-                        peerPort,
+                        mConfig.advertisedPeerPort() == 0 ? peerPort : mConfig.advertisedPeerPort(),
                         mOperatorServer.activeLocalPort(),
                         System.currentTimeMillis());
         mControl.execute(() -> mController.join(self));
@@ -160,8 +163,8 @@
         }
         mPlannerRole.release();
         mRightsRole.release();
-        mCallerServer.stop().join();
-        mOperatorServer.stop().join();
+        // Each server takes about 2 s to end its threads.
+        CompletableFuture.allOf(mCallerServer.stop(), mOperatorServer.stop()).join();
         mEntry.close();
         mControl.close();
         mDirectory.close();
@@ -187,6 +190,12 @@
         mMembership.connect(mController);
         mPublisher.setAdopter(mController::adopt);
         mPublisher.addListener((previous, state) -> mLedger.adopt(state));
+        DemandTimer claimHandover =
+                mControl.whileNeeded(
+                        CLAIM_HANDOVER_INTERVAL_MILLIS,
+                        mClaims::handOverToJoined,
+                        mClaimTable::hasJoiners);
+        mPublisher.addListener((previous, state) -> claimHandover.arm());
         mPublisher.addListener(
                 (previous, state) -> mControl.execute(() -> mEntry.callers().wake()));
         mController.attach(mNetwork, mNetwork);
--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -33,6 +33,7 @@
     private final StatePublisher mPublisher;
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
+    private final SlotRenewal mSlotRenewal;
     private final Runnable mOnStarved;
     private boolean mStarvedReport;
 
@@ -43,6 +44,7 @@
             StatePublisher publisher,
             Supplier<Map<String, Map<String, TeamDemandSnapshot>>> demand,
             LongSupplier nowMillis,
+            SlotRenewal slotRenewal,
             Runnable onStarved) {
         mLedger = ledger;
         mEntitlements = entitlements;
@@ -51,6 +53,7 @@
         mPublisher = publisher;
         mDemand = demand;
         mNowMillis = nowMillis;
+        mSlotRenewal = slotRenewal;
         mOnStarved = onStarved;
     }
 
@@ -97,7 +100,7 @@
         mEntitlements.expire(nowMillis);
     }
 
-    /** Sends entitlements and hints; called every second. */
+    /** Sends entitlements and hints, and has lost slots divided anew; called every second. */
     void coordinate(Collection<String> answering) {
         CoordinatorOutput output =
                 mCoordinator.tick(mPublisher.state(), answering, mNowMillis.getAsLong());
@@ -113,6 +116,7 @@
                                 mPeers.send(
                                         h.receiver(),
                                         Envelope.newBuilder().setTransferHint(h.hint())));
+        mSlotRenewal.renew(output.lostPools(), answering);
     }
 
     private Map<String, ResourceDemand> demands(long nowMillis) {
