--- a/core/src/test/java/org/marigoldturn/daemon/HostListServiceTest.java
+++ b/core/src/test/java/org/marigoldturn/daemon/HostListServiceTest.java
@@ -148,13 +148,7 @@
             OptionalLong since, HostPresence presence, List<HostUsage> usage) {
         long revision = since.orElse(1);
         return new HostListAnswer(
-                "i",
-                since,
-                revision,
-                Map.of(presence, 1),
-                Map.of("h1", presence),
-                Set.of(),
-                usage);
+                "i", since, revision, Map.of(presence, 1), Map.of("h1", presence), Set.of(), usage);
     }
 
     private void complete(int query, HostListAnswer answer) {
