Run a waiting timer at once when it was idle

Cause: the first run of a DemandTimer was a whole interval after the work appeared, against half an interval on average with the timers that always ran.

Change: the first run is at once if the last one is an interval ago, else an interval after that one. Runs are as far apart as before.

Not measured again: requests/s with 95 pools, on a quieter machine.

--- a/core/src/main/java/org/marigoldturn/entry/DemandTimer.java
+++ b/core/src/main/java/org/marigoldturn/entry/DemandTimer.java
@@ -8,21 +8,24 @@
 
 /**
  * Runs a task at an interval only while there is something to do, so that an idle daemon is not
- * woken. Whoever creates something to do calls {@link #arm} after it. Thread safe.
+ * woken. Whoever creates something to do calls {@link #arm} after it. The task runs at once if its
+ * last run is an interval ago, so nothing waits longer than with a timer that always runs. Thread
+ * safe.
  */
 public final class DemandTimer implements AutoCloseable {
     private final ScheduledExecutorService mExecutor;
-    private final long mIntervalMillis;
+    private final long mIntervalNanos;
     private final Runnable mTask;
     private final BooleanSupplier mNeeded;
     private final AtomicBoolean mArmed = new AtomicBoolean();
     private volatile boolean mClosed;
+    private volatile long mEarliestNanos = System.nanoTime();
 
     /**
      * Creates a timer that is not armed.
      *
      * @param executor runs the task
-     * @param intervalMillis time from {@link #arm} or the end of a run to the next run
+     * @param intervalMillis shortest time from the end of a run to the next run
      * @param needed whether there is something to do; called on any thread
      */
     public DemandTimer(
@@ -31,7 +34,7 @@
             Runnable task,
             BooleanSupplier needed) {
         mExecutor = executor;
-        mIntervalMillis = intervalMillis;
+        mIntervalNanos = TimeUnit.MILLISECONDS.toNanos(intervalMillis);
         mTask = task;
         mNeeded = needed;
     }
@@ -39,7 +42,7 @@
     /** Makes the task run until nothing is left to do. Cheap if it is armed already. */
     public void arm() {
         if (!mArmed.get() && mArmed.compareAndSet(false, true)) {
-            schedule();
+            schedule(Math.max(0, mEarliestNanos - System.nanoTime()));
         }
     }
 
@@ -48,9 +51,9 @@
         mClosed = true;
     }
 
-    private void schedule() {
+    private void schedule(long delayNanos) {
         if (!mClosed) {
-            var unused = mExecutor.schedule(this::run, mIntervalMillis, TimeUnit.MILLISECONDS);
+            var unused = mExecutor.schedule(this::run, delayNanos, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -63,8 +66,9 @@
         } catch (RuntimeException e) {
             Logger.error(e, "control: task of a timer failed.");
         }
+        mEarliestNanos = System.nanoTime() + mIntervalNanos;
         if (mNeeded.getAsBoolean()) {
-            schedule();
+            schedule(mIntervalNanos);
             return;
         }
         mArmed.set(false);
--- a/core/src/test/java/org/marigoldturn/entry/DemandTimerTest.java
+++ b/core/src/test/java/org/marigoldturn/entry/DemandTimerTest.java
@@ -75,6 +75,26 @@
         assertThat(runs).hasValue(3);
     }
 
+    /** Guards against work that waits for a whole interval, and against runs without any pause. */
+    @Example
+    void firstRunIsAtOnceAndTheNextAfterTheInterval()
+            throws InterruptedException, ExecutionException {
+        DemandTimer timer =
+                new DemandTimer(
+                        mExecutor,
+                        TimeUnit.HOURS.toMillis(1),
+                        () -> mWaiting.set(0),
+                        () -> mWaiting.get() > 0);
+        mWaiting.set(1);
+        timer.arm();
+        awaitStop(() -> mWaiting.get() == 0);
+        mWaiting.set(1);
+        timer.arm();
+        mExecutor.submit(() -> {}).get();
+        assertThat(mWaiting).hasValue(1);
+        assertThat(mExecutor.getQueue()).hasSize(1);
+    }
+
     /** Waits until the condition holds, and checks that the timer has stopped then. */
     private void awaitStop(BooleanSupplier condition)
             throws InterruptedException, ExecutionException {
