Serve and call over TLS with real daemons

Cause: `tls` of a daemon had never been run. The command line had no way to trust a certificate of its own authority, and neither had daemons towards targets of the protocols h1 and h2. A wrong file ended the start with exit code 1 and a class name instead of 10 and the setting.

Change: - TlsFiles reads certificates and keys before anything else is started; each error is one line that names the setting and the file. A TLS failure names its last cause. - `targetCaFile` of a daemon names those by which targets are trusted. - Errors of the configuration file name the setting instead of a Java type and never repeat a value, which may be a token.

Ruled out: an option that skips verification; trusting the operator CA for targets as well, which are other parties.

--- a/core/src/main/java/org/marigoldturn/cli/CommandOptions.java
+++ b/core/src/main/java/org/marigoldturn/cli/CommandOptions.java
@@ -8,6 +8,7 @@
 final class CommandOptions {
     static final String OPERATOR = "operator";
     static final String TOKEN = "token";
+    static final String CA = "ca";
     static final String JSON = "json";
     static final String YES = "yes";
     static final String HELP = "help";
@@ -22,7 +23,7 @@
 
     /** Options that every command accepts. */
     static final Set<String> COMMON =
-            Set.of(OPERATOR, TOKEN, JSON, YES, HELP, CHANGE_ID, IF_VERSION, AUTHOR);
+            Set.of(OPERATOR, TOKEN, CA, JSON, YES, HELP, CHANGE_ID, IF_VERSION, AUTHOR);
 
     private CommandOptions() {}
 
@@ -30,6 +31,7 @@
         return new Options()
                 .addOption(option(OPERATOR, "URI", "operator port of a daemon; may be repeated"))
                 .addOption(option(TOKEN, "TOKEN", "operator token"))
+                .addOption(option(CA, "FILE", "certificates by which daemons are trusted, PEM"))
                 .addOption(option(CHANGE_ID, "ID", "id of the change, for safe repetition"))
                 .addOption(option(IF_VERSION, "VERSION", "change only this settings version"))
                 .addOption(option(AUTHOR, "NAME", "author that the history names"))
--- a/core/src/main/java/org/marigoldturn/cli/EntryCommands.java
+++ b/core/src/main/java/org/marigoldturn/cli/EntryCommands.java
@@ -27,7 +27,7 @@
 
     private static ExitCode run(Invocation invocation) {
         EntryConfig config = read(Path.of(invocation.requiredOption(CommandOptions.CONFIG)));
-        EntryDaemon daemon = new EntryDaemon(config);
+        EntryDaemon daemon = create(config);
         try {
             daemon.start();
         } catch (RuntimeException e) {
@@ -39,6 +39,19 @@
         return ExitCode.OK;
     }
 
+    /** Also the library's own errors about TLS and addresses are errors of the configuration. */
+    private static EntryDaemon create(EntryConfig config) {
+        try {
+            return new EntryDaemon(config);
+        } catch (ConfigException e) {
+            throw new CommandException(ExitCode.START_FAILED, e.getMessage());
+        } catch (IllegalArgumentException | IllegalStateException e) {
+            String setting = config.tls() == null ? "" : "tls: ";
+            String reason = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new CommandException(ExitCode.START_FAILED, setting + reason);
+        }
+    }
+
     private static EntryConfig read(Path file) {
         try {
             return EntryConfig.read(file);
--- a/core/src/main/java/org/marigoldturn/cli/Invocation.java
+++ b/core/src/main/java/org/marigoldturn/cli/Invocation.java
@@ -9,12 +9,15 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.security.cert.X509Certificate;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import org.apache.commons.cli.CommandLine;
+import org.marigoldturn.daemon.ConfigException;
+import org.marigoldturn.daemon.TlsFiles;
 
 /** One run of a command: its arguments, options, output and client. */
 final class Invocation {
@@ -67,7 +70,7 @@
 
     /** Returns a client that tries all daemons of the options or of the environment. */
     OperatorClient client() {
-        return new OperatorClient(uris(), headers());
+        return new OperatorClient(uris(), headers(), trusted());
     }
 
     /** Reads a file that an argument names. */
@@ -154,6 +157,17 @@
         return uris;
     }
 
+    private List<X509Certificate> trusted() {
+        String file = option(CommandOptions.CA, mTerminal.environment().get("MARIGOLDTURN_CA"));
+        try {
+            return file == null
+                    ? List.of()
+                    : TlsFiles.certificates("--ca or MARIGOLDTURN_CA", Path.of(file));
+        } catch (ConfigException e) {
+            throw new CommandException(ExitCode.FAILED, e.getMessage());
+        }
+    }
+
     private Map<String, String> headers() {
         String token =
                 option(CommandOptions.TOKEN, mTerminal.environment().get("MARIGOLDTURN_TOKEN"));
--- a/core/src/main/java/org/marigoldturn/cli/OperatorClient.java
+++ b/core/src/main/java/org/marigoldturn/cli/OperatorClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -11,6 +12,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.security.cert.X509Certificate;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import javax.net.ssl.SSLException;
 
 /**
  * Calls the first daemon that answers. Every attempt carries the same headers, and with them the
@@ -31,10 +34,25 @@
 
     private final List<String> mUris;
     private final Map<String, String> mHeaders;
+    private final ClientFactory mFactory;
 
-    OperatorClient(List<String> uris, Map<String, String> headers) {
+    /**
+     * @param trusted certificates by which daemons are trusted; empty for those of the runtime
+     */
+    OperatorClient(List<String> uris, Map<String, String> headers, List<X509Certificate> trusted) {
+        this(uris, headers, factory(trusted));
+    }
+
+    private OperatorClient(List<String> uris, Map<String, String> headers, ClientFactory factory) {
         mUris = List.copyOf(uris);
         mHeaders = Map.copyOf(headers);
+        mFactory = factory;
+    }
+
+    private static ClientFactory factory(List<X509Certificate> trusted) {
+        return trusted.isEmpty()
+                ? ClientFactory.ofDefault()
+                : ClientFactory.builder().tlsCustomizer(tls -> tls.trustManager(trusted)).build();
     }
 
     /**
@@ -59,7 +77,7 @@
         if (!mHeaders.containsKey("if-version")) {
             Map<String, String> headers = new HashMap<>(mHeaders);
             headers.put("if-version", Long.toString(version));
-            fenced = new OperatorClient(mUris, headers);
+            fenced = new OperatorClient(mUris, headers, mFactory);
         }
         return fenced.send(method, path, body);
     }
@@ -88,8 +106,7 @@
                 }
                 last = answer;
             } catch (CompletionException | IllegalArgumentException e) {
-                Throwable cause = e.getCause() == null ? e : e.getCause();
-                failures.add(uri + ": " + firstLine(cause));
+                failures.add(uri + ": " + reason(e));
             }
         }
         if (last != null) {
@@ -117,6 +134,7 @@
         mHeaders.forEach(headers::set);
         AggregatedHttpResponse response =
                 WebClient.builder(uri)
+                        .factory(mFactory)
                         .responseTimeout(RESPONSE_TIMEOUT)
                         .build()
                         .execute(HttpRequest.of(headers.build(), HttpData.wrap(body)))
@@ -142,6 +160,19 @@
                 ExitCode.ofStatus(answer.status()), ProblemText.of(answer.body(), ""));
     }
 
+    /** The message of a TLS failure names the library; its last cause names the reason. */
+    private static String reason(RuntimeException failure) {
+        boolean tls = false;
+        Throwable last = failure;
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            tls |= cause instanceof SSLException;
+            last = cause;
+        }
+        return tls
+                ? "TLS failed, " + firstLine(last) + "; --ca names trusted certificates"
+                : firstLine(failure.getCause() == null ? failure : failure.getCause());
+    }
+
     private static String firstLine(Throwable failure) {
         return String.valueOf(failure.getMessage()).lines().findFirst().orElse("no answer");
     }
--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -2,12 +2,17 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.exc.ValueInstantiationException;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.stream.Collectors;
 
 /**
  * Start configuration of one entry daemon. Immutable.
@@ -26,6 +31,7 @@
  * @param peerToken secret that the daemons share
  * @param tls certificate for the ports of callers and operators
  * @param plaintext true to serve without TLS
+ * @param targetCaFile certificates by which targets are trusted; null for those of the runtime
  * @param maxConnections largest number of open caller connections
  * @param drainDelayMillis time from failing readiness to refusing requests in a shutdown
  * @param plannerIntervalMillis time between two steps of the planner
@@ -45,6 +51,7 @@
         String peerToken,
         TlsConfig tls,
         boolean plaintext,
+        Path targetCaFile,
         int maxConnections,
         long drainDelayMillis,
         long plannerIntervalMillis) {
@@ -80,7 +87,7 @@
             throw new IllegalArgumentException("storeEndpoint is missing");
         }
         if ((tls == null) != plaintext) {
-            throw new IllegalArgumentException("give either tls or plaintext: true");
+            throw new IllegalArgumentException("give exactly one of tls and plaintext: true");
         }
         storePrefix = storePrefix == null ? DEFAULT_PREFIX : storePrefix;
         storeTimeoutMillis =
@@ -102,16 +109,34 @@
     public static EntryConfig read(Path file) {
         try {
             return YAML.readValue(Files.readAllBytes(file), EntryConfig.class);
+        } catch (UnrecognizedPropertyException e) {
+            throw invalid(file, e, "unknown setting \"" + path(e) + "\"");
+        } catch (ValueInstantiationException e) {
+            throw invalid(file, e, String.valueOf(e.getCause().getMessage()));
+        } catch (JsonMappingException e) {
+            throw invalid(file, e, "the value of \"" + path(e) + "\" is not valid");
         } catch (JsonProcessingException e) {
             String reason = String.valueOf(e.getOriginalMessage()).lines().findFirst().orElse("");
-            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            throw new ConfigException(
-                    "configuration " + file + ", line " + line + ": " + reason, e);
+            throw invalid(file, e, reason);
+        } catch (NoSuchFileException e) {
+            throw new ConfigException("configuration " + file + " does not exist", e);
         } catch (IOException e) {
             throw new ConfigException("configuration " + file + " can't be read", e);
         }
     }
 
+    /** The reason has no value of the file, which may be a token. */
+    private static ConfigException invalid(Path file, JsonProcessingException e, String reason) {
+        int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+        return new ConfigException("configuration " + file + ", line " + line + ": " + reason, e);
+    }
+
+    private static String path(JsonMappingException e) {
+        return e.getPath().stream()
+                .map(JsonMappingException.Reference::getFieldName)
+                .collect(Collectors.joining("."));
+    }
+
     private static void require(String field, String value) {
         if (value == null || value.isBlank()) {
             throw new IllegalArgumentException(field + " is missing");
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -1,12 +1,15 @@
 package org.marigoldturn.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.TlsKeyPair;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.security.cert.X509Certificate;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
@@ -49,6 +52,7 @@
     private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
 
     private final EntryConfig mConfig;
+    private final Optional<TlsKeyPair> mTls;
     private final String mId;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlLoop mControl = new ControlLoop();
@@ -83,6 +87,11 @@
     /** Creates a daemon that does not run yet. */
     public EntryDaemon(EntryConfig config) {
         mConfig = config;
+        mTls = Optional.ofNullable(config.tls()).map(TlsFiles::keyPair);
+        List<X509Certificate> targetCas =
+                config.targetCaFile() == null
+                        ? List.of()
+                        : TlsFiles.certificates("targetCaFile", config.targetCaFile());
         mId = config.name() + "-" + HexFormat.of().toHexDigits(new SecureRandom().nextInt());
         mStore = new EtcdJsonStore(config.storeEndpoint(), config.storeTimeoutMillis());
         mRepository = new SettingsRepository(mStore, config.storePrefix());
@@ -107,7 +116,7 @@
         mController = controller();
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
-        mEntry = new EntryServer(entryDependencies(entitlements));
+        mEntry = new EntryServer(entryDependencies(entitlements), targetCas);
         mRights = rightsService();
         mShares =
                 new ShareService(
@@ -379,10 +388,7 @@
     private ServerBuilder builder(int port) {
         InetSocketAddress address = new InetSocketAddress(mConfig.address(), port);
         ServerBuilder builder = Server.builder();
-        EntryConfig.TlsConfig tls = mConfig.tls();
-        if (tls == null) {
-            return builder.http(address);
-        }
-        return builder.https(address).tls(tls.certificateFile().toFile(), tls.keyFile().toFile());
+        return mTls.map(pair -> builder.https(address).tls(pair))
+                .orElseGet(() -> builder.http(address));
     }
 }
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -28,7 +28,7 @@
     private static final String PATH_PREFIX = "/services/";
 
     private final EntryDependencies mDependencies;
-    private final TargetClients mClients = new TargetClients();
+    private final TargetClients mClients;
     private final PendingOutcomes mPending = new PendingOutcomes();
     private final BodyBudget mBodyBudget = new BodyBudget();
     private final LogLimiter mLogLimiter = new LogLimiter();
@@ -41,9 +41,10 @@
     private final DispatchFilter mDispatch;
     private final RespondFilter mRespond;
 
-    /** Creates the filter chain. */
-    public CallerService(EntryDependencies dependencies) {
+    /** Creates the filter chain, which closes the clients. */
+    CallerService(EntryDependencies dependencies, TargetClients clients) {
         mDependencies = dependencies;
+        mClients = clients;
         mAuthenticate = new AuthenticateFilter(dependencies.metrics());
         mClassify = new ClassifyFilter(dependencies.metrics(), dependencies.random());
         mSelect = new SelectFilter(dependencies);
--- a/core/src/main/java/org/marigoldturn/entry/EntryServer.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryServer.java
@@ -5,6 +5,8 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.ServerBuilder;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.security.cert.X509Certificate;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.marigoldturn.settings.VersionedState;
 
@@ -21,10 +23,14 @@
     private final CallerService mService;
     private final ScheduledFuture<?> mWake;
 
-    /** Creates the caller port's services. */
-    public EntryServer(EntryDependencies dependencies) {
+    /**
+     * Creates the caller port's services.
+     *
+     * @param targetCas certificates by which targets are trusted; empty for those of the runtime
+     */
+    public EntryServer(EntryDependencies dependencies, List<X509Certificate> targetCas) {
         mDependencies = dependencies;
-        mService = new CallerService(dependencies);
+        mService = new CallerService(dependencies, new TargetClients(targetCas));
         mWake =
                 CommonPools.workerGroup()
                         .next()
--- a/core/src/main/java/org/marigoldturn/entry/TargetClients.java
+++ b/core/src/main/java/org/marigoldturn/entry/TargetClients.java
@@ -1,8 +1,11 @@
 package org.marigoldturn.entry;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.client.WebClient;
+import java.security.cert.X509Certificate;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
@@ -26,11 +29,18 @@
     private final ClientFactory mFactory;
     private final Map<Key, WebClient> mClients = new ConcurrentHashMap<>();
 
-    /** Creates the clients with their own connections. */
-    public TargetClients() {
+    /**
+     * Creates the clients with their own connections.
+     *
+     * @param targetCas certificates by which targets are trusted; empty for those of the runtime
+     */
+    public TargetClients(List<X509Certificate> targetCas) {
+        ClientFactoryBuilder builder = ClientFactory.builder();
+        if (!targetCas.isEmpty()) {
+            builder.tlsCustomizer(tls -> tls.trustManager(targetCas));
+        }
         mFactory =
-                ClientFactory.builder()
-                        .connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
+                builder.connectTimeoutMillis(CONNECT_TIMEOUT_MILLIS)
                         .pingIntervalMillis(PING_INTERVAL_MILLIS)
                         .idleTimeoutMillis(IDLE_TIMEOUT_MILLIS)
                         .maxConnectionAgeMillis(MAX_CONNECTION_AGE_MILLIS)
--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,6 +54,19 @@
         }
     }
 
+    /** Exit code and output of a process that has ended. */
+    public record Ended(int exitCode, String output, String errors) {}
+
+    /** Runs a main class to its end; {@code log} receives its errors and must be new. */
+    public static Ended runToEnd(Path log, String mainClass, String... args)
+            throws IOException, InterruptedException {
+        Process process = launch(log, mainClass, args);
+        try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
+            String text = String.join("\n", output.lines().toList());
+            return new Ended(process.waitFor(), text, Files.readString(log));
+        }
+    }
+
     private static Process launch(Path log, String mainClass, String... args) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.TlsKeyPair;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -20,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -85,7 +87,12 @@
 
     /** Starts a host and returns its port. */
     public int startHost(String name, int slots) {
-        TargetServer host = new TargetServer(name, slots, 0);
+        return startHost(name, slots, Optional.empty());
+    }
+
+    /** Starts a host that serves TLS only if a key pair is given, and returns its port. */
+    public int startHost(String name, int slots, Optional<TlsKeyPair> tls) {
+        TargetServer host = new TargetServer(name, slots, 0, tls);
         mHosts.put(name, host);
         return host.start();
     }
@@ -213,6 +220,11 @@
         }
     }
 
+    /** Closes the connections of this fleet's clients; no request can be sent after that. */
+    public void closeClients() {
+        mClients.close();
+    }
+
     @Override
     public void close() {
         mHostList.shutdownNow();
--- a/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/TargetServer.java
@@ -9,13 +9,17 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.TlsKeyPair;
 import com.linecorp.armeria.common.logging.RequestLogProperty;
 import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -45,11 +49,15 @@
 
     /** Creates a host on a loopback port; 0 takes a free one. */
     public TargetServer(String name, int slots, int port) {
+        this(name, slots, port, Optional.empty());
+    }
+
+    /** Creates a host that serves TLS only if a key pair is given. */
+    public TargetServer(String name, int slots, int port, Optional<TlsKeyPair> tls) {
         mName = name;
         mRecords = new TargetRecords(slots);
         mServer =
-                Server.builder()
-                        .http(StoreServer.loopback(port))
+                listening(StoreServer.loopback(port), tls)
                         .maxNumConnections(MAX_CONNECTIONS)
                         .requestTimeoutMillis(0)
                         .gracefulShutdownTimeoutMillis(0, 0)
@@ -102,6 +110,11 @@
         mServer.stop().join();
     }
 
+    private static ServerBuilder listening(InetSocketAddress address, Optional<TlsKeyPair> tls) {
+        return tls.map(pair -> Server.builder().https(address).tls(pair))
+                .orElseGet(() -> Server.builder().http(address));
+    }
+
     private HttpResponse setFault(ServiceRequestContext ctx) {
         String mode = ctx.queryParam("mode");
         String millis = ctx.queryParam("millis");
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -76,7 +76,7 @@
         }
         mRights.limit("team:club", TEAM_LIMIT);
         mState = state(1, settings, protocol, List.of(key.stored()));
-        mEntry = new EntryServer(dependencies());
+        mEntry = new EntryServer(dependencies(), List.of());
         ServerBuilder builder = Server.builder().http(StoreServer.loopback(0));
         mEntry.register(builder);
         mServer = builder.build();
