Limit connections, headers and bodies on the operator port

Cause: the operator port had the library's defaults: any number of connections, 10 MiB bodies. A body above the limit was answered with 500 and a stack trace in the log.

Change: `maxOperatorConnections` (default 100) bounds connections; bodies have at most 8 MiB and headers 16 KiB, the request line 8 KiB.

Ruled out: reading the limit after the token only. The server refuses a stated length before it reads the body or enters a route, so a stranger learns the limit and nothing else.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -33,6 +33,7 @@
  * @param plaintext true to serve without TLS
  * @param targetCaFile certificates by which targets are trusted; null for those of the runtime
  * @param maxConnections largest number of open caller connections
+ * @param maxOperatorConnections largest number of open operator connections
  * @param drainDelayMillis time from failing readiness to refusing requests in a shutdown
  * @param plannerIntervalMillis time between two steps of the planner
  */
@@ -53,12 +54,14 @@
         boolean plaintext,
         Path targetCaFile,
         int maxConnections,
+        int maxOperatorConnections,
         long drainDelayMillis,
         long plannerIntervalMillis) {
     private static final long DEFAULT_PLANNER_INTERVAL_MILLIS = 15_000;
     private static final String DEFAULT_PREFIX = "/marigoldturn/";
     private static final long DEFAULT_STORE_TIMEOUT_MILLIS = 1_000;
     private static final int DEFAULT_MAX_CONNECTIONS = 10_000;
+    private static final int DEFAULT_MAX_OPERATOR_CONNECTIONS = 100;
     private static final long DEFAULT_DRAIN_DELAY_MILLIS = 5_000;
     private static final ObjectMapper YAML =
             YAMLMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
@@ -94,6 +97,10 @@
                 storeTimeoutMillis == 0 ? DEFAULT_STORE_TIMEOUT_MILLIS : storeTimeoutMillis;
         hostListEndpoint = hostListEndpoint == null ? storeEndpoint : hostListEndpoint;
         maxConnections = maxConnections == 0 ? DEFAULT_MAX_CONNECTIONS : maxConnections;
+        maxOperatorConnections =
+                maxOperatorConnections == 0
+                        ? DEFAULT_MAX_OPERATOR_CONNECTIONS
+                        : maxOperatorConnections;
         plannerIntervalMillis =
                 plannerIntervalMillis == 0
                         ? DEFAULT_PLANNER_INTERVAL_MILLIS
--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -292,7 +292,8 @@
     }
 
     private Server operatorServer() {
-        ServerBuilder builder = builder(mConfig.operatorPort());
+        ServerBuilder builder =
+                builder(mConfig.operatorPort()).maxNumConnections(mConfig.maxOperatorConnections());
         new OperatorService(operatorParts()).register(builder);
         return builder.build();
     }
--- a/core/src/main/java/org/marigoldturn/operator/Answers.java
+++ b/core/src/main/java/org/marigoldturn/operator/Answers.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.ContentTooLargeException;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.HttpStatusException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
@@ -43,6 +45,12 @@
         if (cause instanceof IllegalArgumentException) {
             return problem(HttpStatus.BAD_REQUEST, "bad-request", cause.getMessage(), Map.of());
         }
+        if (cause instanceof HttpStatusException e && e.httpStatus().isClientError()) {
+            return rejected(e.httpStatus());
+        }
+        if (cause instanceof ContentTooLargeException) {
+            return rejected(HttpStatus.REQUEST_ENTITY_TOO_LARGE);
+        }
         if (cause instanceof SettingsException) {
             Logger.warn("operator: a change failed: {}", cause.getMessage());
             return problem(
@@ -59,6 +67,18 @@
                 Map.of());
     }
 
+    /** Answers a request that the server rejected before or while a route read it. */
+    private static HttpResponse rejected(HttpStatus status) {
+        return status.equals(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+                ? problem(
+                        status,
+                        "too-large",
+                        "the body must have at most %d bytes"
+                                .formatted(OperatorService.MAX_BODY_BYTES),
+                        Map.of())
+                : problem(status, "bad-request", "the request is not valid", Map.of());
+    }
+
     static HttpResponse problem(
             HttpStatus status, String reason, String detail, Map<String, Object> members) {
         Map<String, Object> body = new LinkedHashMap<>();
--- a/core/src/main/java/org/marigoldturn/operator/OperatorService.java
+++ b/core/src/main/java/org/marigoldturn/operator/OperatorService.java
@@ -13,6 +13,11 @@
  * safe.
  */
 public final class OperatorService {
+    /** Settings of the design size have about 0.5 MB. */
+    static final int MAX_BODY_BYTES = 8 << 20;
+
+    static final int MAX_HEADER_BYTES = 16_384;
+    static final int MAX_REQUEST_LINE_BYTES = 8_192;
     private static final String API = "/v1";
 
     private final OperatorParts mParts;
@@ -22,8 +27,13 @@
         mParts = parts;
     }
 
-    /** Adds the routes to a server. */
+    /** Adds the routes and limits to a server. */
     public void register(ServerBuilder builder) {
+        builder.http1MaxHeaderSize(MAX_HEADER_BYTES)
+                .http2MaxHeaderListSize(MAX_HEADER_BYTES)
+                .http1MaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                .maxRequestLength(MAX_BODY_BYTES)
+                .disableServerHeader();
         ChangePipeline changes = new ChangePipeline(mParts);
         TokenDecorator token = new TokenDecorator(mParts.token());
         ExceptionHandlerFunction problems = (ctx, request, cause) -> Answers.problem(cause);
