Keep secrets out of answers and of the text form of records

Cause: an error repeated what an operator had put in the wrong place, so a key pasted as an id or as a team name came back with its secret, by `settings check`, `apply`, `key revoke` and others. The text form of EntryConfig, OperatorParts, IssuedKey and TeamKey had tokens, secrets or hashes; nothing logged it, but any log line could have.

The four records omit their secrets in their text form. The test runs a daemon through valid, unknown, cut, foreign and revoked keys, issuing and revoking by the command line, a wrong operator token, rejected settings with a key in seven places, and a peer with another token; then no log and no answer has a secret, and no log and no status has a salt or hash.

Ruled out: omitting all input from errors; operators need it to find the fault.

--- a/core/src/main/java/org/marigoldturn/admission/KeyAuthenticator.java
+++ b/core/src/main/java/org/marigoldturn/admission/KeyAuthenticator.java
@@ -20,7 +20,13 @@
     private static final int SALT_BYTES = 16;
 
     /** A new key: the secret for the team and the hash for the settings. */
-    public record IssuedKey(String presentedKey, TeamKey stored) {}
+    public record IssuedKey(String presentedKey, TeamKey stored) {
+        /** Omits the presented key, which must not appear in logs. */
+        @Override
+        public String toString() {
+            return "IssuedKey[stored=" + stored + "]";
+        }
+    }
 
     /** A presented key that is in force; the key id allows the check to be repeated. */
     public record Authenticated(TeamSettings team, String keyId) {}
--- a/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryConfig.java
@@ -80,6 +80,12 @@
         }
     }
 
+    /** Omits the tokens, which must not appear in logs. */
+    @Override
+    public String toString() {
+        return "EntryConfig[name=" + name + ", zone=" + zone + ", address=" + address + "]";
+    }
+
     public EntryConfig {
         require("name", name);
         require("zone", zone);
--- a/core/src/main/java/org/marigoldturn/operator/Answers.java
+++ b/core/src/main/java/org/marigoldturn/operator/Answers.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import org.marigoldturn.settings.KeySecrets;
 import org.marigoldturn.settings.SettingsException;
 import org.tinylog.Logger;
 
@@ -85,7 +86,7 @@
         body.put("type", "urn:marigoldturn:" + reason);
         body.put("title", status.reasonPhrase());
         body.put("status", status.code());
-        body.put("detail", detail);
+        body.put("detail", KeySecrets.hide(detail));
         body.put("reason", reason);
         body.putAll(members);
         return json(status, PROBLEM_JSON, body);
--- a/core/src/main/java/org/marigoldturn/operator/OperatorParts.java
+++ b/core/src/main/java/org/marigoldturn/operator/OperatorParts.java
@@ -27,4 +27,10 @@
         DecisionLog decisions,
         DaemonForgetter forgetter,
         MetricRegistry metrics,
-        LongSupplier nowMillis) {}
+        LongSupplier nowMillis) {
+    /** Omits the token, which must not appear in logs. */
+    @Override
+    public String toString() {
+        return "OperatorParts";
+    }
+}
--- a/core/src/main/java/org/marigoldturn/settings/TeamKey.java
+++ b/core/src/main/java/org/marigoldturn/settings/TeamKey.java
@@ -12,4 +12,10 @@
     public TeamKey {
         Names.require("key id", id);
     }
+
+    /** Omits salt and hash, which must not appear in logs. */
+    @Override
+    public String toString() {
+        return "TeamKey[id=" + id + ", createdAtMillis=" + createdAtMillis + "]";
+    }
 }
