--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.marigoldturn.entry.DemandTimer;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
@@ -48,6 +49,7 @@
     private static final int DECISION_LOG_CAPACITY = 10_000;
     private static final long FAST_INTERVAL_MILLIS = 50;
     private static final long CONFIRM_INTERVAL_MILLIS = 500;
+    private static final long CLAIM_HANDOVER_INTERVAL_MILLIS = 100;
     private static final long SHARE_INTERVAL_MILLIS = 1_000;
     private static final long HOST_LIST_INTERVAL_MILLIS = 2_000;
 
@@ -56,6 +58,8 @@
     private final String mId;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final ControlLoop mControl = new ControlLoop();
+    private final DemandTimer mWaiting =
+            mControl.whileNeeded(FAST_INTERVAL_MILLIS, this::serveWaiting, this::hasWaiting);
     private final StatePublisher mPublisher = new StatePublisher();
     private final KeyValueStore mStore;
     private final SettingsRepository mRepository;
@@ -116,7 +120,7 @@
         mController = controller();
         mDrain = new DrainState(config.drainDelayMillis());
         EntitlementTable entitlements = new EntitlementTable();
-        mEntry = new EntryServer(entryDependencies(entitlements), targetCas);
+        mEntry = new EntryServer(entryDependencies(entitlements), mWaiting::arm, targetCas);
         mRights = rightsService();
         mShares =
                 new ShareService(
@@ -125,7 +129,10 @@
                         mPeers,
                         mPublisher,
                         mEntry.callers()::demand,
-                        System::currentTimeMillis);
+                        System::currentTimeMillis,
+                        new SlotRenewal(
+                                mPublisher, mRepository, mControl, System::currentTimeMillis),
+                        mWaiting::arm);
         mHosts = hostListService();
         mStatus = statusService();
         mPlannerRole = role("planner");
@@ -146,7 +153,7 @@
                         mId,
                         mConfig.zone(),
                         mConfig.address(),
-                        peerPort,
+                        mConfig.advertisedPeerPort() == 0 ? peerPort : mConfig.advertisedPeerPort(),
                         mOperatorServer.activeLocalPort(),
                         System.currentTimeMillis());
         mControl.execute(() -> mController.join(self));
@@ -165,8 +172,8 @@
         }
         mPlannerRole.release();
         mRightsRole.release();
-        mCallerServer.stop().join();
-        mOperatorServer.stop().join();
+        // Each server takes about 2 s to end its threads.
+        CompletableFuture.allOf(mCallerServer.stop(), mOperatorServer.stop()).join();
         mEntry.close();
         mControl.close();
         mDirectory.close();
@@ -192,6 +199,12 @@
         mMembership.connect(mController);
         mPublisher.setAdopter(mController::adopt);
         mPublisher.addListener((previous, state) -> mLedger.adopt(state));
+        DemandTimer claimHandover =
+                mControl.whileNeeded(
+                        CLAIM_HANDOVER_INTERVAL_MILLIS,
+                        mClaims::handOverToJoined,
+                        mClaimTable::hasJoiners);
+        mPublisher.addListener((previous, state) -> claimHandover.arm());
         mPublisher.addListener(
                 (previous, state) -> mControl.execute(() -> mEntry.callers().wake()));
         mController.attach(mNetwork, mNetwork);
@@ -211,11 +224,6 @@
         mControl.execute(mSync::load);
         mControl.every("watch", CONFIRM_INTERVAL_MILLIS, mSync::checkWatch);
         mControl.every("membership", CONFIRM_INTERVAL_MILLIS, mController::tick);
-        mControl.every("reservations", FAST_INTERVAL_MILLIS, mRights::serveReservations);
-        mControl.every(
-                "starved",
-                FAST_INTERVAL_MILLIS,
-                () -> mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering));
         mControl.every("rights", SHARE_INTERVAL_MILLIS, mRights::repair);
         mControl.every(
                 "shares",
@@ -230,6 +238,17 @@
         mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
     }
 
+    private void serveWaiting() {
+        mRights.serveReservations();
+        mShares.serveStarved(mEntry.callers().hasQueued(), mController::answering);
+    }
+
+    private boolean hasWaiting() {
+        return mRights.hasReservations()
+                || mShares.hasStarvedReport()
+                || mEntry.callers().hasQueued();
+    }
+
     private void tickRoles() {
         long nowNanos = System.nanoTime();
         mPlannerRole.tick(nowNanos);
@@ -259,7 +278,8 @@
                 mRepository,
                 mControl,
                 System::currentTimeMillis,
-                () -> mEntry.callers().wake());
+                () -> mEntry.callers().wake(),
+                mWaiting::arm);
     }
 
     private HostListService hostListService() {
--- a/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/MembershipService.java
@@ -28,9 +28,6 @@
     /** Longest wait for the acceptance of a member set before it is asked for again. */
     private static final long ACCEPTANCE_TIMEOUT_MILLIS = 60_000;
 
-    /** Stands for the owners of member sets that this daemon has not seen. */
-    private static final List<String> UNSEEN_MEMBERS = List.of("unseen");
-
     private final String mSelfId;
     private final EndedDaemons mEndedDaemons;
     private final RequestClaims mClaims;
@@ -116,6 +113,8 @@
 
     private void onState(VersionedState state) {
         long generation = state.members().generation();
+        // Before the version is published, and so before other daemons see that it is held.
+        mClaims.onMembersAdopted(generation, ids(state.members()));
         if (generation > mAccepted.generation() && generation > mAwaitedGeneration) {
             mAwaitedGeneration = generation;
             // The trackers adopt the version after this call.
@@ -153,11 +152,7 @@
         state.rights().teams().values().forEach(d -> removed.addAll(d.basis().keySet()));
         removed.removeAll(ids(members));
         removed.forEach(id -> mEndedDaemons.onEnded(id, nowMillis));
-        if (members.generation() > mAccepted.generation() + 1) {
-            // An owner in a set that was not seen may have granted any id.
-            mClaims.onMembersAccepted(UNSEEN_MEMBERS, nowMillis);
-        }
-        mClaims.onMembersAccepted(ids(members), nowMillis);
+        mClaims.onMembersAccepted(members.generation(), nowMillis);
         mAccepted = members;
     }
 
@@ -165,13 +160,11 @@
         RightsDivision rights = state.rights();
         Set<String> removed = new HashSet<>(ids(state.members()));
         removed.removeAll(ids(members));
-        // A daemon that left gracefully has given its slots away; those of others are lost.
-        boolean slotsLost = removed.stream().anyMatch(this::endedWithoutFarewell);
-        return new SystemState(
-                members,
-                slotsLost || rights.slotDaemons().isEmpty()
-                        ? withSlotDaemons(rights, ids(members))
-                        : rights);
+        // A daemon that left gracefully has given its slots away, unless it was the last one.
+        boolean slotsLost =
+                state.members().members().isEmpty()
+                        || removed.stream().anyMatch(this::endedWithoutFarewell);
+        return new SystemState(members, slotsLost ? withNewSlots(state, ids(members)) : rights);
     }
 
     private boolean endedWithoutFarewell(String memberId) {
@@ -183,8 +176,11 @@
                         .isEmpty();
     }
 
-    private static RightsDivision withSlotDaemons(RightsDivision rights, List<String> daemons) {
-        return new RightsDivision(rights.teams(), rights.slotEpoch() + 1, daemons);
+    private static RightsDivision withNewSlots(VersionedState state, List<String> daemons) {
+        RightsDivision rights = state.rights();
+        Set<String> hosts = state.settings().hosts().keySet();
+        return new RightsDivision(
+                rights.teams(), rights.slots().renew(hosts, daemons, state.version() + 1));
     }
 
     private static MemberSet without(MemberSet members, String memberId) {
--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -33,6 +33,8 @@
     private final StatePublisher mPublisher;
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
+    private final SlotRenewal mSlotRenewal;
+    private final Runnable mOnStarved;
     private boolean mStarvedReport;
 
     ShareService(
@@ -41,7 +43,9 @@
             PeerLink peers,
             StatePublisher publisher,
             Supplier<Map<String, Map<String, TeamDemandSnapshot>>> demand,
-            LongSupplier nowMillis) {
+            LongSupplier nowMillis,
+            SlotRenewal slotRenewal,
+            Runnable onStarved) {
         mLedger = ledger;
         mEntitlements = entitlements;
         mCoordinator = new ShareCoordinator(peers.selfId());
@@ -49,11 +53,21 @@
         mPublisher = publisher;
         mDemand = demand;
         mNowMillis = nowMillis;
+        mSlotRenewal = slotRenewal;
+        mOnStarved = onStarved;
     }
 
     void onReport(String sender, DemandReport report) {
         mCoordinator.onReport(sender, report, mNowMillis.getAsLong());
-        mStarvedReport |= report.getHeld() == 0 && hasQueued(report);
+        if (report.getHeld() == 0 && hasQueued(report)) {
+            mStarvedReport = true;
+            mOnStarved.run();
+        }
+    }
+
+    /** Returns whether a daemon without any right waits for an answer. */
+    boolean hasStarvedReport() {
+        return mStarvedReport;
     }
 
     void onEntitlements(Entitlements entitlements) {
@@ -62,8 +76,8 @@
 
     /**
      * Serves daemons that hold no right at all for queued work, without waiting for the interval;
-     * called every 50 ms. A small pool has fewer slots than there are daemons, so this is the usual
-     * case there.
+     * called every 50 ms while work is queued here or there. A small pool has fewer slots than
+     * there are daemons, so this is the usual case there.
      *
      * @param hasQueued whether this daemon has queued work
      */
@@ -86,7 +100,7 @@
         mEntitlements.expire(nowMillis);
     }
 
-    /** Sends entitlements and hints; called every second. */
+    /** Sends entitlements and hints, and has lost slots divided anew; called every second. */
     void coordinate(Collection<String> answering) {
         CoordinatorOutput output =
                 mCoordinator.tick(mPublisher.state(), answering, mNowMillis.getAsLong());
@@ -102,6 +116,7 @@
                                 mPeers.send(
                                         h.receiver(),
                                         Envelope.newBuilder().setTransferHint(h.hint())));
+        mSlotRenewal.renew(output.lostPools(), answering);
     }
 
     private Map<String, ResourceDemand> demands(long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/entry/EntryServer.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryServer.java
@@ -1,13 +1,10 @@
 package org.marigoldturn.entry;
 
-import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.ServerBuilder;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.security.cert.X509Certificate;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.marigoldturn.settings.VersionedState;
 
 /** The caller port: routes, limits and health checks around a {@link CallerService}. */
@@ -16,29 +13,19 @@
     static final int MAX_REQUEST_LINE_BYTES = 8_192;
     static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
-    /** Bounds how long a request waits for rights that arrive without a call of wake(). */
-    private static final long WAKE_INTERVAL_MILLIS = 20;
-
     private final EntryDependencies mDependencies;
     private final CallerService mService;
-    private final ScheduledFuture<?> mWake;
 
     /**
      * Creates the caller port's services.
      *
+     * @param onQueued called on any thread when a request could not start at once
      * @param targetCas certificates by which targets are trusted; empty for those of the runtime
      */
-    public EntryServer(EntryDependencies dependencies, List<X509Certificate> targetCas) {
+    public EntryServer(
+            EntryDependencies dependencies, Runnable onQueued, List<X509Certificate> targetCas) {
         mDependencies = dependencies;
-        mService = new CallerService(dependencies, new TargetClients(targetCas));
-        mWake =
-                CommonPools.workerGroup()
-                        .next()
-                        .scheduleAtFixedRate(
-                                mService::wake,
-                                WAKE_INTERVAL_MILLIS,
-                                WAKE_INTERVAL_MILLIS,
-                                TimeUnit.MILLISECONDS);
+        mService = new CallerService(dependencies, onQueued, new TargetClients(targetCas));
     }
 
     /** Adds routes and limits to a server. */
@@ -71,7 +58,6 @@
 
     @Override
     public void close() {
-        mWake.cancel(false);
         mService.close();
     }
 
--- a/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryFixture.java
@@ -76,7 +76,7 @@
         }
         mRights.limit("team:club", TEAM_LIMIT);
         mState = state(1, settings, protocol, List.of(key.stored()));
-        mEntry = new EntryServer(dependencies(), List.of());
+        mEntry = new EntryServer(dependencies(), () -> {}, List.of());
         ServerBuilder builder = Server.builder().http(StoreServer.loopback(0));
         mEntry.register(builder);
         mServer = builder.build();
@@ -93,7 +93,8 @@
 
     private EntryDependencies dependencies() {
         RequestClaims claims = new RequestClaims("d0");
-        claims.onMembersAccepted(List.of("d0"), System.currentTimeMillis() - 60_000);
+        claims.onMembersAdopted(1, List.of("d0"));
+        claims.onMembersAccepted(1, System.currentTimeMillis() - 60_000);
         return new EntryDependencies(
                 "d0",
                 () -> mState,
