--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -32,7 +32,7 @@
     private static final long WAKE_INTERVAL_MILLIS = 20;
 
     private final EntryDependencies mDependencies;
-    private final TargetClients mClients = new TargetClients();
+    private final TargetClients mClients;
     private final PendingOutcomes mPending = new PendingOutcomes();
     private final BodyBudget mBodyBudget = new BodyBudget();
     private final LogLimiter mLogLimiter = new LogLimiter();
@@ -48,13 +48,14 @@
     private final Runnable mOnQueued;
 
     /**
-     * Creates the filter chain.
+     * Creates the filter chain, which closes the clients.
      *
      * @param onQueued called on any thread when a request could not start at once
      */
-    public CallerService(EntryDependencies dependencies, Runnable onQueued) {
+    CallerService(EntryDependencies dependencies, Runnable onQueued, TargetClients clients) {
         mDependencies = dependencies;
         mOnQueued = onQueued;
+        mClients = clients;
         mWake =
                 new DemandTimer(
                         CommonPools.workerGroup().next(),
--- a/core/src/main/java/org/marigoldturn/entry/EntryServer.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryServer.java
@@ -3,6 +3,8 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.ServerBuilder;
+import java.security.cert.X509Certificate;
+import java.util.List;
 import org.marigoldturn.settings.VersionedState;
 
 /** The caller port: routes, limits and health checks around a {@link CallerService}. */
@@ -18,10 +20,12 @@
      * Creates the caller port's services.
      *
      * @param onQueued called on any thread when a request could not start at once
+     * @param targetCas certificates by which targets are trusted; empty for those of the runtime
      */
-    public EntryServer(EntryDependencies dependencies, Runnable onQueued) {
+    public EntryServer(
+            EntryDependencies dependencies, Runnable onQueued, List<X509Certificate> targetCas) {
         mDependencies = dependencies;
-        mService = new CallerService(dependencies, onQueued);
+        mService = new CallerService(dependencies, onQueued, new TargetClients(targetCas));
     }
 
     /** Adds routes and limits to a server. */
