--- a/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
@@ -8,12 +8,14 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.marigoldturn.membership.AcceptanceTracker;
 import org.marigoldturn.peer.PeerException;
+import org.marigoldturn.peer.PeerNotReachableException;
 import org.marigoldturn.peer.wire.ClaimHandover;
 import org.marigoldturn.peer.wire.ClaimRelease;
 import org.marigoldturn.peer.wire.ClaimReply;
@@ -64,6 +66,7 @@
     /** Repeats a claim that was certainly not granted; one without an answer is not repeated. */
     private CompletableFuture<ClaimResult> claim(RequestId id, long giveUpNanos) {
         return claimOnce(id)
+                .exceptionallyCompose(PeerClaimRegistry::notOwnerIfNotSent)
                 .thenCompose(
                         result -> {
                             if (result != ClaimResult.NOT_OWNER
@@ -76,6 +79,14 @@
                         });
     }
 
+    /** There is no connection yet to an owner that has just joined. */
+    private static CompletableFuture<ClaimResult> notOwnerIfNotSent(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof PeerNotReachableException
+                ? CompletableFuture.completedFuture(ClaimResult.NOT_OWNER)
+                : CompletableFuture.failedFuture(cause);
+    }
+
     private CompletableFuture<ClaimResult> claimOnce(RequestId id) {
         VersionedState state = mPublisher.state();
         Optional<String> owner = RequestClaims.owner(id, memberIds(state));
--- a/core/src/main/java/org/marigoldturn/peer/NettyPeerNetwork.java
+++ b/core/src/main/java/org/marigoldturn/peer/NettyPeerNetwork.java
@@ -117,7 +117,7 @@
         if (connection == null) {
             mContext.metrics().mDropped.inc();
             return CompletableFuture.failedFuture(
-                    new PeerException("member " + memberId + " is not known", null));
+                    new PeerNotReachableException("member " + memberId + " is not known"));
         }
         return connection.call(message, timeoutMillis);
     }
--- a/core/src/main/java/org/marigoldturn/peer/OutgoingConnection.java
+++ b/core/src/main/java/org/marigoldturn/peer/OutgoingConnection.java
@@ -132,7 +132,8 @@
             Envelope.Builder message, long timeoutMillis, CompletableFuture<Envelope> reply) {
         long callId = ++mLastCallId;
         if (!write(message.setCallId(callId))) {
-            fail(reply, "is not reachable");
+            reply.completeExceptionally(
+                    new PeerNotReachableException("member " + mMember.id() + " is not reachable"));
             return;
         }
         Future<?> timeout =
--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -17,6 +17,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -153,11 +154,17 @@
 
     /** Starts several daemons at the same time. */
     public void startDaemons(int count) throws IOException {
+        startDaemons(Collections.nCopies(count, ""));
+    }
+
+    /** Starts several daemons at the same time, each with further lines in its configuration. */
+    public void startDaemons(List<String> furtherConfigs) throws IOException {
         int first = mDaemons.size();
         List<CompletableFuture<ChildProcess>> starts = new ArrayList<>();
-        for (int i = first; i < first + count; i++) {
-            int index = i;
-            starts.add(CompletableFuture.supplyAsync(() -> launch(index, "")));
+        for (int i = 0; i < furtherConfigs.size(); i++) {
+            int index = first + i;
+            String furtherConfig = furtherConfigs.get(i);
+            starts.add(CompletableFuture.supplyAsync(() -> launch(index, furtherConfig)));
         }
         starts.forEach(start -> mDaemons.add(start.join()));
     }
--- a/standins/src/test/java/org/marigoldturn/standins/FleetUnderTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/FleetUnderTest.java
@@ -4,13 +4,18 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /** Three entry daemons and six hosts in three zones, and what the hosts' records must show. */
 final class FleetUnderTest implements AutoCloseable {
@@ -33,9 +38,19 @@
     }
 
     private final ProcessFleet mFleet;
-    private final List<Sent> mSent = new ArrayList<>();
+    private final List<StallingRelay> mHostRelays = new ArrayList<>();
+    private final List<StallingRelay> mPeerRelays = new ArrayList<>();
 
     FleetUnderTest(String name) throws Exception {
+        this(name, false);
+    }
+
+    /**
+     * Starts the fleet.
+     *
+     * @param relayed whether relays are between the daemons, and between daemons and hosts
+     */
+    FleetUnderTest(String name, boolean relayed) throws Exception {
         mFleet = new ProcessFleet(name);
         FleetYaml yaml = new FleetYaml().pool("desk");
         for (int i = 0; i < DAEMONS; i++) {
@@ -46,10 +61,15 @@
         yaml.team("school", 3, 40, mFleet.issueKey("school"));
         for (int i = 0; i < HOSTS; i++) {
             String host = "h" + i;
-            yaml.host(host, "desk", "z" + i % DAEMONS, mFleet.startHost(host, 8), 8);
+            int port = mFleet.startHost(host, 8);
+            if (relayed) {
+                mHostRelays.add(new StallingRelay(port));
+                port = mHostRelays.get(i).port();
+            }
+            yaml.host(host, "desk", "z" + i % DAEMONS, port, 8);
         }
-        mFleet.startDaemons(DAEMONS);
-        await(() -> allMembers());
+        mFleet.startDaemons(relayed ? relayedPeers() : Collections.nCopies(DAEMONS, ""));
+        await(() -> members(0) == DAEMONS);
         AggregatedHttpResponse applied =
                 mFleet.operate(0, HttpMethod.PUT, "/v1/settings", yaml.text());
         assertThat(applied.status().code()).describedAs(applied.contentUtf8()).isEqualTo(200);
@@ -70,9 +90,57 @@
     }
 
     Sent send(int daemon, String team, String id, Map<String, String> headers) {
-        Sent sent = new Sent(id, mFleet.call(daemon, team, "entries", id, headers));
-        mSent.add(sent);
-        return sent;
+        return send(daemon, team, "entries", id, headers);
+    }
+
+    Sent send(int daemon, String team, String service, String id, Map<String, String> headers) {
+        return new Sent(id, mFleet.call(daemon, team, service, id, headers));
+    }
+
+    /** Stops all data on the connections between daemons that are open now. */
+    void silencePeers() {
+        mPeerRelays.forEach(StallingRelay::stall);
+    }
+
+    /** Stops all data on the connections to a host that are open now. */
+    void silenceHost(int host) {
+        mHostRelays.get(host).stall();
+    }
+
+    /** Returns the number of members as a daemon knows it. */
+    int members(int daemon) {
+        AggregatedHttpResponse members = mFleet.operate(daemon, HttpMethod.GET, "/v1/daemons", "");
+        return members.contentUtf8().split("\"joinedAtMillis\"", -1).length - 1;
+    }
+
+    /** Compares the records of the hosts with the answers; each request was sent once. */
+    void assertNothingRanTwiceOrAfterRefusal(List<Sent> sent) {
+        Map<String, Long> runs =
+                mFleet.records().stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        TargetRecords.Run::requestId, Collectors.counting()));
+        assertThat(runs.values()).allMatch(count -> count == 1);
+        for (Sent s : sent) {
+            if (!s.response().isCompletedExceptionally() && s.isNotRun()) {
+                String id = s.response().join().headers().get("marigoldturn-request-id", "");
+                assertThat(runs).doesNotContainKey(id);
+            }
+        }
+    }
+
+    private List<String> relayedPeers() throws IOException {
+        List<String> configs = new ArrayList<>();
+        for (int i = 0; i < DAEMONS; i++) {
+            int port;
+            try (ServerSocket socket = new ServerSocket(0)) {
+                port = socket.getLocalPort();
+            }
+            StallingRelay relay = new StallingRelay(port);
+            mPeerRelays.add(relay);
+            configs.add("peerPort: %d%nadvertisedPeerPort: %d%n".formatted(port, relay.port()));
+        }
+        return configs;
     }
 
     /** Waits for a condition that must become true in the end. */
@@ -86,9 +154,14 @@
 
     /** Returns the largest number of requests of the team that ran at the same time. */
     int peakRunning(String team) {
+        return peakRunning(run -> run.team().equals(team));
+    }
+
+    /** Returns the largest number of the given runs that overlapped. */
+    int peakRunning(Predicate<TargetRecords.Run> counted) {
         List<long[]> events = new ArrayList<>();
         for (TargetRecords.Run run : mFleet.records()) {
-            if (run.team().equals(team)) {
+            if (counted.test(run)) {
                 long ended = run.endedAtMillis() == 0 ? Long.MAX_VALUE : run.endedAtMillis();
                 events.add(new long[] {run.startedAtMillis(), 1});
                 events.add(new long[] {ended, -1});
@@ -111,12 +184,13 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         mFleet.close();
-    }
-
-    private boolean allMembers() {
-        AggregatedHttpResponse members = mFleet.operate(0, HttpMethod.GET, "/v1/daemons", "");
-        return members.contentUtf8().split("\"joinedAtMillis\"", -1).length - 1 == DAEMONS;
+        for (StallingRelay relay : mHostRelays) {
+            relay.close();
+        }
+        for (StallingRelay relay : mPeerRelays) {
+            relay.close();
+        }
     }
 }
--- a/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
@@ -55,7 +55,7 @@
                                 == CLUB_LIMIT;
                     });
             assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
-            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+            fleet.assertNothingRanTwiceOrAfterRefusal(sent);
         }
     }
 
@@ -83,7 +83,7 @@
                                             .status()
                                             .code()
                                     == 200);
-            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+            fleet.assertNothingRanTwiceOrAfterRefusal(sent);
         }
     }
 
@@ -110,7 +110,7 @@
             FleetUnderTest.await(() -> fleet.send(0, "school", 0).status() == 200);
             fleet.fleet().daemon(2).resume();
             fleet.fleet().store().faults("{\"down\": false}");
-            assertNothingRanTwiceOrAfterRefusal(fleet, refused);
+            fleet.assertNothingRanTwiceOrAfterRefusal(refused);
         }
     }
 
@@ -190,7 +190,7 @@
             stopper.join();
             sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
             assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
-            assertNothingRanTwiceOrAfterRefusal(fleet, sent);
+            fleet.assertNothingRanTwiceOrAfterRefusal(sent);
         }
     }
 
@@ -271,20 +271,4 @@
                 .filter(r -> r.endedAtMillis() == 0 || r.endedAtMillis() > atMillis)
                 .count();
     }
-
-    private static void assertNothingRanTwiceOrAfterRefusal(FleetUnderTest fleet, List<Sent> sent) {
-        Map<String, Long> runs =
-                fleet.fleet().records().stream()
-                        .collect(
-                                java.util.stream.Collectors.groupingBy(
-                                        TargetRecords.Run::requestId,
-                                        java.util.stream.Collectors.counting()));
-        assertThat(runs.values()).allMatch(count -> count == 1);
-        for (Sent s : sent) {
-            if (!s.response().isCompletedExceptionally() && s.isNotRun()) {
-                String id = s.response().join().headers().get("marigoldturn-request-id", "");
-                assertThat(runs).doesNotContainKey(id);
-            }
-        }
-    }
 }
--- a/standins/src/test/java/org/marigoldturn/standins/StallingRelay.java
+++ b/standins/src/test/java/org/marigoldturn/standins/StallingRelay.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -36,21 +37,30 @@
     private void accept() {
         try {
             while (!mServer.isClosed()) {
-                Socket near = mServer.accept();
-                Socket far = new Socket(InetAddress.getLoopbackAddress(), mTargetPort);
-                synchronized (mSockets) {
-                    mSockets.add(near);
-                    mSockets.add(far);
-                }
-                int generation = mGeneration.get();
-                start(() -> copy(near, far, generation));
-                start(() -> copy(far, near, generation));
+                relay(mServer.accept());
             }
         } catch (IOException e) {
             Logger.debug(e, "relay: closed");
         }
     }
 
+    private void relay(Socket near) throws IOException {
+        Socket far;
+        try {
+            far = new Socket(InetAddress.getLoopbackAddress(), mTargetPort);
+        } catch (ConnectException e) {
+            near.close();
+            return;
+        }
+        synchronized (mSockets) {
+            mSockets.add(near);
+            mSockets.add(far);
+        }
+        int generation = mGeneration.get();
+        start(() -> copy(near, far, generation));
+        start(() -> copy(far, near, generation));
+    }
+
     private void copy(Socket from, Socket to, int generation) {
         byte[] buffer = new byte[16_384];
         try {
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/StoreOutageTest.java
@@ -0,0 +1,136 @@
+package org.marigoldturn.standins;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import net.jqwik.api.Example;
+import org.marigoldturn.standins.FleetUnderTest.Sent;
+
+/** Planned stops and operators' changes while the store is down, slow or loses answers. */
+class StoreOutageTest {
+    private static final int CLUB_LIMIT = FleetUnderTest.CLUB_LIMIT;
+    private static final int STOPPED = 1;
+
+    /**
+     * Guards against a planned stop that fails a caller while the store is down, or takes rights
+     * with it that the others need.
+     */
+    @Example
+    void terminationWithoutStoreFailsNoCallerAndLeavesTheLimitToTheOthers() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("term-outage")) {
+            List<Sent> sent = new ArrayList<>();
+            fleet.fleet().store().faults("{\"down\": true}");
+            Thread stopper = new Thread(() -> terminate(fleet.fleet().daemon(STOPPED)));
+            for (int i = 0; i < 300; i++) {
+                if (i == 60) {
+                    stopper.start();
+                }
+                int daemon = i % FleetUnderTest.DAEMONS;
+                // As a load balancer does, requests go to daemons whose readiness check succeeds.
+                if (daemon != STOPPED || fleet.fleet().isReady(STOPPED)) {
+                    sent.add(fleet.send(daemon, "club", 100));
+                }
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            stopper.join();
+            sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+            final long stoppedAtMillis = System.currentTimeMillis();
+            FleetUnderTest.await(
+                    () -> {
+                        for (int i = 0; i < 2 * CLUB_LIMIT; i++) {
+                            sent.add(fleet.send(2 * (i % 2), "club", 300));
+                        }
+                        sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+                        return peakSince(fleet, stoppedAtMillis) == CLUB_LIMIT;
+                    });
+            assertThat(fleet.peakRunning("club")).isLessThanOrEqualTo(CLUB_LIMIT);
+            fleet.assertNothingRanTwiceOrAfterRefusal(sent);
+        }
+    }
+
+    /**
+     * Guards against an accepted change that is not in force, a change that is applied twice after
+     * a lost answer, and callers that fail because of a slow store.
+     */
+    @Example
+    void changesWithASlowStoreThatLosesAnswersAreAppliedOnce() throws Exception {
+        try (FleetUnderTest fleet = new FleetUnderTest("slow-store")) {
+            fleet.fleet().store().faults("{\"delayMillis\": 120}");
+            List<Sent> sent = new ArrayList<>();
+            List<CompletableFuture<Integer>> operators = new ArrayList<>();
+            for (int daemon = 0; daemon < FleetUnderTest.DAEMONS; daemon++) {
+                int index = daemon;
+                operators.add(CompletableFuture.supplyAsync(() -> changePools(fleet, index)));
+            }
+            while (!operators.stream().allMatch(CompletableFuture::isDone)) {
+                if (sent.size() % 50 == 0) {
+                    fleet.fleet().store().faults("{\"loseAnswers\": 3}");
+                }
+                sent.add(fleet.send(sent.size() % FleetUnderTest.DAEMONS, "school", 20));
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertThat(operators.stream().mapToInt(CompletableFuture::join).sum()).isPositive();
+            sent.forEach(s -> assertThat(s.status()).isEqualTo(200));
+            fleet.fleet().store().faults("{\"delayMillis\": 0, \"loseAnswers\": 0}");
+            FleetUnderTest.await(() -> history(fleet).status().code() == 200);
+            String history = history(fleet).contentUtf8();
+            assertThat(values(history, "\"changeId\":\"([^\"]*)\""))
+                    .isNotEmpty()
+                    .doesNotHaveDuplicates();
+            assertThat(values(history, "\"version\":(\\d+)")).doesNotHaveDuplicates();
+            fleet.assertNothingRanTwiceOrAfterRefusal(sent);
+        }
+    }
+
+    /** Adds pools until some changes are accepted, and returns how many were. */
+    private static int changePools(FleetUnderTest fleet, int daemon) {
+        int accepted = 0;
+        for (int i = 0; i < 6; i++) {
+            String path = "/v1/pools/p%d-%d".formatted(daemon, i);
+            AggregatedHttpResponse answer =
+                    fleet.fleet().operate(daemon, HttpMethod.PUT, path, "{\"spare\": false}");
+            if (answer.status().code() == 200 && answer.contentUtf8().contains("\"accepted\"")) {
+                accepted++;
+                for (int other = 0; other < FleetUnderTest.DAEMONS; other++) {
+                    int code =
+                            fleet.fleet().operate(other, HttpMethod.GET, path, "").status().code();
+                    assertThat(code == 200 || !fleet.fleet().isReady(other))
+                            .as("accepted %s at entry-%d", path, other)
+                            .isTrue();
+                }
+            }
+        }
+        return accepted;
+    }
+
+    private static AggregatedHttpResponse history(FleetUnderTest fleet) {
+        return fleet.fleet().operate(0, HttpMethod.GET, "/v1/settings/history?limit=1000", "");
+    }
+
+    private static List<String> values(String json, String pattern) {
+        return Pattern.compile(pattern)
+                .matcher(json)
+                .results()
+                .map(result -> result.group(1))
+                .toList();
+    }
+
+    private static int peakSince(FleetUnderTest fleet, long sinceMillis) {
+        return fleet.peakRunning(
+                run -> run.team().equals("club") && run.startedAtMillis() > sinceMillis);
+    }
+
+    private static void terminate(ChildProcess daemon) {
+        try {
+            daemon.terminate();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
