Measure the start of urgent work with real queues in virtual time

Cause: no measurement showed whether urgent work starts within 7.8 s, and the simulated daemons had counters in place of queues.

Change: simulated daemons use PoolQueue.

Ruled out: nothing yet; no change of the product is part of this commit.

--- a/standins/src/main/java/org/marigoldturn/standins/measure/Measure.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/Measure.java
@@ -53,6 +53,7 @@
     private static Map<String, Measurement> measurements() {
         Map<String, Measurement> all = new LinkedHashMap<>();
         all.put("shares", ShareMeasurement::run);
+        all.put("urgent", UrgentMeasurement::run);
         all.put("maintenance", MaintenanceMeasurement::run);
         all.put("latency", LatencyMeasurement::run);
         all.put("spread", SpreadMeasurement::run);
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedDaemon.java
@@ -1,12 +1,15 @@
 package org.marigoldturn.standins.measure;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.TreeMap;
+import org.marigoldturn.admission.PoolQueue;
+import org.marigoldturn.admission.QueuedRequest;
+import org.marigoldturn.admission.ResourceNeeds;
+import org.marigoldturn.admission.TeamDemandSnapshot;
+import org.marigoldturn.admission.TeamTerms;
 import org.marigoldturn.peer.wire.DemandReport;
 import org.marigoldturn.peer.wire.Envelope;
 import org.marigoldturn.rights.AddressedTotals;
@@ -22,20 +25,18 @@
 import org.marigoldturn.shares.ResourceDemand.TeamLoad;
 import org.marigoldturn.shares.ShareCoordinator;
 
-/** One daemon of a {@link SimulatedFleet}: real rights and shares, counters in place of queues. */
+/** One daemon of a {@link SimulatedFleet}: real rights, shares and queues. */
 final class SimulatedDaemon {
     private static final int QUEUE_CAPACITY = 1000;
     private static final int TICK_MILLIS = 1000;
     private static final int SERVE_MILLIS = 50;
+    private static final TeamDemandSnapshot NONE = new TeamDemandSnapshot(0, 0);
 
-    /** A request that has started. */
-    record Start(String pool, String team, String host) {}
+    /** Requests of the simulation have no deadline. */
+    private static final long NEVER_NANOS = Long.MAX_VALUE / 2;
 
-    /** Work of one team in one pool. */
-    private static final class Work {
-        private int mQueued;
-        private int mRunning;
-    }
+    /** A request that has started; its attachment is the time of its arrival. */
+    record Start(String pool, QueuedRequest<Long> request, String host) {}
 
     /** Sends messages to other daemons. */
     interface Network {
@@ -53,7 +54,7 @@
     private final DemandReporter mReporter = new DemandReporter();
     private final ShareCoordinator mCoordinator;
     private final EntitlementTable mEntitlements = new EntitlementTable();
-    private final Map<String, Map<String, Work>> mPools = new TreeMap<>();
+    private final Map<String, PoolQueue<Long>> mPools = new TreeMap<>();
     private final Map<String, List<String>> mHosts = new TreeMap<>();
     private boolean mStarvedReport;
 
@@ -72,7 +73,9 @@
         mLedger = new RightsLedger(id);
         mLedger.adopt(state);
         mCoordinator = new ShareCoordinator(id);
-        state.settings().pools().keySet().forEach(pool -> mPools.put(pool, new TreeMap<>()));
+        for (String pool : state.settings().pools().keySet()) {
+            mPools.put(pool, new PoolQueue<>(pool, mLedger, mEntitlements));
+        }
         state.settings()
                 .hosts()
                 .values()
@@ -82,24 +85,39 @@
                                         .add(h.name()));
     }
 
-    void arrive(String pool, String team, int requests) {
-        Work work = mPools.get(pool).computeIfAbsent(team, name -> new Work());
-        work.mQueued = Math.min(QUEUE_CAPACITY, work.mQueued + requests);
+    /** Queues a request unless the queue of its team is full. */
+    void arrive(String pool, String team, boolean urgent, long nowMillis) {
+        TeamSettings settings = mState.settings().teams().get(team);
+        TeamTerms terms = new TeamTerms(team, settings.shareWeight(), true);
+        var unused =
+                mPools.get(pool)
+                        .offer(
+                                new QueuedRequest<>(
+                                        terms,
+                                        urgent,
+                                        false,
+                                        ResourceNeeds.NONE,
+                                        NEVER_NANOS,
+                                        nowMillis),
+                                QUEUE_CAPACITY,
+                                0);
     }
 
     int running(String pool, String team) {
-        Work work = mPools.get(pool).get(team);
-        return work == null ? 0 : work.mRunning;
+        return demand(pool).getOrDefault(team, NONE).running();
     }
 
     int demand(String pool, String team) {
-        Work work = mPools.get(pool).get(team);
-        return work == null ? 0 : work.mRunning + work.mQueued;
+        TeamDemandSnapshot demand = demand(pool).getOrDefault(team, NONE);
+        return demand.running() + demand.queued();
+    }
+
+    private Map<String, TeamDemandSnapshot> demand(String pool) {
+        return mPools.get(pool).demand();
     }
 
     void end(Start start) {
-        mPools.get(start.pool()).get(start.team()).mRunning--;
-        mLedger.release(Resources.team(start.team()));
+        mPools.get(start.pool()).ended(start.request());
         mLedger.release(Resources.host(start.host()));
     }
 
@@ -107,11 +125,11 @@
     List<Start> dispatch() {
         List<Start> starts = new ArrayList<>();
         mPools.forEach(
-                (pool, teams) -> {
-                    Optional<Start> start = startOne(pool, teams);
+                (pool, queue) -> {
+                    Optional<Start> start = startOne(pool, queue);
                     while (start.isPresent()) {
                         starts.add(start.get());
-                        start = startOne(pool, teams);
+                        start = startOne(pool, queue);
                     }
                 });
         return starts;
@@ -150,16 +168,17 @@
     }
 
     private boolean isStarved() {
-        return mPools.entrySet().stream()
-                .anyMatch(
-                        pool ->
-                                pool.getValue().entrySet().stream()
-                                        .anyMatch(
-                                                team ->
-                                                        team.getValue().mQueued > 0
-                                                                && lacksRights(
-                                                                        pool.getKey(),
-                                                                        team.getKey())));
+        for (Map.Entry<String, PoolQueue<Long>> pool : mPools.entrySet()) {
+            boolean starved =
+                    pool.getValue().queued() > 0
+                            && pool.getValue().demand().entrySet().stream()
+                                    .filter(team -> team.getValue().queued() > 0)
+                                    .anyMatch(team -> lacksRights(pool.getKey(), team.getKey()));
+            if (starved) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean lacksRights(String pool, String team) {
@@ -194,13 +213,8 @@
                         && report.getTeamsList().stream().anyMatch(team -> team.getQueued() > 0);
     }
 
-    private Optional<Start> startOne(String pool, Map<String, Work> teams) {
-        Optional<String> team =
-                teams.keySet().stream()
-                        .filter(t -> teams.get(t).mQueued > 0)
-                        .filter(t -> mLedger.free(Resources.team(t)) > 0)
-                        .min(Comparator.comparingDouble(t -> load(pool, t, teams.get(t))));
-        if (team.isEmpty()) {
+    private Optional<Start> startOne(String pool, PoolQueue<Long> queue) {
+        if (queue.queued() == 0) {
             return Optional.empty();
         }
         Optional<String> host =
@@ -210,30 +224,28 @@
         if (host.isEmpty()) {
             return Optional.empty();
         }
-        mLedger.tryAcquire(Resources.team(team.get()));
-        Work work = teams.get(team.get());
-        work.mQueued--;
-        work.mRunning++;
-        return Optional.of(new Start(pool, team.get(), host.get()));
-    }
-
-    private double load(String pool, String team, Work work) {
-        OptionalInt entitlement = mEntitlements.entitlement(pool, team);
-        TeamSettings settings = mState.settings().teams().get(team);
-        return (work.mRunning + 0.5) / entitlement.orElse(settings.shareWeight());
+        Optional<QueuedRequest<Long>> next =
+                queue.next(mLedger.allowance(Resources.pool(pool)), request -> true);
+        if (next.isEmpty()) {
+            mLedger.release(Resources.host(host.get()));
+            return Optional.empty();
+        }
+        queue.start(next.get());
+        return Optional.of(new Start(pool, next.get(), host.get()));
     }
 
     private Map<String, ResourceDemand> demands(long nowMillis) {
         Map<String, Map<String, TeamLoad>> loads = new TreeMap<>();
         mPools.forEach(
-                (pool, teams) -> {
+                (pool, queue) -> {
                     Map<String, TeamLoad> active = new TreeMap<>();
-                    teams.forEach(
-                            (team, work) -> {
-                                if (work.mRunning + work.mQueued > 0) {
-                                    active.put(team, new TeamLoad(work.mRunning, work.mQueued));
-                                }
-                            });
+                    queue.demand()
+                            .forEach(
+                                    (team, work) ->
+                                            active.put(
+                                                    team,
+                                                    new TeamLoad(work.running(), work.queued())));
+                    active.values().removeIf(load -> load.demand() == 0);
                     loads.put(pool, active);
                 });
         return mCollector.collect(mState, mLedger, loads, nowMillis);
--- a/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/SimulatedFleet.java
@@ -72,6 +72,8 @@
     private final Map<Flow, Integer> mClients = new LinkedHashMap<>();
     private long mNowMillis;
     private long mControlBytes;
+    private int mUrgentWaiting;
+    private long mLongestUrgentWaitMillis;
 
     /** Creates a fleet without load. */
     public SimulatedFleet(Setup setup, long seed) {
@@ -113,6 +115,24 @@
         mClients.put(new Flow(daemon, pool(pool), team), clients);
     }
 
+    /** Sends urgent requests of a team with the mean run time to one daemon. */
+    public void sendUrgent(int daemon, int pool, String team, int requests) {
+        for (int i = 0; i < requests; i++) {
+            mDaemons.get(daemonId(daemon)).arrive(pool(pool), team, true, mNowMillis);
+        }
+        mUrgentWaiting += requests;
+    }
+
+    /** Returns the urgent requests that have not started. */
+    public int urgentWaiting() {
+        return mUrgentWaiting;
+    }
+
+    /** Returns the longest time that an urgent request has waited for its start. */
+    public long longestUrgentWaitMillis() {
+        return mLongestUrgentWaitMillis;
+    }
+
     /** Advances virtual time by one step. */
     public void step() {
         mNowMillis += STEP_MILLIS;
@@ -123,14 +143,14 @@
         for (Flow flow : mFlows) {
             int arrivals = poisson(mRatesPerSecond.get(flow) * STEP_MILLIS / 1000);
             if (arrivals > 0) {
-                mDaemons.get(daemonId(flow.daemon())).arrive(flow.pool(), flow.team(), arrivals);
+                arrive(flow, arrivals);
             }
         }
         mClients.forEach(
                 (flow, clients) -> {
                     SimulatedDaemon daemon = mDaemons.get(daemonId(flow.daemon()));
                     int pending = daemon.demand(flow.pool(), flow.team());
-                    daemon.arrive(flow.pool(), flow.team(), Math.max(0, clients - pending));
+                    arrive(flow, Math.max(0, clients - pending));
                 });
         while (!mMessages.isEmpty() && mMessages.peek().dueMillis() <= mNowMillis) {
             Message message = mMessages.poll();
@@ -180,7 +200,19 @@
         mMessages.add(new Message(mNowMillis + STEP_MILLIS, sender, receiver, envelope));
     }
 
+    private void arrive(Flow flow, int requests) {
+        SimulatedDaemon daemon = mDaemons.get(daemonId(flow.daemon()));
+        for (int i = 0; i < requests; i++) {
+            daemon.arrive(flow.pool(), flow.team(), false, mNowMillis);
+        }
+    }
+
     private Running running(SimulatedDaemon daemon, Start start) {
+        if (start.request().urgent()) {
+            mUrgentWaiting--;
+            long waitMillis = mNowMillis - start.request().attachment();
+            mLongestUrgentWaitMillis = Math.max(mLongestUrgentWaitMillis, waitMillis);
+        }
         double runMillis = -Math.log(1 - mRandom.nextDouble()) * mSetup.meanRunMillis();
         return new Running(mNowMillis + 1 + (long) runMillis, daemon, start);
     }
