--- a/core/src/main/java/org/marigoldturn/routing/RequestClaims.java
+++ b/core/src/main/java/org/marigoldturn/routing/RequestClaims.java
@@ -146,6 +146,11 @@
         return handovers;
     }
 
+    /** Returns whether a member that joined has not confirmed the records of its ids yet. */
+    public synchronized boolean hasJoiners() {
+        return !mJoiners.isEmpty();
+    }
+
     /**
      * Returns the records for members that joined and have not confirmed them yet. To be sent again
      * until {@link #onHandedOver}; each is complete by itself, so that late and repeated ones are
--- a/core/src/main/java/org/marigoldturn/settings/HostSettings.java
+++ b/core/src/main/java/org/marigoldturn/settings/HostSettings.java
@@ -62,4 +62,9 @@
                 nextState,
                 nextMaintainedAtMillis);
     }
+
+    /** Returns a copy in the given state. */
+    public HostSettings withState(HostState next) {
+        return with(pool, next, maintainedAtMillis);
+    }
 }
