--- a/core/src/main/java/org/marigoldturn/settings/HostSettings.java
+++ b/core/src/main/java/org/marigoldturn/settings/HostSettings.java
@@ -45,11 +45,11 @@
         }
     }
 
-    /** Returns a copy in the given state. */
-    public HostSettings withState(HostState next) {
+    /** Returns a copy in the given pool and state of the life cycle. */
+    public HostSettings with(String nextPool, HostState nextState, long nextMaintainedAtMillis) {
         return new HostSettings(
                 name,
-                pool,
+                nextPool,
                 zone,
                 rack,
                 address,
@@ -59,7 +59,7 @@
                 cores,
                 memoryMegabytes,
                 accelerators,
-                next,
-                maintainedAtMillis);
+                nextState,
+                nextMaintainedAtMillis);
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/measure/MaintenanceRound.java
+++ b/standins/src/main/java/org/marigoldturn/standins/measure/MaintenanceRound.java
@@ -201,7 +201,12 @@
         List<SettingsEdit> edits = new ArrayList<>();
         for (HostSettings host : mFleet.current().hosts().values()) {
             if (!host.state().acceptsWork() && inService.contains(host.state())) {
-                edits.add(new SettingsEdit.PutHost(host.withState(HostState.IN_SERVICE)));
+                edits.add(
+                        new SettingsEdit.PutHost(
+                                host.with(
+                                        host.pool(),
+                                        HostState.IN_SERVICE,
+                                        host.maintainedAtMillis())));
             }
         }
         edited.apply(edits);
