Test that a zone drain counts failed and ejected hosts

Cause: no test showed that the refusal of a zone drain counts hosts that are unavailable without a plan, or which drains are cancelled. Change: tests with a failed host inside and outside the zone, with a host that two daemons have ejected, and of DrainCanceller. TestOperator can state failed hosts. Ruled out: nothing. Conclusion: the refusal is correct for the hosts that are reported to it.

--- a/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
+++ b/core/src/test/java/org/marigoldturn/fleet/PlannersTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import net.jqwik.api.Example;
+import org.marigoldturn.routing.EjectionReports;
+import org.marigoldturn.routing.HostHealthReport;
 import org.marigoldturn.settings.ContentHash;
 import org.marigoldturn.settings.FleetPolicy;
 import org.marigoldturn.settings.FleetPolicy.WaveStatus;
@@ -91,6 +93,47 @@
         assertThat(planner.finishRamps(returning, NOW_MILLIS + 30_001)).hasSize(1);
     }
 
+    /** Guards against a zone drain that forgets hosts which have failed or have been ejected. */
+    @Example
+    void zoneDrainCountsFailedAndEjectedHosts() {
+        FleetSettings settings = FleetFixture.settings(36, 50);
+        ZonePlanner planner = new ZonePlanner();
+        assertThat(planner.drain(settings, Set.of(), "z0", false, NOW_MILLIS).refused()).isFalse();
+        // A failed host in the zone itself is not counted twice.
+        Set<String> inside = Set.of("h0");
+        assertThat(planner.drain(settings, inside, "z0", false, NOW_MILLIS).refused()).isFalse();
+        ZonePlan refused = planner.drain(settings, Set.of("h6"), "z0", false, NOW_MILLIS);
+        assertThat(refused.refused()).isTrue();
+        assertThat(refused.shortfalls()).extracting(BudgetStatus::shortfallSlots).containsOnly(8);
+        EjectionReports reports = new EjectionReports();
+        reports.onReport("d1", new HostHealthReport("h6", true, 9), 0);
+        reports.onReport("d2", new HostHealthReport("h6", true, 9), 0);
+        Set<String> ejected = reports.unavailable(List.of(), 1);
+        assertThat(planner.drain(settings, ejected, "z0", false, NOW_MILLIS).refused()).isTrue();
+    }
+
+    /** Guards against a drain that ends in maintenance after failures have used its reserve. */
+    @Example
+    void drainIsCancelledWhenFailuresUseTheBudget() {
+        FleetSettings settings = FleetFixture.settings(36, 50);
+        settings = FleetFixture.apply(settings, mMaintenance.step(settings, Set.of(), NOW_MILLIS));
+        assertThat(settings.hosts().get("h0").state()).isEqualTo(HostState.DRAINING);
+        int started = settings.policy().wave().startedHosts();
+        DrainCanceller canceller = new DrainCanceller();
+        Set<String> failed = Set.of("h6", "h9", "h18", "h21", "h30", "h33");
+        assertThat(canceller.cancel(settings, Set.of("h6"), Map.of())).isEmpty();
+        FleetSettings next =
+                FleetFixture.apply(settings, canceller.cancel(settings, failed, Map.of()));
+        assertThat(next.hosts().get("h0").state()).isEqualTo(HostState.IN_SERVICE);
+        assertThat(next.hosts().get("h1").state()).isEqualTo(HostState.DRAINING);
+        assertThat(next.policy().wave().returnByMillis()).doesNotContainKey("h0");
+        assertThat(next.policy().wave().startedHosts()).isLessThan(started);
+        // A drain that an operator has ordered goes on.
+        FleetSettings ordered = FleetFixture.settings(36, 50);
+        ordered = FleetFixture.apply(ordered, mLifecycle.drain(ordered, "h0"));
+        assertThat(canceller.cancel(ordered, failed, Map.of())).isEmpty();
+    }
+
     /** Guards against maintenance that starts while a daemon may still start work. */
     @Example
     void drainEndsOnlyWhenAllDaemonsAndALaterUsageReportAgree() {
--- a/core/src/test/java/org/marigoldturn/operator/TestOperator.java
+++ b/core/src/test/java/org/marigoldturn/operator/TestOperator.java
@@ -19,6 +19,8 @@
     public final RingDecisionLog mDecisions = new RingDecisionLog(8);
     public volatile AcceptanceResult mAcceptance = new AcceptanceResult(true, List.of());
 
+    public volatile Set<String> mFailedHosts = Set.of();
+
     private final Server mServer;
 
     /** Starts a server. */
@@ -44,7 +46,7 @@
                                                 true,
                                                 List.of(),
                                                 List.of())),
-                        Set::of,
+                        () -> mFailedHosts,
                         mDecisions,
                         (id, changeId, author) ->
                                 CompletableFuture.completedFuture(
