Share ejections between the daemons

Cause: a daemon learned of a faulty host by failures of its own only, and an ejected host did not count in availability budgets. The decisions were in place, but not connected. Change: the peer message HealthReport, with its generated code; HealthReporter decides what is due, HealthService sends, receives and adopts reports every second. Ruled out: asking all daemons in each planner step; zone drains and status are answered by any daemon. Figures: none of bytes or time. Conclusion: connected. A faulty host with several real daemons and the cost of the message were not run.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -73,6 +73,7 @@
     private final RingDecisionLog mDecisions = new RingDecisionLog(DECISION_LOG_CAPACITY);
     private final EntryServer mEntry;
     private final HostListService mHosts;
+    private final HealthService mHealth;
     private final FleetStatusService mStatus;
     private final RoleHolder mPlannerRole;
     private final RoleHolder mRightsRole;
@@ -121,6 +122,13 @@
                         new SlotRenewal(
                                 mPublisher, mRepository, mControl, System::currentTimeMillis));
         mHosts = hostListService();
+        mHealth =
+                new HealthService(
+                        mPeers,
+                        mPublisher,
+                        mEntry.callers(),
+                        mHosts::failedHosts,
+                        System::currentTimeMillis);
         mStatus = statusService();
         mPlannerRole = role("planner");
         mRightsRole = role("rights");
@@ -198,6 +206,7 @@
                         mShares,
                         mClaims,
                         mStatus,
+                        mHealth,
                         mControl));
     }
 
@@ -221,6 +230,7 @@
                     mShares.coordinate(answering);
                 });
         mControl.every("roles", SHARE_INTERVAL_MILLIS, this::tickRoles);
+        mControl.every("health", SHARE_INTERVAL_MILLIS, mHealth::tick);
         mControl.every("host list", HOST_LIST_INTERVAL_MILLIS, mHosts::refresh);
         mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
     }
@@ -272,6 +282,7 @@
                 mPlannerRole,
                 mStatus,
                 mHosts,
+                mHealth::failedHosts,
                 mPublisher,
                 mRepository,
                 mControl,
@@ -298,7 +309,7 @@
                 mPublisher,
                 mLedger,
                 mEntry.callers()::demand,
-                mHosts::failedHosts,
+                mHealth::failedHosts,
                 mEntry::isReady,
                 mController::reachesStore);
     }
@@ -332,7 +343,7 @@
                 mController.acceptance(),
                 this::history,
                 mStatus,
-                mHosts::failedHosts,
+                mHealth::failedHosts,
                 mDecisions,
                 mMembership::forget,
                 mMetrics,
--- a/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerRouter.java
@@ -24,6 +24,7 @@
             ShareService shares,
             PeerClaimRegistry claims,
             FleetStatusService status,
+            HealthService health,
             Executor control) {}
 
     private static final CompletableFuture<Envelope.Builder> NO_REPLY =
@@ -87,6 +88,7 @@
             case TRANSFER_HINT -> services.rights().onHint(message.getTransferHint());
             case DEMAND_REPORT -> services.shares().onReport(sender, message.getDemandReport());
             case ENTITLEMENTS -> services.shares().onEntitlements(message.getEntitlements());
+            case HEALTH_REPORT -> services.health().onReport(sender, message.getHealthReport());
             case CLAIM_RELEASE -> services.claims().onRelease(sender, message.getClaimRelease());
             default ->
                     throw new IllegalArgumentException(
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.marigoldturn.fleet.AvailabilityBudget;
 import org.marigoldturn.fleet.DrainEvidence;
 import org.marigoldturn.fleet.FleetObservation;
@@ -42,6 +43,7 @@
     private final RoleHolder mRole;
     private final FleetStatusService mStatus;
     private final HostListService mHosts;
+    private final Supplier<Set<String>> mFailedHosts;
     private final StatePublisher mPublisher;
     private final SettingsRepository mRepository;
     private final ControlLoop mControl;
@@ -71,6 +73,7 @@
             RoleHolder role,
             FleetStatusService status,
             HostListService hosts,
+            Supplier<Set<String>> failedHosts,
             StatePublisher publisher,
             SettingsRepository repository,
             ControlLoop control,
@@ -79,6 +82,7 @@
         mRole = role;
         mStatus = status;
         mHosts = hosts;
+        mFailedHosts = failedHosts;
         mPublisher = publisher;
         mRepository = repository;
         mControl = control;
@@ -180,7 +184,7 @@
             }
         }
         return new FleetObservation(
-                mHosts.failedHosts(), hosts, demands(state, replies), EXPECTED_DRAIN_MILLIS);
+                mFailedHosts.get(), hosts, demands(state, replies), EXPECTED_DRAIN_MILLIS);
     }
 
     private HostObservation observe(
@@ -221,7 +225,7 @@
     private Map<String, PoolDemand> demands(
             VersionedState state, Map<String, StatusReply> replies) {
         long nowMillis = mNowMillis.getAsLong();
-        AvailabilityBudget budget = AvailabilityBudget.of(state.settings(), mHosts.failedHosts());
+        AvailabilityBudget budget = AvailabilityBudget.of(state.settings(), mFailedHosts.get());
         for (String pool : state.settings().pools().keySet()) {
             int running = 0;
             int queued = 0;
--- a/core/src/main/java/org/marigoldturn/entry/CallerService.java
+++ b/core/src/main/java/org/marigoldturn/entry/CallerService.java
@@ -8,12 +8,15 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import org.marigoldturn.admission.QueuedRequest;
 import org.marigoldturn.admission.TeamDemandSnapshot;
 import org.marigoldturn.entry.AdmitFilter.AdmissionProblem;
+import org.marigoldturn.routing.HostHealthReport;
 import org.marigoldturn.routing.RequestAttempts;
 import org.marigoldturn.routing.RetryBudget;
 import org.marigoldturn.routing.TargetSelector.Selection;
@@ -213,6 +216,21 @@
         return view;
     }
 
+    /** Returns the hosts that the outcomes of this daemon's requests have ejected. */
+    public Set<String> ejectedHosts() {
+        return mSelect.ejectedHosts();
+    }
+
+    /** Returns what this daemon has seen of a host. */
+    public HostHealthReport healthReport(String pool, String host) {
+        return mSelect.healthReport(pool, host);
+    }
+
+    /** Adopts the hosts that other daemons have ejected, those with the most evidence first. */
+    public void adoptSuspects(List<String> suspects) {
+        mSelect.adoptSuspects(view(), suspects);
+    }
+
     /** Returns the path and query after the service name, as the caller encoded them. */
     private static String targetPath(String path) {
         int slash = path.indexOf('/', PATH_PREFIX.length());
--- a/core/src/main/java/org/marigoldturn/entry/SelectFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/SelectFilter.java
@@ -1,14 +1,19 @@
 package org.marigoldturn.entry;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.marigoldturn.rights.Resources;
 import org.marigoldturn.rights.RightsHolder;
 import org.marigoldturn.routing.HostHealth;
+import org.marigoldturn.routing.HostHealthReport;
 import org.marigoldturn.routing.HostLoads;
 import org.marigoldturn.routing.PoolHosts;
 import org.marigoldturn.routing.TargetSelector;
@@ -112,6 +117,41 @@
                                 view.pool(pool).hosts().stream().map(HostSettings::name).toList()));
     }
 
+    /** Returns the hosts that the outcomes of this daemon's requests have ejected. */
+    Set<String> ejectedHosts() {
+        Set<String> hosts = new TreeSet<>();
+        mHealthByPool.values().forEach(health -> hosts.addAll(health.ejectedHosts()));
+        return hosts;
+    }
+
+    /** Returns what this daemon has seen of a host. */
+    HostHealthReport healthReport(String pool, String host) {
+        return health(pool).report(host, mNowNanos.getAsLong());
+    }
+
+    /**
+     * Adopts the hosts that other daemons have ejected.
+     *
+     * @param suspects hosts of all pools, those with the most evidence first
+     */
+    void adoptSuspects(FleetView view, List<String> suspects) {
+        Map<String, List<String>> byPool = new HashMap<>();
+        mHealthByPool.keySet().forEach(pool -> byPool.put(pool, new ArrayList<>()));
+        for (String host : suspects) {
+            HostSettings settings = view.state().settings().hosts().get(host);
+            if (settings != null) {
+                byPool.computeIfAbsent(settings.pool(), pool -> new ArrayList<>()).add(host);
+            }
+        }
+        byPool.forEach(
+                (pool, hosts) ->
+                        health(pool)
+                                .adoptSuspects(
+                                        hosts,
+                                        view.pool(pool).hosts().size(),
+                                        mNowNanos.getAsLong()));
+    }
+
     private HostHealth health(String pool) {
         return mHealthByPool.computeIfAbsent(pool, p -> new HostHealth(mRandom));
     }
--- a/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
@@ -73,6 +73,7 @@
     FAREWELL(26),
     STATUS_REQUEST(27),
     STATUS_REPLY(28),
+    HEALTH_REPORT(29),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -109,6 +110,7 @@
         case 26: return FAREWELL;
         case 27: return STATUS_REQUEST;
         case 28: return STATUS_REPLY;
+        case 29: return HEALTH_REPORT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -786,6 +788,37 @@
     return org.marigoldturn.peer.wire.StatusReply.getDefaultInstance();
   }
 
+  public static final int HEALTH_REPORT_FIELD_NUMBER = 29;
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   * @return Whether the healthReport field is set.
+   */
+  @java.lang.Override
+  public boolean hasHealthReport() {
+    return bodyCase_ == 29;
+  }
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   * @return The healthReport.
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.HealthReport getHealthReport() {
+    if (bodyCase_ == 29) {
+       return (org.marigoldturn.peer.wire.HealthReport) body_;
+    }
+    return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+  }
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   */
+  @java.lang.Override
+  public org.marigoldturn.peer.wire.HealthReportOrBuilder getHealthReportOrBuilder() {
+    if (bodyCase_ == 29) {
+       return (org.marigoldturn.peer.wire.HealthReport) body_;
+    }
+    return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -866,6 +899,9 @@
     if (bodyCase_ == 28) {
       output.writeMessage(28, (org.marigoldturn.peer.wire.StatusReply) body_);
     }
+    if (bodyCase_ == 29) {
+      output.writeMessage(29, (org.marigoldturn.peer.wire.HealthReport) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -962,6 +998,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(28, (org.marigoldturn.peer.wire.StatusReply) body_);
     }
+    if (bodyCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.marigoldturn.peer.wire.HealthReport) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1061,6 +1101,10 @@
         if (!getStatusReply()
             .equals(other.getStatusReply())) return false;
         break;
+      case 29:
+        if (!getHealthReport()
+            .equals(other.getHealthReport())) return false;
+        break;
       case 0:
       default:
     }
@@ -1160,6 +1204,10 @@
         hash = (37 * hash) + STATUS_REPLY_FIELD_NUMBER;
         hash = (53 * hash) + getStatusReply().hashCode();
         break;
+      case 29:
+        hash = (37 * hash) + HEALTH_REPORT_FIELD_NUMBER;
+        hash = (53 * hash) + getHealthReport().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1358,6 +1406,9 @@
       if (statusReplyBuilder_ != null) {
         statusReplyBuilder_.clear();
       }
+      if (healthReportBuilder_ != null) {
+        healthReportBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1484,6 +1535,10 @@
           statusReplyBuilder_ != null) {
         result.body_ = statusReplyBuilder_.build();
       }
+      if (bodyCase_ == 29 &&
+          healthReportBuilder_ != null) {
+        result.body_ = healthReportBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1586,6 +1641,10 @@
           mergeStatusReply(other.getStatusReply());
           break;
         }
+        case HEALTH_REPORT: {
+          mergeHealthReport(other.getHealthReport());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1764,6 +1823,13 @@
               bodyCase_ = 28;
               break;
             } // case 226
+            case 234: {
+              input.readMessage(
+                  internalGetHealthReportFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 29;
+              break;
+            } // case 234
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4662,6 +4728,148 @@
       return statusReplyBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.HealthReport, org.marigoldturn.peer.wire.HealthReport.Builder, org.marigoldturn.peer.wire.HealthReportOrBuilder> healthReportBuilder_;
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     * @return Whether the healthReport field is set.
+     */
+    @java.lang.Override
+    public boolean hasHealthReport() {
+      return bodyCase_ == 29;
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     * @return The healthReport.
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.HealthReport getHealthReport() {
+      if (healthReportBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          return (org.marigoldturn.peer.wire.HealthReport) body_;
+        }
+        return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 29) {
+          return healthReportBuilder_.getMessage();
+        }
+        return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    public Builder setHealthReport(org.marigoldturn.peer.wire.HealthReport value) {
+      if (healthReportBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        healthReportBuilder_.setMessage(value);
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    public Builder setHealthReport(
+        org.marigoldturn.peer.wire.HealthReport.Builder builderForValue) {
+      if (healthReportBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        healthReportBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    public Builder mergeHealthReport(org.marigoldturn.peer.wire.HealthReport value) {
+      if (healthReportBuilder_ == null) {
+        if (bodyCase_ == 29 &&
+            body_ != org.marigoldturn.peer.wire.HealthReport.getDefaultInstance()) {
+          body_ = org.marigoldturn.peer.wire.HealthReport.newBuilder((org.marigoldturn.peer.wire.HealthReport) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 29) {
+          healthReportBuilder_.mergeFrom(value);
+        } else {
+          healthReportBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    public Builder clearHealthReport() {
+      if (healthReportBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 29) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        healthReportBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    public org.marigoldturn.peer.wire.HealthReport.Builder getHealthReportBuilder() {
+      return internalGetHealthReportFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    @java.lang.Override
+    public org.marigoldturn.peer.wire.HealthReportOrBuilder getHealthReportOrBuilder() {
+      if ((bodyCase_ == 29) && (healthReportBuilder_ != null)) {
+        return healthReportBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 29) {
+          return (org.marigoldturn.peer.wire.HealthReport) body_;
+        }
+        return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.marigoldturn.peer.wire.HealthReport, org.marigoldturn.peer.wire.HealthReport.Builder, org.marigoldturn.peer.wire.HealthReportOrBuilder> 
+        internalGetHealthReportFieldBuilder() {
+      if (healthReportBuilder_ == null) {
+        if (!(bodyCase_ == 29)) {
+          body_ = org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
+        }
+        healthReportBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.marigoldturn.peer.wire.HealthReport, org.marigoldturn.peer.wire.HealthReport.Builder, org.marigoldturn.peer.wire.HealthReportOrBuilder>(
+                (org.marigoldturn.peer.wire.HealthReport) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 29;
+      onChanged();
+      return healthReportBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.peer.Envelope)
   }
 
--- a/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
@@ -331,5 +331,20 @@
    */
   org.marigoldturn.peer.wire.StatusReplyOrBuilder getStatusReplyOrBuilder();
 
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   * @return Whether the healthReport field is set.
+   */
+  boolean hasHealthReport();
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   * @return The healthReport.
+   */
+  org.marigoldturn.peer.wire.HealthReport getHealthReport();
+  /**
+   * <code>.marigoldturn.peer.HealthReport health_report = 29;</code>
+   */
+  org.marigoldturn.peer.wire.HealthReportOrBuilder getHealthReportOrBuilder();
+
   org.marigoldturn.peer.wire.Envelope.BodyCase getBodyCase();
 }
--- a/core/src/test/java/org/marigoldturn/routing/SharedEjectionProperties.java
+++ b/core/src/test/java/org/marigoldturn/routing/SharedEjectionProperties.java
@@ -179,4 +179,17 @@
         reports.onReport("d3", new HostHealthReport("h0", false, 0), 0);
         assertThat(reports.unavailable(own, 1)).containsExactly("h0");
     }
+
+    /** Guards against reports that are repeated every second, or not before they expire. */
+    @Example
+    void onlyChangesAndRenewalsAreReported() {
+        HealthReporter reporter = new HealthReporter();
+        HostHealthReport ejected = new HostHealthReport("h0", true, 5);
+        HostHealthReport returned = new HostHealthReport("h0", false, 5);
+        assertThat(reporter.due(Set.of("h0"), host -> ejected, 0)).containsExactly(ejected);
+        assertThat(reporter.due(Set.of("h0"), host -> ejected, 4_999)).isEmpty();
+        assertThat(reporter.due(Set.of("h0"), host -> ejected, 5_000)).containsExactly(ejected);
+        assertThat(reporter.due(Set.of(), host -> returned, 6_000)).containsExactly(returned);
+        assertThat(reporter.due(Set.of(), host -> returned, 20_000)).isEmpty();
+    }
 }
