--- a/core/src/main/java/org/marigoldturn/daemon/ShareService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ShareService.java
@@ -34,6 +34,7 @@
     private final Supplier<Map<String, Map<String, TeamDemandSnapshot>>> mDemand;
     private final LongSupplier mNowMillis;
     private final SlotRenewal mSlotRenewal;
+    private final Runnable mOnStarved;
     private boolean mStarvedReport;
 
     ShareService(
@@ -43,7 +44,8 @@
             StatePublisher publisher,
             Supplier<Map<String, Map<String, TeamDemandSnapshot>>> demand,
             LongSupplier nowMillis,
-            SlotRenewal slotRenewal) {
+            SlotRenewal slotRenewal,
+            Runnable onStarved) {
         mLedger = ledger;
         mEntitlements = entitlements;
         mCoordinator = new ShareCoordinator(peers.selfId());
@@ -52,11 +54,20 @@
         mDemand = demand;
         mNowMillis = nowMillis;
         mSlotRenewal = slotRenewal;
+        mOnStarved = onStarved;
     }
 
     void onReport(String sender, DemandReport report) {
         mCoordinator.onReport(sender, report, mNowMillis.getAsLong());
-        mStarvedReport |= report.getHeld() == 0 && hasQueued(report);
+        if (report.getHeld() == 0 && hasQueued(report)) {
+            mStarvedReport = true;
+            mOnStarved.run();
+        }
+    }
+
+    /** Returns whether a daemon without any right waits for an answer. */
+    boolean hasStarvedReport() {
+        return mStarvedReport;
     }
 
     void onEntitlements(Entitlements entitlements) {
@@ -65,8 +76,8 @@
 
     /**
      * Serves daemons that hold no right at all for queued work, without waiting for the interval;
-     * called every 50 ms. A small pool has fewer slots than there are daemons, so this is the usual
-     * case there.
+     * called every 50 ms while work is queued here or there. A small pool has fewer slots than
+     * there are daemons, so this is the usual case there.
      *
      * @param hasQueued whether this daemon has queued work
      */
--- a/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
+++ b/core/src/main/java/org/marigoldturn/entry/PoolDispatcher.java
@@ -23,13 +23,19 @@
  * missed.
  */
 final class PoolDispatcher {
-    /** Receives the requests that leave the queue. */
+    /** Receives the requests that wait in the queue or leave it. */
     interface Listener {
+        /** Requests are left in the queue after a request was added. */
+        void onWaiting();
+
         /** The request starts on the host; its rights are taken. */
         void onSelected(QueuedRequest<Exchange> request, Selection selection);
 
         /** The request waited too long. */
         void onExpired(QueuedRequest<Exchange> request);
+
+        /** This daemon may start no work, since its settings are not confirmed. */
+        void onUnconfirmed(QueuedRequest<Exchange> request);
     }
 
     /** Requests that either all fit a free host or all do not. */
@@ -84,6 +90,11 @@
         } while (done != 0);
     }
 
+    /** Ends all waiting requests, so that their callers can try another daemon. */
+    void refuseAll() {
+        mQueue.removeAll().forEach(mListener::onUnconfirmed);
+    }
+
     /** A fault must not stop the pool: the mark is taken back, and the next pass tries again. */
     private void tryPass() {
         try {
