--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -80,6 +80,7 @@
     private final RingDecisionLog mDecisions = new RingDecisionLog(DECISION_LOG_CAPACITY);
     private final EntryServer mEntry;
     private final HostListService mHosts;
+    private final HealthService mHealth;
     private final FleetStatusService mStatus;
     private final RoleHolder mPlannerRole;
     private final RoleHolder mRightsRole;
@@ -134,6 +135,13 @@
                                 mPublisher, mRepository, mControl, System::currentTimeMillis),
                         mWaiting::arm);
         mHosts = hostListService();
+        mHealth =
+                new HealthService(
+                        mPeers,
+                        mPublisher,
+                        mEntry.callers(),
+                        mHosts::failedHosts,
+                        System::currentTimeMillis);
         mStatus = statusService();
         mPlannerRole = role("planner");
         mRightsRole = role("rights");
@@ -217,6 +225,7 @@
                         mShares,
                         mClaims,
                         mStatus,
+                        mHealth,
                         mControl));
     }
 
@@ -234,6 +243,7 @@
                     mShares.coordinate(answering);
                 });
         mControl.every("roles", SHARE_INTERVAL_MILLIS, this::tickRoles);
+        mControl.every("health", SHARE_INTERVAL_MILLIS, mHealth::tick);
         mControl.every("host list", HOST_LIST_INTERVAL_MILLIS, mHosts::refresh);
         mControl.every("planner", mConfig.plannerIntervalMillis(), mPlanner::tick);
     }
@@ -297,6 +307,7 @@
                 mPlannerRole,
                 mStatus,
                 mHosts,
+                mHealth::failedHosts,
                 mPublisher,
                 mRepository,
                 mControl,
@@ -324,7 +335,7 @@
                 mPublisher,
                 mLedger,
                 mEntry.callers()::demand,
-                mHosts::failedHosts,
+                mHealth::failedHosts,
                 mEntry::isReady,
                 mController::reachesStore);
     }
@@ -358,7 +369,7 @@
                 mController.acceptance(),
                 this::history,
                 mStatus,
-                mHosts::failedHosts,
+                mHealth::failedHosts,
                 mDecisions,
                 mMembership::forget,
                 mMetrics,
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.marigoldturn.fleet.AvailabilityBudget;
 import org.marigoldturn.fleet.DrainEvidence;
 import org.marigoldturn.fleet.FleetObservation;
@@ -41,6 +42,7 @@
     private final RoleHolder mRole;
     private final FleetStatusService mStatus;
     private final HostListService mHosts;
+    private final Supplier<Set<String>> mFailedHosts;
     private final StatePublisher mPublisher;
     private final SettingsRepository mRepository;
     private final ControlLoop mControl;
@@ -70,6 +72,7 @@
             RoleHolder role,
             FleetStatusService status,
             HostListService hosts,
+            Supplier<Set<String>> failedHosts,
             StatePublisher publisher,
             SettingsRepository repository,
             ControlLoop control,
@@ -78,6 +81,7 @@
         mRole = role;
         mStatus = status;
         mHosts = hosts;
+        mFailedHosts = failedHosts;
         mPublisher = publisher;
         mRepository = repository;
         mControl = control;
@@ -197,7 +201,7 @@
             }
         }
         return new FleetObservation(
-                mHosts.failedHosts(), hosts, demands(state, replies), EXPECTED_DRAIN_MILLIS);
+                mFailedHosts.get(), hosts, demands(state, replies), EXPECTED_DRAIN_MILLIS);
     }
 
     private HostObservation observe(
@@ -237,7 +241,7 @@
     private Map<String, PoolDemand> demands(
             VersionedState state, Map<String, StatusReply> replies) {
         long nowMillis = mNowMillis.getAsLong();
-        AvailabilityBudget budget = AvailabilityBudget.of(state.settings(), mHosts.failedHosts());
+        AvailabilityBudget budget = AvailabilityBudget.of(state.settings(), mFailedHosts.get());
         for (String pool : state.settings().pools().keySet()) {
             int running = 0;
             int queued = 0;
