--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -32,11 +32,7 @@
 import org.marigoldturn.rights.EndedDaemons;
 import org.marigoldturn.rights.RightsLedger;
 import org.marigoldturn.routing.RequestClaims;
-import org.marigoldturn.settings.ChangeResult;
-import org.marigoldturn.settings.HistoryEntry;
-import org.marigoldturn.settings.Manifest;
 import org.marigoldturn.settings.Member;
-import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.shares.EntitlementTable;
 
@@ -362,12 +358,13 @@
     }
 
     private OperatorParts operatorParts() {
+        OperatorSettings settings = new OperatorSettings(mRepository, mPublisher, mControl);
         return new OperatorParts(
                 mConfig.operatorToken(),
                 mPublisher::state,
-                this::commit,
+                settings::commit,
                 mController.acceptance(),
-                this::history,
+                settings::history,
                 mStatus,
                 mHealth::failedHosts,
                 mDecisions,
@@ -376,33 +373,6 @@
                 System::currentTimeMillis);
     }
 
-    /** Commits and adopts at once, so that the answer does not wait for the watch. */
-    private CompletableFuture<ChangeResult> commit(SettingsChange change, long nowMillis) {
-        return mRepository.commit(change, nowMillis).thenApplyAsync(this::adopted, mControl);
-    }
-
-    private ChangeResult adopted(ChangeResult result) {
-        if (result instanceof ChangeResult.Committed committed) {
-            mPublisher.adopt(committed.state());
-        }
-        return result;
-    }
-
-    private CompletableFuture<List<Manifest>> history(int limit) {
-        long from = Math.max(1, mPublisher.state().version() - limit + 1);
-        return mRepository
-                .history(from, limit)
-                .thenApply(
-                        entries ->
-                                entries.stream()
-                                        .map(HistoryEntry::manifest)
-                                        .sorted(
-                                                java.util.Comparator.comparingLong(
-                                                                Manifest::version)
-                                                        .reversed())
-                                        .toList());
-    }
-
     private GracefulShutdown.Parts shutdownParts() {
         return new GracefulShutdown.Parts(
                 mDrain,
