Let any request be the trial of a host when none has come for long

Cause: an ejected host returned only by an idempotent trial request. Found by reading.

One request at a time is at risk; its outcome is reported as for any other host.

Ruled out: a return without a trial, which sends a burst to a host that fails everything; probes of our own, which say nothing about the service.

--- a/core/src/main/java/org/marigoldturn/routing/HostHealth.java
+++ b/core/src/main/java/org/marigoldturn/routing/HostHealth.java
@@ -91,6 +91,15 @@
         return due ? HostVerdict.TRIAL_DUE : HostVerdict.EJECTED;
     }
 
+    /**
+     * Returns whether a trial has been due for so long that a request that is not idempotent may
+     * serve as one. Without it a host whose pool gets no idempotent request would never return.
+     */
+    public synchronized boolean isTrialOverdue(String host, long nowNanos) {
+        return verdict(host, nowNanos) == HostVerdict.TRIAL_DUE
+                && nowNanos - record(host).mEjectedUntilNanos >= MAX_EJECTION_NANOS;
+    }
+
     /** Starts the trial request of an ejected host; returns false if another one was first. */
     public synchronized boolean tryBeginTrial(String host, long nowNanos) {
         if (verdict(host, nowNanos) != HostVerdict.TRIAL_DUE) {
--- a/core/src/main/java/org/marigoldturn/routing/HostVerdict.java
+++ b/core/src/main/java/org/marigoldturn/routing/HostVerdict.java
@@ -6,6 +6,6 @@
     USABLE,
     /** The host was ejected and takes no work. */
     EJECTED,
-    /** The ejection is over; one idempotent request may try the host. */
+    /** The ejection is over; one request may try the host, at first only an idempotent one. */
     TRIAL_DUE
 }
--- a/core/src/main/java/org/marigoldturn/routing/TwoChoicesTargetSelector.java
+++ b/core/src/main/java/org/marigoldturn/routing/TwoChoicesTargetSelector.java
@@ -53,7 +53,8 @@
             HostVerdict verdict = health.verdict(host.name(), nowNanos);
             if (verdict == HostVerdict.USABLE) {
                 usable.add(candidate);
-            } else if (verdict == HostVerdict.TRIAL_DUE && query.idempotent()) {
+            } else if (verdict == HostVerdict.TRIAL_DUE
+                    && (query.idempotent() || health.isTrialOverdue(host.name(), nowNanos))) {
                 Optional<Selection> trial = beginTrial(health, host, nowNanos);
                 if (trial.isPresent()) {
                     return trial;
--- a/core/src/test/java/org/marigoldturn/routing/TargetSelectionTest.java
+++ b/core/src/test/java/org/marigoldturn/routing/TargetSelectionTest.java
@@ -148,6 +148,25 @@
         assertThat(mHealth.verdict("h0", later + 13 * SECOND)).isEqualTo(HostVerdict.USABLE);
     }
 
+    /** Guards against a host that never returns to a pool without idempotent requests. */
+    @Example
+    void aLongOverdueTrialNeedsNoIdempotentRequest() {
+        PoolHosts pool = pool(9, ZoneState.IN_SERVICE);
+        for (int i = 0; i < HostHealth.FAILURES_IN_ROW; i++) {
+            mHealth.onFailure("h0", 9, SECOND);
+        }
+        Query notIdempotent = new Query(ResourceNeeds.NONE, Set.of(), false, 0);
+        long ended = 2 * SECOND + 2 * HostHealth.FIRST_EJECTION_NANOS;
+        assertThat(select(pool, notIdempotent, ended).orElseThrow().trial()).isFalse();
+        long overdue = ended + HostHealth.MAX_EJECTION_NANOS;
+        Selection trial = select(pool, notIdempotent, overdue).orElseThrow();
+        assertThat(trial.trial()).isTrue();
+        assertThat(trial.host().name()).isEqualTo("h0");
+        assertThat(select(pool, notIdempotent, overdue).orElseThrow().trial()).isFalse();
+        mHealth.onSuccess("h0", overdue);
+        assertThat(mHealth.verdict("h0", overdue)).isEqualTo(HostVerdict.USABLE);
+    }
+
     /** Guards against a start in a zone out of service, on a leaving, tried, small or full host. */
     @Property(tries = 300, seed = "4053")
     void selectsOnlyEligibleHosts(@ForAll long seed) {
