Clear the findings of Error Prone in the product module

No change of behaviour: a canonical name, parentheses, a stated reference comparison, and a delay before a repeated claim without a nested future. The findings in the stand-ins (conversions for printing, split) are left.

--- a/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.marigoldturn.entry.DemandTimer;
@@ -27,7 +28,7 @@
                             thread.setDaemon(true);
                             return thread;
                         },
-                        new ScheduledThreadPoolExecutor.DiscardPolicy());
+                        new ThreadPoolExecutor.DiscardPolicy());
         executor.setRemoveOnCancelPolicy(true);
         mExecutor = executor;
     }
--- a/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PeerClaimRegistry.java
@@ -73,9 +73,8 @@
                                     || System.nanoTime() - giveUpNanos >= 0) {
                                 return CompletableFuture.completedFuture(result);
                             }
-                            return CompletableFuture.supplyAsync(
-                                            () -> claim(id, giveUpNanos), RETRY_DELAY)
-                                    .thenCompose(next -> next);
+                            return CompletableFuture.runAsync(() -> {}, RETRY_DELAY)
+                                    .thenCompose(waited -> claim(id, giveUpNanos));
                         });
     }
 
--- a/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/DispatchFilter.java
@@ -186,6 +186,7 @@
     }
 
     /** Returns why a selected request must not be sent, or null. */
+    @SuppressWarnings("ReferenceEquality") // Views are immutable and replaced as a whole.
     private String refusal(Exchange exchange, HostSettings host) {
         long nowNanos = mDependencies.nowNanos().getAsLong();
         if (exchange.ended()) {
--- a/core/src/main/java/org/marigoldturn/routing/EjectionReports.java
+++ b/core/src/main/java/org/marigoldturn/routing/EjectionReports.java
@@ -57,8 +57,8 @@
             int ejecting = (int) reports.stream().filter(HostHealthReport::ejected).count();
             boolean believed =
                     ejecting >= 2
-                            || ejecting == 1
-                                    && hasClearMajority(reports, ownRequests.applyAsInt(host));
+                            || (ejecting == 1
+                                    && hasClearMajority(reports, ownRequests.applyAsInt(host)));
             if (believed) {
                 ejections.put(host, ejecting);
             }
