Rename the package platform to store

Cause: the adapter to the users' platform gets a folder platform/ of its own. Change: the package in core that holds the store port and the host list is org.marigoldturn.store. No behaviour changes.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -25,16 +25,16 @@
 import org.marigoldturn.operator.RingDecisionLog;
 import org.marigoldturn.peer.NettyPeerNetwork;
 import org.marigoldturn.peer.PeerOptions;
-import org.marigoldturn.platform.EtcdJsonStore;
-import org.marigoldturn.platform.HostDirectory;
-import org.marigoldturn.platform.HttpHostDirectory;
-import org.marigoldturn.platform.KeyValueStore;
 import org.marigoldturn.rights.EndedDaemons;
 import org.marigoldturn.rights.RightsLedger;
 import org.marigoldturn.routing.RequestClaims;
 import org.marigoldturn.settings.Member;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.shares.EntitlementTable;
+import org.marigoldturn.store.EtcdJsonStore;
+import org.marigoldturn.store.HostDirectory;
+import org.marigoldturn.store.HttpHostDirectory;
+import org.marigoldturn.store.KeyValueStore;
 
 /**
  * One entry daemon: builds the parts and connects them.
--- a/core/src/main/java/org/marigoldturn/daemon/HostListService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/HostListService.java
@@ -10,13 +10,13 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.marigoldturn.entry.PendingOutcomes;
-import org.marigoldturn.platform.HostDirectory;
-import org.marigoldturn.platform.HostListAnswer;
-import org.marigoldturn.platform.HostListMirror;
-import org.marigoldturn.platform.HostListQuery;
-import org.marigoldturn.platform.HostPresence;
-import org.marigoldturn.platform.HostUsage;
 import org.marigoldturn.rights.EndedDaemons;
+import org.marigoldturn.store.HostDirectory;
+import org.marigoldturn.store.HostListAnswer;
+import org.marigoldturn.store.HostListMirror;
+import org.marigoldturn.store.HostListQuery;
+import org.marigoldturn.store.HostPresence;
+import org.marigoldturn.store.HostUsage;
 import org.tinylog.Logger;
 
 /**
--- a/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
+++ b/core/src/main/java/org/marigoldturn/daemon/PlannerService.java
@@ -18,7 +18,6 @@
 import org.marigoldturn.membership.RoleHolder;
 import org.marigoldturn.peer.wire.Load;
 import org.marigoldturn.peer.wire.StatusReply;
-import org.marigoldturn.platform.HostPresence;
 import org.marigoldturn.settings.ChangeResult;
 import org.marigoldturn.settings.HostSettings;
 import org.marigoldturn.settings.HostState;
@@ -26,6 +25,7 @@
 import org.marigoldturn.settings.SettingsChange;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.VersionedState;
+import org.marigoldturn.store.HostPresence;
 import org.tinylog.Logger;
 
 /**
--- a/core/src/main/java/org/marigoldturn/daemon/SettingsSync.java
+++ b/core/src/main/java/org/marigoldturn/daemon/SettingsSync.java
@@ -2,11 +2,11 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
-import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.platform.StoreException;
-import org.marigoldturn.platform.StoredValue;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.SettingsRepository;
+import org.marigoldturn.store.KeyValueStore;
+import org.marigoldturn.store.StoreException;
+import org.marigoldturn.store.StoredValue;
 import org.tinylog.Logger;
 
 /**
--- a/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
+++ b/core/src/main/java/org/marigoldturn/daemon/StatePublisher.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.marigoldturn.platform.Compare;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.VersionedState;
+import org.marigoldturn.store.Compare;
 import org.tinylog.Logger;
 
 /**
--- a/core/src/main/java/org/marigoldturn/membership/MembershipController.java
+++ b/core/src/main/java/org/marigoldturn/membership/MembershipController.java
@@ -12,10 +12,10 @@
 import org.marigoldturn.peer.PeerListener;
 import org.marigoldturn.peer.PeerNetwork;
 import org.marigoldturn.peer.wire.Envelope;
-import org.marigoldturn.platform.KeyValueStore;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.Member;
 import org.marigoldturn.settings.MemberSet;
+import org.marigoldturn.store.KeyValueStore;
 import org.tinylog.Logger;
 
 /**
--- a/core/src/main/java/org/marigoldturn/membership/StoreConfirmer.java
+++ b/core/src/main/java/org/marigoldturn/membership/StoreConfirmer.java
@@ -5,13 +5,13 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.platform.LeaseExpiredException;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
-import org.marigoldturn.platform.TransactionResult;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.KeyValueStore;
+import org.marigoldturn.store.LeaseExpiredException;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
+import org.marigoldturn.store.TransactionResult;
 
 /**
  * Confirms the held version by a conditional write to the store.
--- a/core/src/main/java/org/marigoldturn/settings/BlobStore.java
+++ b/core/src/main/java/org/marigoldturn/settings/BlobStore.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
 
 /** Reads and writes immutable contents by hash, split over transactions. Thread safe. */
 final class BlobStore {
--- a/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
+++ b/core/src/main/java/org/marigoldturn/settings/ChangeCommitter.java
@@ -10,12 +10,12 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoreOutcomeUnknownException;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
-import org.marigoldturn.platform.TransactionResult;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoreOutcomeUnknownException;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
+import org.marigoldturn.store.TransactionResult;
 
 /**
  * Commits one change: applies it to the newest state, checks, writes, and repeats after lost races.
--- a/core/src/main/java/org/marigoldturn/settings/SettingsHistory.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsHistory.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
 
 /** Reads earlier versions. Thread safe. */
 final class SettingsHistory {
--- a/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
+++ b/core/src/main/java/org/marigoldturn/settings/SettingsRepository.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.marigoldturn.platform.KeyValueStore;
+import org.marigoldturn.store.KeyValueStore;
 
 /**
  * Reads and commits versioned states in the platform's store.
--- a/core/src/main/java/org/marigoldturn/settings/StateReader.java
+++ b/core/src/main/java/org/marigoldturn/settings/StateReader.java
@@ -5,10 +5,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
 
 /**
  * Reads states and remembers the newest one that was seen.
--- a/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
+++ b/core/src/main/java/org/marigoldturn/settings/StoreCalls.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.platform.StoreException;
-import org.marigoldturn.platform.StoreOutcomeUnknownException;
-import org.marigoldturn.platform.StoreUnavailableException;
-import org.marigoldturn.platform.Transaction;
-import org.marigoldturn.platform.TransactionResult;
+import org.marigoldturn.store.KeyValueStore;
+import org.marigoldturn.store.StoreException;
+import org.marigoldturn.store.StoreOutcomeUnknownException;
+import org.marigoldturn.store.StoreUnavailableException;
+import org.marigoldturn.store.Transaction;
+import org.marigoldturn.store.TransactionResult;
 
 /**
  * Repeats transactions whose answer was lost until one answer arrives.
--- a/core/src/main/java/org/marigoldturn/settings/StoreCleanUp.java
+++ b/core/src/main/java/org/marigoldturn/settings/StoreCleanUp.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
 
 /**
  * Deletes history, change ids and contents that no kept version needs. Thread safe.
--- a/core/src/main/java/org/marigoldturn/platform/Compare.java
+++ b/core/src/main/java/org/marigoldturn/store/Compare.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /**
  * A condition of a transaction on one key.
--- a/core/src/main/java/org/marigoldturn/platform/EtcdJson.java
+++ b/core/src/main/java/org/marigoldturn/store/EtcdJson.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/core/src/main/java/org/marigoldturn/platform/EtcdJsonStore.java
+++ b/core/src/main/java/org/marigoldturn/store/EtcdJsonStore.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/core/src/main/java/org/marigoldturn/platform/HostDirectoryException.java
+++ b/core/src/main/java/org/marigoldturn/store/HostDirectoryException.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** The platform's host list could not be read. */
 public class HostDirectoryException extends RuntimeException {
--- a/core/src/main/java/org/marigoldturn/platform/HostPresence.java
+++ b/core/src/main/java/org/marigoldturn/store/HostPresence.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** State of a host in the platform's list. */
 public enum HostPresence {
--- a/core/src/main/java/org/marigoldturn/platform/LeaseExpiredException.java
+++ b/core/src/main/java/org/marigoldturn/store/LeaseExpiredException.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** The lease has ended or never existed. */
 public class LeaseExpiredException extends StoreException {
--- a/core/src/main/java/org/marigoldturn/platform/StoreException.java
+++ b/core/src/main/java/org/marigoldturn/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** Base of all failures of the key-value service. */
 public class StoreException extends RuntimeException {
--- a/core/src/main/java/org/marigoldturn/platform/StoreOutcomeUnknownException.java
+++ b/core/src/main/java/org/marigoldturn/store/StoreOutcomeUnknownException.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** The answer was lost; a write may have taken effect or may still do so. */
 public class StoreOutcomeUnknownException extends StoreException {
--- a/core/src/main/java/org/marigoldturn/platform/StoreUnavailableException.java
+++ b/core/src/main/java/org/marigoldturn/store/StoreUnavailableException.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 /** The service could not be reached; the request has certainly had no effect. */
 public class StoreUnavailableException extends StoreException {
--- a/core/src/main/java/org/marigoldturn/platform/StoredValue.java
+++ b/core/src/main/java/org/marigoldturn/store/StoredValue.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 import com.google.protobuf.ByteString;
 import java.util.Objects;
--- a/core/src/main/java/org/marigoldturn/platform/TransactionResult.java
+++ b/core/src/main/java/org/marigoldturn/store/TransactionResult.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 import java.util.List;
 
--- a/core/src/main/java/org/marigoldturn/platform/package-info.java
+++ b/core/src/main/java/org/marigoldturn/store/package-info.java
@@ -1,2 +1,2 @@
 /** Port to the platform's key-value service and host list, with one adapter each. */
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
--- a/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
+++ b/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
@@ -32,7 +32,7 @@
                     "rights",
                     "peer",
                     "settings",
-                    "platform",
+                    "store",
                     "hashing");
 
     @Example
--- a/core/src/test/java/org/marigoldturn/daemon/HostListServiceTest.java
+++ b/core/src/test/java/org/marigoldturn/daemon/HostListServiceTest.java
@@ -12,13 +12,13 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.entry.PendingOutcomes;
-import org.marigoldturn.platform.HostDirectory;
-import org.marigoldturn.platform.HostDirectoryException;
-import org.marigoldturn.platform.HostListAnswer;
-import org.marigoldturn.platform.HostListQuery;
-import org.marigoldturn.platform.HostPresence;
-import org.marigoldturn.platform.HostUsage;
 import org.marigoldturn.rights.EndedDaemons;
+import org.marigoldturn.store.HostDirectory;
+import org.marigoldturn.store.HostDirectoryException;
+import org.marigoldturn.store.HostListAnswer;
+import org.marigoldturn.store.HostListQuery;
+import org.marigoldturn.store.HostPresence;
+import org.marigoldturn.store.HostUsage;
 
 /** Guards against evidence that is missing, older than its event, or read without need. */
 class HostListServiceTest {
--- a/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/MembershipControllerTest.java
@@ -21,10 +21,6 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.peer.NettyPeerNetwork;
 import org.marigoldturn.peer.PeerOptions;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.FakeStore;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.ContentHash;
 import org.marigoldturn.settings.LoadedState;
 import org.marigoldturn.settings.Manifest;
@@ -32,6 +28,10 @@
 import org.marigoldturn.settings.MemberSet;
 import org.marigoldturn.settings.StateCodec;
 import org.marigoldturn.settings.VersionedState;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.FakeStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.Transaction;
 
 /** Controllers with real transports on loopback and a store in memory. */
 class MembershipControllerTest {
--- a/core/src/test/java/org/marigoldturn/membership/RoleHolderTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/RoleHolderTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import net.jqwik.api.Example;
-import org.marigoldturn.platform.FakeStore;
+import org.marigoldturn.store.FakeStore;
 
 /** A role held through a lease, with pauses, outages and lost replies. */
 class RoleHolderTest {
--- a/core/src/test/java/org/marigoldturn/membership/StoreConfirmerTest.java
+++ b/core/src/test/java/org/marigoldturn/membership/StoreConfirmerTest.java
@@ -8,12 +8,12 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
-import org.marigoldturn.platform.Compare;
-import org.marigoldturn.platform.FakeStore;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.Member;
 import org.marigoldturn.settings.MemberSet;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.FakeStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.Transaction;
 
 /** Guards against a daemon that serves a version which the store has replaced, or never serves. */
 class StoreConfirmerTest {
--- a/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/settings/SettingsCommitProperties.java
@@ -15,8 +15,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.marigoldturn.platform.FakeStore;
-import org.marigoldturn.platform.FakeStore.Fault;
+import org.marigoldturn.store.FakeStore;
+import org.marigoldturn.store.FakeStore.Fault;
 
 /** Guards against lost, doubled and unnoticed changes when the store or operators interfere. */
 class SettingsCommitProperties {
--- a/core/src/test/java/org/marigoldturn/platform/HostListMirrorTest.java
+++ b/core/src/test/java/org/marigoldturn/store/HostListMirrorTest.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.platform;
+package org.marigoldturn.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -14,7 +14,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.marigoldturn.platform.HostListMirror.Outcome;
+import org.marigoldturn.store.HostListMirror.Outcome;
 
 /** Guards against a copy of the host list that misses a change or returns to an older one. */
 class HostListMirrorTest {
--- a/standins/src/test/java/org/marigoldturn/standins/HostListTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/HostListTest.java
@@ -16,12 +16,12 @@
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
-import org.marigoldturn.platform.HostDirectoryException;
-import org.marigoldturn.platform.HostListAnswer;
-import org.marigoldturn.platform.HostListQuery;
-import org.marigoldturn.platform.HostPresence;
-import org.marigoldturn.platform.HostUsage;
-import org.marigoldturn.platform.HttpHostDirectory;
+import org.marigoldturn.store.HostDirectoryException;
+import org.marigoldturn.store.HostListAnswer;
+import org.marigoldturn.store.HostListQuery;
+import org.marigoldturn.store.HostPresence;
+import org.marigoldturn.store.HostUsage;
+import org.marigoldturn.store.HttpHostDirectory;
 
 /** Guards against faults of the host list that its adapter mishandles, and of the stand-in. */
 class HostListTest {
--- a/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
@@ -18,15 +18,6 @@
 import org.marigoldturn.membership.ConfirmationTracker;
 import org.marigoldturn.membership.PeerVersions;
 import org.marigoldturn.membership.StoreConfirmer;
-import org.marigoldturn.platform.EtcdJsonStore;
-import org.marigoldturn.platform.KeyValueStore;
-import org.marigoldturn.platform.LeaseExpiredException;
-import org.marigoldturn.platform.Operation;
-import org.marigoldturn.platform.StoreException;
-import org.marigoldturn.platform.StoreOutcomeUnknownException;
-import org.marigoldturn.platform.StoreUnavailableException;
-import org.marigoldturn.platform.StoredValue;
-import org.marigoldturn.platform.Transaction;
 import org.marigoldturn.settings.ChangeNotCommittedException;
 import org.marigoldturn.settings.ChangeResult;
 import org.marigoldturn.settings.FleetSettings;
@@ -40,6 +31,15 @@
 import org.marigoldturn.settings.SettingsEdit;
 import org.marigoldturn.settings.SettingsRepository;
 import org.marigoldturn.settings.ZoneSettings;
+import org.marigoldturn.store.EtcdJsonStore;
+import org.marigoldturn.store.KeyValueStore;
+import org.marigoldturn.store.LeaseExpiredException;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoreException;
+import org.marigoldturn.store.StoreOutcomeUnknownException;
+import org.marigoldturn.store.StoreUnavailableException;
+import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.Transaction;
 
 /** Guards against faults of the store service that its adapter or the repository mishandle. */
 class StoreFaultsTest {
