--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/Clocks.java
@@ -0,0 +1,26 @@
+package org.marigoldturn.coordination;
+
+import java.util.function.LongSupplier;
+
+/**
+ * The clocks of a daemon.
+ *
+ * @param monotonicMillis steady clock of this process
+ * @param epochMillis time of day
+ */
+public record Clocks(LongSupplier monotonicMillis, LongSupplier epochMillis) {
+    /** Returns the clocks of the system. */
+    public static Clocks system() {
+        return new Clocks(() -> System.nanoTime() / 1_000_000, System::currentTimeMillis);
+    }
+
+    /** Returns the present time of the steady clock. */
+    public long now() {
+        return monotonicMillis.getAsLong();
+    }
+
+    /** Returns the present time of day. */
+    public long epoch() {
+        return epochMillis.getAsLong();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/DaemonIdentity.java
@@ -0,0 +1,12 @@
+package org.marigoldturn.coordination;
+
+/**
+ * Identifies one life of a daemon. Immutable.
+ *
+ * @param host name of its host, the same in all lives
+ * @param id unique id of this life
+ * @param zone its availability zone
+ * @param address IP address at which peers reach it
+ * @param peerPort port of the peer protocol
+ */
+public record DaemonIdentity(String host, String id, String zone, String address, int peerPort) {}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -0,0 +1,259 @@
+package org.marigoldturn.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.wire.OwnerRecord;
+import org.marigoldturn.peer.NettyPeerNetwork;
+import org.marigoldturn.peer.PeerListener;
+import org.marigoldturn.peer.PeerOptions;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.MetadataStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.PrefixMirror;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * A daemon that serves jobs: finds or becomes the owner and passes clients' calls to it.
+ *
+ * <p>All state is confined to the control thread; {@link #catalog}, {@link #isReady} and {@link
+ * #service} may be used from any thread.
+ */
+public final class JobDaemon implements OwnerElection.Listener {
+    private static final PrefixMirror.Options OPERATOR_MIRROR =
+            new PrefixMirror.Options(1_500, 0, 500);
+
+    private static final long RETRY_MILLIS = 200;
+
+    /** Time for the writes that were decided before a stop. */
+    private static final long FLUSH_MILLIS = 1_500;
+
+    private final Ports mPorts;
+    private final DaemonIdentity mSelf;
+    private final JobLimits mLimits;
+    private final MetricRegistry mMetrics;
+    private final Clocks mClocks = Clocks.system();
+    private final ControlLoop mControl = new ControlLoop();
+    private final OperatorView mOperator;
+    private final OwnerElection mElection;
+    private final JobService mService;
+    private NettyPeerNetwork mPeers;
+    private OwnerRole mRole;
+    private volatile boolean mReady;
+    private volatile boolean mStopping;
+
+    /** The outside systems. */
+    public record Ports(
+            MetadataStore store, TargetClient targets, HostClient hosts, PlatformFormats formats) {}
+
+    /** Creates a daemon that does nothing yet. */
+    public JobDaemon(Ports ports, DaemonIdentity self, JobLimits limits, MetricRegistry metrics) {
+        mPorts = ports;
+        mSelf = self;
+        mLimits = limits;
+        mMetrics = metrics;
+        mOperator = new OperatorView(ports.formats(), this::onOperatorChange);
+        mElection = new OwnerElection(ports.store(), mControl, mClocks, self, this);
+        mService = new JobService(mControl, mClocks);
+    }
+
+    /** Starts to read the store; returns at once. */
+    public void start() {
+        Logger.info(
+                "daemon: event=start id={} zone={} peerPort={}",
+                mSelf.id(),
+                mSelf.zone(),
+                mSelf.peerPort());
+        mControl.execute(
+                () -> {
+                    new PrefixMirror(
+                                    mPorts.store(),
+                                    mPorts.formats().operatorPrefix(),
+                                    OPERATOR_MIRROR,
+                                    mOperator,
+                                    mControl,
+                                    (delay, task) -> mControl.after("operator", delay, task),
+                                    mClocks.monotonicMillis())
+                            .start();
+                    findPeerToken();
+                });
+    }
+
+    /** Returns the newest configuration. */
+    public Optional<QueueCatalog> catalog() {
+        return mOperator.catalog();
+    }
+
+    /** Returns whether clients' calls can be answered. */
+    public boolean isReady() {
+        return mReady && !mStopping;
+    }
+
+    /** Returns the way of clients' calls to the owner. */
+    public JobService service() {
+        return mService;
+    }
+
+    /** Stops to be ready and gives ownership up once its writes are done. */
+    public void stop() {
+        mStopping = true;
+        Logger.info("daemon: event=stop id={}", mSelf.id());
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    CompletableFuture<Void> flushed =
+                            mRole == null ? CompletableFuture.completedFuture(null) : mRole.flush();
+                    flushed.orTimeout(FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+                            .whenComplete((done, failure) -> mControl.execute(() -> leave(left)));
+                });
+        left.orTimeout(2 * FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+                .exceptionally(
+                        failure -> {
+                            Logger.warn("daemon: event=lease-left-to-end cause={}", failure);
+                            return null;
+                        })
+                .join();
+    }
+
+    private void leave(CompletableFuture<Void> left) {
+        mElection
+                .leave()
+                .whenComplete(
+                        (done, failure) -> {
+                            if (failure == null) {
+                                left.complete(null);
+                            } else {
+                                left.completeExceptionally(failure);
+                            }
+                        });
+    }
+
+    /** Reads the token of the peer protocol, or creates it at the first start of all. */
+    private void findPeerToken() {
+        mPorts.store()
+                .read(StoreLayout.PEER_TOKEN)
+                .thenCompose(this::createTokenIfAbsent)
+                .whenComplete(
+                        (token, failure) ->
+                                mControl.execute(
+                                        () -> {
+                                            if (failure == null && token.isPresent()) {
+                                                startPeers(token.get());
+                                            } else {
+                                                mControl.after(
+                                                        "peer token",
+                                                        RETRY_MILLIS,
+                                                        this::findPeerToken);
+                                            }
+                                        }));
+    }
+
+    private CompletableFuture<Optional<String>> createTokenIfAbsent(Optional<StoredValue> known) {
+        if (known.isPresent()) {
+            return CompletableFuture.completedFuture(
+                    known.map(value -> value.value().toStringUtf8()));
+        }
+        String token = UUID.randomUUID().toString();
+        return mPorts.store()
+                .commit(
+                        List.of(Compare.absent(StoreLayout.PEER_TOKEN)),
+                        List.of(
+                                new Operation.Put(
+                                        StoreLayout.PEER_TOKEN, ByteString.copyFromUtf8(token))),
+                        List.of())
+                .thenApply(result -> result.committed() ? Optional.of(token) : Optional.empty());
+    }
+
+    private void startPeers(String token) {
+        mPeers =
+                new NettyPeerNetwork(
+                        new PeerOptions(
+                                mSelf.id(),
+                                token,
+                                new InetSocketAddress(mSelf.address(), mSelf.peerPort())),
+                        (sender, message) -> mService.onPeerCall(message),
+                        new SilentListener(),
+                        mMetrics);
+        mPeers.start();
+        mService.setPeers(mPeers);
+        mElection.start();
+    }
+
+    @Override
+    public void onElected(long term, long termRevision) {
+        mRole =
+                new OwnerRole(
+                        new OwnerContext(
+                                mSelf,
+                                term,
+                                termRevision,
+                                mPorts.store(),
+                                mPorts.targets(),
+                                mPorts.hosts(),
+                                mPorts.formats(),
+                                mControl,
+                                mClocks,
+                                mLimits,
+                                mElection::onFenced),
+                        mOperator);
+        mService.setRole(mRole);
+        mRole.start();
+        updateReady();
+    }
+
+    @Override
+    public void onDeposed(String reason) {
+        if (mRole != null) {
+            mRole.close();
+            mRole = null;
+        }
+        mService.setRole(null);
+        updateReady();
+    }
+
+    @Override
+    public void onOwner(OwnerRecord owner) {
+        mService.setOwner(owner);
+        mPeers.updateMembers(JobService.membersOf(owner, mSelf.id()));
+        updateReady();
+    }
+
+    private void onOperatorChange() {
+        if (mRole != null) {
+            mRole.onOperatorChange();
+        }
+        updateReady();
+    }
+
+    private void updateReady() {
+        mReady = mOperator.catalog().isPresent() && mService.isOwnerKnown();
+    }
+
+    /** The transport's reports about members, which matter only to a set of equal daemons. */
+    private static final class SilentListener implements PeerListener {
+        @Override
+        public long heldVersion() {
+            return 0;
+        }
+
+        @Override
+        public void onPong(String memberId, long version, long sentNanos) {}
+
+        @Override
+        public void onPing(String senderId, long version) {}
+
+        @Override
+        public void onConnectionRefused(String memberId) {}
+
+        @Override
+        public void onAddressTaken(String memberId, String actualId) {}
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/JobService.java
@@ -0,0 +1,232 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.wire.JobCall;
+import org.marigoldturn.jobs.wire.JobReply;
+import org.marigoldturn.jobs.wire.OwnerRecord;
+import org.marigoldturn.peer.PeerNetwork;
+import org.marigoldturn.peer.PeerNotReachableException;
+import org.marigoldturn.peer.wire.Envelope;
+import org.marigoldturn.settings.Member;
+import org.marigoldturn.settings.MemberSet;
+
+/**
+ * Takes clients' calls to the owner, wherever it is.
+ *
+ * <p>A call is safe to repeat, since a job has one id. It is repeated while the owner is unknown,
+ * moving or silent, until shortly before its deadline. A hand-in is refused if no attempt can have
+ * reached an owner, and of unknown outcome otherwise. Confined to the control thread but for {@link
+ * #call}.
+ */
+public final class JobService {
+    private static final long RETRY_MILLIS = 100;
+
+    /** Time for the answer to reach the client. */
+    private static final long ANSWER_MILLIS = 250;
+
+    /** A hand-in that reached nobody is refused after this time; a change of owner takes longer. */
+    private static final long HAND_IN_PATIENCE_MILLIS = 1_200;
+
+    /** A call to a silent owner is repeated after this time. */
+    private static final long ATTEMPT_MILLIS = 1_000;
+
+    /** A new owner serves within about this time. */
+    private static final int NO_OWNER_RETRY_SECONDS = 2;
+
+    private final ControlLoop mControl;
+    private final Clocks mClocks;
+    private OwnerRecord mOwner = OwnerRecord.getDefaultInstance();
+    private OwnerRole mRole;
+    private PeerNetwork mPeers;
+
+    JobService(ControlLoop control, Clocks clocks) {
+        mControl = control;
+        mClocks = clocks;
+    }
+
+    void setPeers(PeerNetwork peers) {
+        mPeers = peers;
+    }
+
+    void setOwner(OwnerRecord owner) {
+        mOwner = owner;
+    }
+
+    void setRole(OwnerRole role) {
+        mRole = role;
+    }
+
+    /** Returns whether some owner is known. */
+    boolean isOwnerKnown() {
+        return mRole != null || mOwner.getTerm() > 0;
+    }
+
+    /**
+     * Answers a client's call.
+     *
+     * @param timeoutMillis time that the client waits from now on
+     */
+    public CompletableFuture<JobReply> call(JobCall call, long timeoutMillis) {
+        CompletableFuture<JobReply> reply = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    long now = mClocks.now();
+                    new Attempts(call, now, now + timeoutMillis - ANSWER_MILLIS, reply).next();
+                });
+        return reply;
+    }
+
+    /** Answers a call that another daemon passed on. */
+    CompletableFuture<Envelope.Builder> onPeerCall(Envelope message) {
+        JobCall call;
+        try {
+            call = JobCall.parseFrom(message.getJobCall());
+        } catch (InvalidProtocolBufferException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        CompletableFuture<Envelope.Builder> reply = new CompletableFuture<>();
+        mControl.execute(
+                () ->
+                        answerHere(call)
+                                .orElseGet(() -> CompletableFuture.completedFuture(notOwner()))
+                                .whenComplete(
+                                        (answer, failure) -> {
+                                            if (failure == null) {
+                                                reply.complete(
+                                                        Envelope.newBuilder()
+                                                                .setJobReply(
+                                                                        answer.toByteString()));
+                                            } else {
+                                                reply.completeExceptionally(failure);
+                                            }
+                                        }));
+        return reply;
+    }
+
+    private Optional<CompletableFuture<JobReply>> answerHere(JobCall call) {
+        return Optional.ofNullable(mRole)
+                .flatMap(OwnerRole::calls)
+                .map(calls -> calls.answer(call));
+    }
+
+    private static JobReply notOwner() {
+        return JobReply.newBuilder().setOutcome(JobReply.Outcome.NOT_OWNER).build();
+    }
+
+    /** The attempts of one call. */
+    private final class Attempts {
+        private final JobCall mCall;
+        private final long mBeganMillis;
+        private final long mDeadlineMillis;
+        private final CompletableFuture<JobReply> mReply;
+        private boolean mMayHaveArrived;
+
+        Attempts(
+                JobCall call,
+                long beganMillis,
+                long deadlineMillis,
+                CompletableFuture<JobReply> reply) {
+            mCall = call;
+            mBeganMillis = beganMillis;
+            mDeadlineMillis = deadlineMillis;
+            mReply = reply;
+        }
+
+        void next() {
+            long now = mClocks.now();
+            if (isOver(now)) {
+                giveUp();
+                return;
+            }
+            Optional<CompletableFuture<JobReply>> here = answerHere(mCall);
+            if (here.isPresent()) {
+                mMayHaveArrived = true;
+                here.get().whenComplete(this::onReply);
+                mControl.after("call deadline", mDeadlineMillis - now, this::giveUp);
+            } else if (mRole != null || mOwner.getTerm() == 0 || mPeers == null) {
+                later();
+            } else {
+                callPeer(now);
+            }
+        }
+
+        private boolean isOver(long now) {
+            boolean handIn = mCall.getKind() == JobCall.Kind.HAND_IN;
+            boolean impatient =
+                    handIn && !mMayHaveArrived && now - mBeganMillis >= HAND_IN_PATIENCE_MILLIS;
+            return impatient || now >= mDeadlineMillis;
+        }
+
+        private void callPeer(long now) {
+            long timeout = Math.max(1, Math.min(ATTEMPT_MILLIS, mDeadlineMillis - now));
+            mPeers.call(
+                            mOwner.getOwnerId(),
+                            Envelope.newBuilder().setJobCall(mCall.toByteString()),
+                            timeout)
+                    .whenComplete(
+                            (envelope, failure) ->
+                                    mControl.execute(() -> onPeerReply(envelope, failure)));
+        }
+
+        private void onPeerReply(Envelope envelope, Throwable failure) {
+            if (failure != null) {
+                mMayHaveArrived |= !(failure instanceof PeerNotReachableException);
+                later();
+                return;
+            }
+            try {
+                onReply(JobReply.parseFrom(envelope.getJobReply()), null);
+            } catch (InvalidProtocolBufferException e) {
+                onReply(null, e);
+            }
+        }
+
+        private void onReply(JobReply reply, Throwable failure) {
+            if (failure != null || reply.getOutcome() == JobReply.Outcome.NOT_OWNER) {
+                later();
+            } else {
+                mReply.complete(reply);
+            }
+        }
+
+        private void later() {
+            mControl.after("call retry", RETRY_MILLIS, this::next);
+        }
+
+        private void giveUp() {
+            if (mReply.isDone()) {
+                return;
+            }
+            boolean refused = mCall.getKind() == JobCall.Kind.HAND_IN && !mMayHaveArrived;
+            mReply.complete(
+                    JobReply.newBuilder()
+                            .setOutcome(
+                                    refused
+                                            ? JobReply.Outcome.REFUSED
+                                            : JobReply.Outcome.UNKNOWN_OUTCOME)
+                            .setRetryAfterSeconds(refused ? NO_OWNER_RETRY_SECONDS : 0)
+                            .setReason("no-owner")
+                            .build());
+        }
+    }
+
+    /** Returns the member set that connects this daemon to the owner, unless it is the owner. */
+    static MemberSet membersOf(OwnerRecord owner, String selfId) {
+        if (owner.getOwnerId().isEmpty() || owner.getOwnerId().equals(selfId)) {
+            return MemberSet.EMPTY;
+        }
+        return new MemberSet(
+                List.of(
+                        new Member(
+                                owner.getOwnerId(),
+                                owner.getZone(),
+                                owner.getAddress(),
+                                owner.getPeerPort(),
+                                owner.getPeerPort(),
+                                0)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OperatorView.java
@@ -0,0 +1,106 @@
+package org.marigoldturn.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.store.PrefixMirror;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * What the operator has set, as last read from the store.
+ *
+ * <p>The catalog is published to traffic threads; its version never falls. Everything else is
+ * confined to the control thread.
+ */
+final class OperatorView implements PrefixMirror.Listener {
+    private final PlatformFormats mFormats;
+    private final Runnable mOnChange;
+    private final Map<String, PlatformFormats.OperatorItem> mItems = new HashMap<>();
+    private volatile QueueCatalog mCatalog;
+    private boolean mChanged;
+
+    OperatorView(PlatformFormats formats, Runnable onChange) {
+        mFormats = formats;
+        mOnChange = onChange;
+    }
+
+    /** Returns the newest catalog, or nothing before the first one was read. */
+    Optional<QueueCatalog> catalog() {
+        return Optional.ofNullable(mCatalog);
+    }
+
+    Set<String> closedZones() {
+        Set<String> zones = new HashSet<>();
+        for (PlatformFormats.OperatorItem item : mItems.values()) {
+            if (item instanceof PlatformFormats.OperatorItem.ClosedZone closed) {
+                zones.add(closed.zone());
+            }
+        }
+        return zones;
+    }
+
+    List<PlatformFormats.OperatorItem.Wave> waves() {
+        List<PlatformFormats.OperatorItem.Wave> waves = new ArrayList<>();
+        for (PlatformFormats.OperatorItem item : mItems.values()) {
+            if (item instanceof PlatformFormats.OperatorItem.Wave wave) {
+                waves.add(wave);
+            }
+        }
+        return waves;
+    }
+
+    @Override
+    public void onValue(StoredValue value) {
+        Optional<PlatformFormats.OperatorItem> item =
+                mFormats.operatorItem(value.key(), value.value());
+        if (item.isEmpty()) {
+            Logger.warn("operator: event=ignored key={} rev={}", value.key(), value.modRevision());
+            return;
+        }
+        mItems.put(value.key(), item.get());
+        mChanged = true;
+        if (item.get() instanceof PlatformFormats.OperatorItem.Catalog catalog) {
+            useCatalog(catalog.catalog(), value.modRevision());
+        } else {
+            Logger.info("operator: event=set key={} rev={}", value.key(), value.modRevision());
+        }
+    }
+
+    private void useCatalog(QueueCatalog catalog, long revision) {
+        if (mCatalog != null && catalog.version() < mCatalog.version()) {
+            Logger.warn(
+                    "operator: event=older-catalog version={} held={}",
+                    catalog.version(),
+                    mCatalog.version());
+            return;
+        }
+        mCatalog = catalog;
+        Logger.info("operator: event=catalog version={} rev={}", catalog.version(), revision);
+    }
+
+    @Override
+    public void onRemoved(String key) {
+        mItems.remove(key);
+        mChanged = true;
+        Logger.info("operator: event=removed key={}", key);
+    }
+
+    @Override
+    public void onUpToDate() {
+        if (mChanged) {
+            mChanged = false;
+            mOnChange.run();
+        }
+    }
+
+    @Override
+    public void onInterrupted(Throwable cause) {
+        // The mirror logs it; what was read before stays in use while the store is away.
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
@@ -0,0 +1,170 @@
+package org.marigoldturn.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobRecords;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.QueueSettings;
+import org.marigoldturn.jobs.wire.JobCall;
+import org.marigoldturn.jobs.wire.JobReply;
+import org.marigoldturn.scheduling.Admission;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.tinylog.Logger;
+
+/**
+ * Answers clients' calls at the owner.
+ *
+ * <p>An acceptance, a cancellation and a final state are told only once the store holds them.
+ * Confined to the control thread.
+ */
+final class OwnerCalls {
+    /** The store is asked again within a second; outages last seconds. */
+    private static final int STORE_AWAY_RETRY_SECONDS = 2;
+
+    private final JobScheduler mScheduler;
+    private final GroupCommit mCommits;
+    private final OperatorView mOperator;
+    private final Clocks mClocks;
+    private final Runnable mOnChange;
+    private final Map<String, CompletableFuture<JobReply>> mHandIns = new HashMap<>();
+
+    OwnerCalls(
+            JobScheduler scheduler,
+            GroupCommit commits,
+            OperatorView operator,
+            Clocks clocks,
+            Runnable onChange) {
+        mScheduler = scheduler;
+        mCommits = commits;
+        mOperator = operator;
+        mClocks = clocks;
+        mOnChange = onChange;
+    }
+
+    CompletableFuture<JobReply> answer(JobCall call) {
+        return switch (call.getKind()) {
+            case HAND_IN -> handIn(call);
+            case LOOK -> look(call.getJob().getId());
+            case CANCEL -> cancel(call.getJob().getId());
+            case COUNT_WAITING ->
+                    completed(
+                            JobReply.newBuilder()
+                                    .setOutcome(JobReply.Outcome.WAITING_COUNT)
+                                    .setWaitingJobs(
+                                            mScheduler.countWaiting(call.getJob().getQueue())));
+            case UNRECOGNIZED -> completed(refusal("unknown-call", 1));
+        };
+    }
+
+    private CompletableFuture<JobReply> handIn(JobCall call) {
+        Job job = JobRecords.fromRecord(call.getJob());
+        CompletableFuture<JobReply> pending = mHandIns.get(job.id());
+        if (pending != null) {
+            return pending;
+        }
+        if (mScheduler.state(job.id()).isPresent()) {
+            return completed(accepted());
+        }
+        Optional<QueueSettings> queue =
+                mOperator.catalog().flatMap(catalog -> catalog.queue(job.queue()));
+        if (queue.isEmpty()) {
+            return completed(refuse(job, "queue-not-known-here", 1));
+        }
+        if (mCommits.isStalled(mClocks.now())) {
+            return completed(refuse(job, "store-away", STORE_AWAY_RETRY_SECONDS));
+        }
+        Admission admission = mScheduler.submit(job, queue.get(), mClocks.now());
+        log(job, admission);
+        if (!admission.accepted()) {
+            return completed(refusal(admission.reason(), admission.retryAfterSeconds()));
+        }
+        return store(job);
+    }
+
+    private CompletableFuture<JobReply> store(Job job) {
+        CompletableFuture<JobReply> reply =
+                mCommits.put(StoreLayout.job(job.id()), JobRecords.encode(job))
+                        .thenApply(
+                                done -> {
+                                    mHandIns.remove(job.id());
+                                    mScheduler.onStored(job.id());
+                                    mOnChange.run();
+                                    return accepted().build();
+                                });
+        if (!reply.isDone()) {
+            mHandIns.put(job.id(), reply);
+        }
+        return reply;
+    }
+
+    private CompletableFuture<JobReply> look(String jobId) {
+        Optional<JobState> state = mScheduler.state(jobId);
+        if (state.isEmpty() || mHandIns.containsKey(jobId)) {
+            return notFound(jobId);
+        }
+        JobReply reply =
+                JobReply.newBuilder()
+                        .setOutcome(JobReply.Outcome.STATE)
+                        .setState(state.get().ordinal())
+                        .build();
+        return state.get().isFinal()
+                ? mCommits.whenStored(StoreLayout.progress(jobId)).thenApply(done -> reply)
+                : CompletableFuture.completedFuture(reply);
+    }
+
+    private CompletableFuture<JobReply> cancel(String jobId) {
+        if (!mScheduler.cancel(jobId, mClocks.epoch())) {
+            return notFound(jobId);
+        }
+        mOnChange.run();
+        Logger.info("job: event=cancel id={} state={}", jobId, mScheduler.state(jobId).get());
+        return mCommits.put(
+                        StoreLayout.progress(jobId), JobRecords.encode(mScheduler.progress(jobId)))
+                .thenApply(
+                        done ->
+                                JobReply.newBuilder()
+                                        .setOutcome(JobReply.Outcome.CANCELLED)
+                                        .build());
+    }
+
+    private static CompletableFuture<JobReply> notFound(String jobId) {
+        Logger.info("job: event=not-found id={}", jobId);
+        return completed(JobReply.newBuilder().setOutcome(JobReply.Outcome.NOT_FOUND));
+    }
+
+    private static void log(Job job, Admission admission) {
+        Logger.info(
+                "job: event=hand-in id={} queue={} account={} accepted={} reason={}"
+                        + " forecastMillis={} retryAfterSeconds={}",
+                job.id(),
+                job.queue(),
+                job.account(),
+                admission.accepted(),
+                admission.reason(),
+                admission.forecastWaitMillis(),
+                admission.retryAfterSeconds());
+    }
+
+    private static JobReply.Builder refuse(Job job, String reason, int retryAfterSeconds) {
+        Logger.info("job: event=hand-in id={} accepted=false reason={}", job.id(), reason);
+        return refusal(reason, retryAfterSeconds);
+    }
+
+    private static JobReply.Builder accepted() {
+        return JobReply.newBuilder().setOutcome(JobReply.Outcome.ACCEPTED);
+    }
+
+    private static JobReply.Builder refusal(String reason, int retryAfterSeconds) {
+        return JobReply.newBuilder()
+                .setOutcome(JobReply.Outcome.REFUSED)
+                .setReason(reason)
+                .setRetryAfterSeconds(retryAfterSeconds);
+    }
+
+    private static CompletableFuture<JobReply> completed(JobReply.Builder reply) {
+        return CompletableFuture.completedFuture(reply.build());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
@@ -0,0 +1,23 @@
+package org.marigoldturn.coordination;
+
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.store.MetadataStore;
+
+/**
+ * What the parts of one ownership share. Immutable.
+ *
+ * @param termRevision revision of the record of the term, a condition of all writes
+ * @param onFenced to be run on evidence of a newer owner
+ */
+record OwnerContext(
+        DaemonIdentity self,
+        long term,
+        long termRevision,
+        MetadataStore store,
+        TargetClient targets,
+        HostClient hosts,
+        PlatformFormats formats,
+        ControlLoop control,
+        Clocks clocks,
+        JobLimits limits,
+        Runnable onFenced) {}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -0,0 +1,282 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ThreadLocalRandom;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.wire.OwnerRecord;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.LeaseExpiredException;
+import org.marigoldturn.store.MetadataStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.PrefixMirror;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * Finds the owner of the scheduling, and makes this daemon the owner when there is none.
+ *
+ * <p>Ownership is a key under a lease; the term, in a key of its own, rises with each takeover in
+ * the same transaction. Invariant: at most one daemon has a given term. Confined to the control
+ * thread.
+ *
+ * @see OwnerRole
+ */
+final class OwnerElection implements PrefixMirror.Listener {
+    /** A lost owner is replaced after this time; shorter ones end in brief pauses of a process. */
+    private static final long LEASE_MILLIS = 2_500;
+
+    /** Three renewals fit into a lease. */
+    private static final long RENEW_MILLIS = 800;
+
+    /** Spreads the attempts of several daemons, most of which would fail. */
+    private static final long MAX_JITTER_MILLIS = 60;
+
+    private static final PrefixMirror.Options MIRROR = new PrefixMirror.Options(1_500, 0, 500);
+
+    private final MetadataStore mStore;
+    private final ControlLoop mControl;
+    private final DaemonIdentity mSelf;
+    private final Listener mListener;
+    private final PrefixMirror mMirror;
+    private StoredValue mTerm;
+    private StoredValue mLive;
+    private long mLease;
+    private long mOwnTerm;
+    private long mRetryMillis = RENEW_MILLIS;
+    private boolean mAttempting;
+    private boolean mUpToDate;
+    private boolean mLeaving;
+
+    /** Is told of changes of ownership. */
+    interface Listener {
+        /** This daemon is the owner from now on. */
+        void onElected(long term, long termRevision);
+
+        /** This daemon is no longer the owner. */
+        void onDeposed(String reason);
+
+        /** The owner, which may be this daemon, is known or has changed. */
+        void onOwner(OwnerRecord owner);
+    }
+
+    OwnerElection(
+            MetadataStore store,
+            ControlLoop control,
+            Clocks clocks,
+            DaemonIdentity self,
+            Listener listener) {
+        mStore = store;
+        mControl = control;
+        mSelf = self;
+        mListener = listener;
+        mMirror =
+                new PrefixMirror(
+                        store,
+                        StoreLayout.OWNER_PREFIX,
+                        MIRROR,
+                        this,
+                        control,
+                        (delay, task) -> control.after("owner watch", delay, task),
+                        clocks.monotonicMillis());
+    }
+
+    void start() {
+        mMirror.start();
+        mControl.every("owner lease", RENEW_MILLIS, this::renew);
+    }
+
+    /** Gives ownership up and does not compete again. */
+    CompletableFuture<Void> leave() {
+        mLeaving = true;
+        long lease = mLease;
+        mLease = 0;
+        depose("this daemon is stopping");
+        return lease == 0 ? CompletableFuture.completedFuture(null) : mStore.revokeLease(lease);
+    }
+
+    /** Gives ownership up after evidence of a newer owner. */
+    void onFenced() {
+        depose("a newer owner was seen");
+    }
+
+    @Override
+    public void onValue(StoredValue value) {
+        if (value.key().equals(StoreLayout.OWNER_TERM)) {
+            mTerm = value;
+            onTerm(read(value));
+        } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
+            mLive = value;
+        }
+    }
+
+    @Override
+    public void onRemoved(String key) {
+        if (key.equals(StoreLayout.OWNER_LIVE)) {
+            mLive = null;
+        }
+    }
+
+    @Override
+    public void onUpToDate() {
+        mUpToDate = true;
+        compete();
+    }
+
+    @Override
+    public void onInterrupted(Throwable cause) {
+        mUpToDate = false;
+    }
+
+    private void onTerm(Optional<OwnerRecord> record) {
+        if (record.isEmpty()) {
+            return;
+        }
+        if (mOwnTerm != 0 && record.get().getTerm() > mOwnTerm) {
+            depose("term " + record.get().getTerm() + " is in the store");
+        }
+        mListener.onOwner(record.get());
+    }
+
+    private void depose(String reason) {
+        if (mOwnTerm == 0) {
+            return;
+        }
+        Logger.info("owner: event=deposed term={} reason=\"{}\"", mOwnTerm, reason);
+        mOwnTerm = 0;
+        mListener.onDeposed(reason);
+    }
+
+    /** Takes ownership if nobody has it, or if an earlier life on this host had it. */
+    private void compete() {
+        boolean vacant = mLive == null || isOfEarlierLife(mLive);
+        boolean holdsLive = mOwnTerm != 0 && mLive != null;
+        if (mLeaving || mAttempting || !vacant || holdsLive || !mUpToDate) {
+            return;
+        }
+        mAttempting = true;
+        long jitter = mOwnTerm != 0 ? 0 : ThreadLocalRandom.current().nextLong(MAX_JITTER_MILLIS);
+        mControl.after("owner attempt", jitter, this::attempt);
+    }
+
+    private boolean isOfEarlierLife(StoredValue live) {
+        String id = live.value().toStringUtf8();
+        return id.startsWith(mSelf.host() + "/") && !id.equals(mSelf.id());
+    }
+
+    private void attempt() {
+        if (mLive != null && !isOfEarlierLife(mLive)) {
+            mAttempting = false;
+            return;
+        }
+        mStore.grantLease(LEASE_MILLIS)
+                .thenCompose(this::takeOver)
+                .whenComplete(
+                        (result, failure) -> mControl.execute(() -> onAttempt(result, failure)));
+    }
+
+    /** Writes the next term, or renews the claim of the same term after a lapse. */
+    private CompletableFuture<Attempt> takeOver(long lease) {
+        long heldTerm = mTerm == null ? 0 : read(mTerm).map(OwnerRecord::getTerm).orElse(0L);
+        long termRevision = mTerm == null ? Compare.ABSENT : mTerm.modRevision();
+        long liveRevision = mLive == null ? Compare.ABSENT : mLive.modRevision();
+        boolean keepsTerm = mOwnTerm != 0 && mOwnTerm == heldTerm;
+        long term = keepsTerm ? mOwnTerm : heldTerm + 1;
+        List<Operation.Put> puts = new ArrayList<>();
+        puts.add(
+                new Operation.Put(
+                        StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8(mSelf.id()), lease));
+        if (!keepsTerm) {
+            puts.add(new Operation.Put(StoreLayout.OWNER_TERM, record(term).toByteString()));
+        }
+        return mStore.commit(
+                        List.of(
+                                new Compare(StoreLayout.OWNER_TERM, termRevision),
+                                new Compare(StoreLayout.OWNER_LIVE, liveRevision)),
+                        puts,
+                        List.of())
+                .thenApply(result -> new Attempt(lease, term, keepsTerm, result));
+    }
+
+    /** An attempt and its result. */
+    private record Attempt(
+            long lease, long term, boolean keepsTerm, MetadataStore.CommitResult result) {}
+
+    private void onAttempt(Attempt attempt, Throwable failure) {
+        mAttempting = false;
+        if (failure != null) {
+            Logger.warn("owner: event=attempt-failed cause={}", failure.getMessage());
+            mControl.after("owner retry", mRetryMillis, this::compete);
+            return;
+        }
+        if (!attempt.result().committed() || mLeaving) {
+            var unused =
+                    mStore.revokeLease(attempt.lease())
+                            .whenComplete((done, problem) -> logRevocation(problem));
+            return;
+        }
+        mLease = attempt.lease();
+        if (attempt.keepsTerm()) {
+            Logger.info("owner: event=claim-renewed term={}", attempt.term());
+            return;
+        }
+        depose("this daemon took over again");
+        mOwnTerm = attempt.term();
+        Logger.info("owner: event=elected term={}", mOwnTerm);
+        mListener.onOwner(record(mOwnTerm));
+        mListener.onElected(mOwnTerm, attempt.result().revision());
+    }
+
+    private static void logRevocation(Throwable problem) {
+        if (problem != null) {
+            Logger.info("owner: event=lease-left-to-end cause={}", problem.getMessage());
+        }
+    }
+
+    private void renew() {
+        if (mLease == 0 || mOwnTerm == 0) {
+            compete();
+            return;
+        }
+        long lease = mLease;
+        mStore.keepLeaseAlive(lease)
+                .whenComplete((done, failure) -> mControl.execute(() -> onRenewed(lease, failure)));
+    }
+
+    private void onRenewed(long lease, Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof LeaseExpiredException && lease == mLease) {
+            Logger.warn("owner: event=lease-ended term={}", mOwnTerm);
+            mLease = 0;
+            // The watch tells whether another daemon has taken over or the claim can be renewed.
+            compete();
+        } else if (cause != null) {
+            Logger.warn(
+                    "owner: event=renewal-failed term={} cause={}", mOwnTerm, cause.getMessage());
+        }
+    }
+
+    private OwnerRecord record(long term) {
+        return OwnerRecord.newBuilder()
+                .setTerm(term)
+                .setOwnerId(mSelf.id())
+                .setZone(mSelf.zone())
+                .setAddress(mSelf.address())
+                .setPeerPort(mSelf.peerPort())
+                .build();
+    }
+
+    private static Optional<OwnerRecord> read(StoredValue value) {
+        try {
+            return Optional.of(OwnerRecord.parseFrom(value.value()));
+        } catch (InvalidProtocolBufferException e) {
+            Logger.error(e, "owner: event=unreadable-record revision={}", value.modRevision());
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -0,0 +1,480 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobRecords;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.Run;
+import org.marigoldturn.scheduling.StartOutcome;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetState;
+import org.marigoldturn.store.PrefixMirror;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * One ownership: reads the records, follows the targets and carries out what the scheduler decides.
+ *
+ * <p>Lives from an election until the daemon is deposed; a new election makes a new role. Confined
+ * to the control thread.
+ *
+ * @see JobScheduler
+ * @see OwnerCalls
+ */
+final class OwnerRole implements PrefixMirror.Listener, TargetSession.Callbacks {
+    /** The list changes with each heartbeat of each target; several changes come together. */
+    private static final PrefixMirror.Options TARGET_MIRROR =
+            new PrefixMirror.Options(1_500, 250, 500);
+
+    private static final long TICK_MILLIS = 100;
+
+    /** Longest time an earlier owner may hold on after it lost its own lease. */
+    private static final long OLD_OWNER_MILLIS = 1_000;
+
+    private static final long RELOAD_MILLIS = 200;
+
+    private final OwnerContext mContext;
+    private final OperatorView mOperator;
+    private final GroupCommit mCommits;
+    private final PrefixMirror mMirror;
+    private final Map<TargetState, TargetSession> mSessions = new HashMap<>();
+    private final Map<Long, UpkeepRunner> mWaves = new HashMap<>();
+    private final Map<String, ByteString> mWaveRecords = new HashMap<>();
+    private JobScheduler mScheduler;
+    private OwnerCalls mCalls;
+    private boolean mServing;
+    private boolean mPumpScheduled;
+    private boolean mClosed;
+
+    OwnerRole(OwnerContext context, OperatorView operator) {
+        mContext = context;
+        mOperator = operator;
+        mCommits =
+                new GroupCommit(
+                        context.store(),
+                        context.control(),
+                        context.clocks(),
+                        context.termRevision(),
+                        context.onFenced());
+        mMirror =
+                new PrefixMirror(
+                        context.store(),
+                        context.formats().targetPrefix(),
+                        TARGET_MIRROR,
+                        this,
+                        context.control(),
+                        (delay, task) -> context.control().after("target watch", delay, task),
+                        context.clocks().monotonicMillis());
+    }
+
+    /** Starts to take over; serves as soon as records and targets were read. */
+    void start() {
+        takeOver();
+    }
+
+    /** Ends the role; calls that wait are answered as unknown by their time-outs. */
+    void close() {
+        mClosed = true;
+        mServing = false;
+        mMirror.close();
+        mCommits.close();
+        mSessions.values().forEach(TargetSession::close);
+    }
+
+    /** Returns the calls of clients if the role serves already. */
+    Optional<OwnerCalls> calls() {
+        return mServing ? Optional.of(mCalls) : Optional.empty();
+    }
+
+    /** Completes when all writes enqueued so far are stored. */
+    CompletableFuture<Void> flush() {
+        return mCommits.flush();
+    }
+
+    /** Uses what the operator has set since. */
+    void onOperatorChange() {
+        if (mScheduler != null) {
+            mOperator.catalog().ifPresent(mScheduler::setCatalog);
+            mScheduler.setClosedZones(mOperator.closedZones());
+            schedulePump();
+        }
+    }
+
+    private void takeOver() {
+        if (mClosed) {
+            return;
+        }
+        Optional<QueueCatalog> catalog = mOperator.catalog();
+        if (catalog.isEmpty()) {
+            mContext.control().after("wait for a catalog", RELOAD_MILLIS, this::takeOver);
+            return;
+        }
+        CompletableFuture<List<StoredValue>> jobs = listAll(StoreLayout.JOB_PREFIX);
+        CompletableFuture<List<StoredValue>> progress = listAll(StoreLayout.PROGRESS_PREFIX);
+        CompletableFuture<List<StoredValue>> waves = listAll(StoreLayout.WAVE_PREFIX);
+        CompletableFuture.allOf(jobs, progress, waves)
+                .whenComplete(
+                        (done, failure) ->
+                                mContext.control()
+                                        .execute(
+                                                () -> {
+                                                    if (failure == null) {
+                                                        load(jobs.join(), progress.join());
+                                                        loadWaves(waves.join());
+                                                    } else {
+                                                        retryTakeOver(failure);
+                                                    }
+                                                }));
+    }
+
+    private void retryTakeOver(Throwable failure) {
+        Logger.warn(
+                "owner: event=records-unread term={} cause={}",
+                mContext.term(),
+                failure.getMessage());
+        mContext.control().after("read records", RELOAD_MILLIS, this::takeOver);
+    }
+
+    private CompletableFuture<List<StoredValue>> listAll(String prefix) {
+        return listFrom(prefix, "", new ArrayList<>());
+    }
+
+    private CompletableFuture<List<StoredValue>> listFrom(
+            String prefix, String afterKey, List<StoredValue> values) {
+        return mContext.store()
+                .list(prefix, afterKey)
+                .thenCompose(
+                        page -> {
+                            values.addAll(page.values());
+                            if (!page.hasMore() || page.values().isEmpty()) {
+                                return CompletableFuture.completedFuture(values);
+                            }
+                            String last = values.get(values.size() - 1).key();
+                            return listFrom(prefix, last, values);
+                        });
+    }
+
+    private void load(List<StoredValue> jobs, List<StoredValue> progress) {
+        if (mClosed) {
+            return;
+        }
+        long now = mContext.clocks().now();
+        long longestLease = mContext.limits().leaseMillis() * 52 / 50 + OLD_OWNER_MILLIS;
+        mScheduler =
+                new JobScheduler(
+                        mOperator.catalog().orElseThrow(), mContext.term(), now, longestLease);
+        mScheduler.setClosedZones(mOperator.closedZones());
+        mCalls =
+                new OwnerCalls(
+                        mScheduler, mCommits, mOperator, mContext.clocks(), this::schedulePump);
+        Map<String, StoredValue> progressByKey = new HashMap<>();
+        for (StoredValue value : progress) {
+            mCommits.noteRevision(value.key(), value.modRevision());
+            progressByKey.put(value.key(), value);
+        }
+        for (StoredValue value : jobs) {
+            mCommits.noteRevision(value.key(), value.modRevision());
+            restore(value, progressByKey, now);
+        }
+        Logger.info(
+                "owner: event=records-read term={} jobs={} active={}",
+                mContext.term(),
+                jobs.size(),
+                mScheduler.activeJobs());
+        mMirror.start();
+    }
+
+    private void loadWaves(List<StoredValue> waves) {
+        for (StoredValue value : waves) {
+            mCommits.noteRevision(value.key(), value.modRevision());
+            mWaveRecords.put(value.key(), value.value());
+        }
+    }
+
+    private void restore(StoredValue value, Map<String, StoredValue> progress, long now) {
+        try {
+            Job job = JobRecords.decodeJob(value.value());
+            StoredValue recorded = progress.get(StoreLayout.progress(job.id()));
+            JobProgress known =
+                    recorded == null
+                            ? JobProgress.NONE
+                            : JobRecords.decodeProgress(job.id(), recorded.value());
+            mScheduler.restore(job, known, now);
+        } catch (IllegalArgumentException e) {
+            Logger.error(e, "owner: event=unreadable-job key={}", value.key());
+        }
+    }
+
+    @Override
+    public void onValue(StoredValue value) {
+        Optional<TargetEntry> entry = mContext.formats().target(value);
+        if (entry.isEmpty()) {
+            // Another writer's entry names no target; what was known of the id stays.
+            return;
+        }
+        TargetState target = mScheduler.onTargetListed(entry.get());
+        if (!mSessions.containsKey(target)) {
+            openSession(target);
+        }
+    }
+
+    private void openSession(TargetState target) {
+        mSessions
+                .entrySet()
+                .removeIf(
+                        old -> {
+                            boolean replaced =
+                                    old.getKey().entry().id().equals(target.entry().id());
+                            if (replaced) {
+                                old.getValue().close();
+                            }
+                            return replaced;
+                        });
+        TargetSession session =
+                new TargetSession(
+                        target,
+                        mContext.targets(),
+                        mContext.control(),
+                        mContext.clocks(),
+                        mContext.term(),
+                        mContext.limits().leaseMillis(),
+                        this);
+        mSessions.put(target, session);
+        Logger.info(
+                "target: event=found target={} service={} zone={} rack={} host={}",
+                target.entry().id(),
+                target.entry().service(),
+                target.entry().zone(),
+                target.entry().rack(),
+                target.entry().hostId());
+        session.start();
+    }
+
+    @Override
+    public void onRemoved(String key) {
+        mScheduler.onTargetUnlisted(mContext.formats().targetId(key));
+    }
+
+    @Override
+    public void onUpToDate() {
+        if (!mServing && !mClosed) {
+            mServing = true;
+            Logger.info("owner: event=serving term={}", mContext.term());
+            mContext.control().after("tick", TICK_MILLIS, this::tick);
+        }
+        schedulePump();
+    }
+
+    @Override
+    public void onInterrupted(Throwable cause) {
+        // The mirror logs it; targets that answer stay in use.
+    }
+
+    @Override
+    public CompletableFuture<Void> onReport(
+            TargetState target, TargetClient.LookAnswer answer, long askedMillis) {
+        mScheduler.onReport(
+                target,
+                answer.report(),
+                askedMillis,
+                mContext.clocks().now(),
+                mContext.clocks().epoch());
+        logEnds(target, answer);
+        CompletableFuture<Void> stored = storeChanges();
+        schedulePump();
+        return stored;
+    }
+
+    private static void logEnds(TargetState target, TargetClient.LookAnswer answer) {
+        for (var end : answer.report().ends()) {
+            Logger.info(
+                    "run: event=ended id={} task={}.{}.{} run={} target={} how={} end={}",
+                    end.task().jobId(),
+                    end.task().occurrence(),
+                    end.task().step(),
+                    end.task().index(),
+                    end.run(),
+                    target.entry().id(),
+                    end.kind(),
+                    end.number());
+        }
+    }
+
+    private CompletableFuture<Void> storeChanges() {
+        List<CompletableFuture<Void>> writes = new ArrayList<>();
+        for (String jobId : mScheduler.takeChanged()) {
+            writes.add(
+                    mCommits.put(
+                            StoreLayout.progress(jobId),
+                            JobRecords.encode(mScheduler.progress(jobId))));
+        }
+        return CompletableFuture.allOf(writes.toArray(CompletableFuture[]::new));
+    }
+
+    @Override
+    public void onEnded(TargetState target) {
+        Logger.info("target: event=ended target={}", target.entry().id());
+        TargetSession session = mSessions.remove(target);
+        if (session != null) {
+            session.close();
+        }
+        mScheduler.onTargetEnded(target);
+        schedulePump();
+    }
+
+    @Override
+    public void onFenced(TargetState target) {
+        Logger.warn("owner: event=fenced term={} target={}", mContext.term(), target.entry().id());
+        mContext.onFenced().run();
+    }
+
+    private void tick() {
+        if (mClosed) {
+            return;
+        }
+        mContext.control().after("tick", TICK_MILLIS, this::tick);
+        long now = mContext.clocks().now();
+        mScheduler.expireLeases(now);
+        closeSessionsOfForgottenTargets();
+        forgetOldJobs();
+        tickWaves(now);
+        pump();
+    }
+
+    private void closeSessionsOfForgottenTargets() {
+        var known = new HashSet<>(mScheduler.targets());
+        mSessions
+                .entrySet()
+                .removeIf(
+                        session -> {
+                            boolean forgotten = !known.contains(session.getKey());
+                            if (forgotten) {
+                                session.getValue().close();
+                            }
+                            return forgotten;
+                        });
+    }
+
+    private void forgetOldJobs() {
+        long before = mContext.clocks().epoch() - mContext.limits().keepEndedMillis();
+        for (String jobId : mScheduler.forgetEndedBefore(before)) {
+            mCommits.delete(StoreLayout.job(jobId));
+            mCommits.delete(StoreLayout.progress(jobId));
+        }
+    }
+
+    private void tickWaves(long now) {
+        for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
+            UpkeepRunner runner =
+                    mWaves.computeIfAbsent(
+                            wave.number(),
+                            number ->
+                                    new UpkeepRunner(
+                                            wave,
+                                            mContext,
+                                            mScheduler,
+                                            mCommits,
+                                            Optional.ofNullable(
+                                                    mWaveRecords.get(StoreLayout.wave(number)))));
+            runner.tick(now);
+        }
+    }
+
+    /** Lets the scheduler decide once for all events that are waiting. */
+    void schedulePump() {
+        if (!mPumpScheduled && !mClosed) {
+            mPumpScheduled = true;
+            mContext.control().execute(this::pump);
+        }
+    }
+
+    private void pump() {
+        mPumpScheduled = false;
+        if (mClosed || !mServing) {
+            return;
+        }
+        var unused = storeChanges();
+        long now = mContext.clocks().now();
+        for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
+            if (order instanceof Order.Start start) {
+                send(start, now);
+            } else if (order instanceof Order.Stop stop) {
+                send(stop);
+            }
+        }
+    }
+
+    private void send(Order.Start start, long now) {
+        Run run = start.run();
+        TargetSession session = mSessions.get(run.target());
+        long lease = session == null ? 0 : session.grantLease(now);
+        logRun("start", run);
+        mContext.targets()
+                .start(run.target().entry(), start, mContext.term(), lease)
+                .whenComplete(
+                        (outcome, failure) ->
+                                mContext.control()
+                                        .execute(() -> onStartAnswer(run, outcome, failure)));
+    }
+
+    private void onStartAnswer(Run run, StartOutcome outcome, Throwable failure) {
+        if (mClosed) {
+            return;
+        }
+        StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
+        if (known != StartOutcome.ACCEPTED) {
+            Logger.warn(
+                    "run: event=start-answer id={} run={} target={} outcome={}",
+                    run.task().jobId(),
+                    run.number(),
+                    run.target().entry().id(),
+                    known);
+        }
+        if (known == StartOutcome.FENCED) {
+            onFenced(run.target());
+            return;
+        }
+        mScheduler.onStartAnswer(run, known, mContext.clocks().now());
+        if (known != StartOutcome.ACCEPTED) {
+            schedulePump();
+        }
+    }
+
+    private void send(Order.Stop stop) {
+        Run run = stop.run();
+        logRun("stop", run);
+        mContext.targets()
+                .stop(run.target().entry(), run, mContext.term())
+                .whenComplete(
+                        (done, failure) ->
+                                mContext.control()
+                                        .execute(
+                                                () ->
+                                                        mScheduler.onStopAnswer(
+                                                                run,
+                                                                failure == null,
+                                                                mContext.clocks().now())));
+    }
+
+    private static void logRun(String event, Run run) {
+        Logger.info(
+                "run: event={} id={} task={}.{}.{} run={} target={}",
+                event,
+                run.task().jobId(),
+                run.task().occurrence(),
+                run.task().step(),
+                run.task().index(),
+                run.number(),
+                run.target().entry().id());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -0,0 +1,33 @@
+package org.marigoldturn.coordination;
+
+/** Keys of this system's own records in the store. */
+final class StoreLayout {
+    static final String OWNER_PREFIX = "mt/owner/";
+
+    /** Term, id and address of the newest owner; never deleted. */
+    static final String OWNER_TERM = OWNER_PREFIX + "term";
+
+    /** Exists under a lease while the owner is alive. */
+    static final String OWNER_LIVE = OWNER_PREFIX + "live";
+
+    /** Token of the peer protocol. */
+    static final String PEER_TOKEN = "mt/secret";
+
+    static final String JOB_PREFIX = "mt/job/";
+    static final String PROGRESS_PREFIX = "mt/progress/";
+    static final String WAVE_PREFIX = "mt/wave/";
+
+    private StoreLayout() {}
+
+    static String job(String id) {
+        return JOB_PREFIX + id;
+    }
+
+    static String progress(String id) {
+        return PROGRESS_PREFIX + id;
+    }
+
+    static String wave(long number) {
+        return WAVE_PREFIX + number;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -0,0 +1,281 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.TargetState;
+import org.tinylog.Logger;
+
+/**
+ * Carries out one wave of upkeep.
+ *
+ * <p>A few hosts at a time get no new work; once only lasting tasks are left there, or after a
+ * wait, and if the budgets of these tasks allow it, the upkeep is ordered. Invariants: at most
+ * {@code atOnce} hosts are down for the wave, also while the answer to an order is missing, and the
+ * wave is completed only when each host that still exists has begun. What has begun is recorded in
+ * the store. Confined to the control thread.
+ */
+final class UpkeepRunner {
+    /** Short tasks mostly end within this time; what is left then is ended by the upkeep. */
+    private static final long DRAIN_WAIT_MILLIS = 3_000;
+
+    /** Hosts that are emptied ahead of the next upkeep. */
+    private static final int AHEAD = 1;
+
+    /** The list of hosts is read again after this time while hosts are not back. */
+    private static final long LIST_INTERVAL_MILLIS = 3_000;
+
+    private final PlatformFormats.OperatorItem.Wave mWave;
+    private final JobScheduler mScheduler;
+    private final HostClient mHosts;
+    private final GroupCommit mCommits;
+    private final PlatformFormats mFormats;
+    private final ControlLoop mControl;
+    private final String mHolder;
+    private final long mTerm;
+    private final Runnable mOnFenced;
+    private final Set<String> mRemaining;
+    private final Set<String> mBegun = new TreeSet<>();
+    private final Map<String, Down> mDown = new HashMap<>();
+    private final Map<String, Long> mClosingSinceMillis = new HashMap<>();
+    private final Set<String> mOrdered = new HashSet<>();
+    private long mListedMillis = Long.MIN_VALUE / 2;
+    private boolean mReportedRunning;
+    private boolean mCompleted;
+
+    /** A host that is down for its upkeep, and the life of its target before. */
+    private record Down(String targetId, long startedEpochMillis) {}
+
+    UpkeepRunner(
+            PlatformFormats.OperatorItem.Wave wave,
+            OwnerContext owner,
+            JobScheduler scheduler,
+            GroupCommit commits,
+            Optional<ByteString> record) {
+        mWave = wave;
+        mScheduler = scheduler;
+        mHosts = owner.hosts();
+        mCommits = commits;
+        mFormats = owner.formats();
+        mControl = owner.control();
+        mHolder = owner.self().host();
+        mTerm = owner.term();
+        mOnFenced = owner.onFenced();
+        mRemaining = new TreeSet<>(wave.hostIds());
+        record.ifPresent(this::restore);
+    }
+
+    private void restore(ByteString record) {
+        for (String host : record.toStringUtf8().split("\n", -1)) {
+            if (mRemaining.remove(host)) {
+                mBegun.add(host);
+                // The host may still be down; it counts until its target is seen.
+                mDown.put(host, new Down("", 0));
+            }
+        }
+    }
+
+    boolean isCompleted() {
+        return mCompleted;
+    }
+
+    /** Ends the closing of hosts of a wave that is no longer wanted. */
+    void close() {
+        mClosingSinceMillis.keySet().forEach(host -> setClosing(host, false));
+    }
+
+    void tick(long nowMillis) {
+        if (mCompleted) {
+            return;
+        }
+        if (!mReportedRunning) {
+            mReportedRunning = true;
+            mCommits.put(mFormats.waveStatusKey(mWave.number()), mFormats.waveStatus(false));
+            readHosts(nowMillis);
+        }
+        mDown.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
+        if (mRemaining.isEmpty() && mOrdered.isEmpty()) {
+            complete();
+            return;
+        }
+        closeHosts(nowMillis);
+        orderUpkeeps(nowMillis);
+        if (nowMillis - mListedMillis >= LIST_INTERVAL_MILLIS) {
+            readHosts(nowMillis);
+        }
+    }
+
+    private boolean isBack(String host, Down before) {
+        TargetState target = targetOn(host);
+        return target != null
+                && target.isReachable()
+                && (!target.entry().id().equals(before.targetId())
+                        || target.entry().startedEpochMillis() != before.startedEpochMillis());
+    }
+
+    private void complete() {
+        mCompleted = true;
+        Logger.info("upkeep: event=completed wave={} hosts={}", mWave.number(), mBegun.size());
+        mCommits.put(mFormats.waveStatusKey(mWave.number()), mFormats.waveStatus(true));
+    }
+
+    private void closeHosts(long nowMillis) {
+        int wanted = mWave.atOnce() + AHEAD;
+        for (String host : mRemaining) {
+            if (mClosingSinceMillis.size() >= wanted) {
+                return;
+            }
+            if (mClosingSinceMillis.putIfAbsent(host, nowMillis) == null) {
+                setClosing(host, true);
+            }
+        }
+    }
+
+    private void setClosing(String host, boolean closing) {
+        TargetState target = targetOn(host);
+        if (target != null) {
+            target.setClosing(closing);
+        }
+    }
+
+    private void orderUpkeeps(long nowMillis) {
+        for (Map.Entry<String, Long> closing : Map.copyOf(mClosingSinceMillis).entrySet()) {
+            String host = closing.getKey();
+            if (mDown.size() + mOrdered.size() >= mWave.atOnce()) {
+                return;
+            }
+            if (mOrdered.contains(host)) {
+                continue;
+            }
+            TargetState target = targetOn(host);
+            if (target != null) {
+                target.setClosing(true);
+                boolean waited = nowMillis - closing.getValue() >= DRAIN_WAIT_MILLIS;
+                boolean ready = mScheduler.isQuiet(target) || waited;
+                if (!ready || !mScheduler.mayInterrupt(target)) {
+                    continue;
+                }
+            }
+            order(host, target);
+        }
+    }
+
+    private void order(String host, TargetState target) {
+        Down before =
+                target == null
+                        ? new Down("", 0)
+                        : new Down(target.entry().id(), target.entry().startedEpochMillis());
+        mOrdered.add(host);
+        mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
+                .whenComplete(
+                        (outcome, failure) ->
+                                mControl.execute(() -> onAnswer(host, before, outcome, failure)));
+    }
+
+    private void onAnswer(
+            String host, Down before, HostClient.UpkeepOutcome outcome, Throwable failure) {
+        Logger.info(
+                "upkeep: event=answer wave={} host={} outcome={} cause={}",
+                mWave.number(),
+                host,
+                outcome,
+                failure == null ? "-" : failure.getMessage());
+        if (failure != null || outcome == HostClient.UpkeepOutcome.UNKNOWN) {
+            // It may have begun: the host keeps its place and the order, which is safe to repeat.
+            mControl.after("upkeep retry", DRAIN_WAIT_MILLIS / 3, () -> retry(host, before));
+            return;
+        }
+        mOrdered.remove(host);
+        switch (outcome) {
+            case BEGUN -> onBegun(host, before);
+            case FENCED -> mOnFenced.run();
+            case NOT_IN_WAVE -> drop(host);
+            default ->
+                    // Busy: the host is moving, down or leaving; its turn comes again.
+                    mListedMillis = Long.MIN_VALUE / 2;
+        }
+    }
+
+    private void retry(String host, Down before) {
+        mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
+                .whenComplete(
+                        (outcome, failure) ->
+                                mControl.execute(() -> onAnswer(host, before, outcome, failure)));
+    }
+
+    private void onBegun(String host, Down before) {
+        mRemaining.remove(host);
+        mClosingSinceMillis.remove(host);
+        mBegun.add(host);
+        mDown.put(host, before);
+        TargetState target = targetOn(host);
+        if (target != null && target.entry().id().equals(before.targetId())) {
+            mScheduler.onTargetEnded(target);
+        }
+        mCommits.put(
+                StoreLayout.wave(mWave.number()),
+                ByteString.copyFromUtf8(String.join("\n", mBegun)));
+    }
+
+    private void drop(String host) {
+        mRemaining.remove(host);
+        mClosingSinceMillis.remove(host);
+        setClosing(host, false);
+    }
+
+    private void readHosts(long nowMillis) {
+        mListedMillis = nowMillis;
+        mHosts.list()
+                .whenComplete(
+                        (hosts, failure) ->
+                                mControl.execute(
+                                        () -> {
+                                            if (failure == null) {
+                                                onHosts(hosts);
+                                            } else {
+                                                Logger.warn(
+                                                        "upkeep: event=list-failed cause={}",
+                                                        failure.getMessage());
+                                            }
+                                        }));
+    }
+
+    /** Drops hosts that no longer exist, and those down for good from the count of those down. */
+    private void onHosts(List<HostClient.HostStatus> hosts) {
+        Map<String, HostClient.HostStatus> byId = new HashMap<>();
+        hosts.forEach(host -> byId.put(host.hostId(), host));
+        for (String host : Set.copyOf(mRemaining)) {
+            if (!byId.containsKey(host) && !mOrdered.contains(host)) {
+                Logger.info("upkeep: event=host-gone wave={} host={}", mWave.number(), host);
+                drop(host);
+            }
+        }
+        mDown.entrySet()
+                .removeIf(
+                        down -> {
+                            HostClient.HostStatus status = byId.get(down.getKey());
+                            boolean back =
+                                    status != null
+                                            && status.up()
+                                            && !status.targetId()
+                                                    .equals(down.getValue().targetId());
+                            return status == null || status.lost() || back;
+                        });
+    }
+
+    private TargetState targetOn(String host) {
+        for (TargetState target : mScheduler.targets()) {
+            if (target.entry().hostId().equals(host) && target.isListed()) {
+                return target;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/jobs/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs handed in by client accounts: steps, tasks, their durable records and the queues' rules. */
+package org.marigoldturn.jobs;
--- a/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Envelope.java
@@ -74,6 +74,8 @@
     STATUS_REQUEST(27),
     STATUS_REPLY(28),
     HEALTH_REPORT(29),
+    JOB_CALL(30),
+    JOB_REPLY(31),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -111,6 +113,8 @@
         case 27: return STATUS_REQUEST;
         case 28: return STATUS_REPLY;
         case 29: return HEALTH_REPORT;
+        case 30: return JOB_CALL;
+        case 31: return JOB_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -819,6 +823,56 @@
     return org.marigoldturn.peer.wire.HealthReport.getDefaultInstance();
   }
 
+  public static final int JOB_CALL_FIELD_NUMBER = 30;
+  /**
+   * <pre>
+   * Serialized marigoldturn.jobs.JobCall and JobReply.
+   * </pre>
+   *
+   * <code>bytes job_call = 30;</code>
+   * @return Whether the jobCall field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobCall() {
+    return bodyCase_ == 30;
+  }
+  /**
+   * <pre>
+   * Serialized marigoldturn.jobs.JobCall and JobReply.
+   * </pre>
+   *
+   * <code>bytes job_call = 30;</code>
+   * @return The jobCall.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getJobCall() {
+    if (bodyCase_ == 30) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final int JOB_REPLY_FIELD_NUMBER = 31;
+  /**
+   * <code>bytes job_reply = 31;</code>
+   * @return Whether the jobReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobReply() {
+    return bodyCase_ == 31;
+  }
+  /**
+   * <code>bytes job_reply = 31;</code>
+   * @return The jobReply.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getJobReply() {
+    if (bodyCase_ == 31) {
+      return (com.google.protobuf.ByteString) body_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -902,6 +956,14 @@
     if (bodyCase_ == 29) {
       output.writeMessage(29, (org.marigoldturn.peer.wire.HealthReport) body_);
     }
+    if (bodyCase_ == 30) {
+      output.writeBytes(
+          30, (com.google.protobuf.ByteString) body_);
+    }
+    if (bodyCase_ == 31) {
+      output.writeBytes(
+          31, (com.google.protobuf.ByteString) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1002,6 +1064,16 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(29, (org.marigoldturn.peer.wire.HealthReport) body_);
     }
+    if (bodyCase_ == 30) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            30, (com.google.protobuf.ByteString) body_);
+    }
+    if (bodyCase_ == 31) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            31, (com.google.protobuf.ByteString) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1105,6 +1177,14 @@
         if (!getHealthReport()
             .equals(other.getHealthReport())) return false;
         break;
+      case 30:
+        if (!getJobCall()
+            .equals(other.getJobCall())) return false;
+        break;
+      case 31:
+        if (!getJobReply()
+            .equals(other.getJobReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -1208,6 +1288,14 @@
         hash = (37 * hash) + HEALTH_REPORT_FIELD_NUMBER;
         hash = (53 * hash) + getHealthReport().hashCode();
         break;
+      case 30:
+        hash = (37 * hash) + JOB_CALL_FIELD_NUMBER;
+        hash = (53 * hash) + getJobCall().hashCode();
+        break;
+      case 31:
+        hash = (37 * hash) + JOB_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getJobReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1645,6 +1733,14 @@
           mergeHealthReport(other.getHealthReport());
           break;
         }
+        case JOB_CALL: {
+          setJobCall(other.getJobCall());
+          break;
+        }
+        case JOB_REPLY: {
+          setJobReply(other.getJobReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1830,6 +1926,16 @@
               bodyCase_ = 29;
               break;
             } // case 234
+            case 242: {
+              body_ = input.readBytes();
+              bodyCase_ = 30;
+              break;
+            } // case 242
+            case 250: {
+              body_ = input.readBytes();
+              bodyCase_ = 31;
+              break;
+            } // case 250
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4870,6 +4976,106 @@
       return healthReportBuilder_;
     }
 
+    /**
+     * <pre>
+     * Serialized marigoldturn.jobs.JobCall and JobReply.
+     * </pre>
+     *
+     * <code>bytes job_call = 30;</code>
+     * @return Whether the jobCall field is set.
+     */
+    public boolean hasJobCall() {
+      return bodyCase_ == 30;
+    }
+    /**
+     * <pre>
+     * Serialized marigoldturn.jobs.JobCall and JobReply.
+     * </pre>
+     *
+     * <code>bytes job_call = 30;</code>
+     * @return The jobCall.
+     */
+    public com.google.protobuf.ByteString getJobCall() {
+      if (bodyCase_ == 30) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * Serialized marigoldturn.jobs.JobCall and JobReply.
+     * </pre>
+     *
+     * <code>bytes job_call = 30;</code>
+     * @param value The jobCall to set.
+     * @return This builder for chaining.
+     */
+    public Builder setJobCall(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyCase_ = 30;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Serialized marigoldturn.jobs.JobCall and JobReply.
+     * </pre>
+     *
+     * <code>bytes job_call = 30;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearJobCall() {
+      if (bodyCase_ == 30) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
+    /**
+     * <code>bytes job_reply = 31;</code>
+     * @return Whether the jobReply field is set.
+     */
+    public boolean hasJobReply() {
+      return bodyCase_ == 31;
+    }
+    /**
+     * <code>bytes job_reply = 31;</code>
+     * @return The jobReply.
+     */
+    public com.google.protobuf.ByteString getJobReply() {
+      if (bodyCase_ == 31) {
+        return (com.google.protobuf.ByteString) body_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <code>bytes job_reply = 31;</code>
+     * @param value The jobReply to set.
+     * @return This builder for chaining.
+     */
+    public Builder setJobReply(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyCase_ = 31;
+      body_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes job_reply = 31;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearJobReply() {
+      if (bodyCase_ == 31) {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.peer.Envelope)
   }
 
--- a/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/EnvelopeOrBuilder.java
@@ -346,5 +346,35 @@
    */
   org.marigoldturn.peer.wire.HealthReportOrBuilder getHealthReportOrBuilder();
 
+  /**
+   * <pre>
+   * Serialized marigoldturn.jobs.JobCall and JobReply.
+   * </pre>
+   *
+   * <code>bytes job_call = 30;</code>
+   * @return Whether the jobCall field is set.
+   */
+  boolean hasJobCall();
+  /**
+   * <pre>
+   * Serialized marigoldturn.jobs.JobCall and JobReply.
+   * </pre>
+   *
+   * <code>bytes job_call = 30;</code>
+   * @return The jobCall.
+   */
+  com.google.protobuf.ByteString getJobCall();
+
+  /**
+   * <code>bytes job_reply = 31;</code>
+   * @return Whether the jobReply field is set.
+   */
+  boolean hasJobReply();
+  /**
+   * <code>bytes job_reply = 31;</code>
+   * @return The jobReply.
+   */
+  com.google.protobuf.ByteString getJobReply();
+
   org.marigoldturn.peer.wire.Envelope.BodyCase getBodyCase();
 }
--- a/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
+++ b/core/src/main/java/org/marigoldturn/peer/wire/Peer.java
@@ -190,7 +190,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\021marigoldturn.peer\"\206\t\n\010Enve" +
+      "\n\npeer.proto\022\021marigoldturn.peer\"\257\t\n\010Enve" +
       "lope\022\017\n\007call_id\030\001 \001(\004\022\r\n\005reply\030\002 \001(\010\022\016\n\006" +
       "sender\030\003 \001(\t\022)\n\005hello\030\n \001(\0132\030.marigoldtu" +
       "rn.peer.HelloH\000\022\'\n\004ping\030\013 \001(\0132\027.marigold" +
@@ -219,62 +219,63 @@
       "igoldturn.peer.StatusRequestH\000\0226\n\014status" +
       "_reply\030\034 \001(\0132\036.marigoldturn.peer.StatusR" +
       "eplyH\000\0228\n\rhealth_report\030\035 \001(\0132\037.marigold" +
-      "turn.peer.HealthReportH\000B\006\n\004body\"\026\n\005Hell" +
-      "o\022\r\n\005token\030\001 \001(\t\"\027\n\004Ping\022\017\n\007version\030\001 \001(" +
-      "\004\"\027\n\004Pong\022\017\n\007version\030\001 \001(\004\"5\n\014StateReque" +
-      "st\022\020\n\010manifest\030\001 \001(\010\022\023\n\013blob_hashes\030\002 \003(" +
-      "\t\"H\n\nStateReply\022\020\n\010manifest\030\001 \001(\014\022\031\n\021man" +
-      "ifest_revision\030\002 \001(\004\022\r\n\005blobs\030\003 \003(\014\"=\n\013R" +
-      "ightsTotal\022\020\n\010resource\030\001 \001(\t\022\r\n\005epoch\030\002 " +
-      "\001(\004\022\r\n\005total\030\003 \001(\004\">\n\014RightsTotals\022.\n\006to" +
-      "tals\030\001 \003(\0132\036.marigoldturn.peer.RightsTot" +
-      "al\"8\n\rFreezeRequest\022\024\n\014base_version\030\001 \001(" +
-      "\004\022\021\n\tresources\030\002 \003(\t\"\236\002\n\016FrozenResource\022" +
-      "\020\n\010resource\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\0229\n\004sent" +
-      "\030\003 \003(\0132+.marigoldturn.peer.FrozenResourc" +
-      "e.SentEntry\022A\n\010received\030\004 \003(\0132/.marigold" +
-      "turn.peer.FrozenResource.ReceivedEntry\022\017" +
-      "\n\007running\030\005 \001(\r\032+\n\tSentEntry\022\013\n\003key\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\004:\0028\001\032/\n\rReceivedEntry\022\013\n" +
-      "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"i\n\013FreezeR" +
-      "eply\022\024\n\014base_version\030\001 \001(\004\022\016\n\006frozen\030\002 \001" +
-      "(\010\0224\n\tresources\030\003 \003(\0132!.marigoldturn.pee" +
-      "r.FrozenResource\";\n\nTeamDemand\022\014\n\004team\030\001" +
-      " \001(\t\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\"|\n" +
-      "\014DemandReport\022\020\n\010resource\030\001 \001(\t\022\014\n\004held\030" +
-      "\002 \001(\r\022\014\n\004free\030\003 \001(\r\022\020\n\010complete\030\004 \001(\010\022,\n" +
-      "\005teams\030\005 \003(\0132\035.marigoldturn.peer.TeamDem" +
-      "and\",\n\013Entitlement\022\014\n\004team\030\001 \001(\t\022\017\n\007runn" +
-      "ing\030\002 \001(\r\"V\n\014Entitlements\022\020\n\010resource\030\001 " +
-      "\001(\t\0224\n\014entitlements\030\002 \003(\0132\036.marigoldturn" +
-      ".peer.Entitlement\">\n\014TransferHint\022\020\n\010res" +
-      "ource\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\r\n\005count\030\003 \001(" +
-      "\r\"3\n\014ClaimRequest\022\022\n\nrequest_id\030\001 \001(\014\022\017\n" +
-      "\007version\030\002 \001(\004\"\234\001\n\nClaimReply\0224\n\006result\030" +
-      "\001 \001(\0162$.marigoldturn.peer.ClaimReply.Res" +
-      "ult\"X\n\006Result\022\026\n\022RESULT_UNSPECIFIED\020\000\022\013\n" +
-      "\007GRANTED\020\001\022\r\n\tDUPLICATE\020\002\022\013\n\007UNKNOWN\020\003\022\r" +
-      "\n\tNOT_OWNER\020\004\"\"\n\014ClaimRelease\022\022\n\nrequest" +
-      "_id\030\001 \001(\014\"\\\n\rClaimHandover\022\023\n\013request_id" +
-      "s\030\001 \003(\014\022\035\n\025complete_since_millis\030\002 \001(\004\022\027" +
-      "\n\017next_member_ids\030\003 \003(\t\"\n\n\010Farewell\"\036\n\rS" +
-      "tatusRequest\022\r\n\005hosts\030\001 \003(\t\"\'\n\004Load\022\017\n\007r" +
-      "unning\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\"\237\003\n\013StatusR" +
-      "eply\022\017\n\007version\030\001 \001(\004\022\025\n\rreaches_store\030\002" +
-      " \001(\010\0228\n\005teams\030\003 \003(\0132).marigoldturn.peer." +
-      "StatusReply.TeamsEntry\0228\n\005pools\030\004 \003(\0132)." +
-      "marigoldturn.peer.StatusReply.PoolsEntry" +
-      "\0228\n\005hosts\030\005 \003(\0132).marigoldturn.peer.Stat" +
-      "usReply.HostsEntry\032E\n\nTeamsEntry\022\013\n\003key\030" +
-      "\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn.peer" +
-      ".Load:\0028\001\032E\n\nPoolsEntry\022\013\n\003key\030\001 \001(\t\022&\n\005" +
-      "value\030\002 \001(\0132\027.marigoldturn.peer.Load:\0028\001" +
-      "\032,\n\nHostsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\r:\0028\001\"D\n\021HealthReportEntry\022\014\n\004host\030\001 \001(" +
-      "\t\022\017\n\007ejected\030\002 \001(\010\022\020\n\010requests\030\003 \001(\r\"C\n\014" +
-      "HealthReport\0223\n\005hosts\030\001 \003(\0132$.marigoldtu" +
-      "rn.peer.HealthReportEntryB\036\n\032org.marigol" +
-      "dturn.peer.wireP\001b\006proto3"
+      "turn.peer.HealthReportH\000\022\022\n\010job_call\030\036 \001" +
+      "(\014H\000\022\023\n\tjob_reply\030\037 \001(\014H\000B\006\n\004body\"\026\n\005Hel" +
+      "lo\022\r\n\005token\030\001 \001(\t\"\027\n\004Ping\022\017\n\007version\030\001 \001" +
+      "(\004\"\027\n\004Pong\022\017\n\007version\030\001 \001(\004\"5\n\014StateRequ" +
+      "est\022\020\n\010manifest\030\001 \001(\010\022\023\n\013blob_hashes\030\002 \003" +
+      "(\t\"H\n\nStateReply\022\020\n\010manifest\030\001 \001(\014\022\031\n\021ma" +
+      "nifest_revision\030\002 \001(\004\022\r\n\005blobs\030\003 \003(\014\"=\n\013" +
+      "RightsTotal\022\020\n\010resource\030\001 \001(\t\022\r\n\005epoch\030\002" +
+      " \001(\004\022\r\n\005total\030\003 \001(\004\">\n\014RightsTotals\022.\n\006t" +
+      "otals\030\001 \003(\0132\036.marigoldturn.peer.RightsTo" +
+      "tal\"8\n\rFreezeRequest\022\024\n\014base_version\030\001 \001" +
+      "(\004\022\021\n\tresources\030\002 \003(\t\"\236\002\n\016FrozenResource" +
+      "\022\020\n\010resource\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\0229\n\004sen" +
+      "t\030\003 \003(\0132+.marigoldturn.peer.FrozenResour" +
+      "ce.SentEntry\022A\n\010received\030\004 \003(\0132/.marigol" +
+      "dturn.peer.FrozenResource.ReceivedEntry\022" +
+      "\017\n\007running\030\005 \001(\r\032+\n\tSentEntry\022\013\n\003key\030\001 \001" +
+      "(\t\022\r\n\005value\030\002 \001(\004:\0028\001\032/\n\rReceivedEntry\022\013" +
+      "\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\004:\0028\001\"i\n\013Freeze" +
+      "Reply\022\024\n\014base_version\030\001 \001(\004\022\016\n\006frozen\030\002 " +
+      "\001(\010\0224\n\tresources\030\003 \003(\0132!.marigoldturn.pe" +
+      "er.FrozenResource\";\n\nTeamDemand\022\014\n\004team\030" +
+      "\001 \001(\t\022\017\n\007running\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\"|" +
+      "\n\014DemandReport\022\020\n\010resource\030\001 \001(\t\022\014\n\004held" +
+      "\030\002 \001(\r\022\014\n\004free\030\003 \001(\r\022\020\n\010complete\030\004 \001(\010\022," +
+      "\n\005teams\030\005 \003(\0132\035.marigoldturn.peer.TeamDe" +
+      "mand\",\n\013Entitlement\022\014\n\004team\030\001 \001(\t\022\017\n\007run" +
+      "ning\030\002 \001(\r\"V\n\014Entitlements\022\020\n\010resource\030\001" +
+      " \001(\t\0224\n\014entitlements\030\002 \003(\0132\036.marigoldtur" +
+      "n.peer.Entitlement\">\n\014TransferHint\022\020\n\010re" +
+      "source\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\r\n\005count\030\003 \001" +
+      "(\r\"3\n\014ClaimRequest\022\022\n\nrequest_id\030\001 \001(\014\022\017" +
+      "\n\007version\030\002 \001(\004\"\234\001\n\nClaimReply\0224\n\006result" +
+      "\030\001 \001(\0162$.marigoldturn.peer.ClaimReply.Re" +
+      "sult\"X\n\006Result\022\026\n\022RESULT_UNSPECIFIED\020\000\022\013" +
+      "\n\007GRANTED\020\001\022\r\n\tDUPLICATE\020\002\022\013\n\007UNKNOWN\020\003\022" +
+      "\r\n\tNOT_OWNER\020\004\"\"\n\014ClaimRelease\022\022\n\nreques" +
+      "t_id\030\001 \001(\014\"\\\n\rClaimHandover\022\023\n\013request_i" +
+      "ds\030\001 \003(\014\022\035\n\025complete_since_millis\030\002 \001(\004\022" +
+      "\027\n\017next_member_ids\030\003 \003(\t\"\n\n\010Farewell\"\036\n\r" +
+      "StatusRequest\022\r\n\005hosts\030\001 \003(\t\"\'\n\004Load\022\017\n\007" +
+      "running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\"\237\003\n\013Status" +
+      "Reply\022\017\n\007version\030\001 \001(\004\022\025\n\rreaches_store\030" +
+      "\002 \001(\010\0228\n\005teams\030\003 \003(\0132).marigoldturn.peer" +
+      ".StatusReply.TeamsEntry\0228\n\005pools\030\004 \003(\0132)" +
+      ".marigoldturn.peer.StatusReply.PoolsEntr" +
+      "y\0228\n\005hosts\030\005 \003(\0132).marigoldturn.peer.Sta" +
+      "tusReply.HostsEntry\032E\n\nTeamsEntry\022\013\n\003key" +
+      "\030\001 \001(\t\022&\n\005value\030\002 \001(\0132\027.marigoldturn.pee" +
+      "r.Load:\0028\001\032E\n\nPoolsEntry\022\013\n\003key\030\001 \001(\t\022&\n" +
+      "\005value\030\002 \001(\0132\027.marigoldturn.peer.Load:\0028" +
+      "\001\032,\n\nHostsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
+      "\001(\r:\0028\001\"D\n\021HealthReportEntry\022\014\n\004host\030\001 \001" +
+      "(\t\022\017\n\007ejected\030\002 \001(\010\022\020\n\010requests\030\003 \001(\r\"C\n" +
+      "\014HealthReport\0223\n\005hosts\030\001 \003(\0132$.marigoldt" +
+      "urn.peer.HealthReportEntryB\036\n\032org.marigo" +
+      "ldturn.peer.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -285,7 +286,7 @@
     internal_static_marigoldturn_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_peer_Envelope_descriptor,
-        new java.lang.String[] { "CallId", "Reply", "Sender", "Hello", "Ping", "Pong", "StateRequest", "StateReply", "RightsTotals", "RightsAck", "FreezeRequest", "FreezeReply", "DemandReport", "Entitlements", "TransferHint", "ClaimRequest", "ClaimReply", "ClaimRelease", "ClaimHandover", "Farewell", "StatusRequest", "StatusReply", "HealthReport", "Body", });
+        new java.lang.String[] { "CallId", "Reply", "Sender", "Hello", "Ping", "Pong", "StateRequest", "StateReply", "RightsTotals", "RightsAck", "FreezeRequest", "FreezeReply", "DemandReport", "Entitlements", "TransferHint", "ClaimRequest", "ClaimReply", "ClaimRelease", "ClaimHandover", "Farewell", "StatusRequest", "StatusReply", "HealthReport", "JobCall", "JobReply", "Body", });
     internal_static_marigoldturn_peer_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_marigoldturn_peer_Hello_fieldAccessorTable = new
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/AccountUsage.java
@@ -0,0 +1,34 @@
+package org.marigoldturn.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+
+/**
+ * What each client account has running, with everything that is being started or stopped. Confined
+ * to the control thread.
+ */
+final class AccountUsage {
+    private final Map<String, Room> mRunning = new HashMap<>();
+
+    void add(String account, Room needs) {
+        mRunning.merge(account, needs, Room::plus);
+    }
+
+    void remove(String account, Room needs) {
+        mRunning.merge(account, needs.times(-1), Room::plus);
+    }
+
+    /** Returns whether the account's limit leaves room for {@code count} more tasks of a step. */
+    boolean allows(Optional<AccountSettings> account, StepSpec step, int count) {
+        return account.map(a -> a.allows(running(a.name()).plus(step.needs().times(count))))
+                .orElse(true);
+    }
+
+    Room running(String account) {
+        return mRunning.getOrDefault(account, Room.NONE);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -0,0 +1,97 @@
+package org.marigoldturn.scheduling;
+
+import java.util.Collection;
+import java.util.List;
+import org.marigoldturn.jobs.JobSpec;
+import org.marigoldturn.jobs.QueueSettings;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+
+/**
+ * Decides whether a job can be served within its objective, from the work ahead of it.
+ *
+ * <p>The forecast divides the estimated work ahead by the processors of the service's targets. It
+ * answers a load that exceeds the capacity for seconds. Stateless.
+ */
+final class AdmissionForecast {
+    /** A client is never sent back for longer; the load turns within seconds. */
+    private static final int MAX_RETRY_AFTER_SECONDS = 5;
+
+    /** Runs in progress have on average half of their time left. */
+    private static final long RUNNING_SHARE = 2;
+
+    private AdmissionForecast() {}
+
+    static Admission decide(
+            JobSpec spec,
+            QueueSettings queue,
+            List<TargetState> targets,
+            Collection<JobEntry> ahead) {
+        if (targets.isEmpty()) {
+            return Admission.refuse(1, "no-target", 0);
+        }
+        Room capacity = Room.NONE;
+        for (TargetState target : targets) {
+            capacity = capacity.plus(target.entry().capacity());
+        }
+        for (StepSpec step : spec.steps()) {
+            if (targets.stream().noneMatch(t -> step.claim().fitsInto(t.entry().capacity()))) {
+                return Admission.refuse(MAX_RETRY_AFTER_SECONDS, "task-too-large", 0);
+            }
+        }
+        if (spec.scheduled() || spec.isLongRunning()) {
+            return Admission.accept(0);
+        }
+        long waitMillis = waitMillis(targets, capacity, ahead);
+        boolean startsNow = waitMillis == 0 || fitsNow(spec.steps().get(0), targets, ahead);
+        long chainMillis = spec.longestChainMillis();
+        long slackMillis = queue.objectiveMillis(chainMillis) - chainMillis;
+        long drainMillis = spec.estimatedCoreMillis() * 1_000 / capacity.cpuMillicores();
+        if (startsNow || waitMillis + drainMillis / 2 <= slackMillis) {
+            return Admission.accept(waitMillis);
+        }
+        long excessMillis = waitMillis - slackMillis;
+        int seconds = (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
+        return Admission.refuse(seconds, "overload", waitMillis);
+    }
+
+    private static long waitMillis(
+            List<TargetState> targets, Room capacity, Collection<JobEntry> ahead) {
+        long waiting = 0;
+        for (JobEntry job : ahead) {
+            waiting += job.waitingCoreMillis();
+        }
+        if (waiting == 0) {
+            return 0;
+        }
+        long free = 0;
+        for (TargetState target : targets) {
+            free += Math.max(0, target.free().cpuMillicores());
+        }
+        long cores = Math.max(1, capacity.cpuMillicores());
+        long running = (cores - free) / RUNNING_SHARE;
+        return Math.max(0, waiting + running / RUNNING_SHARE - free) * 1_000 / cores;
+    }
+
+    /** Returns whether all tasks of a step find room beside the work that waits already. */
+    private static boolean fitsNow(
+            StepSpec step, List<TargetState> targets, Collection<JobEntry> ahead) {
+        if (ahead.stream().anyMatch(job -> job.waitingCoreMillis() > 0)) {
+            return false;
+        }
+        long places = 0;
+        for (TargetState target : targets) {
+            places += places(step.claim(), target.free());
+        }
+        return places >= step.taskCount();
+    }
+
+    private static long places(Room claim, Room free) {
+        long byCpu = claim.cpuMillicores() == 0 ? 99 : free.cpuMillicores() / claim.cpuMillicores();
+        long byMemory =
+                claim.memoryMegabytes() == 0
+                        ? 99
+                        : free.memoryMegabytes() / claim.memoryMegabytes();
+        return Math.max(0, Math.min(byCpu, byMemory));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -0,0 +1,197 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.TaskId;
+
+/** One accepted job with all its tasks. Confined to the control thread. */
+final class JobEntry {
+    private final Job mJob;
+    private final int mPriority;
+    private final long mAcceptedMillis;
+    private final boolean mRestored;
+    private final List<List<StepState>> mOccurrences = new ArrayList<>();
+    private boolean mStored;
+    private boolean mStarted;
+    private JobState mEnd;
+    private long mFinishedEpochMillis;
+
+    /**
+     * Creates the entry of a job.
+     *
+     * @param restored whether an earlier owner may have started its tasks
+     */
+    JobEntry(Job job, int priority, long acceptedMillis, boolean restored) {
+        mJob = job;
+        mPriority = priority;
+        mAcceptedMillis = acceptedMillis;
+        mRestored = restored;
+        mStored = restored;
+        for (int k = 0; k < job.spec().occurrences(); k++) {
+            List<StepState> steps = new ArrayList<>();
+            for (int s = 0; s < job.spec().steps().size(); s++) {
+                steps.add(new StepState(this, k, s));
+            }
+            mOccurrences.add(steps);
+        }
+    }
+
+    Job job() {
+        return mJob;
+    }
+
+    int priority() {
+        return mPriority;
+    }
+
+    long acceptedMillis() {
+        return mAcceptedMillis;
+    }
+
+    boolean isRestored() {
+        return mRestored;
+    }
+
+    boolean isStored() {
+        return mStored;
+    }
+
+    void markStored() {
+        mStored = true;
+    }
+
+    boolean hasStarted() {
+        return mStarted;
+    }
+
+    void markStarted() {
+        mStarted = true;
+    }
+
+    boolean isActive() {
+        return mEnd == null;
+    }
+
+    long finishedEpochMillis() {
+        return mFinishedEpochMillis;
+    }
+
+    JobState state() {
+        if (mEnd != null) {
+            return mEnd;
+        }
+        return mStarted ? JobState.RUNNING : JobState.QUEUED;
+    }
+
+    void finish(JobState end, long epochMillis) {
+        mEnd = end;
+        mFinishedEpochMillis = epochMillis;
+    }
+
+    TaskState find(TaskId id) {
+        if (id.occurrence() >= mOccurrences.size()) {
+            return null;
+        }
+        List<StepState> steps = mOccurrences.get(id.occurrence());
+        if (id.step() >= steps.size() || id.index() >= steps.get(id.step()).tasks().size()) {
+            return null;
+        }
+        return steps.get(id.step()).tasks().get(id.index());
+    }
+
+    StepState step(TaskId id) {
+        return mOccurrences.get(id.occurrence()).get(id.step());
+    }
+
+    /** Returns the steps whose time has come and that wait for no other step. */
+    List<StepState> readySteps(long epochMillis) {
+        List<StepState> ready = new ArrayList<>();
+        for (int k = 0; k < mOccurrences.size(); k++) {
+            if (mJob.spec().dueEpochMillis(k) > epochMillis) {
+                continue;
+            }
+            for (StepState step : mOccurrences.get(k)) {
+                if (isReady(step)) {
+                    ready.add(step);
+                }
+            }
+        }
+        return ready;
+    }
+
+    private boolean isReady(StepState step) {
+        for (int earlier : step.spec().after()) {
+            if (!mOccurrences.get(step.occurrence()).get(earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    List<StepState> allSteps() {
+        List<StepState> all = new ArrayList<>();
+        mOccurrences.forEach(all::addAll);
+        return all;
+    }
+
+    boolean isDone() {
+        return allSteps().stream().allMatch(StepState::isDone);
+    }
+
+    List<Run> runs() {
+        List<Run> runs = new ArrayList<>();
+        for (StepState step : allSteps()) {
+            step.tasks().forEach(task -> runs.addAll(task.runs()));
+        }
+        return runs;
+    }
+
+    /** Returns the estimated work of tasks without a run, in thousandths of a core-second. */
+    long waitingCoreMillis() {
+        long sum = 0;
+        for (StepState step : allSteps()) {
+            long each = step.spec().claim().cpuMillicores() * step.spec().estimateMillis() / 1_000;
+            for (TaskState task : step.tasks()) {
+                sum += task.isWaiting() ? each : 0;
+            }
+        }
+        return sum;
+    }
+
+    JobProgress progress() {
+        List<JobProgress.TaskProgress> tasks = new ArrayList<>();
+        for (StepState step : allSteps()) {
+            for (TaskState task : step.tasks()) {
+                boolean known =
+                        task.isDone() || task.failedRuns() > 0 || !task.checkpoint().isEmpty();
+                if (known && isActive()) {
+                    tasks.add(
+                            new JobProgress.TaskProgress(
+                                    task.id(),
+                                    task.isDone(),
+                                    task.failedRuns(),
+                                    task.checkpoint()));
+                }
+            }
+        }
+        JobState state = mEnd == null ? JobState.RUNNING : mEnd;
+        return new JobProgress(state, mFinishedEpochMillis, tasks);
+    }
+
+    void restore(JobProgress progress) {
+        if (progress.state().isFinal()) {
+            finish(progress.state(), progress.finishedEpochMillis());
+            return;
+        }
+        for (JobProgress.TaskProgress recorded : progress.tasks()) {
+            TaskState task = find(recorded.task());
+            if (task != null) {
+                task.restore(recorded.done(), recorded.failedRuns(), recorded.checkpoint());
+                mStarted = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -0,0 +1,574 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.QueueSettings;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+import org.marigoldturn.jobs.TaskId;
+
+/**
+ * Schedules the tasks of all accepted jobs on the targets of their services.
+ *
+ * <p>Events and the present time go in, orders and changed jobs come out. Invariants: a task has a
+ * new run only when none of its runs can exist any more (but for copies of speculative steps, which
+ * are not made yet), the claims at a target never exceed its capacity by a decision made here, and
+ * an account's limit holds for all runs, also those that are being stopped. Confined to the control
+ * thread.
+ */
+public final class JobScheduler {
+    /** Run numbers of one term; no task is started more often under one owner. */
+    private static final long RUNS_PER_TERM = 65_536;
+
+    /** An order to stop is repeated after this time unless the end is listed; a round trip fits. */
+    private static final long STOP_RETRY_MILLIS = 400;
+
+    /** A waiting task gets room reserved after this time, so that smaller ones do not starve it. */
+    private static final long RESERVE_AFTER_MILLIS = 500;
+
+    /** Clocks of hosts differ by less; a due time is a lower bound. */
+    private static final long DUE_MARGIN_MILLIS = 40;
+
+    private static final Comparator<JobEntry> ORDER =
+            Comparator.<JobEntry, Boolean>comparing(e -> !e.job().spec().isLongRunning())
+                    .thenComparing(JobEntry::priority)
+                    .thenComparing(JobEntry::acceptedMillis)
+                    .thenComparing(e -> e.job().id());
+
+    private final long mTerm;
+    private final long mTakeoverMillis;
+    private final long mLongestLeaseMillis;
+    private final Map<String, JobEntry> mJobs = new HashMap<>();
+    private final TreeSet<JobEntry> mActive = new TreeSet<>(ORDER);
+    private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
+    private final AccountUsage mUsage = new AccountUsage();
+    private final Set<String> mChanged = new LinkedHashSet<>();
+    private QueueCatalog mCatalog;
+    private Set<String> mClosedZones = Set.of();
+
+    /**
+     * Creates the scheduler of one owner.
+     *
+     * @param term the owner's term
+     * @param nowMillis monotonic time of the takeover
+     * @param longestLeaseMillis time after which no lease of an earlier owner can last
+     */
+    public JobScheduler(QueueCatalog catalog, long term, long nowMillis, long longestLeaseMillis) {
+        mCatalog = catalog;
+        mTerm = term;
+        mTakeoverMillis = nowMillis;
+        mLongestLeaseMillis = longestLeaseMillis;
+    }
+
+    /** Takes a job from the records of an earlier owner. */
+    public void restore(Job job, JobProgress progress, long nowMillis) {
+        JobEntry entry = new JobEntry(job, priorityOf(job), nowMillis, true);
+        entry.restore(progress);
+        mJobs.put(job.id(), entry);
+        if (entry.isActive()) {
+            mActive.add(entry);
+        }
+    }
+
+    /** Uses a newer configuration. */
+    public void setCatalog(QueueCatalog catalog) {
+        mCatalog = catalog;
+    }
+
+    /** Sets the availability zones in which nothing is started. */
+    public void setClosedZones(Set<String> zones) {
+        mClosedZones = Set.copyOf(zones);
+    }
+
+    /** Adds a target or updates its entry; an earlier life at its id has ended. */
+    public TargetState onTargetListed(TargetEntry entry) {
+        TargetState known = mTargets.get(entry.id());
+        if (known != null && known.entry().isSameLife(entry)) {
+            known.update(entry);
+            return known;
+        }
+        if (known != null) {
+            endAllRuns(known);
+        }
+        TargetState state = new TargetState(entry);
+        mTargets.put(entry.id(), state);
+        return state;
+    }
+
+    /** Records that the platform's list has no entry for a target. */
+    public void onTargetUnlisted(String id) {
+        TargetState target = mTargets.get(id);
+        if (target != null) {
+            target.setListed(false);
+        }
+    }
+
+    /** Records that a target's life has ended, and with it everything that ran there. */
+    public void onTargetEnded(TargetState target) {
+        endAllRuns(target);
+        mTargets.remove(target.entry().id(), target);
+    }
+
+    /** Returns all known targets. */
+    public Collection<TargetState> targets() {
+        return List.copyOf(mTargets.values());
+    }
+
+    /** Decides on a hand-in; an accepted job waits for {@link #onStored}. */
+    public Admission submit(Job job, QueueSettings queue, long nowMillis) {
+        List<TargetState> targets = usableTargets(queue.service(), nowMillis);
+        List<JobEntry> ahead = new ArrayList<>();
+        for (JobEntry entry : mActive) {
+            boolean sameService = serviceOf(entry).equals(Optional.of(queue.service()));
+            if (sameService && entry.priority() <= queue.priority()) {
+                ahead.add(entry);
+            }
+        }
+        Admission admission = AdmissionForecast.decide(job.spec(), queue, targets, ahead);
+        if (admission.accepted()) {
+            JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
+            mJobs.put(job.id(), entry);
+            mActive.add(entry);
+        }
+        return admission;
+    }
+
+    /** Records that a job's durable record exists; its tasks may start. */
+    public void onStored(String jobId) {
+        JobEntry entry = mJobs.get(jobId);
+        if (entry != null) {
+            entry.markStored();
+        }
+    }
+
+    /** Returns the state of a job. */
+    public Optional<JobState> state(String jobId) {
+        return Optional.ofNullable(mJobs.get(jobId)).map(JobEntry::state);
+    }
+
+    /** Returns the progress of a job for its durable record. */
+    public JobProgress progress(String jobId) {
+        return mJobs.get(jobId).progress();
+    }
+
+    /** Counts the accepted jobs of a queue for which nothing has started. */
+    public int countWaiting(String queue) {
+        int count = 0;
+        for (JobEntry entry : mActive) {
+            count += entry.job().queue().equals(queue) && !entry.hasStarted() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Returns the number of jobs that have not ended. */
+    public int activeJobs() {
+        return mActive.size();
+    }
+
+    /** Cancels a job; returns whether it is known. */
+    public boolean cancel(String jobId, long epochMillis) {
+        JobEntry entry = mJobs.get(jobId);
+        if (entry == null) {
+            return false;
+        }
+        if (entry.isActive()) {
+            finish(entry, JobState.CANCELLED, epochMillis);
+        }
+        return true;
+    }
+
+    /** Forgets jobs that ended before the given time of day and returns their ids. */
+    public List<String> forgetEndedBefore(long epochMillis) {
+        List<String> forgotten = new ArrayList<>();
+        for (JobEntry entry : List.copyOf(mJobs.values())) {
+            if (!entry.isActive() && entry.finishedEpochMillis() < epochMillis) {
+                mJobs.remove(entry.job().id());
+                forgotten.add(entry.job().id());
+            }
+        }
+        return forgotten;
+    }
+
+    /** Returns and clears the ids of jobs whose durable progress has changed. */
+    public Set<String> takeChanged() {
+        Set<String> changed = new LinkedHashSet<>(mChanged);
+        mChanged.clear();
+        return changed;
+    }
+
+    /**
+     * Processes a target's lists.
+     *
+     * @param askedMillis monotonic time at which the target was asked
+     */
+    public void onReport(
+            TargetState target,
+            TargetReport report,
+            long askedMillis,
+            long nowMillis,
+            long epochMillis) {
+        if (mTargets.get(target.entry().id()) != target) {
+            return;
+        }
+        target.setRead();
+        for (TargetReport.RunEnd end : report.ends()) {
+            if (end.number() > target.lastProcessedEnd()) {
+                target.setLastProcessedEnd(end.number());
+                onEnd(target, end, nowMillis, epochMillis);
+            }
+        }
+        Set<Run> listed = new HashSet<>();
+        for (TargetReport.RunReport running : report.running()) {
+            listed.add(onRunning(target, running, nowMillis));
+        }
+        for (Run run : target.runs()) {
+            if (!listed.contains(run) && report.complete() && run.isDecidedBy(askedMillis)) {
+                removeRun(run);
+            }
+        }
+    }
+
+    private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
+        Run run = target.find(report.task(), report.run());
+        TaskState task = taskOf(report.task());
+        if (run == null) {
+            run = adopt(target, task, report, nowMillis);
+        }
+        if (task != null) {
+            task.setCheckpoint(report.checkpoint());
+        }
+        run.onListed(report.percent(), nowMillis);
+        return run;
+    }
+
+    /** Takes a run that an earlier owner started, or that was started late, or ends it. */
+    private Run adopt(
+            TargetState target, TaskState task, TargetReport.RunReport report, long nowMillis) {
+        JobEntry job = mJobs.get(report.task().jobId());
+        StepSpec spec = task == null ? null : job.step(report.task()).spec();
+        Run run =
+                new Run(
+                        report.task(),
+                        report.run(),
+                        target,
+                        spec == null ? Room.NONE : spec.claim(),
+                        nowMillis);
+        boolean wanted = task != null && job.isActive() && !task.isDone() && task.runs().isEmpty();
+        if (!wanted) {
+            run.requestStop();
+        }
+        addRun(run, task, job);
+        return run;
+    }
+
+    private void onEnd(
+            TargetState target, TargetReport.RunEnd end, long nowMillis, long epochMillis) {
+        Run run = target.find(end.task(), end.run());
+        if (run != null) {
+            removeRun(run);
+        }
+        target.onEnd(end.kind(), end.task().jobId(), nowMillis);
+        JobEntry job = mJobs.get(end.task().jobId());
+        TaskState task = taskOf(end.task());
+        if (task == null || !job.isActive()) {
+            return;
+        }
+        task.noteRunNumber(end.run());
+        StepState step = job.step(end.task());
+        List<TaskState> members = step.spec().traits().gang() ? step.tasks() : List.of(task);
+        members.forEach(member -> member.setCheckpoint(end.checkpoint()));
+        if (step.spec().traits().longRunning() || task.isDone()) {
+            return;
+        }
+        if (end.kind() == EndKind.DONE) {
+            members.forEach(TaskState::markDone);
+            onTaskDone(job, members, epochMillis);
+        } else {
+            if (end.kind().countsAsAttempt()) {
+                onTaskFailed(job, step, task, epochMillis);
+            }
+            stopRuns(step.spec().traits().gang() ? members : List.of());
+        }
+    }
+
+    private void onTaskDone(JobEntry job, List<TaskState> tasks, long epochMillis) {
+        mChanged.add(job.job().id());
+        stopRuns(tasks);
+        if (job.isDone()) {
+            finish(job, JobState.COMPLETED, epochMillis);
+        }
+    }
+
+    private void onTaskFailed(JobEntry job, StepState step, TaskState task, long epochMillis) {
+        task.addFailure();
+        mChanged.add(job.job().id());
+        if (step.failedRuns(task) >= maxAttempts(job)) {
+            finish(job, JobState.FAILED, epochMillis);
+        }
+    }
+
+    private void finish(JobEntry job, JobState end, long epochMillis) {
+        job.finish(end, epochMillis);
+        mActive.remove(job);
+        mChanged.add(job.job().id());
+        job.runs().forEach(Run::requestStop);
+    }
+
+    private static void stopRuns(List<TaskState> tasks) {
+        for (TaskState task : tasks) {
+            task.runs().forEach(Run::requestStop);
+        }
+    }
+
+    /** Records a target's answer to an order to start. */
+    public void onStartAnswer(Run run, StartOutcome outcome, long nowMillis) {
+        switch (outcome.effect()) {
+            case RUNS -> run.onStarted(nowMillis);
+            case NOT_RUN -> removeRun(run);
+            case UNKNOWN -> run.onUncertain();
+        }
+        if (outcome.pauseMillis() > 0) {
+            run.target().pause(nowMillis + outcome.pauseMillis());
+        }
+    }
+
+    /** Records a target's answer to an order to stop, or that there was none. */
+    public void onStopAnswer(Run run, boolean answered, long nowMillis) {
+        run.onStopAnswer(answered, nowMillis);
+    }
+
+    /** Ends the runs of targets whose lease has certainly ended. */
+    public void expireLeases(long nowMillis) {
+        for (TargetState target : targets()) {
+            boolean ended = !target.isReachable() && nowMillis > target.leaseEndMillis();
+            if (ended && target.leaseEndMillis() > 0) {
+                target.abandonUncertainRuns();
+                endAllRuns(target);
+                if (!target.isListed()) {
+                    mTargets.remove(target.entry().id());
+                }
+            }
+        }
+    }
+
+    /** Decides all orders that are due: stops first, then starts in the order of the queues. */
+    public List<Order> decide(long nowMillis, long epochMillis) {
+        List<Order> orders = new ArrayList<>();
+        for (TargetState target : mTargets.values()) {
+            for (Run run : target.runs()) {
+                if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
+                    orders.add(new Order.Stop(run));
+                }
+            }
+        }
+        Map<String, List<TargetState>> targets = new HashMap<>();
+        Placer placer = new Placer();
+        for (JobEntry job : mActive) {
+            Optional<String> service = serviceOf(job);
+            if (!job.isStored() || service.isEmpty() || !mayStart(job, service.get(), nowMillis)) {
+                continue;
+            }
+            List<TargetState> candidates =
+                    targets.computeIfAbsent(service.get(), s -> usableTargets(s, nowMillis));
+            for (StepState step : job.readySteps(epochMillis - DUE_MARGIN_MILLIS)) {
+                startStep(step, candidates, placer, nowMillis, orders);
+            }
+        }
+        placer.release();
+        return orders;
+    }
+
+    private void startStep(
+            StepState step,
+            List<TargetState> candidates,
+            Placer placer,
+            long nowMillis,
+            List<Order> orders) {
+        List<TaskState> waiting = step.waitingTasks();
+        if (waiting.isEmpty() || !isWithinLimit(step)) {
+            return;
+        }
+        if (step.spec().traits().gang()) {
+            startGang(step, candidates, placer, nowMillis, orders);
+            return;
+        }
+        for (TaskState task : waiting) {
+            if (!isWithinLimit(step)) {
+                return;
+            }
+            TargetState target = placer.choose(step, candidates);
+            if (target == null) {
+                if (deservesReservation(step, nowMillis)) {
+                    placer.reserve(step, candidates);
+                }
+                return;
+            }
+            orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
+        }
+    }
+
+    private void startGang(
+            StepState step,
+            List<TargetState> candidates,
+            Placer placer,
+            long nowMillis,
+            List<Order> orders) {
+        List<TargetState> chosen =
+                step.isGangIdle() ? placer.chooseForGang(step, candidates) : List.of();
+        if (chosen.isEmpty() || !mUsage.allows(accountOf(step), step.spec(), chosen.size())) {
+            return;
+        }
+        long number = 0;
+        for (TaskState task : step.tasks()) {
+            number = Math.max(number, nextRunNumber(task));
+        }
+        for (int i = 0; i < chosen.size(); i++) {
+            orders.add(start(step, step.tasks().get(i), chosen.get(i), number, nowMillis));
+        }
+    }
+
+    private Order start(
+            StepState step, TaskState task, TargetState target, long number, long nowMillis) {
+        Run run = new Run(task.id(), number, target, step.spec().claim(), nowMillis);
+        task.noteRunNumber(number);
+        step.job().markStarted();
+        addRun(run, task, step.job());
+        return new Order.Start(run, step.job().job().spec().payload(), task.checkpoint());
+    }
+
+    private boolean deservesReservation(StepState step, long nowMillis) {
+        return step.spec().traits().longRunning()
+                || nowMillis - step.job().acceptedMillis() >= RESERVE_AFTER_MILLIS;
+    }
+
+    private boolean isWithinLimit(StepState step) {
+        return mUsage.allows(accountOf(step), step.spec(), 1);
+    }
+
+    private Optional<AccountSettings> accountOf(StepState step) {
+        return mCatalog.account(step.job().job().account());
+    }
+
+    /** Returns whether no run of an earlier owner can exist unseen. */
+    private boolean mayStart(JobEntry job, String service, long nowMillis) {
+        if (!job.isRestored() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis) {
+            return true;
+        }
+        return mTargets.values().stream()
+                .noneMatch(t -> t.entry().service().equals(service) && !t.isRead());
+    }
+
+    private List<TargetState> usableTargets(String service, long nowMillis) {
+        List<TargetState> usable = new ArrayList<>();
+        for (TargetState target : mTargets.values()) {
+            if (target.entry().service().equals(service)
+                    && target.accepts(mClosedZones, nowMillis)) {
+                usable.add(target);
+            }
+        }
+        return usable;
+    }
+
+    private long nextRunNumber(TaskState task) {
+        return Math.max(task.lastRunNumber(), (mTerm - 1) * RUNS_PER_TERM) + 1;
+    }
+
+    private void addRun(Run run, TaskState task, JobEntry job) {
+        run.target().add(run);
+        if (task != null) {
+            task.runs().add(run);
+            task.noteRunNumber(run.number());
+            job.markStarted();
+            mUsage.add(job.job().account(), job.step(run.task()).spec().needs());
+        }
+    }
+
+    private void removeRun(Run run) {
+        run.target().remove(run);
+        TaskState task = taskOf(run.task());
+        if (task != null && task.runs().remove(run)) {
+            JobEntry job = mJobs.get(run.task().jobId());
+            mUsage.remove(job.job().account(), job.step(run.task()).spec().needs());
+        }
+    }
+
+    private void endAllRuns(TargetState target) {
+        for (Run run : target.runs()) {
+            removeRun(run);
+        }
+    }
+
+    private TaskState taskOf(TaskId id) {
+        JobEntry job = mJobs.get(id.jobId());
+        return job == null ? null : job.find(id);
+    }
+
+    private Optional<String> serviceOf(JobEntry job) {
+        return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
+    }
+
+    private int priorityOf(Job job) {
+        return mCatalog.queue(job.queue()).map(QueueSettings::priority).orElse(0);
+    }
+
+    private int maxAttempts(JobEntry job) {
+        return mCatalog.queue(job.job().queue()).map(QueueSettings::maxAttempts).orElse(1);
+    }
+
+    /**
+     * Returns whether everything on a target may be ended by planned work now.
+     *
+     * <p>Each lasting task there counts against the budget of its step, together with all others of
+     * the step that are not at work for whatever reason.
+     */
+    public boolean mayInterrupt(TargetState target) {
+        Map<StepState, Integer> ended = new HashMap<>();
+        for (Run run : target.runs()) {
+            JobEntry job = mJobs.get(run.task().jobId());
+            TaskState task = taskOf(run.task());
+            if (task == null || !job.isActive()) {
+                continue;
+            }
+            StepState step = job.step(run.task());
+            int budget = step.spec().maxUnavailable();
+            if (!step.spec().traits().longRunning() || budget == StepSpec.NO_BUDGET) {
+                continue;
+            }
+            int together = ended.merge(step, run.isAtWork() ? 1 : 0, Integer::sum);
+            if (step.countAway() + together > budget) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns whether only lasting tasks are left on a target. */
+    public boolean isQuiet(TargetState target) {
+        for (Run run : target.runs()) {
+            JobEntry job = mJobs.get(run.task().jobId());
+            boolean lasting =
+                    job != null
+                            && taskOf(run.task()) != null
+                            && job.step(run.task()).spec().traits().longRunning();
+            if (!lasting) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -0,0 +1,83 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.marigoldturn.jobs.StepSpec;
+import org.marigoldturn.jobs.TaskId;
+
+/** The tasks of one step in one occurrence of a job. Confined to the control thread. */
+final class StepState {
+    private final JobEntry mJob;
+    private final StepSpec mSpec;
+    private final int mOccurrence;
+    private final int mNumber;
+    private final List<TaskState> mTasks = new ArrayList<>();
+
+    StepState(JobEntry job, int occurrence, int number) {
+        mJob = job;
+        mSpec = job.job().spec().steps().get(number);
+        mOccurrence = occurrence;
+        mNumber = number;
+        for (int i = 0; i < mSpec.taskCount(); i++) {
+            mTasks.add(new TaskState(new TaskId(job.job().id(), occurrence, number, i)));
+        }
+    }
+
+    JobEntry job() {
+        return mJob;
+    }
+
+    StepSpec spec() {
+        return mSpec;
+    }
+
+    int occurrence() {
+        return mOccurrence;
+    }
+
+    int number() {
+        return mNumber;
+    }
+
+    List<TaskState> tasks() {
+        return mTasks;
+    }
+
+    boolean isDone() {
+        return mTasks.stream().allMatch(TaskState::isDone);
+    }
+
+    /** Returns the tasks that have neither ended as done nor a run. */
+    List<TaskState> waitingTasks() {
+        List<TaskState> waiting = new ArrayList<>();
+        for (TaskState task : mTasks) {
+            if (task.isWaiting()) {
+                waiting.add(task);
+            }
+        }
+        return waiting;
+    }
+
+    /** Returns whether the members of a gang can start again: none has a run left. */
+    boolean isGangIdle() {
+        return mTasks.stream().allMatch(TaskState::isWaiting);
+    }
+
+    /** Counts the tasks that are not at work at the given moment. */
+    int countAway() {
+        int away = 0;
+        for (TaskState task : mTasks) {
+            if (task.runs().stream().noneMatch(Run::isAtWork)) {
+                away++;
+            }
+        }
+        return away;
+    }
+
+    /** Returns the failed runs that count against the limit of attempts. */
+    int failedRuns(TaskState task) {
+        return mSpec.traits().gang()
+                ? mTasks.stream().mapToInt(TaskState::failedRuns).sum()
+                : task.failedRuns();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -0,0 +1,71 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.marigoldturn.jobs.TaskId;
+
+/** What is known of one task. Confined to the control thread. */
+final class TaskState {
+    private final TaskId mId;
+    private final List<Run> mRuns = new ArrayList<>(1);
+    private boolean mDone;
+    private int mFailedRuns;
+    private long mLastRunNumber;
+    private String mCheckpoint = "";
+
+    TaskState(TaskId id) {
+        mId = id;
+    }
+
+    TaskId id() {
+        return mId;
+    }
+
+    List<Run> runs() {
+        return mRuns;
+    }
+
+    boolean isDone() {
+        return mDone;
+    }
+
+    boolean isWaiting() {
+        return !mDone && mRuns.isEmpty();
+    }
+
+    int failedRuns() {
+        return mFailedRuns;
+    }
+
+    String checkpoint() {
+        return mCheckpoint;
+    }
+
+    void markDone() {
+        mDone = true;
+    }
+
+    void addFailure() {
+        mFailedRuns++;
+    }
+
+    void setCheckpoint(String checkpoint) {
+        if (!checkpoint.isEmpty()) {
+            mCheckpoint = checkpoint;
+        }
+    }
+
+    void restore(boolean done, int failedRuns, String checkpoint) {
+        mDone = done;
+        mFailedRuns = failedRuns;
+        mCheckpoint = checkpoint;
+    }
+
+    void noteRunNumber(long number) {
+        mLastRunNumber = Math.max(mLastRunNumber, number);
+    }
+
+    long lastRunNumber() {
+        return mLastRunNumber;
+    }
+}
--- a/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
+++ b/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
@@ -21,6 +21,7 @@
     private static final List<String> LAYERS =
             List.of(
                     "cli",
+                    "coordination",
                     "daemon",
                     "operator",
                     "entry",
@@ -30,6 +31,8 @@
                     "admission",
                     "shares",
                     "rights",
+                    "scheduling",
+                    "jobs",
                     "peer",
                     "settings",
                     "store",
