Count tasks whose upkeep is ordered as away

Two upkeeps were ordered in one pass; the budget of a lasting step counted only tasks that had ended, not those on a host whose upkeep was on its way. Change: a target with an ordered upkeep counts as interrupted, and its runs as away, until the answer. Tests of the scheduler's rules.

--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -173,6 +173,9 @@
                         ? new Down("", 0)
                         : new Down(target.entry().id(), target.entry().startedEpochMillis());
         mOrdered.add(host);
+        if (target != null) {
+            target.setInterrupted(true);
+        }
         mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
                 .whenComplete(
                         (outcome, failure) ->
@@ -193,6 +196,10 @@
             return;
         }
         mOrdered.remove(host);
+        TargetState target = targetOn(host);
+        if (target != null) {
+            target.setInterrupted(false);
+        }
         switch (outcome) {
             case BEGUN -> onBegun(host, before);
             case FENCED -> mOnFenced.run();
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -72,8 +72,12 @@
         return mStopWanted;
     }
 
+    /** Returns whether it is at work and no order is on its way that ends it. */
     boolean isAtWork() {
-        return mPhase == Phase.RUNNING && !mStopWanted && mPercent >= 100;
+        return mPhase == Phase.RUNNING
+                && !mStopWanted
+                && mPercent >= 100
+                && !mTarget.isInterrupted();
     }
 
     void requestStop() {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -36,6 +36,7 @@
     private boolean mRead;
     private boolean mReachable;
     private boolean mClosing;
+    private boolean mInterrupted;
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
@@ -93,6 +94,15 @@
         mClosing = closing;
     }
 
+    /** Records that planned work was ordered that ends all runs there, or that it was rejected. */
+    public void setInterrupted(boolean interrupted) {
+        mInterrupted = interrupted;
+    }
+
+    boolean isInterrupted() {
+        return mInterrupted;
+    }
+
     /** Records that a call was answered or not. */
     public void setReachable(boolean reachable) {
         mReachable = reachable;
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -0,0 +1,268 @@
+package org.marigoldturn.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marigoldturn.scheduling.SchedulerFixture.gang;
+import static org.marigoldturn.scheduling.SchedulerFixture.job;
+import static org.marigoldturn.scheduling.SchedulerFixture.lasting;
+import static org.marigoldturn.scheduling.SchedulerFixture.step;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.TaskId;
+
+/** The rules of jobs, checked at the scheduler without any transport. */
+class JobSchedulerTest {
+    private final SchedulerFixture mFixture = new SchedulerFixture();
+
+    @Example
+    void stepStartsOnlyAfterEarlierStepsAreDone() {
+        mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "account", step(2, 1_000), step(1, 1_000, 0)));
+
+        List<Run> first = mFixture.starts();
+        mFixture.started(first);
+        mFixture.end(first.get(0), EndKind.DONE);
+        assertThat(first).hasSize(2);
+        assertThat(mFixture.starts()).isEmpty();
+
+        mFixture.end(first.get(1), EndKind.DONE);
+        List<Run> second = mFixture.starts();
+        assertThat(second).singleElement().extracting(run -> run.task().step()).isEqualTo(1);
+        mFixture.started(second);
+        mFixture.end(second.get(0), EndKind.DONE);
+        assertThat(mFixture.mScheduler.state("a")).contains(JobState.COMPLETED);
+    }
+
+    @Example
+    void capacityIsNeverExceededAlsoWhileRunsAreBeingStopped() {
+        mFixture.addTarget("t1", 2_000);
+        mFixture.accept(job("a", "", step(2, 1_000)));
+        List<Run> runs = mFixture.starts();
+        mFixture.started(runs);
+        mFixture.mScheduler.cancel("a", 0);
+        mFixture.accept(job("b", "", step(1, 1_000)));
+
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.end(runs.get(0), EndKind.STOPPED);
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
+    @Example
+    void jobFailsAfterItsLastAttemptAndOtherEndsDoNotCount() {
+        mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        for (EndKind kind : List.of(EndKind.LAPSED, EndKind.FAILED, EndKind.STOPPED)) {
+            List<Run> runs = mFixture.starts();
+            mFixture.started(runs);
+            mFixture.end(runs.get(0), kind);
+        }
+        assertThat(mFixture.mScheduler.state("a")).contains(JobState.RUNNING);
+        List<Run> last = mFixture.starts();
+        mFixture.started(last);
+        mFixture.end(last.get(0), EndKind.FAILED);
+        assertThat(mFixture.mScheduler.state("a")).contains(JobState.FAILED);
+        assertThat(mFixture.starts()).isEmpty();
+    }
+
+    @Example
+    void runNumbersRiseOverOwners() {
+        SchedulerFixture second = new SchedulerFixture(2);
+        mFixture.addTarget("t1", 8_000);
+        second.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        second.accept(job("a", "account", step(1, 1_000)));
+
+        long first = mFixture.starts().get(0).number();
+        assertThat(first).isEqualTo(1);
+        assertThat(second.starts().get(0).number()).isGreaterThan(first);
+    }
+
+    @Example
+    void unansweredStartIsRepeatedElsewhereOnlyOnceAListAfterAnAnsweredStopLacksIt() {
+        TargetState t1 = mFixture.addTarget("t1", 1_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        Run lost = mFixture.starts().get(0);
+        mFixture.addTarget("t2", 1_000);
+        mFixture.mScheduler.onStartAnswer(lost, StartOutcome.UNKNOWN, mFixture.mNowMillis);
+
+        mFixture.report(t1, List.of());
+        assertThat(mFixture.stops()).containsExactly(lost);
+        mFixture.report(t1, List.of());
+        assertThat(mFixture.starts()).isEmpty();
+
+        mFixture.mScheduler.onStopAnswer(lost, true, mFixture.mNowMillis);
+        mFixture.report(t1, List.of());
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
+    @Example
+    void unansweredStartIsRepeatedElsewhereAfterTheLeaseHasEnded() {
+        TargetState t1 = mFixture.addTarget("t1", 1_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        Run lost = mFixture.starts().get(0);
+        mFixture.addTarget("t2", 1_000);
+        mFixture.mScheduler.onStartAnswer(lost, StartOutcome.UNKNOWN, mFixture.mNowMillis);
+        t1.extendLease(mFixture.mNowMillis + 4_000);
+        t1.setReachable(false);
+
+        mFixture.mNowMillis += 4_000;
+        mFixture.mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.mNowMillis += 1;
+        mFixture.mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mFixture.starts()).hasSize(1);
+        assertThat(t1.abandonedRuns()).containsExactly(lost);
+    }
+
+    @Example
+    void newOwnerKeepsRunningTasksAndWaitsForUnreadTargets() {
+        SchedulerFixture owner = new SchedulerFixture(2);
+        owner.mScheduler.restore(
+                job("a", "account", step(2, 1_000)), JobProgress.NONE, owner.mNowMillis);
+        TargetState read = owner.addTarget("t1", 8_000);
+        TargetState unread =
+                owner.mScheduler.onTargetListed(SchedulerFixture.entry("t2", 1, 8_000));
+        owner.report(
+                read, List.of(new TargetReport.RunReport(new TaskId("a", 0, 0, 0), 1, "", 10)));
+        assertThat(owner.starts()).isEmpty();
+
+        unread.setReachable(true);
+        owner.report(unread, List.of());
+        assertThat(owner.starts())
+                .singleElement()
+                .extracting(run -> run.task().index())
+                .isEqualTo(1);
+    }
+
+    @Example
+    void newOwnerWaitsNoLongerThanTheLongestLeaseForAnUnreadTarget() {
+        SchedulerFixture owner = new SchedulerFixture(2);
+        owner.mScheduler.restore(
+                job("a", "account", step(1, 1_000)), JobProgress.NONE, owner.mNowMillis);
+        owner.addTarget("t1", 8_000);
+        owner.mScheduler.onTargetListed(SchedulerFixture.entry("t2", 1, 8_000));
+        assertThat(owner.starts()).isEmpty();
+        owner.mNowMillis += SchedulerFixture.LONGEST_LEASE_MILLIS;
+        assertThat(owner.starts()).hasSize(1);
+    }
+
+    @Example
+    void endThatIsListedTwiceChangesNothing() {
+        TargetState target = mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        Run run = mFixture.starts().get(0);
+        mFixture.started(List.of(run));
+        TargetReport report =
+                new TargetReport(
+                        1,
+                        List.of(),
+                        List.of(
+                                new TargetReport.RunEnd(
+                                        1, run.task(), run.number(), EndKind.FAILED, "")),
+                        true);
+        long now = mFixture.mNowMillis;
+        mFixture.mScheduler.onReport(target, report, now, now, now);
+        mFixture.mScheduler.onReport(target, report, now, now, now);
+        assertThat(mFixture.mScheduler.state("a")).contains(JobState.RUNNING);
+    }
+
+    @Example
+    void accountLimitHoldsForAllRunsAlsoThoseBeingStopped() {
+        mFixture.mScheduler.setCatalog(
+                SchedulerFixture.catalog(
+                        new AccountSettings("account", Set.of(), 1, new Room(2_000, 0, 0))));
+        mFixture.addTarget("t1", 16_000);
+        mFixture.accept(job("a", "account", step(2, 1_000)));
+        mFixture.accept(job("b", "account", step(2, 1_000)));
+        List<Run> runs = mFixture.starts();
+        assertThat(runs).hasSize(2);
+        mFixture.started(runs);
+        mFixture.mScheduler.cancel("a", 0);
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.end(runs.get(0), EndKind.STOPPED);
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
+    @Example
+    void gangStartsWholeOrNotAtAll() {
+        mFixture.addTarget("t1", 2_000);
+        mFixture.accept(job("a", "account", gang(3, 1_000)));
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.addTarget("t2", 1_000);
+        List<Run> members = mFixture.starts();
+        assertThat(members).hasSize(3).extracting(Run::number).containsOnly(1L);
+        mFixture.started(members);
+        mFixture.end(members.get(0), EndKind.DONE);
+        assertThat(mFixture.mScheduler.state("a")).contains(JobState.COMPLETED);
+    }
+
+    @Example
+    void lastingTaskRestartsHoweverItEnds() {
+        mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "", lasting(1, 1_000, 1)));
+        for (EndKind kind : EndKind.values()) {
+            List<Run> runs = mFixture.starts();
+            assertThat(runs).hasSize(1);
+            mFixture.started(runs);
+            mFixture.end(runs.get(0), kind);
+        }
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
+    @Example
+    void roomGathersForALastingTaskInAFullPool() {
+        mFixture.addTarget("t1", 3_000);
+        mFixture.accept(job("a", "", step(3, 1_000)));
+        List<Run> small = mFixture.starts();
+        mFixture.started(small);
+        mFixture.accept(job("lasting", "", lasting(1, 2_000, 1)));
+        mFixture.accept(job("b", "", step(3, 1_000)));
+        mFixture.end(small.get(0), EndKind.DONE);
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.end(small.get(1), EndKind.DONE);
+        assertThat(mFixture.starts())
+                .singleElement()
+                .extracting(run -> run.task().jobId())
+                .isEqualTo("lasting");
+    }
+
+    @Example
+    void budgetCountsTasksWhoseEndIsAlreadyOrdered() {
+        TargetState t1 = mFixture.addTarget("t1", 8_000);
+        TargetState t2 = mFixture.addTarget("t2", 8_000);
+        mFixture.accept(job("a", "", lasting(2, 1_000, 1)));
+        mFixture.started(mFixture.starts());
+        mFixture.report(t1);
+        mFixture.report(t2);
+        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isTrue();
+
+        t1.setInterrupted(true);
+        assertThat(mFixture.mScheduler.mayInterrupt(t2)).isFalse();
+        t1.setInterrupted(false);
+        assertThat(mFixture.mScheduler.mayInterrupt(t2)).isTrue();
+    }
+
+    @Example
+    void closedZoneGetsNothing() {
+        mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "account", lasting(1, 1_000, 1)));
+        mFixture.mScheduler.setClosedZones(Set.of("zone"));
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.mScheduler.setClosedZones(Set.of());
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
+    @Example
+    void unknownRunOnATargetIsStopped() {
+        TargetState target = mFixture.addTarget("t1", 8_000);
+        mFixture.report(
+                target,
+                List.of(new TargetReport.RunReport(new TaskId("ghost", 0, 0, 0), 3, "", 10)));
+        assertThat(mFixture.stops()).hasSize(1);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -0,0 +1,175 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobSpec;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.QueueSettings;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+
+/** A scheduler with targets that answer when the test says so. Time moves by hand. */
+final class SchedulerFixture {
+    static final QueueSettings QUEUE =
+            new QueueSettings("queue", "host", "/q/", "service", 0, 2, 1.6, 600, false, false);
+    static final AccountSettings ACCOUNT =
+            new AccountSettings("account", Set.of("key"), 1, new Room(8_000, 0, 0));
+    static final long LONGEST_LEASE_MILLIS = 5_000;
+
+    final JobScheduler mScheduler;
+    final Map<String, Long> mEnds = new HashMap<>();
+    long mNowMillis = 1_000;
+
+    SchedulerFixture() {
+        this(1);
+    }
+
+    SchedulerFixture(long term) {
+        mScheduler = new JobScheduler(catalog(ACCOUNT), term, mNowMillis, LONGEST_LEASE_MILLIS);
+    }
+
+    static QueueCatalog catalog(AccountSettings account) {
+        return new QueueCatalog(1, List.of(QUEUE), Set.of("service"), Set.of(), List.of(account));
+    }
+
+    static StepSpec step(int count, long cpu, Integer... after) {
+        return step(count, cpu, traits(false, false), 0, StepSpec.NO_BUDGET, after);
+    }
+
+    static StepSpec lasting(int count, long cpu, int maxUnavailable) {
+        return step(count, cpu, traits(false, true), 1, maxUnavailable);
+    }
+
+    static StepSpec gang(int count, long cpu) {
+        return step(count, cpu, traits(true, false), 0, StepSpec.NO_BUDGET);
+    }
+
+    private static StepSpec.Traits traits(boolean gang, boolean lasting) {
+        return new StepSpec.Traits(false, gang, false, lasting, false);
+    }
+
+    private static StepSpec step(
+            int count,
+            long cpu,
+            StepSpec.Traits traits,
+            int maxPerTarget,
+            int maxUnavailable,
+            Integer... after) {
+        return new StepSpec(
+                count,
+                new Room(cpu, 100, 0),
+                1_000,
+                List.of(after),
+                new StepSpec.Placement("", "", maxPerTarget, false),
+                traits,
+                "image",
+                0,
+                maxUnavailable);
+    }
+
+    static Job job(String id, String account, StepSpec... steps) {
+        JobSpec spec = new JobSpec("payload", List.of(steps), 1, false, 0, 0);
+        return new Job(id, QUEUE.name(), account, spec, 0);
+    }
+
+    TargetState addTarget(String id, long cpu) {
+        TargetState target = mScheduler.onTargetListed(entry(id, 1, cpu));
+        target.setReachable(true);
+        report(target);
+        return target;
+    }
+
+    static TargetEntry entry(String id, long started, long cpu) {
+        return new TargetEntry(
+                id,
+                started,
+                "host-" + id,
+                "service",
+                "address-" + id,
+                "zone",
+                "rack",
+                Set.of("rack"),
+                new Room(cpu, 10_000, 0),
+                false);
+    }
+
+    Admission accept(Job job) {
+        Admission admission = mScheduler.submit(job, QUEUE, mNowMillis);
+        if (admission.accepted()) {
+            mScheduler.onStored(job.id());
+        }
+        return admission;
+    }
+
+    List<Run> starts() {
+        List<Run> runs = new ArrayList<>();
+        for (Order order : mScheduler.decide(mNowMillis, mNowMillis)) {
+            if (order instanceof Order.Start start) {
+                runs.add(start.run());
+            }
+        }
+        return runs;
+    }
+
+    List<Run> stops() {
+        List<Run> runs = new ArrayList<>();
+        for (Order order : mScheduler.decide(mNowMillis, mNowMillis)) {
+            if (order instanceof Order.Stop stop) {
+                runs.add(stop.run());
+            }
+        }
+        return runs;
+    }
+
+    void started(List<Run> runs) {
+        runs.forEach(run -> mScheduler.onStartAnswer(run, StartOutcome.ACCEPTED, mNowMillis));
+    }
+
+    /** Lists all runs that the scheduler believes to be there. */
+    void report(TargetState target) {
+        List<TargetReport.RunReport> running = new ArrayList<>();
+        for (Run run : target.runs()) {
+            running.add(new TargetReport.RunReport(run.task(), run.number(), "", 100));
+        }
+        report(target, running);
+    }
+
+    void report(TargetState target, List<TargetReport.RunReport> running) {
+        mNowMillis++;
+        mScheduler.onReport(
+                target,
+                new TargetReport(target.entry().startedEpochMillis(), running, List.of(), true),
+                mNowMillis,
+                mNowMillis,
+                mNowMillis);
+    }
+
+    void end(Run run, EndKind kind) {
+        TargetState target = run.target();
+        long number = mEnds.merge(target.entry().id(), 1L, Long::sum);
+        List<TargetReport.RunReport> running = new ArrayList<>();
+        for (Run other : target.runs()) {
+            if (other != run) {
+                running.add(new TargetReport.RunReport(other.task(), other.number(), "", 100));
+            }
+        }
+        mNowMillis++;
+        mScheduler.onReport(
+                target,
+                new TargetReport(
+                        target.entry().startedEpochMillis(),
+                        running,
+                        List.of(
+                                new TargetReport.RunEnd(
+                                        number, run.task(), run.number(), kind, "")),
+                        true),
+                mNowMillis,
+                mNowMillis,
+                mNowMillis);
+    }
+}
