Take ownership only in the vacancy that was found

After the lease was granted, the takeover took the newest known revision of the live record as its condition, also if that was another owner's. Change: the revisions found vacant are the condition of the takeover.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -174,19 +174,31 @@
             mAttempting = false;
             return;
         }
+        // What was found vacant is the condition of the takeover, whatever is read meanwhile.
+        Vacancy vacancy = vacancy();
         mStore.grantLease(LEASE_MILLIS)
-                .thenCompose(this::takeOver)
+                .thenCompose(lease -> takeOver(vacancy, lease))
                 .whenComplete(
                         (result, failure) -> mControl.execute(() -> onAttempt(result, failure)));
     }
 
-    /** Writes the next term, or renews the claim of the same term after a lapse. */
-    private CompletableFuture<Attempt> takeOver(long lease) {
+    private Vacancy vacancy() {
         long heldTerm = mTerm == null ? 0 : read(mTerm).map(OwnerRecord::getTerm).orElse(0L);
-        long termRevision = mTerm == null ? Compare.ABSENT : mTerm.modRevision();
-        long liveRevision = mLive == null ? Compare.ABSENT : mLive.modRevision();
-        boolean keepsTerm = mOwnTerm != 0 && mOwnTerm == heldTerm;
-        long term = keepsTerm ? mOwnTerm : heldTerm + 1;
+        return new Vacancy(
+                heldTerm,
+                mTerm == null ? Compare.ABSENT : mTerm.modRevision(),
+                mLive == null ? Compare.ABSENT : mLive.modRevision(),
+                mOwnTerm != 0 && mOwnTerm == heldTerm);
+    }
+
+    /** The state of the records in which a takeover is allowed. */
+    private record Vacancy(
+            long heldTerm, long termRevision, long liveRevision, boolean keepsTerm) {}
+
+    /** Writes the next term, or renews the claim of the same term after a lapse. */
+    private CompletableFuture<Attempt> takeOver(Vacancy vacancy, long lease) {
+        boolean keepsTerm = vacancy.keepsTerm();
+        long term = keepsTerm ? vacancy.heldTerm() : vacancy.heldTerm() + 1;
         List<Operation.Put> puts = new ArrayList<>();
         puts.add(
                 new Operation.Put(
@@ -196,8 +208,8 @@
         }
         return mStore.commit(
                         List.of(
-                                new Compare(StoreLayout.OWNER_TERM, termRevision),
-                                new Compare(StoreLayout.OWNER_LIVE, liveRevision)),
+                                new Compare(StoreLayout.OWNER_TERM, vacancy.termRevision()),
+                                new Compare(StoreLayout.OWNER_LIVE, vacancy.liveRevision())),
                         puts,
                         List.of())
                 .thenApply(result -> new Attempt(lease, term, keepsTerm, result));
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
@@ -0,0 +1,163 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.MetadataStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoreOutcomeUnknownException;
+import org.marigoldturn.store.StoredValue;
+
+/**
+ * A store in memory whose leases end by order and whose commits can lose their answers. Watches
+ * answer at once. Thread safe.
+ */
+final class MemoryStore implements MetadataStore {
+    private final TreeMap<String, StoredValue> mValues = new TreeMap<>();
+    private final Map<String, Long> mLeaseOf = new TreeMap<>();
+    private final List<Change> mChanges = new ArrayList<>();
+    private long mRevision = 1;
+    private long mLastLease;
+    private int mAnswersToLose;
+    private Runnable mBeforeGrant = () -> {};
+
+    /** Carries out the next commits without answering them. */
+    synchronized void loseAnswers(int count) {
+        mAnswersToLose = count;
+    }
+
+    /** Runs once before the next lease is granted. */
+    synchronized void beforeNextGrant(Runnable action) {
+        mBeforeGrant = action;
+    }
+
+    synchronized Optional<StoredValue> value(String key) {
+        return Optional.ofNullable(mValues.get(key));
+    }
+
+    synchronized void put(String key, ByteString value, long lease) {
+        mRevision++;
+        StoredValue old = mValues.get(key);
+        long created = old == null ? mRevision : old.createRevision();
+        StoredValue stored = new StoredValue(key, value, created, mRevision);
+        mValues.put(key, stored);
+        mLeaseOf.put(key, lease);
+        mChanges.add(new Change(stored, false));
+    }
+
+    synchronized void remove(String key) {
+        if (mValues.remove(key) != null) {
+            mRevision++;
+            mLeaseOf.remove(key);
+            StoredValue gone = new StoredValue(key, ByteString.EMPTY, 0, mRevision);
+            mChanges.add(new Change(gone, true));
+        }
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> read(String key) {
+        return CompletableFuture.completedFuture(value(key));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Page> list(String prefix, String afterKey) {
+        List<StoredValue> found =
+                mValues.values().stream()
+                        .filter(v -> v.key().startsWith(prefix) && v.key().compareTo(afterKey) > 0)
+                        .toList();
+        return CompletableFuture.completedFuture(new Page(found, false, mRevision));
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, long afterRevision, long waitMillis) {
+        return CompletableFuture.supplyAsync(() -> changes(prefix, afterRevision));
+    }
+
+    private Changes changes(String prefix, long afterRevision) {
+        try {
+            Thread.sleep(5);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        synchronized (this) {
+            List<Change> found =
+                    mChanges.stream()
+                            .filter(c -> c.value().key().startsWith(prefix))
+                            .filter(c -> c.value().modRevision() > afterRevision)
+                            .toList();
+            return new Changes(found, mRevision);
+        }
+    }
+
+    @Override
+    public synchronized CompletableFuture<CommitResult> commit(
+            List<Compare> conditions, List<Operation.Put> puts, List<Operation.Delete> deletes) {
+        List<StoredValue> current = new ArrayList<>();
+        boolean holds = true;
+        for (Compare condition : conditions) {
+            StoredValue value = mValues.get(condition.key());
+            holds &= condition.modRevision() == (value == null ? 0 : value.modRevision());
+            if (value != null) {
+                current.add(value);
+            }
+        }
+        if (!holds) {
+            return CompletableFuture.completedFuture(new CommitResult(false, 0, current));
+        }
+        puts.forEach(put -> put(put.key(), put.value(), put.leaseId()));
+        // All keys of a transaction have one revision.
+        for (Operation.Put put : puts) {
+            StoredValue value = mValues.get(put.key());
+            mValues.put(
+                    put.key(),
+                    new StoredValue(put.key(), value.value(), value.createRevision(), mRevision));
+        }
+        deletes.forEach(delete -> remove(delete.key()));
+        if (mAnswersToLose > 0) {
+            mAnswersToLose--;
+            return CompletableFuture.failedFuture(
+                    new CompletionException(new StoreOutcomeUnknownException("lost", null)));
+        }
+        return CompletableFuture.completedFuture(new CommitResult(true, mRevision, List.of()));
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long ttlMillis) {
+        Runnable action;
+        synchronized (this) {
+            action = mBeforeGrant;
+            mBeforeGrant = () -> {};
+        }
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    action.run();
+                    synchronized (this) {
+                        return ++mLastLease;
+                    }
+                });
+    }
+
+    @Override
+    public CompletableFuture<Void> keepLeaseAlive(long leaseId) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public synchronized CompletableFuture<Void> revokeLease(long leaseId) {
+        List<String> keys = new ArrayList<>();
+        mLeaseOf.forEach(
+                (key, lease) -> {
+                    if (lease == leaseId) {
+                        keys.add(key);
+                    }
+                });
+        keys.forEach(this::remove);
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -0,0 +1,90 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.wire.OwnerRecord;
+
+/** One daemon at a time owns the scheduling, whatever is read between two calls to the store. */
+class OwnerElectionTest implements OwnerElection.Listener {
+    private static final DaemonIdentity SELF =
+            new DaemonIdentity("host-1", "host-1/a", "z1", "127.0.0.1", 7000);
+
+    private final ControlLoop mControl = new ControlLoop();
+    private final MemoryStore mStore = new MemoryStore();
+    private final BlockingQueue<Long> mElected = new LinkedBlockingQueue<>();
+    private final BlockingQueue<OwnerRecord> mOwners = new LinkedBlockingQueue<>();
+    private final OwnerElection mElection =
+            new OwnerElection(mStore, mControl, Clocks.system(), SELF, this);
+
+    @AfterTry
+    void stop() {
+        mControl.close();
+    }
+
+    @Example
+    void vacantOwnershipIsTakenWithTheNextTerm() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(4), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
+    }
+
+    @Example
+    void ownerThatWasElectedDuringTheAttemptIsNotReplaced() throws InterruptedException {
+        CountDownLatch seen = new CountDownLatch(1);
+        mStore.beforeNextGrant(
+                () -> {
+                    mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-2/b"), 99);
+                    mStore.put(StoreLayout.OWNER_TERM, record(1), 0);
+                    awaitOwnerSeen();
+                    seen.countDown();
+                });
+        mControl.execute(mElection::start);
+        assertThat(seen.await(20, TimeUnit.SECONDS)).isTrue();
+        assertThat(mElected.poll(500, TimeUnit.MILLISECONDS)).isNull();
+    }
+
+    @Example
+    void recordOfAnEarlierLifeOnTheSameHostIsReplacedAtOnce() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(1), 0);
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-1/old"), 99);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(2);
+    }
+
+    private void awaitOwnerSeen() {
+        try {
+            assertThat(mOwners.poll(20, TimeUnit.SECONDS)).isNotNull();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static ByteString record(long term) {
+        return OwnerRecord.newBuilder().setTerm(term).setOwnerId("host-2/b").build().toByteString();
+    }
+
+    @Override
+    public void onElected(long term, long termRevision) {
+        assertThat(List.of(StoreLayout.OWNER_LIVE)).allMatch(key -> mStore.value(key).isPresent());
+        mElected.add(term);
+    }
+
+    @Override
+    public void onDeposed(String reason) {
+        mElected.add(-1L);
+    }
+
+    @Override
+    public void onOwner(OwnerRecord owner) {
+        mOwners.add(owner);
+    }
+}
