Note ends after their own writes, and let the lease of a silent target end

Cause 2 (the wave of upkeep in PlatformPathTest never completed): each retry of a look at a silent target sent a new lease, so the lease never ended for the owner and the tasks there were never started elsewhere. Change: a list waits for all earlier writes; looks at a silent target carry no lease. The upkeep ends the target for which it was ordered, also if it is no longer listed. The stand-in of the platform and PlatformPathTest, with real daemons.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -37,7 +37,8 @@
     private boolean mClockKnown;
     private long mNotedEnd;
     private boolean mPollOpen;
-    private boolean mPollDue;
+    private long mCycle;
+    private CompletableFuture<Void> mStored = CompletableFuture.completedFuture(null);
     private boolean mClosed;
 
     /** What a session tells the owner. */
@@ -102,13 +103,13 @@
         if (mClosed || mPollOpen) {
             return;
         }
-        mPollDue = false;
         if (!mTarget.abandonedRuns().isEmpty()) {
             stopAbandoned();
             return;
         }
         long now = mClocks.now();
-        long lease = grantLease(now);
+        // A silent target's lease is left to end, so that its tasks can run elsewhere.
+        long lease = mTarget.isReachable() ? grantLease(now) : 0;
         // The first look must not wait: it reads the clock and what runs there.
         long wait = mTarget.isRead() && mTarget.isReachable() ? WAIT_MILLIS : 0;
         mPollOpen = true;
@@ -162,26 +163,28 @@
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
         }
-        long before = mTarget.lastProcessedEnd();
-        var stored = mCallbacks.onReport(mTarget, answer, askedMillis);
+        CompletableFuture<Void> stored = mCallbacks.onReport(mTarget, answer, askedMillis);
         long processed = mTarget.lastProcessedEnd();
-        if (processed == before && mNotedEnd == processed) {
+        if (mNotedEnd == processed) {
             poll();
             return;
         }
-        mPollDue = true;
-        stored.whenComplete(
+        // A list that repeats ends adds no write, so it also waits for the writes before it.
+        mStored = mStored.thenCombine(stored, (earlier, later) -> null);
+        long cycle = ++mCycle;
+        mStored.whenComplete(
                 (done, failure) -> {
                     if (failure == null) {
                         mNotedEnd = Math.max(mNotedEnd, processed);
-                        pollIfDue();
+                        pollAfterCommit(cycle);
                     }
                 });
-        mControl.after("poll", COMMIT_WAIT_MILLIS, this::pollIfDue);
+        mControl.after("poll", COMMIT_WAIT_MILLIS, () -> pollAfterCommit(cycle));
     }
 
-    private void pollIfDue() {
-        if (mPollDue) {
+    private void pollAfterCommit(long cycle) {
+        if (cycle == mCycle) {
+            mCycle++;
             poll();
         }
     }
--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -26,6 +26,8 @@
     /** Short tasks mostly end within this time; what is left then is ended by the upkeep. */
     private static final long DRAIN_WAIT_MILLIS = 3_000;
 
+    private static final long RETRY_MILLIS = 1_000;
+
     /** Hosts that are emptied ahead of the next upkeep. */
     private static final int AHEAD = 1;
 
@@ -168,22 +170,22 @@
     }
 
     private void order(String host, TargetState target) {
-        Down before =
-                target == null
-                        ? new Down("", 0)
-                        : new Down(target.entry().id(), target.entry().startedEpochMillis());
         mOrdered.add(host);
         if (target != null) {
             target.setInterrupted(true);
         }
+        send(host, target);
+    }
+
+    private void send(String host, TargetState target) {
         mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
                 .whenComplete(
                         (outcome, failure) ->
-                                mControl.execute(() -> onAnswer(host, before, outcome, failure)));
+                                mControl.execute(() -> onAnswer(host, target, outcome, failure)));
     }
 
     private void onAnswer(
-            String host, Down before, HostClient.UpkeepOutcome outcome, Throwable failure) {
+            String host, TargetState target, HostClient.UpkeepOutcome outcome, Throwable failure) {
         Logger.info(
                 "upkeep: event=answer wave={} host={} outcome={} cause={}",
                 mWave.number(),
@@ -192,16 +194,15 @@
                 failure == null ? "-" : failure.getMessage());
         if (failure != null || outcome == HostClient.UpkeepOutcome.UNKNOWN) {
             // It may have begun: the host keeps its place and the order, which is safe to repeat.
-            mControl.after("upkeep retry", DRAIN_WAIT_MILLIS / 3, () -> retry(host, before));
+            mControl.after("upkeep retry", RETRY_MILLIS, () -> send(host, target));
             return;
         }
         mOrdered.remove(host);
-        TargetState target = targetOn(host);
         if (target != null) {
             target.setInterrupted(false);
         }
         switch (outcome) {
-            case BEGUN -> onBegun(host, before);
+            case BEGUN -> onBegun(host, target);
             case FENCED -> mOnFenced.run();
             case NOT_IN_WAVE -> drop(host);
             default ->
@@ -210,20 +211,14 @@
         }
     }
 
-    private void retry(String host, Down before) {
-        mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
-                .whenComplete(
-                        (outcome, failure) ->
-                                mControl.execute(() -> onAnswer(host, before, outcome, failure)));
-    }
-
-    private void onBegun(String host, Down before) {
+    private void onBegun(String host, TargetState target) {
         mRemaining.remove(host);
         mClosingSinceMillis.remove(host);
         mBegun.add(host);
-        mDown.put(host, before);
-        TargetState target = targetOn(host);
-        if (target != null && target.entry().id().equals(before.targetId())) {
+        if (target == null) {
+            mDown.put(host, new Down("", 0));
+        } else {
+            mDown.put(host, new Down(target.entry().id(), target.entry().startedEpochMillis()));
             mScheduler.onTargetEnded(target);
         }
         mCommits.put(
--- a/core/src/main/java/org/marigoldturn/store/PrefixMirror.java
+++ b/core/src/main/java/org/marigoldturn/store/PrefixMirror.java
@@ -194,16 +194,17 @@
     }
 
     private <T> void whenDone(CompletableFuture<T> call, Consumer<T> onSuccess) {
-        call.whenCompleteAsync(
+        call.handleAsync(
                         (result, failure) -> {
                             if (mClosed) {
-                                return;
+                                return null;
                             }
                             if (failure == null) {
                                 onSuccess.accept(result);
                             } else {
                                 onFailure(unwrap(failure));
                             }
+                            return null;
                         },
                         mControl)
                 .exceptionally(
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -0,0 +1,147 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.TaskId;
+import org.marigoldturn.scheduling.EndKind;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.Run;
+import org.marigoldturn.scheduling.StartOutcome;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetReport;
+import org.marigoldturn.scheduling.TargetState;
+
+/** Ends are noted at a target only once the store holds them. */
+class TargetSessionTest implements TargetSession.Callbacks {
+    private static final TargetEntry ENTRY =
+            new TargetEntry("t1", 7, "h1", "service", "a:1", "z", "r", Set.of(), Room.NONE, false);
+    private static final TargetReport ONE_END =
+            new TargetReport(
+                    7,
+                    List.of(),
+                    List.of(
+                            new TargetReport.RunEnd(
+                                    1, new TaskId("a", 0, 0, 0), 1, EndKind.DONE, "")),
+                    true);
+
+    private final ControlLoop mControl = new ControlLoop();
+    private final Clocks mClocks = Clocks.system();
+    private final JobScheduler mScheduler =
+            new JobScheduler(
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+    private final TargetState mTarget = mScheduler.onTargetListed(ENTRY);
+    private final ScriptedTarget mClient = new ScriptedTarget();
+    private final List<CompletableFuture<Void>> mWrites = new ArrayList<>();
+
+    @AfterTry
+    void stop() {
+        mControl.close();
+    }
+
+    @Example
+    void endThatIsListedAgainBeforeItsWriteIsNotNoted() throws InterruptedException {
+        TargetSession session =
+                new TargetSession(mTarget, mClient, mControl, mClocks, 1, 4_000, this);
+        mControl.execute(session::start);
+
+        assertThat(nextNotedEnd()).isZero();
+        assertThat(nextNotedEnd()).isZero();
+        assertThat(nextNotedEnd()).isZero();
+        mControl.execute(() -> mWrites.forEach(write -> write.complete(null)));
+        long noted = nextNotedEnd();
+        for (int i = 0; i < 3 && noted == 0; i++) {
+            noted = nextNotedEnd();
+        }
+        assertThat(noted).isEqualTo(1);
+    }
+
+    @Example
+    void leaseOfASilentTargetIsNotRenewed() throws InterruptedException {
+        mClient.mSilentAfter = 1;
+        TargetSession session =
+                new TargetSession(mTarget, mClient, mControl, mClocks, 1, 4_000, this);
+        mControl.execute(session::start);
+
+        assertThat(nextLook().leaseEndTargetMillis()).isZero();
+        assertThat(nextLook().leaseEndTargetMillis()).isPositive();
+        assertThat(nextLook().leaseEndTargetMillis()).isZero();
+        assertThat(nextLook().leaseEndTargetMillis()).isZero();
+    }
+
+    private long nextNotedEnd() throws InterruptedException {
+        return nextLook().notedEnd();
+    }
+
+    private TargetClient.LookRequest nextLook() throws InterruptedException {
+        TargetClient.LookRequest request = mClient.mRequests.poll(20, TimeUnit.SECONDS);
+        assertThat(request).as("a look at the target").isNotNull();
+        return request;
+    }
+
+    @Override
+    public CompletableFuture<Void> onReport(
+            TargetState target, TargetClient.LookAnswer answer, long askedMillis) {
+        boolean isNew = target.lastProcessedEnd() == 0;
+        mScheduler.onReport(target, answer.report(), askedMillis, mClocks.now(), 0);
+        if (!isNew) {
+            return CompletableFuture.completedFuture(null);
+        }
+        CompletableFuture<Void> write = new CompletableFuture<>();
+        mWrites.add(write);
+        return write;
+    }
+
+    @Override
+    public void onEnded(TargetState target) {
+        throw new IllegalStateException("the target has not ended");
+    }
+
+    @Override
+    public void onFenced(TargetState target) {
+        throw new IllegalStateException("the target has not fenced");
+    }
+
+    /** A target that lists one end until it is noted. */
+    private static final class ScriptedTarget implements TargetClient {
+        private final BlockingQueue<LookRequest> mRequests = new LinkedBlockingQueue<>();
+        private int mSilentAfter = Integer.MAX_VALUE;
+        private int mLooks;
+
+        @Override
+        public CompletableFuture<LookAnswer> look(TargetEntry target, LookRequest request) {
+            mRequests.add(request);
+            if (++mLooks > mSilentAfter) {
+                return CompletableFuture.failedFuture(
+                        new TargetCallException(
+                                TargetCallException.Kind.UNANSWERED, "no answer", null));
+            }
+            return request.notedEnd() == 0
+                    ? CompletableFuture.completedFuture(new LookAnswer(1_000, ONE_END))
+                    : new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<StartOutcome> start(
+                TargetEntry target, Order.Start order, long term, long leaseEndTargetMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> stop(TargetEntry target, Run run, long term) {
+            return new CompletableFuture<>();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -0,0 +1,150 @@
+package org.marigoldturn.standins.platform;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.marigoldturn.standins.ChildProcess;
+
+/**
+ * Daemons of the platform's role as processes, each at an address of its own on the loopback
+ * network, and a client of theirs.
+ */
+public final class PlatformFleet implements AutoCloseable {
+    private static final String MAIN = "org.marigoldturn.platform.Main";
+    private static final String CONFIG =
+            """
+            {"Version":%d,"Routes":[{"Name":"r1","Host":"jobs.example","Prefix":"/q/",
+            "Service":"service","TargetDurationMs":600,"Priority":0,"MaxAttempts":2,
+            "Stretch":1.6,"Public":false},{"Name":"r2","Host":"jobs.example","Prefix":"/open/",
+            "Service":"service","TargetDurationMs":600,"Priority":0,"MaxAttempts":2,
+            "Stretch":1.6,"Public":true}],"Services":[{"Name":"service"}],
+            "Tenants":[{"Name":"club","ApiKeys":["%s"],"Weight":1,"UpperBound":{"Cpu":16000}}]}
+            """;
+
+    private final StandInPlatform mPlatform = new StandInPlatform();
+    private final Path mDirectory;
+    private final int mFirstHost;
+    private final List<ChildProcess> mDaemons = new ArrayList<>();
+    private final WebClient mClient = WebClient.builder().responseTimeoutMillis(10_000).build();
+
+    /**
+     * Creates the platform with a configuration.
+     *
+     * @param directory where settings and logs are written
+     * @param firstHost last byte of the first daemon's address; keeps fleets apart
+     */
+    public PlatformFleet(Path directory, int firstHost) {
+        mDirectory = directory;
+        mFirstHost = firstHost;
+        configure(1, "secret");
+    }
+
+    /** Writes a configuration with one key. */
+    public void configure(int version, String key) {
+        mPlatform.put("op/config", CONFIG.formatted(version, key));
+    }
+
+    /** Returns the platform. */
+    public StandInPlatform platform() {
+        return mPlatform;
+    }
+
+    /** Starts one more daemon and waits until it is ready. */
+    public void startDaemon() throws IOException, InterruptedException {
+        int index = mDaemons.size();
+        String ip = ip(index);
+        Path settings = mDirectory.resolve("daemon-" + index + ".conf");
+        Files.writeString(
+                settings,
+                """
+                Node=front-%d
+                Zone=z1
+                Ip=%s
+                Listen.Front=%s:8340
+                Listen.Readiness=%s:8343
+                PortRange=7000,7015
+                platform.Address=%s
+                Cloud.Address=%s
+                Bounds.MaxHoldMs=6000
+                Bounds.status_s=120
+                Bounds.GraceS=6
+                """
+                        .formatted(
+                                index,
+                                ip,
+                                ip,
+                                ip,
+                                mPlatform.storeAddress(),
+                                mPlatform.hostsAddress()));
+        mDaemons.add(
+                ChildProcess.start(
+                        mDirectory.resolve("daemon-" + index + ".log"),
+                        MAIN,
+                        "--settings",
+                        settings.toString()));
+        String ready = "http://" + ip + ":8343/v1/ready";
+        await(
+                "daemon " + index + " is ready",
+                () -> mClient.get(ready).aggregate().join().status().code() == 200);
+    }
+
+    /** Returns a daemon's process. */
+    public ChildProcess daemon(int index) {
+        return mDaemons.get(index);
+    }
+
+    /** Hands a job in and returns the response. */
+    public AggregatedHttpResponse handIn(int daemon, String id, String body) {
+        return call(daemon, HttpMethod.POST, "/q/" + id, "secret", body);
+    }
+
+    /** Returns the response to a look at a job. */
+    public AggregatedHttpResponse look(int daemon, String id) {
+        return call(daemon, HttpMethod.GET, "/q/" + id, "secret", "");
+    }
+
+    /** Calls a daemon as a client does. */
+    public AggregatedHttpResponse call(
+            int daemon, HttpMethod method, String path, String key, String body) {
+        RequestHeaders headers =
+                RequestHeaders.builder(method, "http://" + ip(daemon) + ":8340" + path)
+                        .contentType(MediaType.JSON)
+                        .set(HttpHeaderNames.HOST, "jobs.example")
+                        .add("Credential", key)
+                        .add("Deadline-Ms", "3000")
+                        .build();
+        return mClient.execute(HttpRequest.of(headers, HttpData.ofUtf8(body))).aggregate().join();
+    }
+
+    /** Waits until a condition holds. */
+    public static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long endMillis = System.nanoTime() / 1_000_000 + 60_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() / 1_000_000 > endMillis) {
+                throw new IllegalStateException("did not happen: " + what);
+            }
+            Thread.sleep(50);
+        }
+    }
+
+    private String ip(int index) {
+        return "127.0.0." + (mFirstHost + index);
+    }
+
+    @Override
+    public void close() {
+        mDaemons.forEach(ChildProcess::close);
+        mPlatform.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/PlatformPathTest.java
@@ -0,0 +1,159 @@
+package org.marigoldturn.standins.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.HashSet;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/** The whole path of a job with real daemons and the stand-in of the platform. */
+class PlatformPathTest {
+    private static final String TWO_STEPS =
+            """
+            {"Spec":"text","Steps":[{"Count":3,"Cpu":500,"MemMb":100,"EstimateMs":300},
+            {"Count":2,"Cpu":500,"MemMb":100,"EstimateMs":300,"After":[0]}]}
+            """;
+    private static final String LASTING =
+            """
+            {"Spec":"lasting","Steps":[{"Count":2,"Cpu":500,"MemMb":100,"EstimateMs":300,
+            "AntiAffinity":1,"LongRunning":true,"MaxUnavailable":1}]}
+            """;
+    private static final String ID = "00000000000000a1";
+    private static final String OTHER_ID = "00000000000000a2";
+
+    private PlatformFleet mFleet;
+
+    @BeforeTry
+    void start() throws IOException, InterruptedException {
+        mFleet = new PlatformFleet(Files.createTempDirectory("platform-path"), 11);
+        mFleet.platform().addTarget("service", "h1", 300);
+        mFleet.platform().addTarget("service", "h2", 300);
+        mFleet.startDaemon();
+        mFleet.startDaemon();
+    }
+
+    @AfterTry
+    void stop() {
+        mFleet.close();
+    }
+
+    @Example
+    void jobRunsOnceThroughAnyDaemon() throws InterruptedException {
+        assertThat(mFleet.handIn(0, ID, TWO_STEPS).status().code()).isEqualTo(200);
+        assertThat(mFleet.handIn(1, ID, TWO_STEPS).status().code()).isEqualTo(200);
+        PlatformFleet.await("completed", () -> isCompleted(1, ID));
+        assertThat(mFleet.platform().starts()).hasSize(5).doesNotHaveDuplicates();
+        assertThat(mFleet.look(0, OTHER_ID).status().code()).isEqualTo(410);
+    }
+
+    @Example
+    void badInputGetsAClearError() {
+        assertError(mFleet.handIn(0, "xyz", TWO_STEPS), 400, "16 hexadecimal digits");
+        assertError(mFleet.handIn(0, ID, "{"), 400, "not JSON");
+        assertError(mFleet.handIn(0, ID, "{\"Spec\":\"t\"}"), 400, "Steps is not a list");
+        assertError(
+                mFleet.handIn(0, ID, "{\"Spec\":\"t\",\"Steps\":[{\"Count\":1,\"After\":[0]}]}"),
+                400,
+                "waits for step 0");
+        assertError(
+                mFleet.handIn(
+                        0,
+                        ID,
+                        "{\"Spec\":\"" + "x".repeat(4_001) + "\",\"Steps\":[{\"Count\":1}]}"),
+                400,
+                "4001 bytes");
+        assertThat(mFleet.call(0, HttpMethod.POST, "/q/" + ID, "wrong", TWO_STEPS).status().code())
+                .isEqualTo(401);
+        assertThat(mFleet.call(0, HttpMethod.GET, "/none/", "secret", "").status().code())
+                .isEqualTo(404);
+        assertThat(mFleet.platform().starts()).isEmpty();
+    }
+
+    @Example
+    void cancelledJobStopsEverywhere() throws InterruptedException {
+        assertThat(mFleet.handIn(0, ID, LASTING).status().code()).isEqualTo(200);
+        PlatformFleet.await("both run", () -> mFleet.platform().countRunning() == 2);
+        assertThat(mFleet.call(1, HttpMethod.DELETE, "/q/" + ID, "secret", "").status().code())
+                .isEqualTo(200);
+        PlatformFleet.await("none runs", () -> mFleet.platform().countRunning() == 0);
+        assertThat(mFleet.look(0, ID).contentUtf8()).contains("cancelled");
+    }
+
+    @Example
+    void killedOwnerLosesNoJobAndRunsNothingTwice() throws Exception {
+        mFleet.platform().addTarget("service", "h3", 2_500);
+        assertThat(mFleet.handIn(1, ID, TWO_STEPS).status().code()).isEqualTo(200);
+        mFleet.daemon(0).kill();
+        PlatformFleet.await("completed", () -> isCompleted(1, ID));
+        assertThat(mFleet.platform().starts()).hasSize(5).doesNotHaveDuplicates();
+    }
+
+    @Example
+    void silentStoreRefusesHandInsAtOnceAndKeepsRunningWork() throws Exception {
+        assertThat(mFleet.handIn(0, ID, LASTING).status().code()).isEqualTo(200);
+        PlatformFleet.await("both run", () -> mFleet.platform().countRunning() == 2);
+        mFleet.platform().silenceStore(true);
+        AggregatedHttpResponse first = mFleet.handIn(0, OTHER_ID, TWO_STEPS);
+        assertThat(first.status().code()).isEqualTo(504);
+        AggregatedHttpResponse next = mFleet.handIn(1, "00000000000000a3", TWO_STEPS);
+        assertThat(next.status().code()).isEqualTo(503);
+        assertThat(next.headers().get(HttpHeaderNames.RETRY_AFTER)).isNotEmpty();
+        Thread.sleep(5_000);
+        assertThat(mFleet.platform().countRunning()).isEqualTo(2);
+
+        mFleet.platform().silenceStore(false);
+        PlatformFleet.await("the unanswered job completed", () -> isCompleted(1, OTHER_ID));
+        assertThat(new HashSet<>(mFleet.platform().starts()))
+                .hasSize(mFleet.platform().starts().size());
+    }
+
+    @Example
+    void withdrawnKeyStopsWorkingAlsoAfterALossOfHistory() throws InterruptedException {
+        mFleet.platform().compact();
+        mFleet.configure(2, "another");
+        PlatformFleet.await(
+                "the old key is refused", () -> mFleet.look(0, ID).status().code() == 401);
+        PlatformFleet.await("at all daemons", () -> mFleet.look(1, ID).status().code() == 401);
+    }
+
+    @Example
+    void waveOfUpkeepKeepsTheBudgetOfLastingTasks() throws InterruptedException {
+        mFleet.platform().addTarget("service", "h3", 300);
+        assertThat(mFleet.handIn(0, ID, LASTING).status().code()).isEqualTo(200);
+        PlatformFleet.await("both run", () -> mFleet.platform().countRunning() == 2);
+        mFleet.platform()
+                .put(
+                        "op/wave/1",
+                        "{\"Wave\":1,\"Machines\":[\"h1\",\"h2\",\"h3\"],\"DurationS\":20,"
+                                + "\"UpperBound\":2}");
+        PlatformFleet.await(
+                "completed", () -> mFleet.platform().text("status/wave/1").contains("completed"));
+        assertThat(mFleet.platform().upkeeps()).containsExactlyInAnyOrder("h1", "h2", "h3");
+        PlatformFleet.await("both run again", () -> mFleet.platform().countRunning() == 2);
+    }
+
+    @Example
+    void terminatedOwnerHandsOverAndExits() throws Exception {
+        assertThat(mFleet.handIn(1, ID, LASTING).status().code()).isEqualTo(200);
+        PlatformFleet.await("both run", () -> mFleet.platform().countRunning() == 2);
+        mFleet.daemon(0).terminate();
+        assertThat(mFleet.look(1, ID).status().code()).isEqualTo(200);
+        assertThat(mFleet.platform().countRunning()).isEqualTo(2);
+        assertThat(mFleet.platform().starts()).hasSize(2);
+    }
+
+    private boolean isCompleted(int daemon, String id) {
+        return mFleet.look(daemon, id).contentUtf8().contains("completed");
+    }
+
+    private static void assertError(AggregatedHttpResponse response, int status, String text) {
+        assertThat(response.status().code()).isEqualTo(status);
+        assertThat(response.contentUtf8()).contains(text);
+    }
+}
