--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -144,7 +144,7 @@
 
     @Override
     public void close() {
-        mDaemons.forEach(ChildProcess::close);
+        mDaemons.forEach(ChildProcess::kill);
         mPlatform.close();
     }
 }
