Accept a job while its first step fits, and forecast waits by work ahead

Later steps of accepted jobs, which cannot run yet, counted as work that waits, so a job was refused beside free room. The forecast also mixed units: free and busy processors were added to work. Change: a job whose first step fits is accepted unless a ready task waits for room; the wait is the work ahead, running work by half, over the service's processors. Also: bin/quickstart runs a job on the stand-in of the platform.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
@@ -76,7 +76,7 @@
         if (mCommits.isStalled(mClocks.now())) {
             return completed(refuse(job, "store-away", STORE_AWAY_RETRY_SECONDS));
         }
-        Admission admission = mScheduler.submit(job, queue.get(), mClocks.now());
+        Admission admission = mScheduler.submit(job, queue.get(), mClocks.now(), mClocks.epoch());
         log(job, admission);
         if (!admission.accepted()) {
             return completed(refusal(admission.reason(), admission.retryAfterSeconds()));
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -17,16 +17,14 @@
     /** A client is never sent back for longer; the load turns within seconds. */
     private static final int MAX_RETRY_AFTER_SECONDS = 5;
 
-    /** Runs in progress have on average half of their time left. */
-    private static final long RUNNING_SHARE = 2;
-
     private AdmissionForecast() {}
 
     static Admission decide(
             JobSpec spec,
             QueueSettings queue,
             List<TargetState> targets,
-            Collection<JobEntry> ahead) {
+            Collection<JobEntry> ahead,
+            long epochMillis) {
         if (targets.isEmpty()) {
             return Admission.refuse(1, "no-target", 0);
         }
@@ -42,12 +40,14 @@
         if (spec.scheduled() || spec.isLongRunning()) {
             return Admission.accept(0);
         }
-        long waitMillis = waitMillis(targets, capacity, ahead);
-        boolean startsNow = waitMillis == 0 || fitsNow(spec.steps().get(0), targets, ahead);
+        if (fitsNow(spec.steps().get(0), targets, ahead, epochMillis)) {
+            return Admission.accept(0);
+        }
+        long waitMillis = waitMillis(capacity, ahead);
         long chainMillis = spec.longestChainMillis();
         long slackMillis = queue.objectiveMillis(chainMillis) - chainMillis;
         long drainMillis = spec.estimatedCoreMillis() * 1_000 / capacity.cpuMillicores();
-        if (startsNow || waitMillis + drainMillis / 2 <= slackMillis) {
+        if (waitMillis + drainMillis / 2 <= slackMillis) {
             return Admission.accept(waitMillis);
         }
         long excessMillis = waitMillis - slackMillis;
@@ -55,28 +55,22 @@
         return Admission.refuse(seconds, "overload", waitMillis);
     }
 
-    private static long waitMillis(
-            List<TargetState> targets, Room capacity, Collection<JobEntry> ahead) {
-        long waiting = 0;
+    /** Returns the time in which all processors of the service do the work that is ahead. */
+    private static long waitMillis(Room capacity, Collection<JobEntry> ahead) {
+        long coreMillis = 0;
         for (JobEntry job : ahead) {
-            waiting += job.waitingCoreMillis();
-        }
-        if (waiting == 0) {
-            return 0;
+            coreMillis += job.waitingCoreMillis() + job.runningCoreMillis();
         }
-        long free = 0;
-        for (TargetState target : targets) {
-            free += Math.max(0, target.free().cpuMillicores());
-        }
-        long cores = Math.max(1, capacity.cpuMillicores());
-        long running = (cores - free) / RUNNING_SHARE;
-        return Math.max(0, waiting + running / RUNNING_SHARE - free) * 1_000 / cores;
+        return coreMillis * 1_000 / Math.max(1, capacity.cpuMillicores());
     }
 
-    /** Returns whether all tasks of a step find room beside the work that waits already. */
+    /** Returns whether all tasks of a step find room, and no task that is ready waits for any. */
     private static boolean fitsNow(
-            StepSpec step, List<TargetState> targets, Collection<JobEntry> ahead) {
-        if (ahead.stream().anyMatch(job -> job.waitingCoreMillis() > 0)) {
+            StepSpec step,
+            List<TargetState> targets,
+            Collection<JobEntry> ahead,
+            long epochMillis) {
+        if (ahead.stream().anyMatch(job -> job.hasReadyWaitingTask(epochMillis))) {
             return false;
         }
         long places = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -153,6 +153,9 @@
     long waitingCoreMillis() {
         long sum = 0;
         for (StepState step : allSteps()) {
+            if (step.spec().traits().longRunning()) {
+                continue;
+            }
             long each = step.spec().claim().cpuMillicores() * step.spec().estimateMillis() / 1_000;
             for (TaskState task : step.tasks()) {
                 sum += task.isWaiting() ? each : 0;
@@ -161,6 +164,31 @@
         return sum;
     }
 
+    /** Returns the estimated work left in runs, of which half is done on average. */
+    long runningCoreMillis() {
+        long sum = 0;
+        for (StepState step : allSteps()) {
+            if (step.spec().traits().longRunning()) {
+                continue;
+            }
+            long each = step.spec().claim().cpuMillicores() * step.spec().estimateMillis() / 1_000;
+            for (TaskState task : step.tasks()) {
+                sum += task.isDone() || task.runs().isEmpty() ? 0 : each / 2;
+            }
+        }
+        return sum;
+    }
+
+    /** Returns whether a task could start but for want of room. */
+    boolean hasReadyWaitingTask(long epochMillis) {
+        for (StepState step : readySteps(epochMillis)) {
+            if (!step.waitingTasks().isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     JobProgress progress() {
         List<JobProgress.TaskProgress> tasks = new ArrayList<>();
         for (StepState step : allSteps()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -130,7 +130,7 @@
     }
 
     /** Decides on a hand-in; an accepted job waits for {@link #onStored}. */
-    public Admission submit(Job job, QueueSettings queue, long nowMillis) {
+    public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
         List<TargetState> targets = usableTargets(queue.service(), nowMillis);
         List<JobEntry> ahead = new ArrayList<>();
         for (JobEntry entry : mActive) {
@@ -139,7 +139,8 @@
                 ahead.add(entry);
             }
         }
-        Admission admission = AdmissionForecast.decide(job.spec(), queue, targets, ahead);
+        Admission admission =
+                AdmissionForecast.decide(job.spec(), queue, targets, ahead, epochMillis);
         if (admission.accepted()) {
             JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
             mJobs.put(job.id(), entry);
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -99,7 +99,7 @@
     }
 
     Admission accept(Job job) {
-        Admission admission = mScheduler.submit(job, QUEUE, mNowMillis);
+        Admission admission = mScheduler.submit(job, QUEUE, mNowMillis, mNowMillis);
         if (admission.accepted()) {
             mScheduler.onStored(job.id());
         }
--- a/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
+++ b/standins/src/main/java/org/marigoldturn/standins/Quickstart.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.marigoldturn.admission.KeyAuthenticator;
+import org.marigoldturn.standins.platform.PlatformFleet;
 
 /** Runs stand-ins and three entry daemons as processes, and checks requests over all of them. */
 final class Quickstart {
@@ -28,6 +29,13 @@
     private static final String MAIN = "org.marigoldturn.cli.Main";
     private static final String STAND_IN = StandInMain.class.getName();
 
+    private static final int FIRST_PLATFORM_HOST = 41;
+    private static final long TASK_MILLIS = 300;
+    private static final String JOB_ID = "00000000000000a1";
+    private static final String JOB =
+            "{\"Spec\":\"text\",\"Steps\":[{\"Count\":3,\"Cpu\":500,\"MemMb\":100},"
+                    + "{\"Count\":1,\"Cpu\":500,\"MemMb\":100,\"After\":[0]}]}";
+
     private final Path mDirectory;
     private final List<ChildProcess> mProcesses = new ArrayList<>();
 
@@ -98,6 +106,27 @@
             }
         }
         requireCleanStop();
+        runJobOnPlatform();
+    }
+
+    /** Runs a job to its end through two daemons on the stand-in of the platform. */
+    private void runJobOnPlatform() throws IOException, InterruptedException {
+        try (PlatformFleet fleet = new PlatformFleet(mDirectory, FIRST_PLATFORM_HOST)) {
+            fleet.platform().addTarget("service", "host-1", TASK_MILLIS);
+            fleet.platform().addTarget("service", "host-2", TASK_MILLIS);
+            fleet.startDaemon();
+            fleet.startDaemon();
+            AggregatedHttpResponse accepted = fleet.handIn(0, JOB_ID, JOB);
+            if (accepted.status().code() != 200) {
+                throw new IllegalStateException("job refused: " + accepted.contentUtf8());
+            }
+            PlatformFleet.await(
+                    "the job is completed",
+                    () -> fleet.look(1, JOB_ID).contentUtf8().contains("completed"));
+            System.out.println(
+                    "quickstart: job completed on the platform, tasks: "
+                            + fleet.platform().starts());
+        }
     }
 
     /** Checks that every daemon handed its rights over and left, as its log says. */
