--- a/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
@@ -138,14 +138,18 @@
     private static void log(Job job, Admission admission) {
         Logger.info(
                 "job: event=hand-in id={} queue={} account={} accepted={} reason={}"
-                        + " forecastMillis={} retryAfterSeconds={}",
+                        + " retryAfterSeconds={} waitMillis={} slackMillis={}"
+                        + " freeMillicores={} capacityMillicores={}",
                 job.id(),
                 job.queue(),
                 job.account(),
                 admission.accepted(),
                 admission.reason(),
-                admission.forecastWaitMillis(),
-                admission.retryAfterSeconds());
+                admission.retryAfterSeconds(),
+                admission.forecast().waitMillis(),
+                admission.forecast().slackMillis(),
+                admission.forecast().freeMillicores(),
+                admission.forecast().capacityMillicores());
     }
 
     private static JobReply.Builder refuse(Job job, String reason, int retryAfterSeconds) {
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -26,33 +26,40 @@
             Collection<JobEntry> ahead,
             long epochMillis) {
         if (targets.isEmpty()) {
-            return Admission.refuse(1, "no-target", 0);
+            return Admission.refuse(1, "no-target", Admission.Forecast.NONE);
         }
         Room capacity = Room.NONE;
+        long freeMillicores = 0;
         for (TargetState target : targets) {
             capacity = capacity.plus(target.entry().capacity());
+            freeMillicores += Math.max(0, target.free().cpuMillicores());
         }
+        long chainMillis = spec.longestChainMillis();
+        Admission.Forecast forecast =
+                new Admission.Forecast(
+                        waitMillis(capacity, ahead),
+                        queue.objectiveMillis(chainMillis) - chainMillis,
+                        freeMillicores,
+                        capacity.cpuMillicores());
         for (StepSpec step : spec.steps()) {
             if (targets.stream().noneMatch(t -> step.claim().fitsInto(t.entry().capacity()))) {
-                return Admission.refuse(MAX_RETRY_AFTER_SECONDS, "task-too-large", 0);
+                return Admission.refuse(MAX_RETRY_AFTER_SECONDS, "task-too-large", forecast);
             }
         }
-        if (spec.scheduled() || spec.isLongRunning()) {
-            return Admission.accept(0);
-        }
-        if (fitsNow(spec.steps().get(0), targets, ahead, epochMillis)) {
-            return Admission.accept(0);
-        }
-        long waitMillis = waitMillis(capacity, ahead);
-        long chainMillis = spec.longestChainMillis();
-        long slackMillis = queue.objectiveMillis(chainMillis) - chainMillis;
-        long drainMillis = spec.estimatedCoreMillis() * 1_000 / capacity.cpuMillicores();
-        if (waitMillis + drainMillis / 2 <= slackMillis) {
-            return Admission.accept(waitMillis);
+        boolean untimed = !spec.scheduled() && !spec.isLongRunning();
+        boolean waits = untimed && !fitsNow(spec.steps().get(0), targets, ahead, epochMillis);
+        return waits ? decideByForecast(spec, forecast) : Admission.accept(forecast);
+    }
+
+    private static Admission decideByForecast(JobSpec spec, Admission.Forecast forecast) {
+        long ownMillis =
+                spec.estimatedCoreMillis() * 1_000 / Math.max(1, forecast.capacityMillicores());
+        if (forecast.waitMillis() + ownMillis / 2 <= forecast.slackMillis()) {
+            return Admission.accept(forecast);
         }
-        long excessMillis = waitMillis - slackMillis;
+        long excessMillis = forecast.waitMillis() - forecast.slackMillis();
         int seconds = (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
-        return Admission.refuse(seconds, "overload", waitMillis);
+        return Admission.refuse(seconds, "overload", forecast);
     }
 
     /** Returns the time in which all processors of the service do the work that is ahead. */
