Move spare hosts to the services whose work exceeds their capacity

A lasting step wider than its pool can also never be placed whole, and holds up the upkeep of a host. Change: LoanPolicy decides, SpareHosts carries out: spare hosts go to services by the work ahead, straight on to the next peak, and stand by again when idle. Forecasts count hosts on their way. Lasting tasks stay off hosts on loan unless no other can take them. JobTable and InterruptionRules are split from JobScheduler. A blocked upkeep is logged with the budget that holds it up.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
@@ -49,7 +50,8 @@
     private final PrefixMirror mMirror;
     private final Map<TargetState, TargetSession> mSessions = new HashMap<>();
     private final Map<Long, UpkeepRunner> mWaves = new HashMap<>();
-    private final Map<String, ByteString> mWaveRecords = new HashMap<>();
+    private final Map<String, ByteString> mHostRecords = new HashMap<>();
+    private SpareHosts mSpareHosts;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
     private boolean mServing;
@@ -121,8 +123,8 @@
         }
         CompletableFuture<List<StoredValue>> jobs = listAll(StoreLayout.JOB_PREFIX);
         CompletableFuture<List<StoredValue>> progress = listAll(StoreLayout.PROGRESS_PREFIX);
-        CompletableFuture<List<StoredValue>> waves = listAll(StoreLayout.WAVE_PREFIX);
-        CompletableFuture.allOf(jobs, progress, waves)
+        CompletableFuture<List<StoredValue>> hosts = listAll(StoreLayout.HOST_PREFIX);
+        CompletableFuture.allOf(jobs, progress, hosts)
                 .whenComplete(
                         (done, failure) ->
                                 mContext.control()
@@ -130,7 +132,7 @@
                                                 () -> {
                                                     if (failure == null) {
                                                         load(jobs.join(), progress.join());
-                                                        loadWaves(waves.join());
+                                                        loadHosts(hosts.join());
                                                     } else {
                                                         retryTakeOver(failure);
                                                     }
@@ -194,10 +196,10 @@
         mMirror.start();
     }
 
-    private void loadWaves(List<StoredValue> waves) {
-        for (StoredValue value : waves) {
+    private void loadHosts(List<StoredValue> hosts) {
+        for (StoredValue value : hosts) {
             mCommits.noteRevision(value.key(), value.modRevision());
-            mWaveRecords.put(value.key(), value.value());
+            mHostRecords.put(value.key(), value.value());
         }
     }
 
@@ -348,6 +350,7 @@
         closeSessionsOfForgottenTargets();
         forgetOldJobs();
         tickWaves(now);
+        tickSpareHosts(now);
         pump();
     }
 
@@ -385,11 +388,25 @@
                                             mScheduler,
                                             mCommits,
                                             Optional.ofNullable(
-                                                    mWaveRecords.get(StoreLayout.wave(number)))));
+                                                    mHostRecords.get(StoreLayout.wave(number)))));
             runner.tick(now);
         }
     }
 
+    private void tickSpareHosts(long now) {
+        if (mSpareHosts == null) {
+            mSpareHosts =
+                    new SpareHosts(
+                            mContext,
+                            mScheduler,
+                            mCommits,
+                            Optional.ofNullable(mHostRecords.get(StoreLayout.SPARE_HOSTS)));
+        }
+        Set<String> inUpkeep = new HashSet<>();
+        mWaves.values().forEach(wave -> inUpkeep.addAll(wave.openHosts()));
+        mSpareHosts.tick(mOperator.catalog().orElseThrow(), mOperator.closedZones(), inUpkeep, now);
+    }
+
     /** Lets the scheduler decide once for all events that are waiting. */
     void schedulePump() {
         if (!mPumpScheduled && !mClosed) {
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -0,0 +1,243 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.LoanPolicy;
+import org.marigoldturn.scheduling.TargetState;
+import org.tinylog.Logger;
+
+/**
+ * Moves spare hosts between pools as {@link LoanPolicy} decides.
+ *
+ * <p>A host is spare if the list of hosts once showed it in a standby pool; the set is kept in the
+ * store, so that a new owner knows hosts on loan. Hosts of a running wave and hosts with lasting
+ * tasks stay. Confined to the control thread.
+ */
+final class SpareHosts {
+    /** Moves are seen by the list sooner or later; their answers matter at once. */
+    private static final long LIST_INTERVAL_MILLIS = 5_000;
+
+    /** A moved host's target is expected within this time; then the list decides. */
+    private static final long ARRIVAL_MILLIS = 4_000;
+
+    private final OwnerContext mContext;
+    private final JobScheduler mScheduler;
+    private final GroupCommit mCommits;
+    private final Set<String> mSpare = new TreeSet<>();
+    private final Map<String, HostClient.HostStatus> mListed = new HashMap<>();
+    private final Map<String, Transfer> mTransfers = new HashMap<>();
+    private final Map<String, Long> mIdleSinceMillis = new HashMap<>();
+    private long mListedMillis = Long.MIN_VALUE / 2;
+    private boolean mListing;
+
+    /** A move that was ordered and whose target is not there yet. */
+    private record Transfer(String toPool, long orderedMillis) {}
+
+    SpareHosts(
+            OwnerContext context,
+            JobScheduler scheduler,
+            GroupCommit commits,
+            Optional<ByteString> record) {
+        mContext = context;
+        mScheduler = scheduler;
+        mCommits = commits;
+        record.ifPresent(known -> mSpare.addAll(known.toStringUtf8().lines().toList()));
+    }
+
+    void tick(
+            QueueCatalog catalog, Set<String> closedZones, Set<String> busyHosts, long nowMillis) {
+        if (catalog.standbyServices().isEmpty()) {
+            return;
+        }
+        String standby = catalog.standbyServices().iterator().next();
+        readHosts(catalog, nowMillis);
+        List<LoanPolicy.SpareHost> movable = new ArrayList<>();
+        for (String host : mSpare) {
+            followTransfer(host, nowMillis);
+            boolean closed =
+                    mListed.containsKey(host) && closedZones.contains(mListed.get(host).zone());
+            if (!mTransfers.containsKey(host) && !busyHosts.contains(host) && !closed) {
+                spareHost(host, standby, nowMillis).ifPresent(movable::add);
+            }
+        }
+        mScheduler.setIncoming(incoming(standby));
+        for (LoanPolicy.Move move :
+                LoanPolicy.decide(
+                        mScheduler.serviceLoads(nowMillis, mContext.clocks().epoch()),
+                        movable,
+                        standby,
+                        nowMillis)) {
+            order(move, nowMillis);
+        }
+    }
+
+    private void followTransfer(String host, long nowMillis) {
+        Transfer transfer = mTransfers.get(host);
+        TargetState target = targetOn(host);
+        if (target != null) {
+            target.setLoaned(true);
+        }
+        if (transfer == null) {
+            return;
+        }
+        boolean arrived = target != null && target.entry().service().equals(transfer.toPool());
+        boolean overdue = nowMillis - transfer.orderedMillis() >= ARRIVAL_MILLIS;
+        if (arrived || overdue) {
+            mTransfers.remove(host);
+        }
+    }
+
+    /** Returns a host that can be moved; what runs on it makes it stay. */
+    private Optional<LoanPolicy.SpareHost> spareHost(String host, String standby, long nowMillis) {
+        TargetState target = targetOn(host);
+        if (target == null) {
+            HostClient.HostStatus listed = mListed.get(host);
+            boolean standsBy = listed != null && listed.up() && listed.pool().equals(standby);
+            return standsBy
+                    ? Optional.of(new LoanPolicy.SpareHost(host, standby, typicalCpu(), nowMillis))
+                    : Optional.empty();
+        }
+        if (!target.isIdle() || !target.isReachable()) {
+            mIdleSinceMillis.remove(host);
+            return Optional.empty();
+        }
+        long since = mIdleSinceMillis.computeIfAbsent(host, h -> nowMillis);
+        return Optional.of(
+                new LoanPolicy.SpareHost(
+                        host,
+                        target.entry().service(),
+                        target.entry().capacity().cpuMillicores(),
+                        since));
+    }
+
+    private Map<String, Room> incoming(String standby) {
+        Map<String, Room> incoming = new HashMap<>();
+        for (Transfer transfer : mTransfers.values()) {
+            if (!transfer.toPool().equals(standby)) {
+                Room room = new Room(typicalCpu(), 0, 0);
+                incoming.merge(transfer.toPool(), room, Room::plus);
+            }
+        }
+        return incoming;
+    }
+
+    /** Hosts that stand by have no target; they are taken to be like the others. */
+    private long typicalCpu() {
+        return mScheduler.targets().stream()
+                .mapToLong(target -> target.entry().capacity().cpuMillicores())
+                .min()
+                .orElse(0);
+    }
+
+    private void order(LoanPolicy.Move move, long nowMillis) {
+        TargetState target = targetOn(move.hostId());
+        if (target != null) {
+            target.setClosing(true);
+        }
+        mTransfers.put(move.hostId(), new Transfer(move.toPool(), nowMillis));
+        mIdleSinceMillis.remove(move.hostId());
+        mContext.hosts()
+                .move(move.hostId(), move.toPool(), mContext.self().host(), mContext.term())
+                .whenComplete(
+                        (outcome, failure) ->
+                                mContext.control()
+                                        .execute(() -> onAnswer(move, target, outcome, failure)));
+    }
+
+    private void onAnswer(
+            LoanPolicy.Move move,
+            TargetState target,
+            HostClient.HostOrderOutcome outcome,
+            Throwable failure) {
+        Logger.info(
+                "loan: event=move host={} to={} reason=\"{}\" outcome={} cause={}",
+                move.hostId(),
+                move.toPool(),
+                move.reason(),
+                outcome,
+                failure == null ? "-" : failure.getMessage());
+        if (outcome == HostClient.HostOrderOutcome.BEGUN) {
+            if (target != null) {
+                mScheduler.onTargetEnded(target);
+            }
+            HostClient.HostStatus listed = mListed.get(move.hostId());
+            if (listed != null) {
+                mListed.put(
+                        move.hostId(),
+                        new HostClient.HostStatus(
+                                move.hostId(), move.toPool(), true, false, listed.zone(), ""));
+            }
+            return;
+        }
+        if (outcome == HostClient.HostOrderOutcome.FENCED) {
+            mContext.onFenced().run();
+            return;
+        }
+        // The list tells where the host is; a missing answer keeps it in transfer until then.
+        mListedMillis = Long.MIN_VALUE / 2;
+        if (failure == null && outcome != HostClient.HostOrderOutcome.UNKNOWN) {
+            mTransfers.remove(move.hostId());
+            if (target != null) {
+                target.setClosing(false);
+            }
+        }
+    }
+
+    private void readHosts(QueueCatalog catalog, long nowMillis) {
+        if (mListing || nowMillis - mListedMillis < LIST_INTERVAL_MILLIS) {
+            return;
+        }
+        mListing = true;
+        mListedMillis = nowMillis;
+        mContext.hosts()
+                .list()
+                .whenComplete(
+                        (hosts, failure) ->
+                                mContext.control()
+                                        .execute(
+                                                () -> {
+                                                    mListing = false;
+                                                    if (failure == null) {
+                                                        onHosts(hosts, catalog);
+                                                    } else {
+                                                        Logger.warn(
+                                                                "loan: event=list-failed cause={}",
+                                                                failure.getMessage());
+                                                    }
+                                                }));
+    }
+
+    private void onHosts(List<HostClient.HostStatus> hosts, QueueCatalog catalog) {
+        mListed.clear();
+        boolean changed = false;
+        for (HostClient.HostStatus host : hosts) {
+            mListed.put(host.hostId(), host);
+            if (catalog.standbyServices().contains(host.pool())) {
+                changed |= mSpare.add(host.hostId());
+            }
+        }
+        if (changed) {
+            Logger.info("loan: event=spare-hosts count={}", mSpare.size());
+            mCommits.put(
+                    StoreLayout.SPARE_HOSTS, ByteString.copyFromUtf8(String.join("\n", mSpare)));
+        }
+    }
+
+    private TargetState targetOn(String host) {
+        for (TargetState target : mScheduler.targets()) {
+            if (target.entry().hostId().equals(host) && target.isListed()) {
+                return target;
+            }
+        }
+        return null;
+    }
+}
--- a/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -15,7 +15,10 @@
 
     static final String JOB_PREFIX = "mt/job/";
     static final String PROGRESS_PREFIX = "mt/progress/";
-    static final String WAVE_PREFIX = "mt/wave/";
+    static final String HOST_PREFIX = "mt/host/";
+
+    /** Hosts that have stood in a standby pool, one a line. */
+    static final String SPARE_HOSTS = HOST_PREFIX + "spare-hosts";
 
     private StoreLayout() {}
 
@@ -28,6 +31,6 @@
     }
 
     static String wave(long number) {
-        return WAVE_PREFIX + number;
+        return HOST_PREFIX + "wave/" + number;
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -28,6 +28,9 @@
 
     private static final long RETRY_MILLIS = 1_000;
 
+    /** Bounds the lines about hosts whose upkeep a budget holds up. */
+    private static final long BLOCK_LOG_MILLIS = 2_000;
+
     /** Hosts that are emptied ahead of the next upkeep. */
     private static final int AHEAD = 1;
 
@@ -49,6 +52,7 @@
     private final Map<String, Long> mClosingSinceMillis = new HashMap<>();
     private final Set<String> mOrdered = new HashSet<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
+    private long mBlockLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mReportedRunning;
     private boolean mCompleted;
 
@@ -88,9 +92,11 @@
         return mCompleted;
     }
 
-    /** Ends the closing of hosts of a wave that is no longer wanted. */
-    void close() {
-        mClosingSinceMillis.keySet().forEach(host -> setClosing(host, false));
+    /** Returns the hosts that are about to get their upkeep or are down for it. */
+    Set<String> openHosts() {
+        Set<String> open = new HashSet<>(mClosingSinceMillis.keySet());
+        open.addAll(mDown.keySet());
+        return open;
     }
 
     void tick(long nowMillis) {
@@ -161,7 +167,7 @@
                 target.setClosing(true);
                 boolean waited = nowMillis - closing.getValue() >= DRAIN_WAIT_MILLIS;
                 boolean ready = mScheduler.isQuiet(target) || waited;
-                if (!ready || !mScheduler.mayInterrupt(target)) {
+                if (!ready || isBlocked(host, target, nowMillis)) {
                     continue;
                 }
             }
@@ -169,6 +175,19 @@
         }
     }
 
+    private boolean isBlocked(String host, TargetState target, long nowMillis) {
+        Optional<String> blocker = mScheduler.interruptionBlocker(target);
+        if (blocker.isPresent() && nowMillis - mBlockLoggedMillis >= BLOCK_LOG_MILLIS) {
+            mBlockLoggedMillis = nowMillis;
+            Logger.info(
+                    "upkeep: event=blocked wave={} host={} {}",
+                    mWave.number(),
+                    host,
+                    blocker.get());
+        }
+        return blocker.isPresent();
+    }
+
     private void order(String host, TargetState target) {
         mOrdered.add(host);
         if (target != null) {
@@ -185,14 +204,17 @@
     }
 
     private void onAnswer(
-            String host, TargetState target, HostClient.UpkeepOutcome outcome, Throwable failure) {
+            String host,
+            TargetState target,
+            HostClient.HostOrderOutcome outcome,
+            Throwable failure) {
         Logger.info(
                 "upkeep: event=answer wave={} host={} outcome={} cause={}",
                 mWave.number(),
                 host,
                 outcome,
                 failure == null ? "-" : failure.getMessage());
-        if (failure != null || outcome == HostClient.UpkeepOutcome.UNKNOWN) {
+        if (failure != null || outcome == HostClient.HostOrderOutcome.UNKNOWN) {
             // It may have begun: the host keeps its place and the order, which is safe to repeat.
             mControl.after("upkeep retry", RETRY_MILLIS, () -> send(host, target));
             return;
@@ -204,7 +226,7 @@
         switch (outcome) {
             case BEGUN -> onBegun(host, target);
             case FENCED -> mOnFenced.run();
-            case NOT_IN_WAVE -> drop(host);
+            case REJECTED -> drop(host);
             default ->
                     // Busy: the host is moving, down or leaving; its turn comes again.
                     mListedMillis = Long.MIN_VALUE / 2;
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -14,6 +14,9 @@
  * answers a load that exceeds the capacity for seconds. Stateless.
  */
 final class AdmissionForecast {
+    /** Reason of a refusal because of the work ahead. */
+    static final String OVERLOAD = "overload";
+
     /** A client is never sent back for longer; the load turns within seconds. */
     private static final int MAX_RETRY_AFTER_SECONDS = 5;
 
@@ -23,12 +26,13 @@
             JobSpec spec,
             QueueSettings queue,
             List<TargetState> targets,
+            Room incoming,
             Collection<JobEntry> ahead,
             long epochMillis) {
         if (targets.isEmpty()) {
             return Admission.refuse(1, "no-target", Admission.Forecast.NONE);
         }
-        Room capacity = Room.NONE;
+        Room capacity = incoming;
         long freeMillicores = 0;
         for (TargetState target : targets) {
             capacity = capacity.plus(target.entry().capacity());
@@ -59,7 +63,7 @@
         }
         long excessMillis = forecast.waitMillis() - forecast.slackMillis();
         int seconds = (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
-        return Admission.refuse(seconds, "overload", forecast);
+        return Admission.refuse(seconds, OVERLOAD, forecast);
     }
 
     /** Returns the time in which all processors of the service do the work that is ahead. */
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
@@ -0,0 +1,58 @@
+package org.marigoldturn.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.marigoldturn.jobs.StepSpec;
+
+/** Says what planned work on a host would interrupt. Confined to the control thread. */
+final class InterruptionRules {
+    private final JobTable mJobs;
+
+    InterruptionRules(JobTable jobs) {
+        mJobs = jobs;
+    }
+
+    /**
+     * Returns the step whose budget forbids to end everything on a target now, in words for a log.
+     *
+     * <p>Each lasting task there counts against the budget of its step, together with all others of
+     * the step that are not at work for whatever reason.
+     */
+    Optional<String> blocker(TargetState target) {
+        Map<StepState, Integer> ended = new HashMap<>();
+        for (Run run : target.runs()) {
+            StepState step = mJobs.step(run.task());
+            if (step == null || !step.job().isActive() || !hasBudget(step.spec())) {
+                continue;
+            }
+            int together = ended.merge(step, run.isAtWork() ? 1 : 0, Integer::sum);
+            int budget = step.spec().maxUnavailable();
+            if (step.countAway() + together > budget) {
+                return Optional.of(
+                        "id=%s step=%d away=%d budget=%d"
+                                .formatted(
+                                        run.task().jobId(),
+                                        step.number(),
+                                        step.countAway(),
+                                        budget));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static boolean hasBudget(StepSpec spec) {
+        return spec.traits().longRunning() && spec.maxUnavailable() != StepSpec.NO_BUDGET;
+    }
+
+    /** Returns whether only lasting tasks are left on a target. */
+    boolean isQuiet(TargetState target) {
+        for (Run run : target.runs()) {
+            StepState step = mJobs.step(run.task());
+            if (step == null || !step.spec().traits().longRunning()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import org.marigoldturn.jobs.AccountSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
@@ -20,7 +18,6 @@
 import org.marigoldturn.jobs.QueueSettings;
 import org.marigoldturn.jobs.Room;
 import org.marigoldturn.jobs.StepSpec;
-import org.marigoldturn.jobs.TaskId;
 
 /**
  * Schedules the tasks of all accepted jobs on the targets of their services.
@@ -41,23 +38,22 @@
     /** A waiting task gets room reserved after this time, so that smaller ones do not starve it. */
     private static final long RESERVE_AFTER_MILLIS = 500;
 
+    /** A lasting task that waits for longer lacks a host rather than a moment's room. */
+    private static final long LACKS_HOST_MILLIS = 1_500;
+
     /** Clocks of hosts differ by less; a due time is a lower bound. */
     private static final long DUE_MARGIN_MILLIS = 40;
 
-    private static final Comparator<JobEntry> ORDER =
-            Comparator.<JobEntry, Boolean>comparing(e -> !e.job().spec().isLongRunning())
-                    .thenComparing(JobEntry::priority)
-                    .thenComparing(JobEntry::acceptedMillis)
-                    .thenComparing(e -> e.job().id());
-
     private final long mTerm;
     private final long mTakeoverMillis;
     private final long mLongestLeaseMillis;
-    private final Map<String, JobEntry> mJobs = new HashMap<>();
-    private final TreeSet<JobEntry> mActive = new TreeSet<>(ORDER);
+    private final JobTable mJobs = new JobTable();
+    private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private final AccountUsage mUsage = new AccountUsage();
     private final Set<String> mChanged = new LinkedHashSet<>();
+    private final Map<String, Long> mRefusedMillis = new HashMap<>();
+    private Map<String, Room> mIncoming = Map.of();
     private QueueCatalog mCatalog;
     private Set<String> mClosedZones = Set.of();
 
@@ -79,10 +75,7 @@
     public void restore(Job job, JobProgress progress, long nowMillis) {
         JobEntry entry = new JobEntry(job, priorityOf(job), nowMillis, true);
         entry.restore(progress);
-        mJobs.put(job.id(), entry);
-        if (entry.isActive()) {
-            mActive.add(entry);
-        }
+        mJobs.add(entry);
     }
 
     /** Uses a newer configuration. */
@@ -133,25 +126,33 @@
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
         List<TargetState> targets = usableTargets(queue.service(), nowMillis);
         List<JobEntry> ahead = new ArrayList<>();
-        for (JobEntry entry : mActive) {
+        for (JobEntry entry : mJobs.active()) {
             boolean sameService = serviceOf(entry).equals(Optional.of(queue.service()));
             if (sameService && entry.priority() <= queue.priority()) {
                 ahead.add(entry);
             }
         }
         Admission admission =
-                AdmissionForecast.decide(job.spec(), queue, targets, ahead, epochMillis);
+                AdmissionForecast.decide(
+                        job.spec(),
+                        queue,
+                        targets,
+                        mIncoming.getOrDefault(queue.service(), Room.NONE),
+                        ahead,
+                        epochMillis);
+        if (admission.reason().equals(AdmissionForecast.OVERLOAD)) {
+            mRefusedMillis.put(queue.service(), nowMillis);
+        }
         if (admission.accepted()) {
             JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
-            mJobs.put(job.id(), entry);
-            mActive.add(entry);
+            mJobs.add(entry);
         }
         return admission;
     }
 
     /** Records that a job's durable record exists; its tasks may start. */
     public void onStored(String jobId) {
-        JobEntry entry = mJobs.get(jobId);
+        JobEntry entry = mJobs.job(jobId);
         if (entry != null) {
             entry.markStored();
         }
@@ -159,18 +160,62 @@
 
     /** Returns the state of a job. */
     public Optional<JobState> state(String jobId) {
-        return Optional.ofNullable(mJobs.get(jobId)).map(JobEntry::state);
+        return Optional.ofNullable(mJobs.job(jobId)).map(JobEntry::state);
     }
 
     /** Returns the progress of a job for its durable record. */
     public JobProgress progress(String jobId) {
-        return mJobs.get(jobId).progress();
+        return mJobs.job(jobId).progress();
+    }
+
+    /** Sets the capacity that is on its way to each service, which forecasts may count on. */
+    public void setIncoming(Map<String, Room> incoming) {
+        mIncoming = Map.copyOf(incoming);
+    }
+
+    /** Returns the load of every service of the configuration that does not stand by. */
+    public List<ServiceLoad> serviceLoads(long nowMillis, long epochMillis) {
+        Map<String, Long> aheadCoreMillis = new HashMap<>();
+        Set<String> lacksHost = new HashSet<>();
+        for (JobEntry entry : mJobs.active()) {
+            Optional<String> service = serviceOf(entry);
+            if (service.isEmpty()) {
+                continue;
+            }
+            long work = entry.waitingCoreMillis() + entry.runningCoreMillis();
+            aheadCoreMillis.merge(service.get(), work, Long::sum);
+            boolean old = nowMillis - entry.acceptedMillis() >= LACKS_HOST_MILLIS;
+            if (old
+                    && entry.job().spec().isLongRunning()
+                    && entry.hasReadyWaitingTask(epochMillis)) {
+                lacksHost.add(service.get());
+            }
+        }
+        List<ServiceLoad> loads = new ArrayList<>();
+        for (String service : mCatalog.services()) {
+            if (mCatalog.standbyServices().contains(service)) {
+                continue;
+            }
+            List<TargetState> targets = usableTargets(service, nowMillis);
+            Room capacity = mIncoming.getOrDefault(service, Room.NONE);
+            for (TargetState target : targets) {
+                capacity = capacity.plus(target.entry().capacity());
+            }
+            loads.add(
+                    new ServiceLoad(
+                            service,
+                            aheadCoreMillis.getOrDefault(service, 0L),
+                            capacity.cpuMillicores(),
+                            mRefusedMillis.getOrDefault(service, Long.MIN_VALUE / 2),
+                            lacksHost.contains(service)));
+        }
+        return loads;
     }
 
     /** Counts the accepted jobs of a queue for which nothing has started. */
     public int countWaiting(String queue) {
         int count = 0;
-        for (JobEntry entry : mActive) {
+        for (JobEntry entry : mJobs.active()) {
             count += entry.job().queue().equals(queue) && !entry.hasStarted() ? 1 : 0;
         }
         return count;
@@ -178,12 +223,12 @@
 
     /** Returns the number of jobs that have not ended. */
     public int activeJobs() {
-        return mActive.size();
+        return mJobs.active().size();
     }
 
     /** Cancels a job; returns whether it is known. */
     public boolean cancel(String jobId, long epochMillis) {
-        JobEntry entry = mJobs.get(jobId);
+        JobEntry entry = mJobs.job(jobId);
         if (entry == null) {
             return false;
         }
@@ -195,14 +240,7 @@
 
     /** Forgets jobs that ended before the given time of day and returns their ids. */
     public List<String> forgetEndedBefore(long epochMillis) {
-        List<String> forgotten = new ArrayList<>();
-        for (JobEntry entry : List.copyOf(mJobs.values())) {
-            if (!entry.isActive() && entry.finishedEpochMillis() < epochMillis) {
-                mJobs.remove(entry.job().id());
-                forgotten.add(entry.job().id());
-            }
-        }
-        return forgotten;
+        return mJobs.forgetEndedBefore(epochMillis);
     }
 
     /** Returns and clears the ids of jobs whose durable progress has changed. */
@@ -246,7 +284,7 @@
 
     private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
         Run run = target.find(report.task(), report.run());
-        TaskState task = taskOf(report.task());
+        TaskState task = mJobs.task(report.task());
         if (run == null) {
             run = adopt(target, task, report, nowMillis);
         }
@@ -260,7 +298,7 @@
     /** Takes a run that an earlier owner started, or that was started late, or ends it. */
     private Run adopt(
             TargetState target, TaskState task, TargetReport.RunReport report, long nowMillis) {
-        JobEntry job = mJobs.get(report.task().jobId());
+        JobEntry job = mJobs.job(report.task().jobId());
         StepSpec spec = task == null ? null : job.step(report.task()).spec();
         Run run =
                 new Run(
@@ -284,8 +322,8 @@
             removeRun(run);
         }
         target.onEnd(end.kind(), end.task().jobId(), nowMillis);
-        JobEntry job = mJobs.get(end.task().jobId());
-        TaskState task = taskOf(end.task());
+        JobEntry job = mJobs.job(end.task().jobId());
+        TaskState task = mJobs.task(end.task());
         if (task == null || !job.isActive()) {
             return;
         }
@@ -324,8 +362,7 @@
     }
 
     private void finish(JobEntry job, JobState end, long epochMillis) {
-        job.finish(end, epochMillis);
-        mActive.remove(job);
+        mJobs.finish(job, end, epochMillis);
         mChanged.add(job.job().id());
         job.runs().forEach(Run::requestStop);
     }
@@ -379,7 +416,7 @@
         }
         Map<String, List<TargetState>> targets = new HashMap<>();
         Placer placer = new Placer();
-        for (JobEntry job : mActive) {
+        for (JobEntry job : mJobs.active()) {
             Optional<String> service = serviceOf(job);
             if (!job.isStored() || service.isEmpty() || !mayStart(job, service.get(), nowMillis)) {
                 continue;
@@ -501,9 +538,9 @@
 
     private void removeRun(Run run) {
         run.target().remove(run);
-        TaskState task = taskOf(run.task());
+        TaskState task = mJobs.task(run.task());
         if (task != null && task.runs().remove(run)) {
-            JobEntry job = mJobs.get(run.task().jobId());
+            JobEntry job = mJobs.job(run.task().jobId());
             mUsage.remove(job.job().account(), job.step(run.task()).spec().needs());
         }
     }
@@ -514,11 +551,6 @@
         }
     }
 
-    private TaskState taskOf(TaskId id) {
-        JobEntry job = mJobs.get(id.jobId());
-        return job == null ? null : job.find(id);
-    }
-
     private Optional<String> serviceOf(JobEntry job) {
         return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
     }
@@ -531,45 +563,18 @@
         return mCatalog.queue(job.job().queue()).map(QueueSettings::maxAttempts).orElse(1);
     }
 
-    /**
-     * Returns whether everything on a target may be ended by planned work now.
-     *
-     * <p>Each lasting task there counts against the budget of its step, together with all others of
-     * the step that are not at work for whatever reason.
-     */
+    /** Returns whether everything on a target may be ended by planned work now. */
     public boolean mayInterrupt(TargetState target) {
-        Map<StepState, Integer> ended = new HashMap<>();
-        for (Run run : target.runs()) {
-            JobEntry job = mJobs.get(run.task().jobId());
-            TaskState task = taskOf(run.task());
-            if (task == null || !job.isActive()) {
-                continue;
-            }
-            StepState step = job.step(run.task());
-            int budget = step.spec().maxUnavailable();
-            if (!step.spec().traits().longRunning() || budget == StepSpec.NO_BUDGET) {
-                continue;
-            }
-            int together = ended.merge(step, run.isAtWork() ? 1 : 0, Integer::sum);
-            if (step.countAway() + together > budget) {
-                return false;
-            }
-        }
-        return true;
+        return interruptionBlocker(target).isEmpty();
+    }
+
+    /** Returns the step whose budget forbids to end everything on a target, in words for a log. */
+    public Optional<String> interruptionBlocker(TargetState target) {
+        return mInterruptions.blocker(target);
     }
 
     /** Returns whether only lasting tasks are left on a target. */
     public boolean isQuiet(TargetState target) {
-        for (Run run : target.runs()) {
-            JobEntry job = mJobs.get(run.task().jobId());
-            boolean lasting =
-                    job != null
-                            && taskOf(run.task()) != null
-                            && job.step(run.task()).spec().traits().longRunning();
-            if (!lasting) {
-                return false;
-            }
-        }
-        return true;
+        return mInterruptions.isQuiet(target);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -0,0 +1,76 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.TaskId;
+
+/**
+ * All accepted jobs that are not forgotten, and those that have not ended in the order in which
+ * their tasks start. Confined to the control thread.
+ */
+final class JobTable {
+    /**
+     * Lasting tasks serve users already; then the operator's priorities and the order of arrival.
+     */
+    private static final Comparator<JobEntry> ORDER =
+            Comparator.<JobEntry, Boolean>comparing(e -> !e.job().spec().isLongRunning())
+                    .thenComparing(JobEntry::priority)
+                    .thenComparing(JobEntry::acceptedMillis)
+                    .thenComparing(e -> e.job().id());
+
+    private final Map<String, JobEntry> mJobs = new HashMap<>();
+    private final TreeSet<JobEntry> mActive = new TreeSet<>(ORDER);
+
+    void add(JobEntry entry) {
+        mJobs.put(entry.job().id(), entry);
+        if (entry.isActive()) {
+            mActive.add(entry);
+        }
+    }
+
+    /** Ends a job. */
+    void finish(JobEntry entry, JobState end, long epochMillis) {
+        entry.finish(end, epochMillis);
+        mActive.remove(entry);
+    }
+
+    /** Forgets jobs that ended before the given time of day and returns their ids. */
+    List<String> forgetEndedBefore(long epochMillis) {
+        List<String> forgotten = new ArrayList<>();
+        for (JobEntry entry : List.copyOf(mJobs.values())) {
+            if (!entry.isActive() && entry.finishedEpochMillis() < epochMillis) {
+                mJobs.remove(entry.job().id());
+                forgotten.add(entry.job().id());
+            }
+        }
+        return forgotten;
+    }
+
+    /** Returns the jobs that have not ended, in the order in which their tasks start. */
+    Collection<JobEntry> active() {
+        return Collections.unmodifiableCollection(mActive);
+    }
+
+    /** Returns a job, or null. */
+    JobEntry job(String id) {
+        return mJobs.get(id);
+    }
+
+    /** Returns a task, or null if no such job or task is known. */
+    TaskState task(TaskId id) {
+        JobEntry job = mJobs.get(id.jobId());
+        return job == null ? null : job.find(id);
+    }
+
+    /** Returns the step of a task, or null if no such task is known. */
+    StepState step(TaskId id) {
+        return task(id) == null ? null : mJobs.get(id.jobId()).step(id);
+    }
+}
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -23,7 +23,22 @@
 
     /** Chooses a target for one task, or null if none has room. */
     TargetState choose(StepState step, List<TargetState> candidates) {
-        return best(step, candidates, Map.of(), "");
+        return best(step, suitable(step, candidates), Map.of(), "");
+    }
+
+    /** Keeps lasting tasks off hosts on loan, unless no other host can ever take them. */
+    private static List<TargetState> suitable(StepState step, List<TargetState> candidates) {
+        if (!step.spec().traits().longRunning()) {
+            return candidates;
+        }
+        List<TargetState> own = candidates.stream().filter(t -> !t.isLoaned()).toList();
+        return own.stream().anyMatch(t -> isPossible(step, t)) ? own : candidates;
+    }
+
+    private static boolean isPossible(StepState step, TargetState target) {
+        return hasLabel(step, target)
+                && keepsSpread(step, target, 0)
+                && step.spec().claim().fitsInto(target.entry().capacity());
     }
 
     /**
@@ -63,12 +78,8 @@
     /** Keeps the room of the best target for a task that fits nowhere now. */
     void reserve(StepState step, List<TargetState> candidates) {
         TargetState best = null;
-        for (TargetState target : candidates) {
-            boolean possible =
-                    !mReserved.contains(target)
-                            && hasLabel(step, target)
-                            && keepsSpread(step, target, 0)
-                            && step.spec().claim().fitsInto(target.entry().capacity());
+        for (TargetState target : suitable(step, candidates)) {
+            boolean possible = !mReserved.contains(target) && isPossible(step, target);
             if (possible && (best == null || freeCpu(target) > freeCpu(best))) {
                 best = target;
             }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -37,6 +37,7 @@
     private boolean mReachable;
     private boolean mClosing;
     private boolean mInterrupted;
+    private boolean mLoaned;
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
@@ -99,6 +100,15 @@
         mInterrupted = interrupted;
     }
 
+    /** Records whether its host is on loan and is to be kept free of lasting tasks. */
+    public void setLoaned(boolean loaned) {
+        mLoaned = loaned;
+    }
+
+    boolean isLoaned() {
+        return mLoaned;
+    }
+
     boolean isInterrupted() {
         return mInterrupted;
     }
