Finish waves beside shared hosts and hosts that stand by

Cause 2: a host that stands by has no target before or after its upkeep, so it was never seen as back, kept a place of the wave and could not be lent. Change: lasting tasks of a step share a target only at need; one of two on a closing host is stopped within the budget and starts elsewhere; a host without a target is back when a list asked for after the order shows it in use.

--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -43,6 +43,7 @@
     private final GroupCommit mCommits;
     private final PlatformFormats mFormats;
     private final ControlLoop mControl;
+    private final Clocks mClocks;
     private final String mHolder;
     private final long mTerm;
     private final Runnable mOnFenced;
@@ -57,7 +58,7 @@
     private boolean mCompleted;
 
     /** A host that is down for its upkeep, and the life of its target before. */
-    private record Down(String targetId, long startedEpochMillis) {}
+    private record Down(String targetId, long startedEpochMillis, long begunMillis) {}
 
     UpkeepRunner(
             PlatformFormats.OperatorItem.Wave wave,
@@ -71,6 +72,7 @@
         mCommits = commits;
         mFormats = owner.formats();
         mControl = owner.control();
+        mClocks = owner.clocks();
         mHolder = owner.self().host();
         mTerm = owner.term();
         mOnFenced = owner.onFenced();
@@ -83,7 +85,7 @@
             if (mRemaining.remove(host)) {
                 mBegun.add(host);
                 // The host may still be down; it counts until its target is seen.
-                mDown.put(host, new Down("", 0));
+                mDown.put(host, new Down("", 0, 0));
             }
         }
     }
@@ -177,6 +179,18 @@
 
     private boolean isBlocked(String host, TargetState target, long nowMillis) {
         Optional<String> blocker = mScheduler.interruptionBlocker(target);
+        if (blocker.isPresent()) {
+            mScheduler
+                    .relocateOne(target)
+                    .ifPresent(
+                            run ->
+                                    Logger.info(
+                                            "upkeep: event=relocate host={} id={} step={} index={}",
+                                            host,
+                                            run.task().jobId(),
+                                            run.task().step(),
+                                            run.task().index()));
+        }
         if (blocker.isPresent() && nowMillis - mBlockLoggedMillis >= BLOCK_LOG_MILLIS) {
             mBlockLoggedMillis = nowMillis;
             Logger.info(
@@ -237,10 +251,12 @@
         mRemaining.remove(host);
         mClosingSinceMillis.remove(host);
         mBegun.add(host);
+        long now = mClocks.now();
         if (target == null) {
-            mDown.put(host, new Down("", 0));
+            mDown.put(host, new Down("", 0, now));
         } else {
-            mDown.put(host, new Down(target.entry().id(), target.entry().startedEpochMillis()));
+            mDown.put(
+                    host, new Down(target.entry().id(), target.entry().startedEpochMillis(), now));
             mScheduler.onTargetEnded(target);
         }
         mCommits.put(
@@ -262,7 +278,7 @@
                                 mControl.execute(
                                         () -> {
                                             if (failure == null) {
-                                                onHosts(hosts);
+                                                onHosts(hosts, nowMillis);
                                             } else {
                                                 Logger.warn(
                                                         "upkeep: event=list-failed cause={}",
@@ -272,7 +288,7 @@
     }
 
     /** Drops hosts that no longer exist, and those down for good from the count of those down. */
-    private void onHosts(List<HostClient.HostStatus> hosts) {
+    private void onHosts(List<HostClient.HostStatus> hosts, long askedMillis) {
         Map<String, HostClient.HostStatus> byId = new HashMap<>();
         hosts.forEach(host -> byId.put(host.hostId(), host));
         for (String host : Set.copyOf(mRemaining)) {
@@ -282,16 +298,17 @@
             }
         }
         mDown.entrySet()
-                .removeIf(
-                        down -> {
-                            HostClient.HostStatus status = byId.get(down.getKey());
-                            boolean back =
-                                    status != null
-                                            && status.up()
-                                            && !status.targetId()
-                                                    .equals(down.getValue().targetId());
-                            return status == null || status.lost() || back;
-                        });
+                .removeIf(down -> isBack(down.getValue(), byId.get(down.getKey()), askedMillis));
+    }
+
+    /** Returns whether a list that was asked for after the order shows a host in use or lost. */
+    private static boolean isBack(Down down, HostClient.HostStatus status, long askedMillis) {
+        if (status == null || status.lost()) {
+            return true;
+        }
+        boolean later = askedMillis > down.begunMillis();
+        boolean hadTarget = !down.targetId().isEmpty();
+        return later && status.up() && !(hadTarget && status.targetId().equals(down.targetId()));
     }
 
     private TargetState targetOn(String host) {
--- a/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
@@ -1,8 +1,10 @@
 package org.marigoldturn.scheduling;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.marigoldturn.jobs.StepSpec;
 
 /** Says what planned work on a host would interrupt. Confined to the control thread. */
@@ -41,6 +43,26 @@
         return Optional.empty();
     }
 
+    /**
+     * Stops one task on a target that shares it with others of its step, if the budget allows that
+     * now, so that the rest can be ended together later.
+     */
+    Optional<Run> relocateOne(TargetState target) {
+        Set<StepState> seen = new HashSet<>();
+        for (Run run : target.runs()) {
+            StepState step = mJobs.step(run.task());
+            if (step == null || !step.job().isActive() || !hasBudget(step.spec())) {
+                continue;
+            }
+            boolean shared = !seen.add(step);
+            if (shared && run.isAtWork() && step.countAway() < step.spec().maxUnavailable()) {
+                run.requestStop();
+                return Optional.of(run);
+            }
+        }
+        return Optional.empty();
+    }
+
     private static boolean hasBudget(StepSpec spec) {
         return spec.traits().longRunning() && spec.maxUnavailable() != StepSpec.NO_BUDGET;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -573,6 +573,11 @@
         return mInterruptions.blocker(target);
     }
 
+    /** Stops one of several tasks of a step on a closing target, if its budget allows it. */
+    public Optional<Run> relocateOne(TargetState target) {
+        return mInterruptions.relocateOne(target);
+    }
+
     /** Returns whether only lasting tasks are left on a target. */
     public boolean isQuiet(TargetState target) {
         return mInterruptions.isQuiet(target);
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -18,6 +18,9 @@
  * most room is, which spreads them. Confined to the control thread.
  */
 final class Placer {
+    /** More than any target's processors: lasting tasks of a step share a target only at need. */
+    private static final long SPREAD_WEIGHT = 1L << 30;
+
     /** Where room is reserved in this pass, so that it gathers for a task that fits nowhere yet. */
     private final Set<TargetState> mReserved = new HashSet<>();
 
@@ -144,7 +147,12 @@
         String rack = spec.placement().preferredRack();
         long near = !rack.isEmpty() && Objects.equals(rack, target.entry().rack()) ? 1L << 40 : 0;
         long free = freeCpu(target);
-        return near + (spec.traits().longRunning() ? free : -free);
+        if (!spec.traits().longRunning()) {
+            return near - free;
+        }
+        String jobId = step.job().job().id();
+        long together = target.countOfStep(jobId, step.occurrence(), step.number());
+        return near + free - together * SPREAD_WEIGHT;
     }
 
     private static long freeCpu(TargetState target) {
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -247,6 +247,28 @@
         assertThat(mFixture.mScheduler.mayInterrupt(t2)).isTrue();
     }
 
+    @Example
+    void lastingTasksSpreadAndOneOfTwoOnAHostIsRelocatedWithinTheBudget() {
+        TargetState t1 = mFixture.addTarget("t1", 8_000);
+        mFixture.accept(job("a", "", SchedulerFixture.lastingTogether(2, 1_000, 1)));
+        mFixture.started(mFixture.starts());
+        mFixture.report(t1);
+        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isFalse();
+
+        TargetState t2 = mFixture.addTarget("t2", 8_000);
+        t1.setClosing(true);
+        Run moved = mFixture.mScheduler.relocateOne(t1).orElseThrow();
+        assertThat(mFixture.mScheduler.relocateOne(t1)).isEmpty();
+        assertThat(mFixture.stops()).containsExactly(moved);
+        mFixture.end(moved, EndKind.STOPPED);
+        List<Run> again = mFixture.starts();
+        assertThat(again).singleElement().extracting(Run::target).isEqualTo(t2);
+        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isFalse();
+        mFixture.started(again);
+        mFixture.report(t2);
+        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isTrue();
+    }
+
     @Example
     void closedZoneGetsNothing() {
         mFixture.addTarget("t1", 8_000);
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -45,6 +45,10 @@
         return step(count, cpu, traits(false, true), 1, maxUnavailable);
     }
 
+    static StepSpec lastingTogether(int count, long cpu, int maxUnavailable) {
+        return step(count, cpu, traits(false, true), 0, maxUnavailable);
+    }
+
     static StepSpec gang(int count, long cpu) {
         return step(count, cpu, traits(true, false), 0, StepSpec.NO_BUDGET);
     }
