--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -52,6 +52,7 @@
     private final Map<String, Down> mDown = new HashMap<>();
     private final Map<String, Long> mClosingSinceMillis = new HashMap<>();
     private final Set<String> mOrdered = new HashSet<>();
+    private final Map<String, HostClient.HostStatus> mListed = new HashMap<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
     private long mBlockLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mReportedRunning;
@@ -165,18 +166,30 @@
                 continue;
             }
             TargetState target = targetOn(host);
-            if (target != null) {
-                target.setClosing(true);
-                boolean waited = nowMillis - closing.getValue() >= DRAIN_WAIT_MILLIS;
-                boolean ready = mScheduler.isQuiet(target) || waited;
-                if (!ready || isBlocked(host, target, nowMillis)) {
-                    continue;
-                }
+            if (target == null
+                    ? hasTarget(host)
+                    : !isReady(host, target, closing.getValue(), nowMillis)) {
+                continue;
             }
             order(host, target);
         }
     }
 
+    /** Returns whether the list shows a target there, whose entry is then only missing for now. */
+    private boolean hasTarget(String host) {
+        HostClient.HostStatus status = mListed.get(host);
+        return status == null || !status.targetId().isEmpty();
+    }
+
+    private boolean isReady(
+            String host, TargetState target, long closingSinceMillis, long nowMillis) {
+        target.setClosing(true);
+        boolean waited = nowMillis - closingSinceMillis >= DRAIN_WAIT_MILLIS;
+        return mScheduler.knowsRuns(target, nowMillis)
+                && (mScheduler.isQuiet(target) || waited)
+                && !isBlocked(host, target, nowMillis);
+    }
+
     private boolean isBlocked(String host, TargetState target, long nowMillis) {
         Optional<String> blocker = mScheduler.interruptionBlocker(target);
         if (blocker.isPresent()) {
@@ -210,6 +223,20 @@
         send(host, target);
     }
 
+    /** Repeats an order without an answer once the budgets allow it again. */
+    private void retry(String host, TargetState target) {
+        if (target != null) {
+            target.setInterrupted(false);
+            boolean blocked = isBlocked(host, target, mClocks.now());
+            target.setInterrupted(true);
+            if (blocked) {
+                mControl.after("upkeep retry", RETRY_MILLIS, () -> retry(host, target));
+                return;
+            }
+        }
+        send(host, target);
+    }
+
     private void send(String host, TargetState target) {
         mHosts.upkeep(host, mWave.number(), mHolder, mTerm)
                 .whenComplete(
@@ -230,7 +257,7 @@
                 failure == null ? "-" : failure.getMessage());
         if (failure != null || outcome == HostClient.HostOrderOutcome.UNKNOWN) {
             // It may have begun: the host keeps its place and the order, which is safe to repeat.
-            mControl.after("upkeep retry", RETRY_MILLIS, () -> send(host, target));
+            mControl.after("upkeep retry", RETRY_MILLIS, () -> retry(host, target));
             return;
         }
         mOrdered.remove(host);
@@ -289,16 +316,16 @@
 
     /** Drops hosts that no longer exist, and those down for good from the count of those down. */
     private void onHosts(List<HostClient.HostStatus> hosts, long askedMillis) {
-        Map<String, HostClient.HostStatus> byId = new HashMap<>();
-        hosts.forEach(host -> byId.put(host.hostId(), host));
+        mListed.clear();
+        hosts.forEach(host -> mListed.put(host.hostId(), host));
         for (String host : Set.copyOf(mRemaining)) {
-            if (!byId.containsKey(host) && !mOrdered.contains(host)) {
+            if (!mListed.containsKey(host) && !mOrdered.contains(host)) {
                 Logger.info("upkeep: event=host-gone wave={} host={}", mWave.number(), host);
                 drop(host);
             }
         }
         mDown.entrySet()
-                .removeIf(down -> isBack(down.getValue(), byId.get(down.getKey()), askedMillis));
+                .removeIf(down -> isBack(down.getValue(), mListed.get(down.getKey()), askedMillis));
     }
 
     /** Returns whether a list that was asked for after the order shows a host in use or lost. */
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -504,11 +504,15 @@
 
     /** Returns whether no run of an earlier owner can exist unseen. */
     private boolean mayStart(JobEntry job, String service, long nowMillis) {
-        if (!job.isRestored() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis) {
-            return true;
-        }
-        return mTargets.values().stream()
-                .noneMatch(t -> t.entry().service().equals(service) && !t.isRead());
+        return !job.isRestored()
+                || mTargets.values().stream()
+                        .filter(target -> target.entry().service().equals(service))
+                        .allMatch(target -> knowsRuns(target, nowMillis));
+    }
+
+    /** Returns whether all runs that can exist on a target are known. */
+    public boolean knowsRuns(TargetState target, long nowMillis) {
+        return target.isRead() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
     }
 
     private List<TargetState> usableTargets(String service, long nowMillis) {
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -0,0 +1,135 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetReport;
+import org.marigoldturn.scheduling.TargetState;
+
+/** Upkeep is ordered only for hosts of which everything that runs there is known. */
+class UpkeepRunnerTest implements HostClient {
+    private static final long LONGEST_LEASE_MILLIS = 5_000;
+    private static final long TAKEOVER_MILLIS = 100_000;
+
+    private final ControlLoop mControl = new ControlLoop();
+    private final Clocks mClocks = new Clocks(() -> TAKEOVER_MILLIS, () -> 0);
+    private final List<String> mOrders = new ArrayList<>();
+    private final List<HostStatus> mHosts = new ArrayList<>();
+    private final JobScheduler mScheduler =
+            new JobScheduler(
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                    2,
+                    TAKEOVER_MILLIS,
+                    LONGEST_LEASE_MILLIS);
+
+    @AfterTry
+    void stop() {
+        mControl.close();
+    }
+
+    @Example
+    void newOwnerOrdersNoUpkeepOfATargetThatItHasNotRead() {
+        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        TargetState target = mScheduler.onTargetListed(entry());
+        UpkeepRunner runner = runner();
+        tick(runner, TAKEOVER_MILLIS);
+        tick(runner, TAKEOVER_MILLIS + 100);
+        assertThat(mOrders).isEmpty();
+
+        target.setReachable(true);
+        mScheduler.onReport(
+                target,
+                new TargetReport(1, List.of(), List.of(), true),
+                TAKEOVER_MILLIS + 200,
+                TAKEOVER_MILLIS + 200,
+                0);
+        tick(runner, TAKEOVER_MILLIS + 300);
+        assertThat(mOrders).containsExactly("h1");
+    }
+
+    @Example
+    void hostWhoseTargetIsOnlyMissingInTheListWaits() {
+        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        UpkeepRunner runner = runner();
+        tick(runner, TAKEOVER_MILLIS);
+        tick(runner, TAKEOVER_MILLIS + 100);
+        assertThat(mOrders).isEmpty();
+    }
+
+    @Example
+    void hostThatStandsByIsOrderedWithoutATarget() {
+        mHosts.add(new HostStatus("h1", "standby", true, false, "z", ""));
+        UpkeepRunner runner = runner();
+        tick(runner, TAKEOVER_MILLIS);
+        tick(runner, TAKEOVER_MILLIS + 100);
+        assertThat(mOrders).containsExactly("h1");
+    }
+
+    private UpkeepRunner runner() {
+        GroupCommit commits = new GroupCommit(new MemoryStore(), mControl, mClocks, 1, () -> {});
+        OwnerContext context =
+                new OwnerContext(
+                        new DaemonIdentity("front-1", "front-1/a", "z", "127.0.0.1", 1),
+                        2,
+                        1,
+                        new MemoryStore(),
+                        null,
+                        this,
+                        new SilentFormats(),
+                        mControl,
+                        mClocks,
+                        new JobLimits(6_000, 1_000),
+                        () -> {});
+        return new UpkeepRunner(
+                new PlatformFormats.OperatorItem.Wave(1, Set.of("h1"), 20_000, 1),
+                context,
+                mScheduler,
+                commits,
+                Optional.empty());
+    }
+
+    /** Runs one tick on the control thread and waits for everything that it caused. */
+    private void tick(UpkeepRunner runner, long nowMillis) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    runner.tick(nowMillis);
+                    mControl.execute(() -> mControl.execute(() -> done.complete(null)));
+                });
+        done.join();
+    }
+
+    private static TargetEntry entry() {
+        return new TargetEntry(
+                "t1", 1, "h1", "service", "a:1", "z", "r", Set.of(), Room.NONE, false);
+    }
+
+    @Override
+    public CompletableFuture<List<HostStatus>> list() {
+        return CompletableFuture.completedFuture(List.copyOf(mHosts));
+    }
+
+    @Override
+    public CompletableFuture<HostOrderOutcome> upkeep(
+            String hostId, long wave, String holder, long term) {
+        mOrders.add(hostId);
+        return CompletableFuture.completedFuture(HostOrderOutcome.BEGUN);
+    }
+
+    @Override
+    public CompletableFuture<HostOrderOutcome> move(
+            String hostId, String pool, String holder, long term) {
+        throw new IllegalStateException("no move is expected");
+    }
+}
