Split the scheduler by what it keeps

Change: RunTracker follows runs, TargetTable keeps targets and their leases, ServiceLoads sums up loads; JobScheduler decides. No behaviour changes. Result: the tests of scheduling and coordination pass.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -3,9 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +14,6 @@
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.QueueSettings;
 import org.marigoldturn.jobs.Room;
-import org.marigoldturn.jobs.StepSpec;
 
 /**
  * Schedules the tasks of all accepted jobs on the targets of their services.
@@ -38,24 +34,17 @@
     /** A waiting task gets room reserved after this time, so that smaller ones do not starve it. */
     private static final long RESERVE_AFTER_MILLIS = 500;
 
-    /** A lasting task that waits for longer lacks a host rather than a moment's room. */
-    private static final long LACKS_HOST_MILLIS = 1_500;
-
     /** Clocks of hosts differ by less; a due time is a lower bound. */
     private static final long DUE_MARGIN_MILLIS = 40;
 
     private final long mTerm;
-    private final long mTakeoverMillis;
-    private final long mLongestLeaseMillis;
     private final JobTable mJobs = new JobTable();
     private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
-    private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private final AccountUsage mUsage = new AccountUsage();
-    private final Set<String> mChanged = new LinkedHashSet<>();
-    private final Map<String, Long> mRefusedMillis = new HashMap<>();
-    private Map<String, Room> mIncoming = Map.of();
+    private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
+    private final TargetTable mTargets;
+    private final ServiceLoads mLoads;
     private QueueCatalog mCatalog;
-    private Set<String> mClosedZones = Set.of();
 
     /**
      * Creates the scheduler of one owner.
@@ -67,8 +56,8 @@
     public JobScheduler(QueueCatalog catalog, long term, long nowMillis, long longestLeaseMillis) {
         mCatalog = catalog;
         mTerm = term;
-        mTakeoverMillis = nowMillis;
-        mLongestLeaseMillis = longestLeaseMillis;
+        mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
+        mLoads = new ServiceLoads(mJobs, mTargets);
     }
 
     /** Takes a job from the records of an earlier owner. */
@@ -85,46 +74,32 @@
 
     /** Sets the availability zones in which nothing is started. */
     public void setClosedZones(Set<String> zones) {
-        mClosedZones = Set.copyOf(zones);
+        mTargets.setClosedZones(zones);
     }
 
     /** Adds a target or updates its entry; an earlier life at its id has ended. */
     public TargetState onTargetListed(TargetEntry entry) {
-        TargetState known = mTargets.get(entry.id());
-        if (known != null && known.entry().isSameLife(entry)) {
-            known.update(entry);
-            return known;
-        }
-        if (known != null) {
-            endAllRuns(known);
-        }
-        TargetState state = new TargetState(entry);
-        mTargets.put(entry.id(), state);
-        return state;
+        return mTargets.list(entry);
     }
 
     /** Records that the platform's list has no entry for a target. */
     public void onTargetUnlisted(String id) {
-        TargetState target = mTargets.get(id);
-        if (target != null) {
-            target.setListed(false);
-        }
+        mTargets.unlist(id);
     }
 
     /** Records that a target's life has ended, and with it everything that ran there. */
     public void onTargetEnded(TargetState target) {
-        endAllRuns(target);
-        mTargets.remove(target.entry().id(), target);
+        mTargets.end(target);
     }
 
     /** Returns all known targets. */
     public Collection<TargetState> targets() {
-        return List.copyOf(mTargets.values());
+        return mTargets.all();
     }
 
     /** Decides on a hand-in; an accepted job waits for {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
-        List<TargetState> targets = usableTargets(queue.service(), nowMillis);
+        List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
         List<JobEntry> ahead = new ArrayList<>();
         for (JobEntry entry : mJobs.active()) {
             boolean sameService = serviceOf(entry).equals(Optional.of(queue.service()));
@@ -137,11 +112,11 @@
                         job.spec(),
                         queue,
                         targets,
-                        mIncoming.getOrDefault(queue.service(), Room.NONE),
+                        mLoads.incoming(queue.service()),
                         ahead,
                         epochMillis);
         if (admission.reason().equals(AdmissionForecast.OVERLOAD)) {
-            mRefusedMillis.put(queue.service(), nowMillis);
+            mLoads.noteRefusal(queue.service(), nowMillis);
         }
         if (admission.accepted()) {
             JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
@@ -170,46 +145,12 @@
 
     /** Sets the capacity that is on its way to each service, which forecasts may count on. */
     public void setIncoming(Map<String, Room> incoming) {
-        mIncoming = Map.copyOf(incoming);
+        mLoads.setIncoming(incoming);
     }
 
     /** Returns the load of every service of the configuration that does not stand by. */
     public List<ServiceLoad> serviceLoads(long nowMillis, long epochMillis) {
-        Map<String, Long> aheadCoreMillis = new HashMap<>();
-        Set<String> lacksHost = new HashSet<>();
-        for (JobEntry entry : mJobs.active()) {
-            Optional<String> service = serviceOf(entry);
-            if (service.isEmpty()) {
-                continue;
-            }
-            long work = entry.waitingCoreMillis() + entry.runningCoreMillis();
-            aheadCoreMillis.merge(service.get(), work, Long::sum);
-            boolean old = nowMillis - entry.acceptedMillis() >= LACKS_HOST_MILLIS;
-            if (old
-                    && entry.job().spec().isLongRunning()
-                    && entry.hasReadyWaitingTask(epochMillis)) {
-                lacksHost.add(service.get());
-            }
-        }
-        List<ServiceLoad> loads = new ArrayList<>();
-        for (String service : mCatalog.services()) {
-            if (mCatalog.standbyServices().contains(service)) {
-                continue;
-            }
-            List<TargetState> targets = usableTargets(service, nowMillis);
-            Room capacity = mIncoming.getOrDefault(service, Room.NONE);
-            for (TargetState target : targets) {
-                capacity = capacity.plus(target.entry().capacity());
-            }
-            loads.add(
-                    new ServiceLoad(
-                            service,
-                            aheadCoreMillis.getOrDefault(service, 0L),
-                            capacity.cpuMillicores(),
-                            mRefusedMillis.getOrDefault(service, Long.MIN_VALUE / 2),
-                            lacksHost.contains(service)));
-        }
-        return loads;
+        return mLoads.all(mCatalog, this::serviceOf, nowMillis, epochMillis);
     }
 
     /** Counts the accepted jobs of a queue for which nothing has started. */
@@ -233,7 +174,7 @@
             return false;
         }
         if (entry.isActive()) {
-            finish(entry, JobState.CANCELLED, epochMillis);
+            mRuns.finish(entry, JobState.CANCELLED, epochMillis);
         }
         return true;
     }
@@ -245,9 +186,7 @@
 
     /** Returns and clears the ids of jobs whose durable progress has changed. */
     public Set<String> takeChanged() {
-        Set<String> changed = new LinkedHashSet<>(mChanged);
-        mChanged.clear();
-        return changed;
+        return mRuns.takeChanged();
     }
 
     /**
@@ -261,115 +200,8 @@
             long askedMillis,
             long nowMillis,
             long epochMillis) {
-        if (mTargets.get(target.entry().id()) != target) {
-            return;
-        }
-        target.setRead();
-        for (TargetReport.RunEnd end : report.ends()) {
-            if (end.number() > target.lastProcessedEnd()) {
-                target.setLastProcessedEnd(end.number());
-                onEnd(target, end, nowMillis, epochMillis);
-            }
-        }
-        Set<Run> listed = new HashSet<>();
-        for (TargetReport.RunReport running : report.running()) {
-            listed.add(onRunning(target, running, nowMillis));
-        }
-        for (Run run : target.runs()) {
-            if (!listed.contains(run) && report.complete() && run.isDecidedBy(askedMillis)) {
-                removeRun(run);
-            }
-        }
-    }
-
-    private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
-        Run run = target.find(report.task(), report.run());
-        TaskState task = mJobs.task(report.task());
-        if (run == null) {
-            run = adopt(target, task, report, nowMillis);
-        }
-        if (task != null) {
-            task.setCheckpoint(report.checkpoint());
-        }
-        run.onListed(report.percent(), nowMillis);
-        return run;
-    }
-
-    /** Takes a run that an earlier owner started, or that was started late, or ends it. */
-    private Run adopt(
-            TargetState target, TaskState task, TargetReport.RunReport report, long nowMillis) {
-        JobEntry job = mJobs.job(report.task().jobId());
-        StepSpec spec = task == null ? null : job.step(report.task()).spec();
-        Run run =
-                new Run(
-                        report.task(),
-                        report.run(),
-                        target,
-                        spec == null ? Room.NONE : spec.claim(),
-                        nowMillis);
-        boolean wanted = task != null && job.isActive() && !task.isDone() && task.runs().isEmpty();
-        if (!wanted) {
-            run.requestStop();
-        }
-        addRun(run, task, job);
-        return run;
-    }
-
-    private void onEnd(
-            TargetState target, TargetReport.RunEnd end, long nowMillis, long epochMillis) {
-        Run run = target.find(end.task(), end.run());
-        if (run != null) {
-            removeRun(run);
-        }
-        target.onEnd(end.kind(), end.task().jobId(), nowMillis);
-        JobEntry job = mJobs.job(end.task().jobId());
-        TaskState task = mJobs.task(end.task());
-        if (task == null || !job.isActive()) {
-            return;
-        }
-        task.noteRunNumber(end.run());
-        StepState step = job.step(end.task());
-        List<TaskState> members = step.spec().traits().gang() ? step.tasks() : List.of(task);
-        members.forEach(member -> member.setCheckpoint(end.checkpoint()));
-        if (step.spec().traits().longRunning() || task.isDone()) {
-            return;
-        }
-        if (end.kind() == EndKind.DONE) {
-            members.forEach(TaskState::markDone);
-            onTaskDone(job, members, epochMillis);
-        } else {
-            if (end.kind().countsAsAttempt()) {
-                onTaskFailed(job, step, task, epochMillis);
-            }
-            stopRuns(step.spec().traits().gang() ? members : List.of());
-        }
-    }
-
-    private void onTaskDone(JobEntry job, List<TaskState> tasks, long epochMillis) {
-        mChanged.add(job.job().id());
-        stopRuns(tasks);
-        if (job.isDone()) {
-            finish(job, JobState.COMPLETED, epochMillis);
-        }
-    }
-
-    private void onTaskFailed(JobEntry job, StepState step, TaskState task, long epochMillis) {
-        task.addFailure();
-        mChanged.add(job.job().id());
-        if (step.failedRuns(task) >= maxAttempts(job)) {
-            finish(job, JobState.FAILED, epochMillis);
-        }
-    }
-
-    private void finish(JobEntry job, JobState end, long epochMillis) {
-        mJobs.finish(job, end, epochMillis);
-        mChanged.add(job.job().id());
-        job.runs().forEach(Run::requestStop);
-    }
-
-    private static void stopRuns(List<TaskState> tasks) {
-        for (TaskState task : tasks) {
-            task.runs().forEach(Run::requestStop);
+        if (mTargets.contains(target)) {
+            mRuns.onReport(target, report, askedMillis, nowMillis, epochMillis);
         }
     }
 
@@ -377,7 +209,7 @@
     public void onStartAnswer(Run run, StartOutcome outcome, long nowMillis) {
         switch (outcome.effect()) {
             case RUNS -> run.onStarted(nowMillis);
-            case NOT_RUN -> removeRun(run);
+            case NOT_RUN -> mRuns.removeRun(run);
             case UNKNOWN -> run.onUncertain();
         }
         if (outcome.pauseMillis() > 0) {
@@ -392,22 +224,18 @@
 
     /** Ends the runs of targets whose lease has certainly ended. */
     public void expireLeases(long nowMillis) {
-        for (TargetState target : targets()) {
-            boolean ended = !target.isReachable() && nowMillis > target.leaseEndMillis();
-            if (ended && target.leaseEndMillis() > 0) {
-                target.abandonUncertainRuns();
-                endAllRuns(target);
-                if (!target.isListed()) {
-                    mTargets.remove(target.entry().id());
-                }
-            }
-        }
+        mTargets.expireLeases(nowMillis);
+    }
+
+    /** Returns whether all runs that can exist on a target are known. */
+    public boolean knowsRuns(TargetState target, long nowMillis) {
+        return mTargets.knowsRuns(target, nowMillis);
     }
 
     /** Decides all orders that are due: stops first, then starts in the order of the queues. */
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>();
-        for (TargetState target : mTargets.values()) {
+        for (TargetState target : mTargets.all()) {
             for (Run run : target.runs()) {
                 if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
                     orders.add(new Order.Stop(run));
@@ -422,7 +250,7 @@
                 continue;
             }
             List<TargetState> candidates =
-                    targets.computeIfAbsent(service.get(), s -> usableTargets(s, nowMillis));
+                    targets.computeIfAbsent(service.get(), s -> mTargets.usable(s, nowMillis));
             for (StepState step : job.readySteps(epochMillis - DUE_MARGIN_MILLIS)) {
                 startStep(step, candidates, placer, nowMillis, orders);
             }
@@ -485,7 +313,7 @@
         Run run = new Run(task.id(), number, target, step.spec().claim(), nowMillis);
         task.noteRunNumber(number);
         step.job().markStarted();
-        addRun(run, task, step.job());
+        mRuns.addRun(run, task, step.job());
         return new Order.Start(run, step.job().job().spec().payload(), task.checkpoint());
     }
 
@@ -505,56 +333,15 @@
     /** Returns whether no run of an earlier owner can exist unseen. */
     private boolean mayStart(JobEntry job, String service, long nowMillis) {
         return !job.isRestored()
-                || mTargets.values().stream()
+                || mTargets.all().stream()
                         .filter(target -> target.entry().service().equals(service))
                         .allMatch(target -> knowsRuns(target, nowMillis));
     }
 
-    /** Returns whether all runs that can exist on a target are known. */
-    public boolean knowsRuns(TargetState target, long nowMillis) {
-        return target.isRead() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
-    }
-
-    private List<TargetState> usableTargets(String service, long nowMillis) {
-        List<TargetState> usable = new ArrayList<>();
-        for (TargetState target : mTargets.values()) {
-            if (target.entry().service().equals(service)
-                    && target.accepts(mClosedZones, nowMillis)) {
-                usable.add(target);
-            }
-        }
-        return usable;
-    }
-
     private long nextRunNumber(TaskState task) {
         return Math.max(task.lastRunNumber(), (mTerm - 1) * RUNS_PER_TERM) + 1;
     }
 
-    private void addRun(Run run, TaskState task, JobEntry job) {
-        run.target().add(run);
-        if (task != null) {
-            task.runs().add(run);
-            task.noteRunNumber(run.number());
-            job.markStarted();
-            mUsage.add(job.job().account(), job.step(run.task()).spec().needs());
-        }
-    }
-
-    private void removeRun(Run run) {
-        run.target().remove(run);
-        TaskState task = mJobs.task(run.task());
-        if (task != null && task.runs().remove(run)) {
-            JobEntry job = mJobs.job(run.task().jobId());
-            mUsage.remove(job.job().account(), job.step(run.task()).spec().needs());
-        }
-    }
-
-    private void endAllRuns(TargetState target) {
-        for (Run run : target.runs()) {
-            removeRun(run);
-        }
-    }
-
     private Optional<String> serviceOf(JobEntry job) {
         return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
     }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -0,0 +1,182 @@
+package org.marigoldturn.scheduling;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+
+/**
+ * Follows runs from their start to their end, by what targets list.
+ *
+ * <p>Invariant: a run is known at its target, its task and in the usage of its account, or at none
+ * of them. Confined to the control thread.
+ */
+final class RunTracker {
+    private final JobTable mJobs;
+    private final AccountUsage mUsage;
+    private final ToIntFunction<JobEntry> mMaxAttempts;
+    private final Set<String> mChanged = new LinkedHashSet<>();
+
+    RunTracker(JobTable jobs, AccountUsage usage, ToIntFunction<JobEntry> maxAttempts) {
+        mJobs = jobs;
+        mUsage = usage;
+        mMaxAttempts = maxAttempts;
+    }
+
+    /** Returns and clears the ids of jobs whose durable progress has changed. */
+    Set<String> takeChanged() {
+        Set<String> changed = new LinkedHashSet<>(mChanged);
+        mChanged.clear();
+        return changed;
+    }
+
+    /**
+     * Processes a target's lists.
+     *
+     * @param askedMillis monotonic time at which the target was asked
+     */
+    void onReport(
+            TargetState target,
+            TargetReport report,
+            long askedMillis,
+            long nowMillis,
+            long epochMillis) {
+        target.setRead();
+        for (TargetReport.RunEnd end : report.ends()) {
+            if (end.number() > target.lastProcessedEnd()) {
+                target.setLastProcessedEnd(end.number());
+                onEnd(target, end, nowMillis, epochMillis);
+            }
+        }
+        Set<Run> listed = new HashSet<>();
+        for (TargetReport.RunReport running : report.running()) {
+            listed.add(onRunning(target, running, nowMillis));
+        }
+        for (Run run : target.runs()) {
+            if (!listed.contains(run) && report.complete() && run.isDecidedBy(askedMillis)) {
+                removeRun(run);
+            }
+        }
+    }
+
+    private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
+        Run run = target.find(report.task(), report.run());
+        TaskState task = mJobs.task(report.task());
+        if (run == null) {
+            run = adopt(target, task, report, nowMillis);
+        }
+        if (task != null) {
+            task.setCheckpoint(report.checkpoint());
+        }
+        run.onListed(report.percent(), nowMillis);
+        return run;
+    }
+
+    /** Takes a run that an earlier owner started, or that was started late, or ends it. */
+    private Run adopt(
+            TargetState target, TaskState task, TargetReport.RunReport report, long nowMillis) {
+        JobEntry job = mJobs.job(report.task().jobId());
+        StepSpec spec = task == null ? null : job.step(report.task()).spec();
+        Run run =
+                new Run(
+                        report.task(),
+                        report.run(),
+                        target,
+                        spec == null ? Room.NONE : spec.claim(),
+                        nowMillis);
+        boolean wanted = task != null && job.isActive() && !task.isDone() && task.runs().isEmpty();
+        if (!wanted) {
+            run.requestStop();
+        }
+        addRun(run, task, job);
+        return run;
+    }
+
+    private void onEnd(
+            TargetState target, TargetReport.RunEnd end, long nowMillis, long epochMillis) {
+        Run run = target.find(end.task(), end.run());
+        if (run != null) {
+            removeRun(run);
+        }
+        target.onEnd(end.kind(), end.task().jobId(), nowMillis);
+        JobEntry job = mJobs.job(end.task().jobId());
+        TaskState task = mJobs.task(end.task());
+        if (task == null || !job.isActive()) {
+            return;
+        }
+        task.noteRunNumber(end.run());
+        StepState step = job.step(end.task());
+        List<TaskState> members = step.spec().traits().gang() ? step.tasks() : List.of(task);
+        members.forEach(member -> member.setCheckpoint(end.checkpoint()));
+        if (step.spec().traits().longRunning() || task.isDone()) {
+            return;
+        }
+        if (end.kind() == EndKind.DONE) {
+            members.forEach(TaskState::markDone);
+            onTaskDone(job, members, epochMillis);
+        } else {
+            if (end.kind().countsAsAttempt()) {
+                onTaskFailed(job, step, task, epochMillis);
+            }
+            stopRuns(step.spec().traits().gang() ? members : List.of());
+        }
+    }
+
+    private void onTaskDone(JobEntry job, List<TaskState> tasks, long epochMillis) {
+        mChanged.add(job.job().id());
+        stopRuns(tasks);
+        if (job.isDone()) {
+            finish(job, JobState.COMPLETED, epochMillis);
+        }
+    }
+
+    private void onTaskFailed(JobEntry job, StepState step, TaskState task, long epochMillis) {
+        task.addFailure();
+        mChanged.add(job.job().id());
+        if (step.failedRuns(task) >= mMaxAttempts.applyAsInt(job)) {
+            finish(job, JobState.FAILED, epochMillis);
+        }
+    }
+
+    void finish(JobEntry job, JobState end, long epochMillis) {
+        mJobs.finish(job, end, epochMillis);
+        mChanged.add(job.job().id());
+        job.runs().forEach(Run::requestStop);
+    }
+
+    private static void stopRuns(List<TaskState> tasks) {
+        for (TaskState task : tasks) {
+            task.runs().forEach(Run::requestStop);
+        }
+    }
+
+    void addRun(Run run, TaskState task, JobEntry job) {
+        run.target().add(run);
+        if (task != null) {
+            task.runs().add(run);
+            task.noteRunNumber(run.number());
+            job.markStarted();
+            mUsage.add(job.job().account(), job.step(run.task()).spec().needs());
+        }
+    }
+
+    void removeRun(Run run) {
+        run.target().remove(run);
+        TaskState task = mJobs.task(run.task());
+        if (task != null && task.runs().remove(run)) {
+            JobEntry job = mJobs.job(run.task().jobId());
+            mUsage.remove(job.job().account(), job.step(run.task()).spec().needs());
+        }
+    }
+
+    /** Ends all runs of a target whose life or lease has ended. */
+    void endAllRuns(TargetState target) {
+        for (Run run : target.runs()) {
+            removeRun(run);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -0,0 +1,95 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** All known targets. Confined to the control thread. */
+final class TargetTable {
+    private final RunTracker mRuns;
+    private final long mTakeoverMillis;
+    private final long mLongestLeaseMillis;
+    private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
+    private Set<String> mClosedZones = Set.of();
+
+    TargetTable(RunTracker runs, long takeoverMillis, long longestLeaseMillis) {
+        mRuns = runs;
+        mTakeoverMillis = takeoverMillis;
+        mLongestLeaseMillis = longestLeaseMillis;
+    }
+
+    void setClosedZones(Set<String> zones) {
+        mClosedZones = Set.copyOf(zones);
+    }
+
+    Collection<TargetState> all() {
+        return List.copyOf(mTargets.values());
+    }
+
+    boolean contains(TargetState target) {
+        return mTargets.get(target.entry().id()) == target;
+    }
+
+    /** Adds a target or updates its entry; an earlier life at its id has ended. */
+    TargetState list(TargetEntry entry) {
+        TargetState known = mTargets.get(entry.id());
+        if (known != null && known.entry().isSameLife(entry)) {
+            known.update(entry);
+            return known;
+        }
+        if (known != null) {
+            mRuns.endAllRuns(known);
+        }
+        TargetState state = new TargetState(entry);
+        mTargets.put(entry.id(), state);
+        return state;
+    }
+
+    /** Records that the platform's list has no entry for a target. */
+    void unlist(String id) {
+        TargetState target = mTargets.get(id);
+        if (target != null) {
+            target.setListed(false);
+        }
+    }
+
+    /** Records that a target's life has ended, and with it everything that ran there. */
+    void end(TargetState target) {
+        mRuns.endAllRuns(target);
+        mTargets.remove(target.entry().id(), target);
+    }
+
+    /** Ends the runs of targets whose lease has certainly ended. */
+    void expireLeases(long nowMillis) {
+        for (TargetState target : all()) {
+            boolean ended = !target.isReachable() && nowMillis > target.leaseEndMillis();
+            if (ended && target.leaseEndMillis() > 0) {
+                target.abandonUncertainRuns();
+                mRuns.endAllRuns(target);
+                if (!target.isListed()) {
+                    mTargets.remove(target.entry().id());
+                }
+            }
+        }
+    }
+
+    /** Returns whether all runs that can exist on a target are known. */
+    boolean knowsRuns(TargetState target, long nowMillis) {
+        return target.isRead() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
+    }
+
+    /** Returns the targets of a service that may get new work. */
+    List<TargetState> usable(String service, long nowMillis) {
+        List<TargetState> usable = new ArrayList<>();
+        for (TargetState target : mTargets.values()) {
+            if (target.entry().service().equals(service)
+                    && target.accepts(mClosedZones, nowMillis)) {
+                usable.add(target);
+            }
+        }
+        return usable;
+    }
+}
