Count hand-ins, starts and ends, and split the owner's role

Change: counters of hand-ins by reason, starts by answer and ends by kind; RecordReader, OrderSender and HostWork are split from OwnerRole.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -202,6 +202,7 @@
                                 mControl,
                                 mClocks,
                                 mLimits,
+                                mMetrics,
                                 mElection::onFenced),
                         mOperator);
         mService.setRole(mRole);
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -0,0 +1,115 @@
+package org.marigoldturn.coordination;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Map;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.Run;
+import org.marigoldturn.scheduling.StartOutcome;
+import org.marigoldturn.scheduling.TargetState;
+import org.tinylog.Logger;
+
+/**
+ * Sends the scheduler's orders to targets and tells it their answers. Confined to the control
+ * thread.
+ */
+final class OrderSender {
+    private final OwnerContext mContext;
+    private final JobScheduler mScheduler;
+    private final Map<TargetState, TargetSession> mSessions;
+    private final Listener mListener;
+
+    /** Learns what follows from answers. */
+    interface Listener {
+        /** The target has seen a newer owner. */
+        void onFenced(TargetState target);
+
+        /** The scheduler may have something to decide. */
+        void schedulePump();
+    }
+
+    OrderSender(
+            OwnerContext context,
+            JobScheduler scheduler,
+            Map<TargetState, TargetSession> sessions,
+            Listener listener) {
+        mContext = context;
+        mScheduler = scheduler;
+        mSessions = sessions;
+        mListener = listener;
+    }
+
+    void send(Order order, long nowMillis) {
+        if (order instanceof Order.Start start) {
+            send(start, nowMillis);
+        } else if (order instanceof Order.Stop stop) {
+            send(stop);
+        }
+    }
+
+    private void send(Order.Start start, long now) {
+        Run run = start.run();
+        TargetSession session = mSessions.get(run.target());
+        long lease = session == null ? 0 : session.grantLease(now);
+        logRun("start", run);
+        mContext.targets()
+                .start(run.target().entry(), start, mContext.term(), lease)
+                .whenComplete(
+                        (outcome, failure) ->
+                                mContext.control()
+                                        .execute(() -> onStartAnswer(run, outcome, failure)));
+    }
+
+    private void onStartAnswer(Run run, StartOutcome outcome, Throwable failure) {
+        StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
+        if (known != StartOutcome.ACCEPTED) {
+            Logger.warn(
+                    "run: event=start-answer id={} run={} target={} outcome={}",
+                    run.task().jobId(),
+                    run.number(),
+                    run.target().entry().id(),
+                    known);
+        }
+        if (known == StartOutcome.FENCED) {
+            mListener.onFenced(run.target());
+            return;
+        }
+        count("runs.started." + known);
+        mScheduler.onStartAnswer(run, known, mContext.clocks().now());
+        if (known != StartOutcome.ACCEPTED) {
+            mListener.schedulePump();
+        }
+    }
+
+    private void send(Order.Stop stop) {
+        Run run = stop.run();
+        logRun("stop", run);
+        mContext.targets()
+                .stop(run.target().entry(), run, mContext.term())
+                .whenComplete(
+                        (done, failure) ->
+                                mContext.control()
+                                        .execute(
+                                                () ->
+                                                        mScheduler.onStopAnswer(
+                                                                run,
+                                                                failure == null,
+                                                                mContext.clocks().now())));
+    }
+
+    private static void logRun(String event, Run run) {
+        Logger.info(
+                "run: event={} id={} task={}.{}.{} run={} target={}",
+                event,
+                run.task().jobId(),
+                run.task().occurrence(),
+                run.task().step(),
+                run.task().index(),
+                run.number(),
+                run.target().entry().id());
+    }
+
+    private void count(String name) {
+        mContext.metrics().counter(MetricRegistry.name(name)).inc();
+    }
+}
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.coordination;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,7 @@
     private final GroupCommit mCommits;
     private final OperatorView mOperator;
     private final Clocks mClocks;
+    private final MetricRegistry mMetrics;
     private final Runnable mOnChange;
     private final Map<String, CompletableFuture<JobReply>> mHandIns = new HashMap<>();
 
@@ -36,11 +38,13 @@
             GroupCommit commits,
             OperatorView operator,
             Clocks clocks,
+            MetricRegistry metrics,
             Runnable onChange) {
         mScheduler = scheduler;
         mCommits = commits;
         mOperator = operator;
         mClocks = clocks;
+        mMetrics = metrics;
         mOnChange = onChange;
     }
 
@@ -135,7 +139,8 @@
         return completed(JobReply.newBuilder().setOutcome(JobReply.Outcome.NOT_FOUND));
     }
 
-    private static void log(Job job, Admission admission) {
+    private void log(Job job, Admission admission) {
+        mMetrics.counter("handins." + admission.reason()).inc();
         Logger.info(
                 "job: event=hand-in id={} queue={} account={} accepted={} reason={}"
                         + " retryAfterSeconds={} waitMillis={} slackMillis={}"
@@ -152,7 +157,8 @@
                 admission.forecast().capacityMillicores());
     }
 
-    private static JobReply.Builder refuse(Job job, String reason, int retryAfterSeconds) {
+    private JobReply.Builder refuse(Job job, String reason, int retryAfterSeconds) {
+        mMetrics.counter("handins." + reason).inc();
         Logger.info("job: event=hand-in id={} accepted=false reason={}", job.id(), reason);
         return refusal(reason, retryAfterSeconds);
     }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.coordination;
 
+import com.codahale.metrics.MetricRegistry;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.store.MetadataStore;
 
@@ -20,4 +21,5 @@
         ControlLoop control,
         Clocks clocks,
         JobLimits limits,
+        MetricRegistry metrics,
         Runnable onFenced) {}
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -1,13 +1,11 @@
 package org.marigoldturn.coordination;
 
-import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
@@ -15,8 +13,6 @@
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
-import org.marigoldturn.scheduling.Run;
-import org.marigoldturn.scheduling.StartOutcome;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetState;
 import org.marigoldturn.store.PrefixMirror;
@@ -32,7 +28,8 @@
  * @see JobScheduler
  * @see OwnerCalls
  */
-final class OwnerRole implements PrefixMirror.Listener, TargetSession.Callbacks {
+final class OwnerRole
+        implements PrefixMirror.Listener, TargetSession.Callbacks, OrderSender.Listener {
     /** The list changes with each heartbeat of each target; several changes come together. */
     private static final PrefixMirror.Options TARGET_MIRROR =
             new PrefixMirror.Options(1_500, 250, 500);
@@ -49,11 +46,10 @@
     private final GroupCommit mCommits;
     private final PrefixMirror mMirror;
     private final Map<TargetState, TargetSession> mSessions = new HashMap<>();
-    private final Map<Long, UpkeepRunner> mWaves = new HashMap<>();
-    private final Map<String, ByteString> mHostRecords = new HashMap<>();
-    private SpareHosts mSpareHosts;
+    private HostWork mHostWork;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
+    private OrderSender mOrders;
     private boolean mServing;
     private boolean mPumpScheduled;
     private boolean mClosed;
@@ -121,9 +117,10 @@
             mContext.control().after("wait for a catalog", RELOAD_MILLIS, this::takeOver);
             return;
         }
-        CompletableFuture<List<StoredValue>> jobs = listAll(StoreLayout.JOB_PREFIX);
-        CompletableFuture<List<StoredValue>> progress = listAll(StoreLayout.PROGRESS_PREFIX);
-        CompletableFuture<List<StoredValue>> hosts = listAll(StoreLayout.HOST_PREFIX);
+        RecordReader reader = new RecordReader(mContext.store());
+        CompletableFuture<List<StoredValue>> jobs = reader.listAll(StoreLayout.JOB_PREFIX);
+        CompletableFuture<List<StoredValue>> progress = reader.listAll(StoreLayout.PROGRESS_PREFIX);
+        CompletableFuture<List<StoredValue>> hosts = reader.listAll(StoreLayout.HOST_PREFIX);
         CompletableFuture.allOf(jobs, progress, hosts)
                 .whenComplete(
                         (done, failure) ->
@@ -132,7 +129,7 @@
                                                 () -> {
                                                     if (failure == null) {
                                                         load(jobs.join(), progress.join());
-                                                        loadHosts(hosts.join());
+                                                        mHostWork.load(hosts.join());
                                                     } else {
                                                         retryTakeOver(failure);
                                                     }
@@ -147,25 +144,6 @@
         mContext.control().after("read records", RELOAD_MILLIS, this::takeOver);
     }
 
-    private CompletableFuture<List<StoredValue>> listAll(String prefix) {
-        return listFrom(prefix, "", new ArrayList<>());
-    }
-
-    private CompletableFuture<List<StoredValue>> listFrom(
-            String prefix, String afterKey, List<StoredValue> values) {
-        return mContext.store()
-                .list(prefix, afterKey)
-                .thenCompose(
-                        page -> {
-                            values.addAll(page.values());
-                            if (!page.hasMore() || page.values().isEmpty()) {
-                                return CompletableFuture.completedFuture(values);
-                            }
-                            String last = values.get(values.size() - 1).key();
-                            return listFrom(prefix, last, values);
-                        });
-    }
-
     private void load(List<StoredValue> jobs, List<StoredValue> progress) {
         if (mClosed) {
             return;
@@ -176,9 +154,16 @@
                 new JobScheduler(
                         mOperator.catalog().orElseThrow(), mContext.term(), now, longestLease);
         mScheduler.setClosedZones(mOperator.closedZones());
+        mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
+        mOrders = new OrderSender(mContext, mScheduler, mSessions, this);
         mCalls =
                 new OwnerCalls(
-                        mScheduler, mCommits, mOperator, mContext.clocks(), this::schedulePump);
+                        mScheduler,
+                        mCommits,
+                        mOperator,
+                        mContext.clocks(),
+                        mContext.metrics(),
+                        this::schedulePump);
         Map<String, StoredValue> progressByKey = new HashMap<>();
         for (StoredValue value : progress) {
             mCommits.noteRevision(value.key(), value.modRevision());
@@ -196,13 +181,6 @@
         mMirror.start();
     }
 
-    private void loadHosts(List<StoredValue> hosts) {
-        for (StoredValue value : hosts) {
-            mCommits.noteRevision(value.key(), value.modRevision());
-            mHostRecords.put(value.key(), value.value());
-        }
-    }
-
     private void restore(StoredValue value, Map<String, StoredValue> progress, long now) {
         try {
             Job job = JobRecords.decodeJob(value.value());
@@ -297,8 +275,9 @@
         return stored;
     }
 
-    private static void logEnds(TargetState target, TargetClient.LookAnswer answer) {
+    private void logEnds(TargetState target, TargetClient.LookAnswer answer) {
         for (var end : answer.report().ends()) {
+            mContext.metrics().counter("runs.ended." + end.kind()).inc();
             Logger.info(
                     "run: event=ended id={} task={}.{}.{} run={} target={} how={} end={}",
                     end.task().jobId(),
@@ -349,8 +328,7 @@
         mScheduler.expireLeases(now);
         closeSessionsOfForgottenTargets();
         forgetOldJobs();
-        tickWaves(now);
-        tickSpareHosts(now);
+        mHostWork.tick(now);
         pump();
     }
 
@@ -376,39 +354,9 @@
         }
     }
 
-    private void tickWaves(long now) {
-        for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
-            UpkeepRunner runner =
-                    mWaves.computeIfAbsent(
-                            wave.number(),
-                            number ->
-                                    new UpkeepRunner(
-                                            wave,
-                                            mContext,
-                                            mScheduler,
-                                            mCommits,
-                                            Optional.ofNullable(
-                                                    mHostRecords.get(StoreLayout.wave(number)))));
-            runner.tick(now);
-        }
-    }
-
-    private void tickSpareHosts(long now) {
-        if (mSpareHosts == null) {
-            mSpareHosts =
-                    new SpareHosts(
-                            mContext,
-                            mScheduler,
-                            mCommits,
-                            Optional.ofNullable(mHostRecords.get(StoreLayout.SPARE_HOSTS)));
-        }
-        Set<String> inUpkeep = new HashSet<>();
-        mWaves.values().forEach(wave -> inUpkeep.addAll(wave.openHosts()));
-        mSpareHosts.tick(mOperator.catalog().orElseThrow(), mOperator.closedZones(), inUpkeep, now);
-    }
-
     /** Lets the scheduler decide once for all events that are waiting. */
-    void schedulePump() {
+    @Override
+    public void schedulePump() {
         if (!mPumpScheduled && !mClosed) {
             mPumpScheduled = true;
             mContext.control().execute(this::pump);
@@ -423,75 +371,7 @@
         var unused = storeChanges();
         long now = mContext.clocks().now();
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
-            if (order instanceof Order.Start start) {
-                send(start, now);
-            } else if (order instanceof Order.Stop stop) {
-                send(stop);
-            }
+            mOrders.send(order, now);
         }
     }
-
-    private void send(Order.Start start, long now) {
-        Run run = start.run();
-        TargetSession session = mSessions.get(run.target());
-        long lease = session == null ? 0 : session.grantLease(now);
-        logRun("start", run);
-        mContext.targets()
-                .start(run.target().entry(), start, mContext.term(), lease)
-                .whenComplete(
-                        (outcome, failure) ->
-                                mContext.control()
-                                        .execute(() -> onStartAnswer(run, outcome, failure)));
-    }
-
-    private void onStartAnswer(Run run, StartOutcome outcome, Throwable failure) {
-        if (mClosed) {
-            return;
-        }
-        StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
-        if (known != StartOutcome.ACCEPTED) {
-            Logger.warn(
-                    "run: event=start-answer id={} run={} target={} outcome={}",
-                    run.task().jobId(),
-                    run.number(),
-                    run.target().entry().id(),
-                    known);
-        }
-        if (known == StartOutcome.FENCED) {
-            onFenced(run.target());
-            return;
-        }
-        mScheduler.onStartAnswer(run, known, mContext.clocks().now());
-        if (known != StartOutcome.ACCEPTED) {
-            schedulePump();
-        }
-    }
-
-    private void send(Order.Stop stop) {
-        Run run = stop.run();
-        logRun("stop", run);
-        mContext.targets()
-                .stop(run.target().entry(), run, mContext.term())
-                .whenComplete(
-                        (done, failure) ->
-                                mContext.control()
-                                        .execute(
-                                                () ->
-                                                        mScheduler.onStopAnswer(
-                                                                run,
-                                                                failure == null,
-                                                                mContext.clocks().now())));
-    }
-
-    private static void logRun(String event, Run run) {
-        Logger.info(
-                "run: event={} id={} task={}.{}.{} run={} target={}",
-                event,
-                run.task().jobId(),
-                run.task().occurrence(),
-                run.task().step(),
-                run.task().index(),
-                run.number(),
-                run.target().entry().id());
-    }
 }
--- a/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -90,6 +91,7 @@
                         mControl,
                         mClocks,
                         new JobLimits(6_000, 1_000),
+                        new MetricRegistry(),
                         () -> {});
         return new UpkeepRunner(
                 new PlatformFormats.OperatorItem.Wave(1, Set.of("h1"), 20_000, 1),
