--- a/core/src/main/java/org/marigoldturn/coordination/GroupCommit.java
+++ b/core/src/main/java/org/marigoldturn/coordination/GroupCommit.java
@@ -238,7 +238,7 @@
                 "store: event=commit-unanswered records={} sinceMillis={} cause={}",
                 mInFlight.size(),
                 mClocks.now() - mInFlightSinceMillis,
-                failure.getMessage());
+                failure);
         mControl.after("commit retry", RETRY_MILLIS, this::send);
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -10,6 +10,7 @@
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobRecords;
+import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
@@ -294,6 +295,10 @@
     private CompletableFuture<Void> storeChanges() {
         List<CompletableFuture<Void>> writes = new ArrayList<>();
         for (String jobId : mScheduler.takeChanged()) {
+            mScheduler
+                    .state(jobId)
+                    .filter(JobState::isFinal)
+                    .ifPresent(end -> Logger.info("job: event=ended id={} state={}", jobId, end));
             writes.add(
                     mCommits.put(
                             StoreLayout.progress(jobId),
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -207,7 +207,7 @@
                     "target: event=lost target={} kind={} cause=\"{}\"",
                     mTarget.entry().id(),
                     kind,
-                    cause.getMessage());
+                    cause);
         }
         mTarget.setReachable(false);
         if (kind == TargetCallException.Kind.REFUSED
