End a target's runs after an upkeep only once the list of hosts shows it down

The owner was cut from the store during a wave and could not record which upkeeps it had ordered; the new owner ordered them again, was answered as if they had begun, and started the tasks of running targets elsewhere. Change: after an answer the list of hosts is read; a host in use with the same target had its upkeep before, any other has lost its target. Waves go on reading the list until their last host is settled.

--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -58,8 +58,13 @@
     private boolean mReportedRunning;
     private boolean mCompleted;
 
-    /** A host that is down for its upkeep, and the life of its target before. */
-    private record Down(String targetId, long startedEpochMillis, long begunMillis) {}
+    /**
+     * A host whose upkeep was answered as begun.
+     *
+     * @param target target that ran there before; null if none was known
+     * @param begunMillis monotonic time of the answer; 0 if an earlier owner had it
+     */
+    private record Down(TargetState target, long begunMillis) {}
 
     UpkeepRunner(
             PlatformFormats.OperatorItem.Wave wave,
@@ -86,7 +91,7 @@
             if (mRemaining.remove(host)) {
                 mBegun.add(host);
                 // The host may still be down; it counts until its target is seen.
-                mDown.put(host, new Down("", 0, 0));
+                mDown.put(host, new Down(null, 0));
             }
         }
     }
@@ -103,7 +108,7 @@
     }
 
     void tick(long nowMillis) {
-        if (mCompleted) {
+        if (mCompleted && mDown.isEmpty()) {
             return;
         }
         if (!mReportedRunning) {
@@ -112,23 +117,22 @@
             readHosts(nowMillis);
         }
         mDown.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
-        if (mRemaining.isEmpty() && mOrdered.isEmpty()) {
+        if (!mRemaining.isEmpty() || !mOrdered.isEmpty()) {
+            closeHosts(nowMillis);
+            orderUpkeeps(nowMillis);
+        } else if (!mCompleted) {
             complete();
-            return;
         }
-        closeHosts(nowMillis);
-        orderUpkeeps(nowMillis);
         if (nowMillis - mListedMillis >= LIST_INTERVAL_MILLIS) {
             readHosts(nowMillis);
         }
     }
 
-    private boolean isBack(String host, Down before) {
+    private boolean isBack(String host, Down down) {
         TargetState target = targetOn(host);
         return target != null
                 && target.isReachable()
-                && (!target.entry().id().equals(before.targetId())
-                        || target.entry().startedEpochMillis() != before.startedEpochMillis());
+                && (down.target() == null || !target.entry().isSameLife(down.target().entry()));
     }
 
     private void complete() {
@@ -278,14 +282,9 @@
         mRemaining.remove(host);
         mClosingSinceMillis.remove(host);
         mBegun.add(host);
-        long now = mClocks.now();
-        if (target == null) {
-            mDown.put(host, new Down("", 0, now));
-        } else {
-            mDown.put(
-                    host, new Down(target.entry().id(), target.entry().startedEpochMillis(), now));
-            mScheduler.onTargetEnded(target);
-        }
+        // The answer is the same if an earlier owner had carried it out: the list tells.
+        mDown.put(host, new Down(target, mClocks.now()));
+        mListedMillis = Long.MIN_VALUE / 2;
         mCommits.put(
                 StoreLayout.wave(mWave.number()),
                 ByteString.copyFromUtf8(String.join("\n", mBegun)));
@@ -324,18 +323,30 @@
                 drop(host);
             }
         }
-        mDown.entrySet()
-                .removeIf(down -> isBack(down.getValue(), mListed.get(down.getKey()), askedMillis));
+        for (Map.Entry<String, Down> down : Map.copyOf(mDown).entrySet()) {
+            if (askedMillis > down.getValue().begunMillis()) {
+                onListed(down.getKey(), down.getValue(), mListed.get(down.getKey()));
+            }
+        }
     }
 
-    /** Returns whether a list that was asked for after the order shows a host in use or lost. */
-    private static boolean isBack(Down down, HostClient.HostStatus status, long askedMillis) {
-        if (status == null || status.lost()) {
-            return true;
+    /** Ends the target of a host that is down, or finds that the host is in use. */
+    private void onListed(String host, Down down, HostClient.HostStatus status) {
+        TargetState target = down.target();
+        boolean up = status != null && status.up();
+        boolean sameTarget = up && target != null && status.targetId().equals(target.entry().id());
+        if (sameTarget && !target.isReachable()) {
+            // The list and the target disagree; the next list settles it.
+            return;
+        }
+        if (sameTarget) {
+            target.setClosing(false);
+        } else if (target != null) {
+            mScheduler.onTargetEnded(target);
+        }
+        if (up || status == null || status.lost()) {
+            mDown.remove(host);
         }
-        boolean later = askedMillis > down.begunMillis();
-        boolean hadTarget = !down.targetId().isEmpty();
-        return later && status.up() && !(hadTarget && status.targetId().equals(down.targetId()));
     }
 
     private TargetState targetOn(String host) {
--- a/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -23,8 +23,9 @@
     private static final long LONGEST_LEASE_MILLIS = 5_000;
     private static final long TAKEOVER_MILLIS = 100_000;
 
+    private volatile long mNowMillis = TAKEOVER_MILLIS;
     private final ControlLoop mControl = new ControlLoop();
-    private final Clocks mClocks = new Clocks(() -> TAKEOVER_MILLIS, () -> 0);
+    private final Clocks mClocks = new Clocks(() -> mNowMillis, () -> 0);
     private final List<String> mOrders = new ArrayList<>();
     private final List<HostStatus> mHosts = new ArrayList<>();
     private final JobScheduler mScheduler =
@@ -59,6 +60,38 @@
         assertThat(mOrders).containsExactly("h1");
     }
 
+    @Example
+    void targetStaysInUseWhenTheUpkeepHadBeenCarriedOutBefore() {
+        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        TargetState target = readTarget();
+        UpkeepRunner runner = runner();
+        for (int i = 0; i < 4; i++) {
+            tick(runner, mNowMillis += 100);
+        }
+        assertThat(mOrders).containsExactly("h1");
+        assertThat(mScheduler.targets()).containsExactly(target);
+    }
+
+    @Example
+    void targetOfAHostThatIsDownHasEnded() {
+        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        readTarget();
+        UpkeepRunner runner = runner();
+        tick(runner, mNowMillis += 100);
+        mHosts.set(0, new HostStatus("h1", "service", false, false, "z", ""));
+        tick(runner, mNowMillis += 100);
+        tick(runner, mNowMillis += 100);
+        assertThat(mScheduler.targets()).isEmpty();
+    }
+
+    private TargetState readTarget() {
+        TargetState target = mScheduler.onTargetListed(entry());
+        target.setReachable(true);
+        mScheduler.onReport(
+                target, new TargetReport(1, List.of(), List.of(), true), mNowMillis, mNowMillis, 0);
+        return target;
+    }
+
     @Example
     void hostWhoseTargetIsOnlyMissingInTheListWaits() {
         mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
