Keep an interrupted target's tasks counted until the list settles the upkeep

Change: the mark of the interruption stays until the list shows the target in use. Test: secondUpkeepWaitsForTheBudgetUntilTheListSettlesTheFirst fails on the old code and passes now.

--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -265,7 +265,7 @@
             return;
         }
         mOrdered.remove(host);
-        if (target != null) {
+        if (target != null && outcome != HostClient.HostOrderOutcome.BEGUN) {
             target.setInterrupted(false);
         }
         switch (outcome) {
@@ -340,6 +340,7 @@
             return;
         }
         if (sameTarget) {
+            target.setInterrupted(false);
             target.setClosing(false);
         } else if (target != null) {
             mScheduler.onTargetEnded(target);
--- a/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -11,8 +11,13 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobSpec;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.StepSpec;
+import org.marigoldturn.jobs.TaskId;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetReport;
@@ -23,6 +28,7 @@
     private static final long LONGEST_LEASE_MILLIS = 5_000;
     private static final long TAKEOVER_MILLIS = 100_000;
 
+    private volatile boolean mListPending;
     private volatile long mNowMillis = TAKEOVER_MILLIS;
     private final ControlLoop mControl = new ControlLoop();
     private final Clocks mClocks = new Clocks(() -> mNowMillis, () -> 0);
@@ -84,14 +90,44 @@
         assertThat(mScheduler.targets()).isEmpty();
     }
 
-    private TargetState readTarget() {
-        TargetState target = mScheduler.onTargetListed(entry());
+    @Example
+    void secondUpkeepWaitsForTheBudgetUntilTheListSettlesTheFirst() {
+        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        mHosts.add(new HostStatus("h2", "service", true, false, "z", "t2"));
+        acceptLastingJobOnTwoTargets();
+        UpkeepRunner runner = runner(Set.of("h1", "h2"), 2);
+        tick(runner, mNowMillis += 100);
+        mListPending = true;
+        for (int i = 0; i < 5; i++) {
+            tick(runner, mNowMillis += 100);
+        }
+        assertThat(mOrders).hasSize(1);
+    }
+
+    private void acceptLastingJobOnTwoTargets() {
+        mScheduler.restore(lastingJob(), JobProgress.NONE, mNowMillis);
+        TargetState first = read(entry("t1", "h1"), List.of(run(0)));
+        TargetState second = read(entry("t2", "h2"), List.of(run(1)));
+        assertThat(mScheduler.mayInterrupt(first)).isTrue();
+        assertThat(mScheduler.mayInterrupt(second)).isTrue();
+    }
+
+    private static TargetReport.RunReport run(int index) {
+        return new TargetReport.RunReport(new TaskId("lasting", 0, 0, index), 1, "", 100);
+    }
+
+    private TargetState read(TargetEntry entry, List<TargetReport.RunReport> runs) {
+        TargetState target = mScheduler.onTargetListed(entry);
         target.setReachable(true);
         mScheduler.onReport(
-                target, new TargetReport(1, List.of(), List.of(), true), mNowMillis, mNowMillis, 0);
+                target, new TargetReport(1, runs, List.of(), true), mNowMillis, mNowMillis, 0);
         return target;
     }
 
+    private TargetState readTarget() {
+        return read(entry(), List.of());
+    }
+
     @Example
     void hostWhoseTargetIsOnlyMissingInTheListWaits() {
         mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
@@ -111,6 +147,10 @@
     }
 
     private UpkeepRunner runner() {
+        return runner(Set.of("h1"), 1);
+    }
+
+    private UpkeepRunner runner(Set<String> hostIds, int atOnce) {
         GroupCommit commits = new GroupCommit(new MemoryStore(), mControl, mClocks, 1, () -> {});
         OwnerContext context =
                 new OwnerContext(
@@ -127,7 +167,7 @@
                         new MetricRegistry(),
                         () -> {});
         return new UpkeepRunner(
-                new PlatformFormats.OperatorItem.Wave(1, Set.of("h1"), 20_000, 1),
+                new PlatformFormats.OperatorItem.Wave(1, hostIds, 20_000, atOnce),
                 context,
                 mScheduler,
                 commits,
@@ -146,13 +186,44 @@
     }
 
     private static TargetEntry entry() {
+        return entry("t1", "h1");
+    }
+
+    private static TargetEntry entry(String id, String hostId) {
         return new TargetEntry(
-                "t1", 1, "h1", "service", "a:1", "z", "r", Set.of(), Room.NONE, false);
+                id,
+                1,
+                hostId,
+                "service",
+                "a:1",
+                "z",
+                "r",
+                Set.of(),
+                new Room(8_000, 8_000, 0),
+                false);
+    }
+
+    private static Job lastingJob() {
+        StepSpec step =
+                new StepSpec(
+                        2,
+                        new Room(1_000, 100, 0),
+                        1_000,
+                        List.of(),
+                        new StepSpec.Placement("", "", 1, false),
+                        new StepSpec.Traits(false, false, false, true, false),
+                        "",
+                        0,
+                        1);
+        JobSpec spec = new JobSpec("", List.of(step), 1, false, 0, 0);
+        return new Job("lasting", "queue", "", spec, 0);
     }
 
     @Override
     public CompletableFuture<List<HostStatus>> list() {
-        return CompletableFuture.completedFuture(List.copyOf(mHosts));
+        return mListPending
+                ? new CompletableFuture<>()
+                : CompletableFuture.completedFuture(List.copyOf(mHosts));
     }
 
     @Override
