Ask the policy service for tickets where a queue needs them

Cause: a queue may have a policy service that decides which targets may run a step. The setting was read, but starts carried no ticket, so that every start on such a queue was turned away.

Change: AdvicePlanner decides which step to ask about next and about which targets: those with the most room, three for each waiting task, at most thirty, which is what a job's objective counts for a step. AdviceRunner asks one question at a time, since the service answers a daemon's calls in turn. StepAdvice keeps the answers for one life of a target: tickets until they end, refusals for good. WireAdvice speaks the protocol.

Ruled out: several questions at once, which would wait at the service and could not give way to a more urgent one.

AdvicePlannerTest plays answers, refusals, ended and rejected tickets; PlatformPathTest runs a job of two steps against a stand-in of the service.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -52,7 +52,11 @@
 
     /** The outside systems. */
     public record Ports(
-            MetadataStore store, TargetClient targets, HostClient hosts, PlatformFormats formats) {}
+            MetadataStore store,
+            TargetClient targets,
+            HostClient hosts,
+            AdviceClient advice,
+            PlatformFormats formats) {}
 
     /** Creates a daemon that does nothing yet. */
     public JobDaemon(Ports ports, DaemonIdentity self, JobLimits limits, MetricRegistry metrics) {
@@ -198,6 +202,7 @@
                                 mPorts.store(),
                                 mPorts.targets(),
                                 mPorts.hosts(),
+                                mPorts.advice(),
                                 mPorts.formats(),
                                 mControl,
                                 mClocks,
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
@@ -17,6 +17,7 @@
         MetadataStore store,
         TargetClient targets,
         HostClient hosts,
+        AdviceClient advice,
         PlatformFormats formats,
         ControlLoop control,
         Clocks clocks,
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -51,6 +51,7 @@
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
     private OrderSender mOrders;
+    private AdviceRunner mAdvice;
     private boolean mServing;
     private boolean mPumpScheduled;
     private boolean mClosed;
@@ -157,6 +158,7 @@
         mScheduler.setClosedZones(mOperator.closedZones());
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
         mOrders = new OrderSender(mContext, mScheduler, mSessions, this);
+        mAdvice = new AdviceRunner(mContext, mScheduler, this::schedulePump);
         mCalls =
                 new OwnerCalls(
                         mScheduler,
@@ -378,5 +380,6 @@
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
             mOrders.send(order, now);
         }
+        mAdvice.run(now);
     }
 }
--- a/core/src/main/java/org/marigoldturn/jobs/QueueSettings.java
+++ b/core/src/main/java/org/marigoldturn/jobs/QueueSettings.java
@@ -1,5 +1,7 @@
 package org.marigoldturn.jobs;
 
+import java.util.Optional;
+
 /**
  * Rules of one queue. Immutable.
  *
@@ -12,7 +14,7 @@
  * @param stretch factor on the longest chain within which a job earns its full credit
  * @param targetDurationMillis time beyond the stretched chain within which it does
  * @param open whether calls need no key
- * @param needsAdvice whether a policy service decides which targets may run its steps
+ * @param advice how a policy service decides which targets may run its steps; empty if none does
  */
 public record QueueSettings(
         String name,
@@ -24,7 +26,7 @@
         double stretch,
         long targetDurationMillis,
         boolean open,
-        boolean needsAdvice) {
+        Optional<AdviceSettings> advice) {
     /** Returns the time within which a job earns its full credit. */
     public long objectiveMillis(long longestChainMillis) {
         return Math.round(stretch * longestChainMillis) + targetDurationMillis;
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -8,12 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.AdviceSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.QueueSettings;
 import org.marigoldturn.jobs.Room;
+import org.marigoldturn.jobs.TaskId;
 
 /**
  * Schedules the tasks of all accepted jobs on the targets of their services.
@@ -207,6 +209,10 @@
 
     /** Records a target's answer to an order to start. */
     public void onStartAnswer(Run run, StartOutcome outcome, long nowMillis) {
+        StepState step = mJobs.step(run.task());
+        if (outcome == StartOutcome.INVALID_TICKET && step != null) {
+            step.advice().reject(run.target());
+        }
         switch (outcome.effect()) {
             case RUNS -> run.onStarted(nowMillis);
             case NOT_RUN -> mRuns.removeRun(run);
@@ -251,14 +257,56 @@
             }
             List<TargetState> candidates =
                     targets.computeIfAbsent(service.get(), s -> mTargets.usable(s, nowMillis));
+            boolean advised = adviceOf(job).isPresent();
             for (StepState step : job.readySteps(epochMillis - DUE_MARGIN_MILLIS)) {
-                startStep(step, candidates, placer, nowMillis, orders);
+                List<TargetState> allowed =
+                        advised ? AdvicePlanner.allowed(step, candidates, nowMillis) : candidates;
+                startStep(step, allowed, placer, nowMillis, orders);
             }
         }
         placer.release();
         return orders;
     }
 
+    /** Returns the next question to the policy service, for a task that could start but for it. */
+    public Optional<AdviceQuestion> nextQuestion(long nowMillis, long epochMillis) {
+        for (JobEntry job : mJobs.active()) {
+            Optional<AdviceSettings> advice = adviceOf(job);
+            Optional<String> service = serviceOf(job);
+            if (advice.isEmpty() || !job.isStored() || service.isEmpty()) {
+                continue;
+            }
+            List<TargetState> targets = mTargets.usable(service.get(), nowMillis);
+            for (StepState step : job.readySteps(epochMillis - DUE_MARGIN_MILLIS)) {
+                Optional<AdviceQuestion> question =
+                        AdvicePlanner.question(step, advice.get(), targets, nowMillis);
+                if (question.isPresent()) {
+                    return question;
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Records an answer of the policy service.
+     *
+     * @param tickets a ticket by the id of each target that may run the step
+     * @param askedMillis monotonic time of the question
+     */
+    public void onAdvice(AdviceQuestion question, Map<String, String> tickets, long askedMillis) {
+        TaskId first = new TaskId(question.jobId(), question.occurrence(), question.step(), 0);
+        StepState step = mJobs.step(first);
+        if (step != null) {
+            long validUntilMillis = askedMillis + question.settings().validMillis();
+            step.advice().record(question.targets(), tickets, validUntilMillis);
+        }
+    }
+
+    private Optional<AdviceSettings> adviceOf(JobEntry job) {
+        return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice);
+    }
+
     private void startStep(
             StepState step,
             List<TargetState> candidates,
@@ -314,7 +362,11 @@
         task.noteRunNumber(number);
         step.job().markStarted();
         mRuns.addRun(run, task, step.job());
-        return new Order.Start(run, step.job().job().spec().payload(), task.checkpoint());
+        return new Order.Start(
+                run,
+                step.job().job().spec().payload(),
+                task.checkpoint(),
+                step.advice().ticket(target, nowMillis));
     }
 
     private boolean deservesReservation(StepState step, long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/scheduling/Order.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Order.java
@@ -10,8 +10,9 @@
      *
      * @param payload the job's text
      * @param checkpoint where to resume; empty for the beginning
+     * @param ticket leave of the policy service; empty where it is not asked
      */
-    record Start(Run run, String payload, String checkpoint) implements Order {}
+    record Start(Run run, String payload, String checkpoint, String ticket) implements Order {}
 
     /** Stops a run, also one that has not started yet. */
     record Stop(Run run) implements Order {}
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -38,7 +38,7 @@
         return own.stream().anyMatch(t -> isPossible(step, t)) ? own : candidates;
     }
 
-    private static boolean isPossible(StepState step, TargetState target) {
+    static boolean isPossible(StepState step, TargetState target) {
         return hasLabel(step, target)
                 && keepsSpread(step, target, 0)
                 && step.spec().claim().fitsInto(target.entry().capacity());
--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -12,6 +12,7 @@
     private final int mOccurrence;
     private final int mNumber;
     private final List<TaskState> mTasks = new ArrayList<>();
+    private final StepAdvice mAdvice = new StepAdvice();
 
     StepState(JobEntry job, int occurrence, int number) {
         mJob = job;
@@ -43,6 +44,10 @@
         return mTasks;
     }
 
+    StepAdvice advice() {
+        return mAdvice;
+    }
+
     boolean isDone() {
         return mTasks.stream().allMatch(TaskState::isDone);
     }
--- a/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -160,6 +160,7 @@
                         new MemoryStore(),
                         null,
                         this,
+                        null,
                         new SilentFormats(),
                         mControl,
                         mClocks,
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/scheduling/AdvicePlannerTest.java
@@ -0,0 +1,101 @@
+package org.marigoldturn.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import org.marigoldturn.jobs.AdviceSettings;
+
+/** Steps of a queue with a policy service start only on targets that it allows. */
+class AdvicePlannerTest {
+    private static final AdviceSettings ADVICE = new AdviceSettings(20, 1, 5_000);
+
+    private final SchedulerFixture mFixture = new SchedulerFixture();
+    private TargetState mNear;
+    private TargetState mFar;
+
+    private void prepare(int tasks) {
+        mFixture.useAdvice(ADVICE);
+        mNear = mFixture.addTarget("near", 4_000);
+        mFar = mFixture.addTarget("far", 8_000);
+        mFixture.accept(SchedulerFixture.job("j1", "account", SchedulerFixture.step(tasks, 1_000)));
+    }
+
+    @Example
+    void taskWithoutATicketWaitsAndIsAskedFor() {
+        prepare(1);
+        assertThat(mFixture.starts()).isEmpty();
+        AdviceQuestion question = question().orElseThrow();
+        assertThat(question.jobId()).isEqualTo("j1");
+        assertThat(question.targets()).containsExactly(mFar, mNear);
+    }
+
+    @Example
+    void taskStartsOnTheAllowedTargetWithItsTicket() {
+        prepare(2);
+        answer(Map.of("near", "ticket-1"));
+        List<Order> orders = mFixture.mScheduler.decide(mFixture.mNowMillis, mFixture.mNowMillis);
+        assertThat(orders).hasSize(2);
+        for (Order order : orders) {
+            assertThat(order.run().target()).isSameAs(mNear);
+            assertThat(((Order.Start) order).ticket()).isEqualTo("ticket-1");
+        }
+        assertThat(question()).isEmpty();
+    }
+
+    @Example
+    void forbiddenTargetIsNotAskedAboutAgain() {
+        prepare(1);
+        answer(Map.of());
+        assertThat(question()).isEmpty();
+        assertThat(mFixture.starts()).isEmpty();
+    }
+
+    @Example
+    void newTargetIsAskedAboutAfterARefusal() {
+        prepare(1);
+        answer(Map.of());
+        TargetState added = mFixture.addTarget("added", 4_000);
+        assertThat(question().orElseThrow().targets()).containsExactly(added);
+    }
+
+    @Example
+    void ticketThatEndsSoonIsRenewed() {
+        prepare(1);
+        answer(Map.of("near", "ticket-1"));
+        mFixture.mNowMillis += ADVICE.validMillis();
+        assertThat(mFixture.starts()).isEmpty();
+        assertThat(question().orElseThrow().targets()).containsExactly(mNear);
+    }
+
+    @Example
+    void ticketThatATargetDoesNotTakeIsRenewed() {
+        prepare(1);
+        answer(Map.of("near", "ticket-1"));
+        Run run = mFixture.starts().get(0);
+        mFixture.mScheduler.onStartAnswer(run, StartOutcome.INVALID_TICKET, mFixture.mNowMillis);
+        assertThat(mFixture.starts()).isEmpty();
+        assertThat(question().orElseThrow().targets()).containsExactly(mNear);
+    }
+
+    @Example
+    void fullTargetsWithTicketsLeadToAQuestionAboutOthers() {
+        prepare(7);
+        mFixture.mScheduler.onAdvice(
+                new AdviceQuestion("j1", 0, 0, List.of(mNear), ADVICE),
+                Map.of("near", "ticket-1"),
+                mFixture.mNowMillis);
+        assertThat(mFixture.starts()).hasSize(4);
+        assertThat(question().orElseThrow().targets()).containsExactly(mFar);
+    }
+
+    private Optional<AdviceQuestion> question() {
+        return mFixture.mScheduler.nextQuestion(mFixture.mNowMillis, mFixture.mNowMillis);
+    }
+
+    private void answer(Map<String, String> tickets) {
+        mFixture.mScheduler.onAdvice(question().orElseThrow(), tickets, mFixture.mNowMillis);
+    }
+}
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.marigoldturn.jobs.AccountSettings;
+import org.marigoldturn.jobs.AdviceSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobSpec;
 import org.marigoldturn.jobs.QueueCatalog;
@@ -16,7 +18,8 @@
 /** A scheduler with targets that answer when the test says so. Time moves by hand. */
 final class SchedulerFixture {
     static final QueueSettings QUEUE =
-            new QueueSettings("queue", "host", "/q/", "service", 0, 2, 1.6, 600, false, false);
+            new QueueSettings(
+                    "queue", "host", "/q/", "service", 0, 2, 1.6, 600, false, Optional.empty());
     static final AccountSettings ACCOUNT =
             new AccountSettings("account", Set.of("key"), 1, new Room(8_000, 0, 0));
     static final long LONGEST_LEASE_MILLIS = 5_000;
@@ -29,6 +32,25 @@
         this(1);
     }
 
+    /** Makes the queue one whose steps need tickets. */
+    void useAdvice(AdviceSettings advice) {
+        QueueSettings advised =
+                new QueueSettings(
+                        QUEUE.name(),
+                        QUEUE.host(),
+                        QUEUE.pathPrefix(),
+                        QUEUE.service(),
+                        QUEUE.priority(),
+                        QUEUE.maxAttempts(),
+                        QUEUE.stretch(),
+                        QUEUE.targetDurationMillis(),
+                        QUEUE.open(),
+                        Optional.of(advice));
+        mScheduler.setCatalog(
+                new QueueCatalog(
+                        2, List.of(advised), Set.of("service"), Set.of(), List.of(ACCOUNT)));
+    }
+
     SchedulerFixture(long term) {
         mScheduler = new JobScheduler(catalog(ACCOUNT), term, mNowMillis, LONGEST_LEASE_MILLIS);
     }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -28,7 +28,10 @@
             "Service":"service","TargetDurationMs":600,"Priority":0,"MaxAttempts":2,
             "Stretch":1.6,"Public":false},{"Name":"r2","Host":"jobs.example","Prefix":"/open/",
             "Service":"service","TargetDurationMs":600,"Priority":0,"MaxAttempts":2,
-            "Stretch":1.6,"Public":true}],"Services":[{"Name":"service"}],
+            "Stretch":1.6,"Public":true},{"Name":"r3","Host":"jobs.example","Prefix":"/advised/",
+            "Service":"service","TargetDurationMs":600,"Priority":0,"MaxAttempts":2,
+            "Stretch":1.6,"Advice":{"DecisionMs":20,"PeriodMs":1,"ValidMs":5000}}],
+            "Services":[{"Name":"service"}],
             "Tenants":[{"Name":"club","ApiKeys":["%s"],"Weight":1,"UpperBound":{"Cpu":16000}}]}
             """;
 
@@ -76,6 +79,7 @@
                 PortRange=7000,7015
                 platform.Address=%s
                 Cloud.Address=%s
+                Advice=%s
                 Bounds.MaxHoldMs=6000
                 Bounds.status_s=120
                 Bounds.GraceS=6
@@ -86,7 +90,8 @@
                                 ip,
                                 ip,
                                 mPlatform.storeAddress(),
-                                mPlatform.hostsAddress()));
+                                mPlatform.hostsAddress(),
+                                mPlatform.advice().address()));
         mDaemons.add(
                 ChildProcess.start(
                         mDirectory.resolve("daemon-" + index + ".log"),
--- /dev/null
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInAdvice.java
@@ -0,0 +1,59 @@
+package org.marigoldturn.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The service that decides which targets may run a step, one call at a time. Tickets of all steps
+ * allow the same targets. Thread safe.
+ */
+public final class StandInAdvice implements AutoCloseable {
+    private static final long DECISION_MILLIS = 20;
+
+    private final StandInHttp mHttp = new StandInHttp(this::handle);
+    private final Set<String> mAllowed = ConcurrentHashMap.newKeySet();
+
+    /** Returns where the service listens. */
+    public String address() {
+        return mHttp.address();
+    }
+
+    /** Allows a target to run all steps. */
+    public void allow(String targetId) {
+        mAllowed.add(targetId);
+    }
+
+    /** Returns whether a ticket is the one for a task's step on a target. */
+    static boolean isTicket(String ticket, String task, String targetId) {
+        String step = task.substring(0, task.lastIndexOf('.'));
+        return ticket.equals(ticket(step, targetId));
+    }
+
+    private static String ticket(String step, String targetId) {
+        return "ticket/" + step + "/" + targetId;
+    }
+
+    private synchronized StandInStore.Reply handle(
+            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
+            throws InterruptedException {
+        Thread.sleep(DECISION_MILLIS);
+        String step = body.path("Step").asText();
+        ObjectNode answer = StandInHttp.object();
+        var good = answer.putArray("Good");
+        for (JsonNode worker : body.path("Workers")) {
+            if (mAllowed.contains(worker.asText())) {
+                good.addArray().add(worker.asText()).add(ticket(step, worker.asText()));
+            }
+        }
+        return new StandInStore.Reply(200, answer);
+    }
+
+    @Override
+    public void close() {
+        mHttp.close();
+    }
+}
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -27,6 +27,7 @@
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final StandInHttp mStoreHttp = new StandInHttp(this::handleStore);
     private final StandInHttp mHostsHttp = new StandInHttp(this::handleHosts);
+    private final StandInAdvice mAdvice = new StandInAdvice();
     private volatile boolean mStoreSilent;
     private int mLives;
 
@@ -47,6 +48,11 @@
         return mHostsHttp.address();
     }
 
+    /** Returns the service that gives tickets for steps. */
+    public StandInAdvice advice() {
+        return mAdvice;
+    }
+
     /** Writes a text as the operator does. */
     public void put(String key, String text) {
         mStore.put(key, text);
@@ -91,6 +97,11 @@
         mWorkers.get(id).mute();
     }
 
+    /** Returns the tasks that were started on one target. */
+    public List<String> starts(String id) {
+        return mWorkers.get(id).starts();
+    }
+
     /** Returns all tasks that were started, over all targets alive. */
     public List<String> starts() {
         List<String> all = new ArrayList<>();
@@ -216,5 +227,6 @@
         mWorkers.values().forEach(StandInWorker::close);
         mStoreHttp.close();
         mHostsHttp.close();
+        mAdvice.close();
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInWorker.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInWorker.java
@@ -117,6 +117,10 @@
         if (body.path("ExpiresMs").asLong() <= clockMillis()) {
             return conflict("late");
         }
+        boolean advised = body.path("Spec").asText().startsWith("advised");
+        if (advised && !StandInAdvice.isTicket(body.path("Ticket").asText(), task, mId)) {
+            return conflict("ticket");
+        }
         mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
         boolean lasting = body.path("Spec").asText().startsWith("lasting");
         mRunning.put(task, new Execution(run, lasting, clockMillis() + mTaskMillis));
--- a/standins/src/test/java/org/marigoldturn/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/PlatformPathTest.java
@@ -28,11 +28,12 @@
     private static final String OTHER_ID = "00000000000000a2";
 
     private PlatformFleet mFleet;
+    private String mFirstTarget;
 
     @BeforeTry
     void start() throws IOException, InterruptedException {
         mFleet = new PlatformFleet(Files.createTempDirectory("platform-path"), 11);
-        mFleet.platform().addTarget("service", "h1", 300);
+        mFirstTarget = mFleet.platform().addTarget("service", "h1", 300);
         mFleet.platform().addTarget("service", "h2", 300);
         mFleet.startDaemon();
         mFleet.startDaemon();
@@ -75,6 +76,25 @@
         assertThat(mFleet.platform().starts()).isEmpty();
     }
 
+    @Example
+    void stepsOfAnAdvisedQueueRunOnlyWhereTheAdviceAllows() throws InterruptedException {
+        mFleet.platform().advice().allow(mFirstTarget);
+        String body = TWO_STEPS.replace("text", "advised");
+        assertThat(
+                        mFleet.call(1, HttpMethod.POST, "/advised/" + ID, "secret", body)
+                                .status()
+                                .code())
+                .isEqualTo(200);
+        PlatformFleet.await(
+                "completed",
+                () ->
+                        mFleet.call(1, HttpMethod.GET, "/advised/" + ID, "secret", "")
+                                .contentUtf8()
+                                .contains("completed"));
+        assertThat(mFleet.platform().starts(mFirstTarget)).hasSize(5).doesNotHaveDuplicates();
+        assertThat(mFleet.platform().starts()).hasSize(5);
+    }
+
     @Example
     void cancelledJobStopsEverywhere() throws InterruptedException {
         assertThat(mFleet.handIn(0, ID, LASTING).status().code()).isEqualTo(200);
