End an answer only once its rights are released

The last part of a target's body carries the mark of the end of the stream, and RespondFilter passed it on as it was. The server then ended the answer before the target's stream had completed, which is what releases the rights. A caller that saw its end could find its client account's rights still taken.

Ruled out: work in DispatchFilter.onEnd that takes long.

Change: RespondFilter removes the mark; only complete() ends an answer.

--- a/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
+++ b/core/src/main/java/org/marigoldturn/entry/RespondFilter.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.entry;
 
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaders;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpStatus;
@@ -84,7 +85,17 @@
         if (part instanceof HttpHeaders trailers && trailers.isEmpty()) {
             return true;
         }
-        return exchange.writer().tryWrite(part);
+        return exchange.writer().tryWrite(withoutEnd(part));
+    }
+
+    /**
+     * Returns the part without the mark of the last one. Only {@link #complete} ends an answer, so
+     * that a caller never sees the end of its request while the rights are still taken.
+     */
+    static HttpObject withoutEnd(HttpObject part) {
+        return part instanceof HttpData data && data.isEndOfStream()
+                ? data.withEndOfStream(false)
+                : part;
     }
 
     /** Ends a complete answer. */
