--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -33,9 +33,12 @@
 
     private static final long RETRY_MILLIS = 200;
 
-    /** Time for the writes that were decided before a stop. */
+    /** Time for the writes that were decided before a stop; the store answers within 4 ms. */
     private static final long FLUSH_MILLIS = 1_500;
 
+    /** Time for the writes and the end of the lease, which ends by itself soon after. */
+    private static final long LEAVE_MILLIS = 2_200;
+
     private final Ports mPorts;
     private final DaemonIdentity mSelf;
     private final JobLimits mLimits;
@@ -118,7 +121,7 @@
                     flushed.orTimeout(FLUSH_MILLIS, TimeUnit.MILLISECONDS)
                             .whenComplete((done, failure) -> mControl.execute(() -> leave(left)));
                 });
-        left.orTimeout(2 * FLUSH_MILLIS, TimeUnit.MILLISECONDS)
+        left.orTimeout(LEAVE_MILLIS, TimeUnit.MILLISECONDS)
                 .exceptionally(
                         failure -> {
                             Logger.warn("daemon: event=lease-left-to-end cause={}", failure);
