Let a restarted daemon take over first, and read targets before hand-ins

Ownership moved five times in 13 s, three of them to the daemon that was stopped next, and after a takeover hand-ins were refused with "no-target" until targets had answered their first look.

Change: a daemon waits 5 ms for each second of its age, up to 120 ms, before it takes a vacant ownership, so that one that was restarted already comes first. A new owner serves once all listed targets have answered, or after 250 ms. A call that JobService gives up has a log line. Reading an earlier owner's records is now OwnerRecords.

--- a/core/src/main/java/org/marigoldturn/coordination/JobService.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobService.java
@@ -13,6 +13,7 @@
 import org.marigoldturn.peer.wire.Envelope;
 import org.marigoldturn.settings.Member;
 import org.marigoldturn.settings.MemberSet;
+import org.tinylog.Logger;
 
 /**
  * Takes clients' calls to the owner, wherever it is.
@@ -202,6 +203,13 @@
                 return;
             }
             boolean refused = mCall.getKind() == JobCall.Kind.HAND_IN && !mMayHaveArrived;
+            Logger.info(
+                    "job: event=given-up id={} call={} refused={} owner={} waitedMillis={}",
+                    mCall.getJob().getId(),
+                    mCall.getKind(),
+                    refused,
+                    mOwner.getOwnerId(),
+                    mClocks.now() - mBeganMillis);
             mReply.complete(
                     JobReply.newBuilder()
                             .setOutcome(
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -37,10 +37,20 @@
     /** Spreads the attempts of several daemons, most of which would fail. */
     private static final long MAX_JITTER_MILLIS = 60;
 
+    /**
+     * A daemon that has run for longer attempts later: while all daemons are restarted in turn,
+     * those that were restarted already are not stopped again soon.
+     */
+    private static final long DELAY_MILLIS_PER_SECOND = 5;
+
+    /** Bounds what a lost owner costs when no daemon is young. */
+    private static final long MAX_AGE_DELAY_MILLIS = 120;
+
     private static final PrefixMirror.Options MIRROR = new PrefixMirror.Options(1_500, 0, 500);
 
     private final MetadataStore mStore;
     private final ControlLoop mControl;
+    private final Clocks mClocks;
     private final DaemonIdentity mSelf;
     private final Listener mListener;
     private final PrefixMirror mMirror;
@@ -48,6 +58,7 @@
     private StoredValue mLive;
     private long mLease;
     private long mOwnTerm;
+    private long mStartedMillis;
     private long mRetryMillis = RENEW_MILLIS;
     private boolean mAttempting;
     private boolean mUpToDate;
@@ -73,6 +84,7 @@
             Listener listener) {
         mStore = store;
         mControl = control;
+        mClocks = clocks;
         mSelf = self;
         mListener = listener;
         mMirror =
@@ -87,6 +99,7 @@
     }
 
     void start() {
+        mStartedMillis = mClocks.now();
         mMirror.start();
         mControl.every("owner lease", RENEW_MILLIS, this::renew);
     }
@@ -160,8 +173,18 @@
             return;
         }
         mAttempting = true;
-        long jitter = mOwnTerm != 0 ? 0 : ThreadLocalRandom.current().nextLong(MAX_JITTER_MILLIS);
-        mControl.after("owner attempt", jitter, this::attempt);
+        long jitterMillis = ThreadLocalRandom.current().nextLong(MAX_JITTER_MILLIS);
+        long delayMillis =
+                mOwnTerm != 0
+                        ? 0
+                        : attemptDelayMillis(mClocks.now() - mStartedMillis, jitterMillis);
+        mControl.after("owner attempt", delayMillis, this::attempt);
+    }
+
+    /** Returns how long a daemon of the given age waits before it takes a vacant ownership. */
+    static long attemptDelayMillis(long ageMillis, long jitterMillis) {
+        long byAgeMillis = ageMillis * DELAY_MILLIS_PER_SECOND / 1_000;
+        return Math.min(MAX_AGE_DELAY_MILLIS, byAgeMillis) + jitterMillis;
     }
 
     private boolean isOfEarlierLife(StoredValue live) {
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -0,0 +1,69 @@
+package org.marigoldturn.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobRecords;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.store.MetadataStore;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * What an earlier owner has left in the store. Immutable.
+ *
+ * @param jobs accepted jobs
+ * @param progress their progress
+ * @param hosts records of waves and loans
+ */
+record OwnerRecords(List<StoredValue> jobs, List<StoredValue> progress, List<StoredValue> hosts) {
+    OwnerRecords {
+        jobs = List.copyOf(jobs);
+        progress = List.copyOf(progress);
+        hosts = List.copyOf(hosts);
+    }
+
+    /** Reads all records; fails if one page of them cannot be read. */
+    static CompletableFuture<OwnerRecords> read(MetadataStore store) {
+        RecordReader reader = new RecordReader(store);
+        CompletableFuture<List<StoredValue>> jobs = reader.listAll(StoreLayout.JOB_PREFIX);
+        CompletableFuture<List<StoredValue>> progress = reader.listAll(StoreLayout.PROGRESS_PREFIX);
+        CompletableFuture<List<StoredValue>> hosts = reader.listAll(StoreLayout.HOST_PREFIX);
+        return CompletableFuture.allOf(jobs, progress, hosts)
+                .thenApply(done -> new OwnerRecords(jobs.join(), progress.join(), hosts.join()));
+    }
+
+    /** Gives the jobs to a scheduler, and their revisions to the writer of their records. */
+    void restoreInto(JobScheduler scheduler, GroupCommit commits, long nowMillis) {
+        Map<String, StoredValue> progressByKey = new HashMap<>();
+        for (StoredValue value : progress) {
+            commits.noteRevision(value.key(), value.modRevision());
+            progressByKey.put(value.key(), value);
+        }
+        for (StoredValue value : jobs) {
+            commits.noteRevision(value.key(), value.modRevision());
+            restore(value, progressByKey, scheduler, nowMillis);
+        }
+    }
+
+    private static void restore(
+            StoredValue value,
+            Map<String, StoredValue> progress,
+            JobScheduler scheduler,
+            long nowMillis) {
+        try {
+            Job job = JobRecords.decodeJob(value.value());
+            StoredValue recorded = progress.get(StoreLayout.progress(job.id()));
+            JobProgress known =
+                    recorded == null
+                            ? JobProgress.NONE
+                            : JobRecords.decodeProgress(job.id(), recorded.value());
+            scheduler.restore(job, known, nowMillis);
+        } catch (IllegalArgumentException e) {
+            Logger.error(e, "owner: event=unreadable-job key={}", value.key());
+        }
+    }
+}
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -7,8 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.marigoldturn.jobs.Job;
-import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobRecords;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
@@ -42,6 +40,9 @@
 
     private static final long RELOAD_MILLIS = 200;
 
+    /** All targets answer their first look within this time, unless they are silent. */
+    private static final long FIRST_LOOKS_MILLIS = 250;
+
     private final OwnerContext mContext;
     private final OperatorView mOperator;
     private final GroupCommit mCommits;
@@ -52,6 +53,7 @@
     private OwnerCalls mCalls;
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
+    private boolean mListComplete;
     private boolean mServing;
     private boolean mPumpScheduled;
     private boolean mClosed;
@@ -119,19 +121,14 @@
             mContext.control().after("wait for a catalog", RELOAD_MILLIS, this::takeOver);
             return;
         }
-        RecordReader reader = new RecordReader(mContext.store());
-        CompletableFuture<List<StoredValue>> jobs = reader.listAll(StoreLayout.JOB_PREFIX);
-        CompletableFuture<List<StoredValue>> progress = reader.listAll(StoreLayout.PROGRESS_PREFIX);
-        CompletableFuture<List<StoredValue>> hosts = reader.listAll(StoreLayout.HOST_PREFIX);
-        CompletableFuture.allOf(jobs, progress, hosts)
+        OwnerRecords.read(mContext.store())
                 .whenComplete(
-                        (done, failure) ->
+                        (records, failure) ->
                                 mContext.control()
                                         .execute(
                                                 () -> {
                                                     if (failure == null) {
-                                                        load(jobs.join(), progress.join());
-                                                        mHostWork.load(hosts.join());
+                                                        load(records);
                                                     } else {
                                                         retryTakeOver(failure);
                                                     }
@@ -146,7 +143,7 @@
         mContext.control().after("read records", RELOAD_MILLIS, this::takeOver);
     }
 
-    private void load(List<StoredValue> jobs, List<StoredValue> progress) {
+    private void load(OwnerRecords records) {
         if (mClosed) {
             return;
         }
@@ -167,37 +164,16 @@
                         mContext.clocks(),
                         mContext.metrics(),
                         this::schedulePump);
-        Map<String, StoredValue> progressByKey = new HashMap<>();
-        for (StoredValue value : progress) {
-            mCommits.noteRevision(value.key(), value.modRevision());
-            progressByKey.put(value.key(), value);
-        }
-        for (StoredValue value : jobs) {
-            mCommits.noteRevision(value.key(), value.modRevision());
-            restore(value, progressByKey, now);
-        }
+        records.restoreInto(mScheduler, mCommits, now);
+        mHostWork.load(records.hosts());
         Logger.info(
                 "owner: event=records-read term={} jobs={} active={}",
                 mContext.term(),
-                jobs.size(),
+                records.jobs().size(),
                 mScheduler.activeJobs());
         mMirror.start();
     }
 
-    private void restore(StoredValue value, Map<String, StoredValue> progress, long now) {
-        try {
-            Job job = JobRecords.decodeJob(value.value());
-            StoredValue recorded = progress.get(StoreLayout.progress(job.id()));
-            JobProgress known =
-                    recorded == null
-                            ? JobProgress.NONE
-                            : JobRecords.decodeProgress(job.id(), recorded.value());
-            mScheduler.restore(job, known, now);
-        } catch (IllegalArgumentException e) {
-            Logger.error(e, "owner: event=unreadable-job key={}", value.key());
-        }
-    }
-
     @Override
     public void onValue(StoredValue value) {
         Optional<TargetEntry> entry = mContext.formats().target(value);
@@ -250,11 +226,36 @@
 
     @Override
     public void onUpToDate() {
-        if (!mServing && !mClosed) {
-            mServing = true;
-            Logger.info("owner: event=serving term={}", mContext.term());
-            mContext.control().after("tick", TICK_MILLIS, this::tick);
+        if (!mListComplete) {
+            mListComplete = true;
+            mContext.control().after("first looks", FIRST_LOOKS_MILLIS, this::serve);
+        }
+        serveOnceTargetsAreRead();
+        schedulePump();
+    }
+
+    /** Hand-ins are judged by the room of targets, so these are read first. */
+    private void serveOnceTargetsAreRead() {
+        if (mListComplete && countUnreadTargets() == 0) {
+            serve();
         }
+    }
+
+    private long countUnreadTargets() {
+        return mScheduler.targets().stream().filter(target -> !target.isRead()).count();
+    }
+
+    private void serve() {
+        if (mServing || mClosed) {
+            return;
+        }
+        mServing = true;
+        Logger.info(
+                "owner: event=serving term={} targets={} unread={}",
+                mContext.term(),
+                mScheduler.targets().size(),
+                countUnreadTargets());
+        mContext.control().after("tick", TICK_MILLIS, this::tick);
         schedulePump();
     }
 
@@ -274,6 +275,7 @@
                 mContext.clocks().epoch());
         logEnds(target, answer);
         CompletableFuture<Void> stored = storeChanges();
+        serveOnceTargetsAreRead();
         schedulePump();
         return stored;
     }
@@ -317,6 +319,7 @@
             session.close();
         }
         mScheduler.onTargetEnded(target);
+        serveOnceTargetsAreRead();
         schedulePump();
     }
 
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -30,6 +30,13 @@
         mControl.close();
     }
 
+    @Example
+    void youngDaemonAttemptsBeforeOldOnesWhateverTheJitter() {
+        long notYet = OwnerElection.attemptDelayMillis(16_000, 0);
+        assertThat(OwnerElection.attemptDelayMillis(1_000, 59)).isLessThan(notYet);
+        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 0)).isLessThanOrEqualTo(120);
+    }
+
     @Example
     void vacantOwnershipIsTakenWithTheNextTerm() throws InterruptedException {
         mStore.put(StoreLayout.OWNER_TERM, record(4), 0);
