--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/GroupCommitProperties.java
@@ -0,0 +1,169 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.MetadataStore;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoreOutcomeUnknownException;
+
+/**
+ * Guards the owner's records against lost answers, commits that are carried out late, and a newer
+ * owner.
+ */
+class GroupCommitProperties {
+    private static final int KEYS = 4;
+    private static final int WRITES = 30;
+
+    private final ControlLoop mControl = new ControlLoop();
+
+    /** A store that loses answers and carries commits out late, also after newer ones. */
+    private static final class UnreliableStore {
+        private final MemoryStore mStore = new MemoryStore();
+        private final Random mRandom;
+        private final List<Runnable> mLate = new ArrayList<>();
+
+        UnreliableStore(long seed) {
+            mRandom = new Random(seed);
+        }
+
+        synchronized CompletableFuture<MetadataStore.CommitResult> commit(
+                List<Compare> conditions,
+                List<Operation.Put> puts,
+                List<Operation.Delete> deletes) {
+            boolean carryOutLate = mRandom.nextInt(4) == 0;
+            if (mRandom.nextInt(3) == 0) {
+                mLate.forEach(Runnable::run);
+                mLate.clear();
+            }
+            if (carryOutLate) {
+                mLate.add(() -> mStore.commit(conditions, puts, deletes));
+                return unknown();
+            }
+            var result = mStore.commit(conditions, puts, deletes);
+            return mRandom.nextInt(4) == 0 ? unknown() : result;
+        }
+
+        synchronized void carryOutTheRest() {
+            mLate.forEach(Runnable::run);
+            mLate.clear();
+        }
+
+        private static <T> CompletableFuture<T> unknown() {
+            return CompletableFuture.failedFuture(
+                    new CompletionException(new StoreOutcomeUnknownException("lost", null)));
+        }
+    }
+
+    @Property(tries = 12, seed = "20261204")
+    void eachRecordEndsAsItWasLastWrittenAndNoOlderOneReplacesIt(@ForAll long seed)
+            throws Exception {
+        UnreliableStore store = new UnreliableStore(seed);
+        store.mStore.put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("1"), 0);
+        long term = store.mStore.value(StoreLayout.OWNER_TERM).orElseThrow().modRevision();
+        GroupCommit commits = commits(store, term, () -> {});
+        Random random = new Random(seed);
+        Map<String, Integer> last = new HashMap<>();
+        List<CompletableFuture<Void>> checks = new ArrayList<>();
+        for (int version = 1; version <= WRITES; version++) {
+            String key = "mt/progress/" + random.nextInt(KEYS);
+            last.put(key, version);
+            checks.add(put(commits, store, key, version));
+            Thread.sleep(random.nextInt(30));
+        }
+        CompletableFuture.allOf(checks.toArray(CompletableFuture[]::new)).get(60, TimeUnit.SECONDS);
+        store.carryOutTheRest();
+        for (Map.Entry<String, Integer> written : last.entrySet()) {
+            assertThat(version(store, written.getKey())).isEqualTo(written.getValue());
+        }
+    }
+
+    /** Writes a version; completes once it is stored, and fails if the store has an older one. */
+    private CompletableFuture<Void> put(
+            GroupCommit commits, UnreliableStore store, String key, int version) {
+        CompletableFuture<Void> checked = new CompletableFuture<>();
+        mControl.execute(
+                () ->
+                        commits.put(key, ByteString.copyFromUtf8(Integer.toString(version)))
+                                .whenComplete(
+                                        (done, failure) -> {
+                                            if (version(store, key) >= version) {
+                                                checked.complete(null);
+                                            } else {
+                                                checked.completeExceptionally(
+                                                        new AssertionError(
+                                                                key
+                                                                        + " holds "
+                                                                        + version(store, key)
+                                                                        + " after "
+                                                                        + version));
+                                            }
+                                        }));
+        return checked;
+    }
+
+    @Example
+    void nothingIsWrittenUnderANewerTerm() throws Exception {
+        UnreliableStore store = new UnreliableStore(7);
+        store.mStore.put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("1"), 0);
+        long term = store.mStore.value(StoreLayout.OWNER_TERM).orElseThrow().modRevision();
+        CompletableFuture<Void> fenced = new CompletableFuture<>();
+        GroupCommit commits = commits(store, term, () -> fenced.complete(null));
+        store.mStore.put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("2"), 0);
+        mControl.execute(() -> commits.put("mt/job/a", ByteString.copyFromUtf8("1")));
+        fenced.get(60, TimeUnit.SECONDS);
+        store.carryOutTheRest();
+        assertThat(store.mStore.value("mt/job/a")).isEmpty();
+    }
+
+    @Example
+    void deletedRecordStaysDeletedAlsoWhenAnswersAreLost() throws Exception {
+        for (int seed = 0; seed < 6; seed++) {
+            UnreliableStore store = new UnreliableStore(seed);
+            store.mStore.put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("1"), 0);
+            long term = store.mStore.value(StoreLayout.OWNER_TERM).orElseThrow().modRevision();
+            GroupCommit commits = commits(store, term, () -> {});
+            CompletableFuture<Void> deleted = new CompletableFuture<>();
+            put(commits, store, "mt/job/a", 1).get(60, TimeUnit.SECONDS);
+            mControl.execute(
+                    () -> commits.delete("mt/job/a").thenRun(() -> deleted.complete(null)));
+            deleted.get(60, TimeUnit.SECONDS);
+            store.carryOutTheRest();
+            assertThat(store.mStore.value("mt/job/a")).isEmpty();
+        }
+    }
+
+    private GroupCommit commits(UnreliableStore store, long termRevision, Runnable onFenced) {
+        MemoryStore unreliable =
+                new MemoryStore() {
+                    @Override
+                    public synchronized CompletableFuture<CommitResult> commit(
+                            List<Compare> conditions,
+                            List<Operation.Put> puts,
+                            List<Operation.Delete> deletes) {
+                        return store.commit(conditions, puts, deletes);
+                    }
+                };
+        return new GroupCommit(unreliable, mControl, Clocks.system(), termRevision, onFenced);
+    }
+
+    private static int version(UnreliableStore store, String key) {
+        return store.mStore
+                .value(key)
+                .map(value -> Integer.parseInt(value.value().toStringUtf8()))
+                .orElse(0);
+    }
+}
--- a/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
@@ -18,7 +18,7 @@
  * A store in memory whose leases end by order and whose commits can lose their answers. Watches
  * answer at once. Thread safe.
  */
-final class MemoryStore implements MetadataStore {
+class MemoryStore implements MetadataStore {
     private final TreeMap<String, StoredValue> mValues = new TreeMap<>();
     private final Map<String, Long> mLeaseOf = new TreeMap<>();
     private final List<Change> mChanges = new ArrayList<>();
