--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -1,10 +1,10 @@
 ---------------------------- MODULE JobOwnership ----------------------------
-(* Owners of the scheduling that follow each other, their orders to targets, ends of tasks and writes
+(* Owners of the scheduling that follow each other, their orders to targets, ends of tasks, writes
    to the store (docs/platform.md, "Ownership and takeover" and "Life of a job and of a task").
 
    Orders and hand-in writes stay in flight until they are carried out: they can be lost, or arrive
    after newer ones. An owner that is paused takes no step and still believes that it is the owner.
-   Time is not modelled. The wait for the longest lease is the action WaitOut: it is enabled once old
+   Time is not modelled. The wait for the longest lease is the action WaitOut, enabled once all old
    owners have stopped and nothing of theirs can run at the target or arrive there. *)
 EXTENDS Naturals, FiniteSets, TLC
 
