Let the first answered stop settle a run

The log shows an order to stop the same run every 400 ms for 25 s. The run, whose start was not answered, was not at the target. A list without it settles that, if it was asked for after the answered stop; but each repeated stop moved that moment, and a list of an idle target is asked for 1.5 s before it is answered.

Change: only the first answered stop sets the moment. The test failed first. The generated histories did not show it, since polls are short there.

--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -28,6 +28,7 @@
     private Phase mPhase = Phase.STARTING;
     private boolean mStopWanted;
     private boolean mStopInFlight;
+    private boolean mStopConfirmed;
     private long mStopSentMillis;
     private long mConfirmedMillis;
     private int mPercent;
@@ -98,9 +99,11 @@
     /** Records the answer to an order to stop, or that there was none. */
     void onStopAnswer(boolean answered, long nowMillis) {
         mStopInFlight = false;
-        if (answered) {
+        if (answered && !mStopConfirmed) {
+            // From now on the target refuses the run, so a list without it settles its fate. Later
+            // answers must not move this moment: a list may be asked for before each of them.
+            mStopConfirmed = true;
             mConfirmedMillis = nowMillis;
-            // From now on the target refuses the run, so a list without it settles its fate.
             mPhase = Phase.RUNNING;
         }
     }
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -19,6 +19,30 @@
 class JobSchedulerTest {
     private final SchedulerFixture mFixture = new SchedulerFixture();
 
+    /** A long poll outlasts the time after which an order to stop is repeated. */
+    @Example
+    void listAskedAfterTheFirstAnsweredStopSettlesARunAlsoIfTheStopIsRepeated() {
+        TargetState target = mFixture.addTarget("t1", 4_000);
+        mFixture.accept(SchedulerFixture.job("j1", "account", SchedulerFixture.step(1, 1_000)));
+        Run run = mFixture.starts().get(0);
+        mFixture.mScheduler.onStartAnswer(run, StartOutcome.UNKNOWN, mFixture.mNowMillis);
+        mFixture.mNowMillis += 500;
+        assertThat(mFixture.stops()).containsExactly(run);
+        mFixture.mScheduler.onStopAnswer(run, true, mFixture.mNowMillis);
+        long askedMillis = mFixture.mNowMillis + 1;
+        mFixture.mNowMillis += 500;
+        assertThat(mFixture.stops()).containsExactly(run);
+        mFixture.mScheduler.onStopAnswer(run, true, mFixture.mNowMillis);
+        mFixture.mNowMillis += 500;
+        mFixture.mScheduler.onReport(
+                target,
+                new TargetReport(target.entry().startedEpochMillis(), List.of(), List.of(), true),
+                askedMillis,
+                mFixture.mNowMillis,
+                mFixture.mNowMillis);
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
     @Example
     void stepStartsOnlyAfterEarlierStepsAreDone() {
         mFixture.addTarget("t1", 8_000);
