--- a/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UpkeepRunner.java
@@ -190,14 +190,15 @@
         target.setClosing(true);
         boolean waited = nowMillis - closingSinceMillis >= DRAIN_WAIT_MILLIS;
         return mScheduler.knowsRuns(target, nowMillis)
-                && (mScheduler.isQuiet(target) || waited)
+                && (mScheduler.interruptions().isQuiet(target) || waited)
                 && !isBlocked(host, target, nowMillis);
     }
 
     private boolean isBlocked(String host, TargetState target, long nowMillis) {
-        Optional<String> blocker = mScheduler.interruptionBlocker(target);
+        Optional<String> blocker = mScheduler.interruptions().blocker(target);
         if (blocker.isPresent()) {
             mScheduler
+                    .interruptions()
                     .relocateOne(target)
                     .ifPresent(
                             run ->
--- a/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
@@ -8,20 +8,25 @@
 import org.marigoldturn.jobs.StepSpec;
 
 /** Says what planned work on a host would interrupt. Confined to the control thread. */
-final class InterruptionRules {
+public final class InterruptionRules {
     private final JobTable mJobs;
 
     InterruptionRules(JobTable jobs) {
         mJobs = jobs;
     }
 
+    /** Returns whether everything on a target may be ended by planned work now. */
+    public boolean mayInterrupt(TargetState target) {
+        return blocker(target).isEmpty();
+    }
+
     /**
      * Returns the step whose budget forbids to end everything on a target now, in words for a log.
      *
      * <p>Each lasting task there counts against the budget of its step, together with all others of
      * the step that are not at work for whatever reason.
      */
-    Optional<String> blocker(TargetState target) {
+    public Optional<String> blocker(TargetState target) {
         Map<StepState, Integer> ended = new HashMap<>();
         for (Run run : target.runs()) {
             StepState step = mJobs.step(run.task());
@@ -47,7 +52,7 @@
      * Stops one task on a target that shares it with others of its step, if the budget allows that
      * now, so that the rest can be ended together later.
      */
-    Optional<Run> relocateOne(TargetState target) {
+    public Optional<Run> relocateOne(TargetState target) {
         Set<StepState> seen = new HashSet<>();
         for (Run run : target.runs()) {
             StepState step = mJobs.step(run.task());
@@ -68,7 +73,7 @@
     }
 
     /** Returns whether only lasting tasks are left on a target. */
-    boolean isQuiet(TargetState target) {
+    public boolean isQuiet(TargetState target) {
         for (Run run : target.runs()) {
             StepState step = mJobs.step(run.task());
             if (step == null || !step.spec().traits().longRunning()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -28,9 +28,6 @@
     /** Run numbers of one term; no task is started more often under one owner. */
     private static final long RUNS_PER_TERM = 65_536;
 
-    /** An order to stop is repeated after this time unless the end is listed; a round trip fits. */
-    private static final long STOP_RETRY_MILLIS = 400;
-
     /** A waiting task gets room reserved after this time, so that smaller ones do not starve it. */
     private static final long RESERVE_AFTER_MILLIS = 500;
 
@@ -114,16 +111,18 @@
         return mTargets.all();
     }
 
+    /** Returns the rules by which planned work may end what runs on a target. */
+    public InterruptionRules interruptions() {
+        return mInterruptions;
+    }
+
     /** Decides on a hand-in; an accepted job waits for {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
         List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
-        List<JobEntry> ahead = new ArrayList<>();
-        for (JobEntry entry : mJobs.active()) {
-            boolean sameService = serviceOf(entry).equals(Optional.of(queue.service()));
-            if (sameService && entry.priority() <= queue.priority()) {
-                ahead.add(entry);
-            }
-        }
+        List<JobEntry> ahead =
+                mJobs.activeUpTo(
+                        queue.priority(),
+                        entry -> serviceOf(entry).equals(Optional.of(queue.service())));
         Admission admission =
                 AdmissionForecast.decide(
                         job.spec(),
@@ -172,11 +171,7 @@
 
     /** Counts the accepted jobs of a queue for which nothing has started. */
     public int countWaiting(String queue) {
-        int count = 0;
-        for (JobEntry entry : mJobs.active()) {
-            count += entry.job().queue().equals(queue) && !entry.hasStarted() ? 1 : 0;
-        }
-        return count;
+        return mJobs.countWaiting(queue);
     }
 
     /** Returns the number of jobs that have not ended. */
@@ -255,14 +250,7 @@
 
     /** Decides all orders that are due: stops first, then starts in the order of the queues. */
     public List<Order> decide(long nowMillis, long epochMillis) {
-        List<Order> orders = new ArrayList<>();
-        for (TargetState target : mTargets.all()) {
-            for (Run run : target.runs()) {
-                if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
-                    orders.add(new Order.Stop(run));
-                }
-            }
-        }
+        List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
         Map<String, List<TargetState>> targets = new HashMap<>();
         Placer placer = new Placer();
         for (JobEntry job : mJobs.active()) {
@@ -406,24 +394,4 @@
     private int maxAttempts(JobEntry job) {
         return mCatalog.queue(job.job().queue()).map(QueueSettings::maxAttempts).orElse(1);
     }
-
-    /** Returns whether everything on a target may be ended by planned work now. */
-    public boolean mayInterrupt(TargetState target) {
-        return interruptionBlocker(target).isEmpty();
-    }
-
-    /** Returns the step whose budget forbids to end everything on a target, in words for a log. */
-    public Optional<String> interruptionBlocker(TargetState target) {
-        return mInterruptions.blocker(target);
-    }
-
-    /** Stops one of several tasks of a step on a closing target, if its budget allows it. */
-    public Optional<Run> relocateOne(TargetState target) {
-        return mInterruptions.relocateOne(target);
-    }
-
-    /** Returns whether only lasting tasks are left on a target. */
-    public boolean isQuiet(TargetState target) {
-        return mInterruptions.isQuiet(target);
-    }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.TaskId;
 
@@ -58,6 +59,21 @@
         return Collections.unmodifiableCollection(mActive);
     }
 
+    /** Returns the active jobs of a kind whose priority comes before or with the given one. */
+    List<JobEntry> activeUpTo(int priority, Predicate<JobEntry> kind) {
+        return mActive.stream()
+                .filter(entry -> entry.priority() <= priority && kind.test(entry))
+                .toList();
+    }
+
+    /** Counts the active jobs of a queue for which nothing has started. */
+    int countWaiting(String queue) {
+        return (int)
+                mActive.stream()
+                        .filter(entry -> entry.job().queue().equals(queue) && !entry.hasStarted())
+                        .count();
+    }
+
     /** Returns a job, or null. */
     JobEntry job(String id) {
         return mJobs.get(id);
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -9,6 +9,9 @@
 
 /** All known targets. Confined to the control thread. */
 final class TargetTable {
+    /** An order to stop is repeated after this time unless the end is listed; a round trip fits. */
+    private static final long STOP_RETRY_MILLIS = 400;
+
     private final RunTracker mRuns;
     private final long mTakeoverMillis;
     private final long mLongestLeaseMillis;
@@ -95,6 +98,19 @@
         }
     }
 
+    /** Returns the orders to stop runs that are due, and counts them as sent. */
+    List<Order> beginStops(long nowMillis) {
+        List<Order> stops = new ArrayList<>();
+        for (TargetState target : mTargets.values()) {
+            for (Run run : target.runs()) {
+                if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
+                    stops.add(new Order.Stop(run));
+                }
+            }
+        }
+        return stops;
+    }
+
     /** Returns whether all runs that can exist on a target are known. */
     boolean knowsRuns(TargetState target, long nowMillis) {
         return target.isRead() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -54,10 +54,7 @@
 
     @Example
     void endThatIsListedAgainBeforeItsWriteIsNotNoted() throws InterruptedException {
-        TargetSession session =
-                new TargetSession(
-                        mTarget, mClient, mControl, mClocks, 1, 4_000, () -> mMayRenew, this);
-        mControl.execute(session::start);
+        startSession();
 
         assertThat(nextNotedEnd()).isZero();
         assertThat(nextNotedEnd()).isZero();
@@ -72,10 +69,7 @@
 
     @Example
     void leasesAreNotRenewedByAnOwnerThatMayHaveBeenReplaced() throws InterruptedException {
-        TargetSession session =
-                new TargetSession(
-                        mTarget, mClient, mControl, mClocks, 1, 4_000, () -> mMayRenew, this);
-        mControl.execute(session::start);
+        startSession();
 
         assertThat(nextLook().leaseEndTargetMillis()).isZero();
         assertThat(nextLook().leaseEndTargetMillis()).isPositive();
@@ -87,10 +81,7 @@
     @Example
     void leaseOfASilentTargetIsNotRenewed() throws InterruptedException {
         mClient.mSilentAfter = 1;
-        TargetSession session =
-                new TargetSession(
-                        mTarget, mClient, mControl, mClocks, 1, 4_000, () -> mMayRenew, this);
-        mControl.execute(session::start);
+        startSession();
 
         assertThat(nextLook().leaseEndTargetMillis()).isZero();
         assertThat(nextLook().leaseEndTargetMillis()).isPositive();
@@ -102,6 +93,13 @@
         return nextLook().notedEnd();
     }
 
+    private void startSession() {
+        TargetSession session =
+                new TargetSession(
+                        mTarget, mClient, mControl, mClocks, 1, 4_000, () -> mMayRenew, this);
+        mControl.execute(session::start);
+    }
+
     private TargetClient.LookRequest nextLook() throws InterruptedException {
         TargetClient.LookRequest request = mClient.mRequests.poll(20, TimeUnit.SECONDS);
         assertThat(request).as("a look at the target").isNotNull();
--- a/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UpkeepRunnerTest.java
@@ -108,8 +108,8 @@
         mScheduler.restore(lastingJob(), JobProgress.NONE, mNowMillis);
         TargetState first = read(entry("t1", "h1"), List.of(run(0)));
         TargetState second = read(entry("t2", "h2"), List.of(run(1)));
-        assertThat(mScheduler.mayInterrupt(first)).isTrue();
-        assertThat(mScheduler.mayInterrupt(second)).isTrue();
+        assertThat(mScheduler.interruptions().mayInterrupt(first)).isTrue();
+        assertThat(mScheduler.interruptions().mayInterrupt(second)).isTrue();
     }
 
     private static TargetReport.RunReport run(int index) {
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -279,12 +279,12 @@
         mFixture.started(mFixture.starts());
         mFixture.report(t1);
         mFixture.report(t2);
-        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isTrue();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t1)).isTrue();
 
         t1.setInterrupted(true);
-        assertThat(mFixture.mScheduler.mayInterrupt(t2)).isFalse();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t2)).isFalse();
         t1.setInterrupted(false);
-        assertThat(mFixture.mScheduler.mayInterrupt(t2)).isTrue();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t2)).isTrue();
     }
 
     @Example
@@ -293,20 +293,20 @@
         mFixture.accept(job("a", "", SchedulerFixture.lastingTogether(2, 1_000, 1)));
         mFixture.started(mFixture.starts());
         mFixture.report(t1);
-        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isFalse();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t1)).isFalse();
 
         TargetState t2 = mFixture.addTarget("t2", 8_000);
         t1.setClosing(true);
-        Run moved = mFixture.mScheduler.relocateOne(t1).orElseThrow();
-        assertThat(mFixture.mScheduler.relocateOne(t1)).isEmpty();
+        Run moved = mFixture.mScheduler.interruptions().relocateOne(t1).orElseThrow();
+        assertThat(mFixture.mScheduler.interruptions().relocateOne(t1)).isEmpty();
         assertThat(mFixture.stops()).containsExactly(moved);
         mFixture.end(moved, EndKind.STOPPED);
         List<Run> again = mFixture.starts();
         assertThat(again).singleElement().extracting(Run::target).isEqualTo(t2);
-        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isFalse();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t1)).isFalse();
         mFixture.started(again);
         mFixture.report(t2);
-        assertThat(mFixture.mScheduler.mayInterrupt(t1)).isTrue();
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(t1)).isTrue();
     }
 
     @Example
--- a/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
+++ b/standins/src/main/java/org/marigoldturn/standins/StoreServer.java
@@ -16,7 +16,6 @@
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
@@ -168,7 +167,8 @@
     }
 
     private Call transactionKind(JsonNode body) {
-        boolean writes = writes(body.path("success")) || writes(body.path("failure"));
+        boolean writes =
+                StoreJson.writes(body.path("success")) || StoreJson.writes(body.path("failure"));
         return new Call(writes ? "write" : "read", writes, () -> transaction(body));
     }
 
@@ -254,15 +254,6 @@
         mCalls.computeIfAbsent(kind, k -> new LongAdder()).increment();
     }
 
-    private static boolean writes(JsonNode branch) {
-        for (JsonNode operation : branch) {
-            if (operation.has("request_put") || operation.has("request_delete_range")) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Rejects what etcd rejects with its default limits, before any operation takes effect. */
     private void checkBranch(JsonNode branch) {
         if (branch.size() > MAX_OPERATIONS) {
@@ -282,18 +273,19 @@
     }
 
     private ObjectNode transaction(JsonNode body) {
-        boolean writes = writes(body.path("success")) || writes(body.path("failure"));
+        boolean writes =
+                StoreJson.writes(body.path("success")) || StoreJson.writes(body.path("failure"));
         StoreState state =
                 !writes && mFaults.readsAreStale(System.currentTimeMillis()) ? mStaleState : mState;
         boolean succeeded = true;
         for (JsonNode compare : body.path("compare")) {
-            StoreState.Entry entry = state.get(key(compare.path("key")));
+            StoreState.Entry entry = state.get(StoreJson.key(compare.path("key")));
             long actual = entry == null ? 0 : entry.modRevision();
             succeeded &= actual == compare.path("mod_revision").asLong();
         }
         JsonNode branch = body.path(succeeded ? "success" : "failure");
         checkBranch(branch);
-        if (writes(branch)) {
+        if (StoreJson.writes(branch)) {
             mState.nextRevision();
         }
         ObjectNode reply = JSON.createObjectNode();
@@ -309,19 +301,20 @@
     private void execute(StoreState state, JsonNode operation, ObjectNode response) {
         if (operation.has("request_range")) {
             JsonNode range = operation.path("request_range");
-            String end = range.has("range_end") ? key(range.path("range_end")) : null;
+            String end = range.has("range_end") ? StoreJson.key(range.path("range_end")) : null;
             ArrayNode kvs = response.putObject("response_range").putArray("kvs");
-            Map<String, StoreState.Entry> found = state.range(key(range.path("key")), end);
-            found.forEach((key, entry) -> write(kvs.addObject(), key, entry));
+            Map<String, StoreState.Entry> found =
+                    state.range(StoreJson.key(range.path("key")), end);
+            found.forEach((key, entry) -> StoreJson.write(kvs.addObject(), key, entry));
         } else if (operation.has("request_put")) {
             JsonNode put = operation.path("request_put");
-            String key = key(put.path("key"));
+            String key = StoreJson.key(put.path("key"));
             byte[] value = Base64.getDecoder().decode(put.path("value").asText());
             StoreState.Entry entry = mState.put(key, value, put.path("lease").asLong());
             response.putObject("response_put");
             notifyWatchers(key, entry);
         } else {
-            mState.delete(key(operation.path("request_delete_range").path("key")));
+            mState.delete(StoreJson.key(operation.path("request_delete_range").path("key")));
             response.putObject("response_delete_range");
         }
     }
@@ -364,7 +357,7 @@
 
     private void openWatch(JsonNode body, HttpResponseWriter writer) {
         JsonNode create = body.path("create_request");
-        String key = key(create.path("key"));
+        String key = StoreJson.key(create.path("key"));
         synchronized (mLock) {
             Watcher watcher = new Watcher(key, writer);
             mWatchers.removeIf(w -> !w.writer().isOpen());
@@ -387,20 +380,9 @@
     private void notifyWatcher(Watcher watcher, StoreState.Entry entry) {
         ObjectNode message = JSON.createObjectNode();
         ArrayNode events = message.putObject("result").putArray("events");
-        write(events.addObject().putObject("kv"), watcher.key(), entry);
+        StoreJson.write(events.addObject().putObject("kv"), watcher.key(), entry);
         if (!watcher.writer().tryWrite(HttpData.ofUtf8(message + "\n"))) {
             Logger.info("store: watch of {} was closed by its client.", watcher.key());
         }
     }
-
-    private static void write(ObjectNode node, String key, StoreState.Entry entry) {
-        node.put("key", Base64.getEncoder().encodeToString(key.getBytes(StandardCharsets.UTF_8)));
-        node.put("value", Base64.getEncoder().encodeToString(entry.value()));
-        node.put("create_revision", Long.toString(entry.createRevision()));
-        node.put("mod_revision", Long.toString(entry.modRevision()));
-    }
-
-    private static String key(JsonNode node) {
-        return new String(Base64.getDecoder().decode(node.asText()), StandardCharsets.UTF_8);
-    }
 }
--- a/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/EntryPathTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
@@ -29,7 +28,7 @@
     private static final String NOT_RUN = "not-run";
     private static final String UNKNOWN = "unknown";
 
-    private static String newId() {
+    static String newId() {
         return RequestId.generate(System.currentTimeMillis(), new Random()).toString();
     }
 
@@ -37,7 +36,7 @@
         return response.headers().get("marigoldturn-outcome", "none");
     }
 
-    private static RequestHeadersBuilder post(EntryFixture fixture, String id) {
+    static RequestHeadersBuilder post(EntryFixture fixture, String id) {
         return fixture.headers(HttpMethod.POST).set("marigoldturn-request-id", id);
     }
 
@@ -348,38 +347,6 @@
         }
     }
 
-    /** Guards against one caller that reads slowly and thereby stops the answers of a host. */
-    @Example
-    void aSlowReaderDoesNotDelayOthers() {
-        try (EntryFixture fixture = new EntryFixture(1, TargetProtocol.H2C)) {
-            try (ClientFactory slowCaller = ClientFactory.builder().build()) {
-                HttpResponse unread =
-                        fixture.newClient(slowCaller)
-                                .execute(
-                                        HttpRequest.of(
-                                                large(fixture, 200_000_000).build(),
-                                                HttpData.ofUtf8(BODY)));
-                EntryFixture.await("large answer runs", () -> fixture.runs() == 1);
-                assertThat(fixture.send(large(fixture, 30_000_000), BODY).join().content().length())
-                        .isEqualTo(30_000_000);
-                for (int i = 0; i < 200; i++) {
-                    RequestHeadersBuilder headers = post(fixture, newId());
-                    AggregatedHttpResponse answer = fixture.send(headers, BODY).join();
-                    assertThat(answer.contentUtf8()).isEqualTo(BODY);
-                }
-                boolean complete =
-                        unread.aggregate().handle((answer, failure) -> failure == null).join();
-                assertThat(complete).isFalse();
-            }
-        }
-    }
-
-    private static RequestHeadersBuilder large(EntryFixture fixture, int bytes) {
-        return fixture.headers(HttpMethod.POST)
-                .setInt("x-response-bytes", bytes)
-                .set("marigoldturn-deadline-millis", "20000");
-    }
-
     /** Guards against callers that notice a planned stop. */
     @Example
     void aDrainInterruptsNoCaller() {
