Leave entries of other writers out at the boundary and follow the others

Cause: an operator of a like system reported that one odd entry among the workers' ended its readers or stopped their following. Here a port out of range was met only when the target was called: the HTTP client threw on the control thread, within the mirror's listener, and the mirror's copy was not updated any more, for each owner in turn. Numbers beyond 64 bits wrapped silently. A configuration with wrong types replaced the good one by an empty one. A damaged term record began again at term 1, which all targets fence; a live record of another writer without a lease kept every daemon from the ownership. Ruled out: very deep nesting, since the JSON reader stops at 1,000 levels without recursion (OddEntryProperties). MemoryStore begins at revision 100, since a term is never above the revision of its record.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -8,6 +8,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.wire.OwnerRecord;
@@ -33,6 +34,9 @@
 
     private static final long RETRY_MILLIS = 200;
 
+    /** Daemons write a UUID. */
+    private static final Pattern PEER_TOKEN = Pattern.compile("[0-9a-f-]{36}");
+
     /**
      * Time to store the writes that were enqueued before a stop; the store responds within 4 ms.
      */
@@ -69,7 +73,7 @@
         mSelf = self;
         mLimits = limits;
         mMetrics = metrics;
-        mOperator = new OperatorView(ports.formats(), this::onOperatorChange);
+        mOperator = new OperatorView(ports.formats(), this::onOperatorChange, mClocks, metrics);
         mElection = new OwnerElection(ports.store(), mControl, mClocks, self, this);
         mService = new JobService(mControl, mClocks);
     }
@@ -148,7 +152,10 @@
                         });
     }
 
-    /** Reads the token of the peer protocol, or creates it if no daemon has done so before. */
+    /**
+     * Reads the token of the peer protocol, or creates it if no daemon has done so before or
+     * another writer has damaged it.
+     */
     private void findPeerToken() {
         mPorts.store()
                 .read(StoreLayout.PEER_TOKEN)
@@ -169,14 +176,20 @@
     }
 
     private CompletableFuture<Optional<String>> createTokenIfAbsent(Optional<StoredValue> known) {
-        if (known.isPresent()) {
-            return CompletableFuture.completedFuture(
-                    known.map(value -> value.value().toStringUtf8()));
+        Optional<String> usable =
+                known.map(value -> value.value().toStringUtf8())
+                        .filter(PEER_TOKEN.asMatchPredicate());
+        if (usable.isPresent()) {
+            return CompletableFuture.completedFuture(usable);
+        }
+        long knownRevision = known.map(StoredValue::modRevision).orElse(Compare.ABSENT);
+        if (knownRevision != Compare.ABSENT) {
+            Logger.error("daemon: event=unreadable-peer-token rev={}", knownRevision);
         }
         String token = UUID.randomUUID().toString();
         return mPorts.store()
                 .commit(
-                        List.of(Compare.absent(StoreLayout.PEER_TOKEN)),
+                        List.of(new Compare(StoreLayout.PEER_TOKEN, knownRevision)),
                         List.of(
                                 new Operation.Put(
                                         StoreLayout.PEER_TOKEN, ByteString.copyFromUtf8(token))),
--- a/core/src/main/java/org/marigoldturn/coordination/OperatorView.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OperatorView.java
@@ -1,5 +1,7 @@
 package org.marigoldturn.coordination;
 
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,24 +12,32 @@
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.store.PrefixMirror;
 import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.UnusableEntries;
 import org.tinylog.Logger;
 
 /**
  * Holds the operator's settings as last read from the store.
  *
- * <p>The catalog may be read from any thread, and its version never decreases. Everything else is
- * confined to the control thread.
+ * <p>A value that cannot be read changes nothing: the last one that was read under its key stays in
+ * force. The catalog may be read from any thread, and its version never decreases. Everything else
+ * is confined to the control thread.
  */
 final class OperatorView implements PrefixMirror.Listener {
     private final PlatformFormats mFormats;
     private final Runnable mOnChange;
+    private final Clocks mClocks;
+    private final UnusableEntries mUnusableEntries;
     private final Map<String, PlatformFormats.OperatorItem> mItems = new HashMap<>();
     private volatile QueueCatalog mCatalog;
     private boolean mChanged;
 
-    OperatorView(PlatformFormats formats, Runnable onChange) {
+    OperatorView(
+            PlatformFormats formats, Runnable onChange, Clocks clocks, MetricRegistry metrics) {
         mFormats = formats;
         mOnChange = onChange;
+        mClocks = clocks;
+        mUnusableEntries =
+                new UnusableEntries("operator", metrics.counter("entries.unusable.operator"));
     }
 
     /** Returns the newest catalog; empty until the first one was read. */
@@ -57,12 +67,13 @@
 
     @Override
     public void onValue(StoredValue value) {
-        Optional<PlatformFormats.OperatorItem> item =
+        Either<PlatformFormats.Unusable, PlatformFormats.OperatorItem> item =
                 mFormats.operatorItem(value.key(), value.value());
-        if (item.isEmpty()) {
-            Logger.warn("operator: event=ignored key={} rev={}", value.key(), value.modRevision());
+        if (item.isLeft()) {
+            mUnusableEntries.add(value, item.getLeft().reason(), mClocks.now());
             return;
         }
+        mUnusableEntries.remove(value.key());
         mItems.put(value.key(), item.get());
         mChanged = true;
         if (item.get() instanceof PlatformFormats.OperatorItem.Catalog catalog) {
@@ -86,6 +97,7 @@
 
     @Override
     public void onRemoved(String key) {
+        mUnusableEntries.remove(key);
         mItems.remove(key);
         mChanged = true;
         Logger.info("operator: event=removed key={}", key);
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.util.NetUtil;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -24,7 +25,8 @@
  *
  * <p>The owner's live record is stored under a lease; the term, stored under a separate key, is
  * increased by each takeover in the same transaction. Invariant: at most one daemon has a given
- * term. Confined to the control thread.
+ * term. Records that another writer has damaged are replaced by the next takeover. Confined to the
+ * control thread.
  *
  * @see OwnerRole
  */
@@ -47,6 +49,8 @@
     /** Limits the delay of a takeover when no daemon was started recently. */
     private static final long MAX_AGE_DELAY_MILLIS = 120;
 
+    private static final int MAX_PORT = 65_535;
+
     private static final PrefixMirror.Options MIRROR = new PrefixMirror.Options(1_500, 0, 500);
 
     private final MetadataStore mStore;
@@ -58,6 +62,7 @@
     private final OwnershipLease mOwnershipLease = new OwnershipLease();
     private StoredValue mTermRecord;
     private StoredValue mLiveRecord;
+    private long mForeignLiveSinceMillis = Long.MAX_VALUE;
     private long mLeaseId;
     private long mOwnTerm;
     private long mStartedMillis;
@@ -143,6 +148,7 @@
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
         }
+        checkLiveRecord();
     }
 
     @Override
@@ -150,6 +156,24 @@
         if (key.equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = null;
         }
+        checkLiveRecord();
+    }
+
+    /**
+     * Notes since when the live record does not name the owner of the term. A takeover writes both
+     * in one transaction, so such a record is not the owner's.
+     */
+    private void checkLiveRecord() {
+        String owner =
+                mTermRecord == null
+                        ? ""
+                        : read(mTermRecord).map(OwnerRecord::getOwnerId).orElse("");
+        boolean foreign = mLiveRecord != null && !mLiveRecord.value().toStringUtf8().equals(owner);
+        if (!foreign) {
+            mForeignLiveSinceMillis = Long.MAX_VALUE;
+        } else if (mForeignLiveSinceMillis == Long.MAX_VALUE) {
+            mForeignLiveSinceMillis = mClocks.now();
+        }
     }
 
     @Override
@@ -170,6 +194,10 @@
 
     private void onTerm(Optional<OwnerRecord> record) {
         if (record.isEmpty()) {
+            Logger.error(
+                    "owner: event=unreadable-record key={} rev={}",
+                    StoreLayout.OWNER_TERM,
+                    mTermRecord.modRevision());
             return;
         }
         if (mOwnTerm != 0 && record.get().getTerm() > mOwnTerm) {
@@ -192,9 +220,8 @@
      * of this daemon.
      */
     private void compete() {
-        boolean vacant = mLiveRecord == null || isOfEarlierIncarnation(mLiveRecord);
         boolean holdsLiveRecord = mOwnTerm != 0 && mLiveRecord != null;
-        if (mLeaving || mAttempting || !vacant || holdsLiveRecord || !mUpToDate) {
+        if (mLeaving || mAttempting || !isVacant() || holdsLiveRecord || !mUpToDate) {
             return;
         }
         mAttempting = true;
@@ -215,13 +242,23 @@
         return Math.min(MAX_AGE_DELAY_MILLIS, byAgeMillis) + jitterMillis;
     }
 
+    /**
+     * Returns whether no daemon holds the live record; one that is not the owner's is disregarded
+     * once an owner's lease would have ended.
+     */
+    private boolean isVacant() {
+        return mLiveRecord == null
+                || isOfEarlierIncarnation(mLiveRecord)
+                || mClocks.now() - OwnershipLease.LEASE_MILLIS >= mForeignLiveSinceMillis;
+    }
+
     private boolean isOfEarlierIncarnation(StoredValue live) {
         String id = live.value().toStringUtf8();
         return id.startsWith(mSelf.host() + "/") && !id.equals(mSelf.id());
     }
 
     private void attempt() {
-        if (mLiveRecord != null && !isOfEarlierIncarnation(mLiveRecord)) {
+        if (!isVacant()) {
             mAttempting = false;
             return;
         }
@@ -244,8 +281,14 @@
     }
 
     private Vacancy vacancy() {
+        // Each term took at least one revision, so the revision of a damaged record is no lower
+        // than the term that it replaced.
         long heldTerm =
-                mTermRecord == null ? 0 : read(mTermRecord).map(OwnerRecord::getTerm).orElse(0L);
+                mTermRecord == null
+                        ? 0
+                        : read(mTermRecord)
+                                .map(OwnerRecord::getTerm)
+                                .orElse(mTermRecord.modRevision());
         return new Vacancy(
                 heldTerm,
                 mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
@@ -361,10 +404,25 @@
 
     private static Optional<OwnerRecord> read(StoredValue value) {
         try {
-            return Optional.of(OwnerRecord.parseFrom(value.value()));
+            return Optional.of(OwnerRecord.parseFrom(value.value()))
+                    .filter(record -> isPlausible(record, value.modRevision()));
         } catch (InvalidProtocolBufferException e) {
-            Logger.error(e, "owner: event=unreadable-record revision={}", value.modRevision());
             return Optional.empty();
         }
     }
+
+    /** Returns whether a daemon can have written the record at the given revision. */
+    private static boolean isPlausible(OwnerRecord record, long revision) {
+        String address = record.getAddress();
+        boolean canBeCalled =
+                address.isEmpty()
+                        || NetUtil.isValidIpV4Address(address)
+                        || NetUtil.isValidIpV6Address(address);
+        return record.getTerm() > 0
+                && record.getTerm() <= revision
+                && !record.getOwnerId().isEmpty()
+                && canBeCalled
+                && record.getPeerPort() >= 0
+                && record.getPeerPort() <= MAX_PORT;
+    }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -56,13 +56,17 @@
             long nowMillis) {
         try {
             Job job = JobRecords.decodeJob(value.value());
+            if (!StoreLayout.job(job.id()).equals(value.key())) {
+                throw new IllegalArgumentException("the record is of the other job " + job.id());
+            }
             StoredValue recorded = progress.get(StoreLayout.progress(job.id()));
             JobProgress known =
                     recorded == null
                             ? JobProgress.NONE
                             : JobRecords.decodeProgress(job.id(), recorded.value());
             scheduler.restore(job, known, nowMillis);
-        } catch (IllegalArgumentException e) {
+        } catch (RuntimeException e) {
+            // Another writer's record must not keep the other jobs from being restored.
             Logger.error(e, "owner: event=unreadable-job key={}", value.key());
         }
     }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.coordination;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,7 @@
 import org.marigoldturn.scheduling.TargetState;
 import org.marigoldturn.store.PrefixMirror;
 import org.marigoldturn.store.StoredValue;
+import org.marigoldturn.store.UnusableEntries;
 import org.tinylog.Logger;
 
 /**
@@ -52,6 +54,7 @@
     private final GroupCommit mCommits;
     private final PrefixMirror mMirror;
     private final TargetSessions mSessions;
+    private final UnusableEntries mUnusableEntries;
     private HostWork mHostWork;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
@@ -74,6 +77,9 @@
                         context.termRevision(),
                         context.onFenced());
         mSessions = new TargetSessions(context, this::mayAct, this);
+        mUnusableEntries =
+                new UnusableEntries(
+                        "target", context.metrics().counter("entries.unusable.targets"));
         mMirror =
                 new PrefixMirror(
                         context.store(),
@@ -100,6 +106,7 @@
         mMirror.close();
         mCommits.close();
         mSessions.closeAll();
+        mUnusableEntries.clear();
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -191,17 +198,20 @@
 
     @Override
     public void onValue(StoredValue value) {
-        Optional<TargetEntry> entry = mContext.formats().target(value);
-        if (entry.isEmpty()) {
-            // The formats logged the invalid entry; what is known of the target stays in use.
+        Either<PlatformFormats.Unusable, TargetEntry> entry = mContext.formats().target(value);
+        if (entry.isLeft()) {
+            // What is known of the target stays in use: another writer may have left the entry.
+            mUnusableEntries.add(value, entry.getLeft().reason(), mContext.clocks().now());
             return;
         }
+        mUnusableEntries.remove(value.key());
         updateOwnerCertain();
         mSessions.open(mScheduler.onTargetListed(entry.get()));
     }
 
     @Override
     public void onRemoved(String key) {
+        mUnusableEntries.remove(key);
         mScheduler.onTargetUnlisted(mContext.formats().targetId(key));
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/PlatformFormats.java
+++ b/core/src/main/java/org/marigoldturn/coordination/PlatformFormats.java
@@ -1,7 +1,7 @@
 package org.marigoldturn.coordination;
 
 import com.google.protobuf.ByteString;
-import java.util.Optional;
+import io.vavr.control.Either;
 import java.util.Set;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.TargetEntry;
@@ -18,17 +18,14 @@
     /** Returns the target's id for a key under {@link #targetPrefix}. */
     String targetId(String key);
 
-    /** Reads a target's entry; logs the cause and returns empty if the entry is not valid. */
-    Optional<TargetEntry> target(StoredValue value);
+    /** Reads a target's entry, or tells why it is not the entry of a target. */
+    Either<Unusable, TargetEntry> target(StoredValue value);
 
     /** Returns the prefix of the operator's keys. */
     String operatorPrefix();
 
-    /**
-     * Reads one of the operator's values; empty if its key is not known or its content is not
-     * valid.
-     */
-    Optional<OperatorItem> operatorItem(String key, ByteString value);
+    /** Reads one of the operator's values, or tells why it cannot be used. */
+    Either<Unusable, OperatorItem> operatorItem(String key, ByteString value);
 
     /** Returns the key under which the progress of a wave is reported. */
     String waveStatusKey(long wave);
@@ -36,6 +33,13 @@
     /** Returns the content of a wave's status. */
     ByteString waveStatus(boolean completed);
 
+    /**
+     * A value that cannot be used, since another writer may have left it.
+     *
+     * @param reason what is wrong with it, for log lines; it may repeat parts of the value
+     */
+    record Unusable(String reason) {}
+
     /** One of the operator's values. */
     sealed interface OperatorItem {
         /** The configuration of queues, services and accounts. */
--- a/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
+++ b/core/src/main/java/org/marigoldturn/daemon/ControlLoop.java
@@ -13,8 +13,8 @@
  * Executor with the control thread of a daemon. Control state is changed only by tasks of this
  * executor.
  *
- * <p>An exception that a task throws is logged and does not end the thread; a repeated task runs
- * again. Tasks submitted after {@link #close} are discarded. Thread safe.
+ * <p>An exception or error that a task throws is logged and does not end the thread; a repeated
+ * task runs again. Tasks submitted after {@link #close} are discarded. Thread safe.
  */
 public final class ControlLoop implements Executor, AutoCloseable {
     private final ScheduledExecutorService mExecutor;
@@ -74,7 +74,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // The executor would drop an error without a trace and end a repeated task.
                 Logger.error(e, "control: {} failed; the control thread continues.", name);
             }
         };
--- a/core/src/main/java/org/marigoldturn/jobs/JobSpec.java
+++ b/core/src/main/java/org/marigoldturn/jobs/JobSpec.java
@@ -50,13 +50,15 @@
                 }
             }
         }
-        if (tasks * occurrences > MAX_TASKS) {
+        if (tasks > MAX_TASKS / occurrences) {
             throw new IllegalArgumentException(
                     "the job has "
-                            + tasks * occurrences
-                            + " tasks over all occurrences; at most "
+                            + tasks
+                            + " tasks in each of "
+                            + occurrences
+                            + " occurrences; at most "
                             + MAX_TASKS
-                            + " are allowed");
+                            + " tasks are allowed in all");
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -93,16 +93,21 @@
     }
 
     TaskState find(TaskId id) {
-        if (id.occurrence() >= mOccurrences.size()) {
+        if (!isIndex(id.occurrence(), mOccurrences)) {
             return null;
         }
         List<StepState> steps = mOccurrences.get(id.occurrence());
-        if (id.step() >= steps.size() || id.index() >= steps.get(id.step()).tasks().size()) {
+        if (!isIndex(id.step(), steps) || !isIndex(id.index(), steps.get(id.step()).tasks())) {
             return null;
         }
         return steps.get(id.step()).tasks().get(id.index());
     }
 
+    private static boolean isIndex(int index, List<?> list) {
+        return index >= 0 && index < list.size();
+    }
+
+    /** Returns the step of a task that {@link #find} knows. */
     StepState step(TaskId id) {
         return mOccurrences.get(id.occurrence()).get(id.step());
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -23,7 +23,7 @@
      * Exceeds the CPU of any target in millicores, so that long-running tasks of one step share a
      * target only if they fit into no other target of the same rack score.
      */
-    private static final long SPREAD_WEIGHT = 1L << 30;
+    private static final long SPREAD_WEIGHT = TargetEntry.MAX_CAPACITY + 1;
 
     /** Score of a target in the preferred rack; outweighs any amount of free CPU. */
     private static final long PREFERRED_RACK_SCORE = 1L << 40;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetEntry.java
@@ -30,6 +30,12 @@
         Set<String> labels,
         ResourceAmounts capacity,
         boolean draining) {
+    /**
+     * Largest amount of a resource, in its unit; the placement of tasks relies on it, and sums over
+     * all targets cannot overflow.
+     */
+    public static final long MAX_CAPACITY = (1L << 30) - 1;
+
     public TargetEntry {
         labels = Set.copyOf(labels);
         if (id.isEmpty() || address.isEmpty()) {
@@ -40,6 +46,19 @@
                             + address
                             + "'");
         }
+        checkCapacity(capacity.cpuMillicores());
+        checkCapacity(capacity.memoryMegabytes());
+        checkCapacity(capacity.accelerators());
+    }
+
+    private static void checkCapacity(long amount) {
+        if (amount < 0 || amount > MAX_CAPACITY) {
+            throw new IllegalArgumentException(
+                    "a target's capacity must be from 0 to "
+                            + MAX_CAPACITY
+                            + " of each resource, but is "
+                            + amount);
+        }
     }
 
     /** Returns whether both entries describe the same incarnation of the same target. */
--- a/core/src/main/java/org/marigoldturn/store/PrefixMirror.java
+++ b/core/src/main/java/org/marigoldturn/store/PrefixMirror.java
@@ -15,8 +15,9 @@
  * Keeps a copy of the keys under a prefix by listing them once and then watching them.
  *
  * <p>The keys are listed again when the store no longer has all changes since the last watch. A key
- * never returns to an earlier revision. The listener is called on the control executor, and all
- * state is confined to it.
+ * never returns to an earlier revision. A listener that fails for one key is not called again for
+ * that revision of it, and all other keys are followed on. The listener is called on the control
+ * executor, and all state is confined to it.
  */
 public final class PrefixMirror {
     private static final long FIRST_RETRY_MILLIS = 100;
@@ -139,7 +140,7 @@
         for (String key : Set.copyOf(mRevisions.keySet())) {
             if (!listedKeys.contains(key)) {
                 mRevisions.remove(key);
-                mListener.onRemoved(key);
+                notifyListener(key, () -> mListener.onRemoved(key));
             }
         }
     }
@@ -174,7 +175,7 @@
         Long known = mRevisions.get(key);
         if (known != null && change.value().modRevision() > known) {
             mRevisions.remove(key);
-            mListener.onRemoved(key);
+            notifyListener(key, () -> mListener.onRemoved(key));
         }
     }
 
@@ -182,7 +183,21 @@
         Long known = mRevisions.get(value.key());
         if (known == null || value.modRevision() > known) {
             mRevisions.put(value.key(), value.modRevision());
-            mListener.onValue(value);
+            notifyListener(value.key(), () -> mListener.onValue(value));
+        }
+    }
+
+    /** Calls the listener; its failure for one key must not end the following of the others. */
+    private void notifyListener(String key, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            Logger.error(
+                    e,
+                    "store: event=listener-failed prefix={} key={} revision={}",
+                    mPrefix,
+                    SingleLine.of(key),
+                    mRevisions.get(key));
         }
     }
 
@@ -193,7 +208,7 @@
         mInterrupted = false;
         mRetryMillis = FIRST_RETRY_MILLIS;
         mAsOfMillis = Math.max(mAsOfMillis, sentMillis);
-        mListener.onUpToDate();
+        notifyListener(mPrefix, mListener::onUpToDate);
     }
 
     private <T> void whenDone(CompletableFuture<T> call, Consumer<T> onSuccess) {
@@ -235,7 +250,7 @@
                     failure.getMessage());
         }
         mInterrupted = true;
-        mListener.onInterrupted(failure);
+        notifyListener(mPrefix, () -> mListener.onInterrupted(failure));
         mDelays.after(mRetryMillis, mRevision == 0 ? this::relist : this::watch);
         mRetryMillis = Math.min(2 * mRetryMillis, mOptions.maxRetryMillis());
     }
--- a/core/src/test/java/org/marigoldturn/coordination/EmptyFormats.java
+++ b/core/src/test/java/org/marigoldturn/coordination/EmptyFormats.java
@@ -1,7 +1,7 @@
 package org.marigoldturn.coordination;
 
 import com.google.protobuf.ByteString;
-import java.util.Optional;
+import io.vavr.control.Either;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.store.StoredValue;
 
@@ -18,8 +18,8 @@
     }
 
     @Override
-    public Optional<TargetEntry> target(StoredValue value) {
-        return Optional.empty();
+    public Either<Unusable, TargetEntry> target(StoredValue value) {
+        return Either.left(new Unusable("no entry is readable"));
     }
 
     @Override
@@ -28,8 +28,8 @@
     }
 
     @Override
-    public Optional<OperatorItem> operatorItem(String key, ByteString value) {
-        return Optional.empty();
+    public Either<Unusable, OperatorItem> operatorItem(String key, ByteString value) {
+        return Either.left(new Unusable("no value is readable"));
     }
 
     @Override
--- a/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
@@ -22,7 +22,10 @@
     private final TreeMap<String, StoredValue> mValues = new TreeMap<>();
     private final Map<String, Long> mLeaseOf = new TreeMap<>();
     private final List<Change> mChanges = new ArrayList<>();
-    private long mRevision = 1;
+
+    /** Exceeds the terms that tests use: each takeover of a real history took a revision. */
+    private long mRevision = 100;
+
     private long mLastLease;
     private int mResponsesToLose;
     private Runnable mBeforeGrant = () -> {};
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -70,6 +70,39 @@
         assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(2);
     }
 
+    @Example
+    void damagedTermIsReplacedByAHigherOne() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(90), 0);
+        mStore.put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("\u0008garbage"), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isGreaterThan(90);
+    }
+
+    @Example
+    void termThatNoHistoryCanHaveReachedIsNotCounted() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(Long.MAX_VALUE), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isBetween(1L, 1_000L);
+    }
+
+    @Example
+    void liveRecordThatIsNotTheOwnersIsReplacedAfterALease() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(3), 0);
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("another writer"), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(4);
+    }
+
+    @Example
+    void ownerWithAnAddressThatCannotBeCalledIsNotFollowed() throws InterruptedException {
+        OwnerRecord.Builder odd = OwnerRecord.newBuilder().setTerm(3).setOwnerId("host-2/b");
+        mStore.put(StoreLayout.OWNER_TERM, odd.setPeerPort(99_999).build().toByteString(), 0);
+        mControl.execute(mElection::start);
+        OwnerRecord first = mOwners.poll(20, TimeUnit.SECONDS);
+        assertThat(first).isNotNull();
+        assertThat(first.getOwnerId()).isEqualTo(SELF.id());
+    }
+
     private void awaitOwnerSeen() {
         try {
             assertThat(mOwners.poll(20, TimeUnit.SECONDS)).isNotNull();
--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -107,6 +107,11 @@
                 () -> mClient.get(ready).aggregate().join().status().code() == 200);
     }
 
+    /** Returns the client of this fleet. */
+    public WebClient client() {
+        return mClient;
+    }
+
     /** Returns a daemon's process. */
     public ChildProcess daemon(int index) {
         return mDaemons.get(index);
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -60,6 +60,11 @@
         mStore.put(key, text);
     }
 
+    /** Writes any bytes, as another writer may do. */
+    public void put(String key, byte[] value) {
+        mStore.put(key, value);
+    }
+
     /** Deletes a key as the operator does. */
     public void delete(String key) {
         mStore.delete(key);
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInStore.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInStore.java
@@ -128,8 +128,13 @@
 
     /** Writes a text as the operator or a target would. */
     synchronized void put(String key, String text) {
+        put(key, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Writes bytes as any writer would. */
+    synchronized void put(String key, byte[] value) {
         mRevision++;
-        put(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0);
+        put(key, Base64.getEncoder().encodeToString(value), 0);
         notifyAll();
     }
 
