Pace scheduling passes and keep them from walking what does not wait

Each end and each answer asked for a pass at once; a pass walked all tasks of all active jobs, copied the runs of all targets and, after a takeover, checked all targets again for each restored job, so passes were dearest just after a change of the owner under load. Change: SchedulingPace leaves 10 ms between the beginnings of passes and three times a pass's duration after it; steps know whether they are done; only jobs with a step that can start are looked at; restored jobs are checked once a service and pass; hosts are found without copies of the table; old jobs are forgotten without one. Ruled out: that scheduling alone binds: I/O and the compiler use more together. It still falls over: the cost of the calls to the targets in one process binds.

--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -367,11 +367,6 @@
     }
 
     private TargetState targetOn(String host) {
-        for (TargetState target : mScheduler.targets()) {
-            if (target.entry().hostId().equals(host) && target.isListed()) {
-                return target;
-            }
-        }
-        return null;
+        return mScheduler.targetOn(host).orElse(null);
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -10,6 +10,7 @@
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.SchedulingPace;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetState;
 import org.marigoldturn.store.PrefixMirror;
@@ -55,6 +56,7 @@
     private final PrefixMirror mMirror;
     private final TargetSessions mSessions;
     private final UnusableEntries mUnusableEntries;
+    private final SchedulingPace mPace = new SchedulingPace();
     private HostWork mHostWork;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
@@ -230,7 +232,7 @@
      * capacity.
      */
     private void serveOnceTargetsHaveReported() {
-        if (mTargetListComplete && countUnreportedTargets() == 0) {
+        if (!mServing && mTargetListComplete && countUnreportedTargets() == 0) {
             serve();
         }
     }
@@ -335,7 +337,7 @@
         mSessions.retain(mScheduler.targets());
         forgetOldJobs();
         logMayActChange();
-        runScheduler();
+        requestScheduling();
     }
 
     /**
@@ -373,12 +375,21 @@
         }
     }
 
-    /** Runs the scheduler once after the events that are waiting on the control thread. */
+    /**
+     * Runs the scheduler once after the events that are waiting on the control thread, or when its
+     * pace allows the next pass.
+     */
     @Override
     public void requestScheduling() {
-        if (!mSchedulingRequested && !mClosed) {
-            mSchedulingRequested = true;
+        if (mSchedulingRequested || mClosed) {
+            return;
+        }
+        mSchedulingRequested = true;
+        long delayMillis = mPace.delayMillis(mContext.clocks().now());
+        if (delayMillis == 0) {
             mContext.control().execute(this::runScheduler);
+        } else {
+            mContext.control().after("scheduling pass", delayMillis, this::runScheduler);
         }
     }
 
@@ -397,5 +408,6 @@
             mOrders.send(order, now);
         }
         mAdvice.run(now);
+        mPace.onPass(now, mContext.clocks().now());
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -40,6 +40,7 @@
     private final Map<String, Transfer> mTransfers = new HashMap<>();
     private final Map<String, Long> mIdleSinceMillis = new HashMap<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
+    private long mAssumedCpuMillicores;
     private boolean mListing;
 
     /** A move that was ordered and whose target has not appeared yet. */
@@ -63,6 +64,7 @@
         }
         String standby = catalog.standbyServices().iterator().next();
         readHosts(catalog, nowMillis);
+        mAssumedCpuMillicores = leastCpuMillicores();
         List<LoanPolicy.SpareHost> movable = new ArrayList<>();
         for (String host : mSpare) {
             followTransfer(host, nowMillis);
@@ -109,7 +111,7 @@
             return onStandby
                     ? Optional.of(
                             new LoanPolicy.SpareHost(
-                                    host, standby, assumedCpuMillicores(), nowMillis))
+                                    host, standby, mAssumedCpuMillicores, nowMillis))
                     : Optional.empty();
         }
         if (!target.isIdle() || !target.isReachable()) {
@@ -129,7 +131,7 @@
         Map<String, ResourceAmounts> incoming = new HashMap<>();
         for (Transfer transfer : mTransfers.values()) {
             if (!transfer.toPool().equals(standby)) {
-                ResourceAmounts capacity = new ResourceAmounts(assumedCpuMillicores(), 0, 0);
+                ResourceAmounts capacity = new ResourceAmounts(mAssumedCpuMillicores, 0, 0);
                 incoming.merge(transfer.toPool(), capacity, ResourceAmounts::plus);
             }
         }
@@ -137,10 +139,10 @@
     }
 
     /**
-     * Returns the CPU capacity assumed of a host on standby, which has no target: the least of all
-     * targets.
+     * Returns the least CPU capacity of all targets, which is assumed of a host on standby, since
+     * it has no target.
      */
-    private long assumedCpuMillicores() {
+    private long leastCpuMillicores() {
         return mScheduler.targets().stream()
                 .mapToLong(target -> target.entry().capacity().cpuMillicores())
                 .min()
@@ -247,11 +249,6 @@
     }
 
     private TargetState targetOn(String host) {
-        for (TargetState target : mScheduler.targets()) {
-            if (target.entry().hostId().equals(host) && target.isListed()) {
-                return target;
-            }
-        }
-        return null;
+        return mScheduler.targetOn(host).orElse(null);
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -91,7 +91,7 @@
             List<TargetState> targets,
             Collection<JobEntry> jobsAhead,
             long epochMillis) {
-        if (jobsAhead.stream().anyMatch(job -> job.hasReadyWaitingTask(epochMillis))) {
+        if (jobsAhead.stream().anyMatch(job -> job.hasStartableStep(epochMillis))) {
             return false;
         }
         long sum = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/AdvicePlanner.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdvicePlanner.java
@@ -50,7 +50,7 @@
                 continue;
             }
             List<TargetState> targets = mTargets.usable(queue.get().service(), nowMillis);
-            for (StepState step : job.readySteps(dueEpochMillis)) {
+            for (StepState step : job.startableSteps(dueEpochMillis)) {
                 Optional<AdviceRequest> request = request(step, advice.get(), targets, nowMillis);
                 if (request.isPresent()) {
                     return request;
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -14,6 +14,7 @@
     private final long mAcceptedMillis;
     private final boolean mRestored;
     private final List<List<StepState>> mOccurrences = new ArrayList<>();
+    private final List<StepState> mAllSteps = new ArrayList<>();
     private boolean mStored;
     private boolean mStarted;
     private JobState mFinalState;
@@ -37,6 +38,7 @@
                 steps.add(new StepState(this, k, s));
             }
             mOccurrences.add(steps);
+            mAllSteps.addAll(steps);
         }
     }
 
@@ -112,20 +114,31 @@
         return mOccurrences.get(id.occurrence()).get(id.step());
     }
 
-    /** Returns the steps that are due and whose earlier steps are all done. */
-    List<StepState> readySteps(long epochMillis) {
-        List<StepState> ready = new ArrayList<>();
-        for (int k = 0; k < mOccurrences.size(); k++) {
-            if (mJob.spec().dueEpochMillis(k) > epochMillis) {
-                continue;
+    /** Returns the steps with a waiting task that are due and whose earlier steps are all done. */
+    List<StepState> startableSteps(long epochMillis) {
+        List<StepState> startable = new ArrayList<>();
+        for (StepState step : mAllSteps) {
+            if (isStartable(step, epochMillis)) {
+                startable.add(step);
             }
-            for (StepState step : mOccurrences.get(k)) {
-                if (isReady(step)) {
-                    ready.add(step);
-                }
+        }
+        return startable;
+    }
+
+    /** Returns whether {@link #startableSteps} has a step. */
+    boolean hasStartableStep(long epochMillis) {
+        for (StepState step : mAllSteps) {
+            if (isStartable(step, epochMillis)) {
+                return true;
             }
         }
-        return ready;
+        return false;
+    }
+
+    private boolean isStartable(StepState step, long epochMillis) {
+        return step.hasWaitingTask()
+                && mJob.spec().dueEpochMillis(step.occurrence()) <= epochMillis
+                && isReady(step);
     }
 
     private boolean isReady(StepState step) {
@@ -138,13 +151,11 @@
     }
 
     List<StepState> allSteps() {
-        List<StepState> all = new ArrayList<>();
-        mOccurrences.forEach(all::addAll);
-        return all;
+        return mAllSteps;
     }
 
     boolean isDone() {
-        return allSteps().stream().allMatch(StepState::isDone);
+        return mAllSteps.stream().allMatch(StepState::isDone);
     }
 
     List<Run> runs() {
@@ -162,7 +173,7 @@
     long waitingCoreMillis() {
         long sum = 0;
         for (StepState step : allSteps()) {
-            if (step.spec().traits().longRunning()) {
+            if (step.spec().traits().longRunning() || step.isDone()) {
                 continue;
             }
             long each =
@@ -183,7 +194,7 @@
     long runningCoreMillis() {
         long sum = 0;
         for (StepState step : allSteps()) {
-            if (step.spec().traits().longRunning()) {
+            if (step.spec().traits().longRunning() || step.isDone()) {
                 continue;
             }
             long each =
@@ -197,16 +208,6 @@
         return sum;
     }
 
-    /** Returns whether a step that is ready to start has a waiting task. */
-    boolean hasReadyWaitingTask(long epochMillis) {
-        for (StepState step : readySteps(epochMillis)) {
-            if (!step.waitingTasks().isEmpty()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     JobProgress progress() {
         List<JobProgress.TaskProgress> tasks = new ArrayList<>();
         for (StepState step : allSteps()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -112,6 +112,11 @@
         return mTargets.all();
     }
 
+    /** Returns the listed target on a host; empty if none is known. */
+    public Optional<TargetState> targetOn(String hostId) {
+        return mTargets.listedOn(hostId);
+    }
+
     /** Returns the rules that decide whether planned work may end the runs on a target. */
     public InterruptionRules interruptions() {
         return mInterruptions;
@@ -253,16 +258,26 @@
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
         Map<String, List<TargetState>> targets = new HashMap<>();
+        Map<String, Boolean> mayStartRestored = new HashMap<>();
         Placer placer = new Placer();
+        long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
         for (JobEntry job : mJobs.active()) {
+            if (!job.isStored() || !job.hasStartableStep(dueEpochMillis)) {
+                continue;
+            }
             Optional<String> service = serviceOf(job);
-            if (!job.isStored() || service.isEmpty() || !mayStart(job, service.get(), nowMillis)) {
+            if (service.isEmpty()) {
+                continue;
+            }
+            if (job.isRestored()
+                    && !mayStartRestored.computeIfAbsent(
+                            service.get(), s -> mayStartRestored(s, nowMillis))) {
                 continue;
             }
             List<TargetState> candidates =
                     targets.computeIfAbsent(service.get(), s -> mTargets.usable(s, nowMillis));
             boolean advised = needsTicket(job);
-            for (StepState step : job.readySteps(epochMillis - DUE_MARGIN_MILLIS)) {
+            for (StepState step : job.startableSteps(dueEpochMillis)) {
                 List<TargetState> allowed =
                         advised ? AdvicePlanner.allowed(step, candidates, nowMillis) : candidates;
                 startStep(step, allowed, placer, nowMillis, orders);
@@ -366,15 +381,12 @@
         return mCatalog.account(step.job().job().account());
     }
 
-    /** Returns whether a job may start: no unknown run of an earlier owner can exist. */
-    private boolean mayStart(JobEntry job, String service, long nowMillis) {
-        if (!job.isRestored()) {
-            return true;
-        }
-        return nowMillis >= mRestoredHeldUntilMillis
-                && mTargets.all().stream()
-                        .filter(target -> target.entry().service().equals(service))
-                        .allMatch(target -> knowsRuns(target, nowMillis));
+    /**
+     * Returns whether restored jobs of a service may start: no unknown run of an earlier owner can
+     * exist on its targets.
+     */
+    private boolean mayStartRestored(String service, long nowMillis) {
+        return nowMillis >= mRestoredHeldUntilMillis && mTargets.knowsAllRuns(service, nowMillis);
     }
 
     private long nextRunNumber(TaskState task) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -46,12 +46,16 @@
     /** Forgets jobs that ended before the given wall-clock time and returns their ids. */
     List<String> forgetEndedBefore(long epochMillis) {
         List<String> forgotten = new ArrayList<>();
-        for (JobEntry entry : List.copyOf(mJobs.values())) {
-            if (!entry.isActive() && entry.finishedEpochMillis() < epochMillis) {
-                mJobs.remove(entry.job().id());
-                forgotten.add(entry.job().id());
-            }
-        }
+        mJobs.values()
+                .removeIf(
+                        entry -> {
+                            boolean old =
+                                    !entry.isActive() && entry.finishedEpochMillis() < epochMillis;
+                            if (old) {
+                                forgotten.add(entry.job().id());
+                            }
+                            return old;
+                        });
         return forgotten;
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
@@ -63,7 +63,7 @@
             boolean overdue = nowMillis - entry.acceptedMillis() >= LACKS_HOST_MILLIS;
             if (overdue
                     && entry.job().spec().isLongRunning()
-                    && entry.hasReadyWaitingTask(epochMillis)) {
+                    && entry.hasStartableStep(epochMillis)) {
                 lacksHost.add(service.get());
             }
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -13,6 +13,7 @@
     private final int mNumber;
     private final List<TaskState> mTasks = new ArrayList<>();
     private final StepAdvice mAdvice = new StepAdvice();
+    private int mDoneTasks;
 
     StepState(JobEntry job, int occurrence, int number) {
         mJob = job;
@@ -20,7 +21,8 @@
         mOccurrence = occurrence;
         mNumber = number;
         for (int i = 0; i < mSpec.taskCount(); i++) {
-            mTasks.add(new TaskState(new TaskId(job.job().id(), occurrence, number, i)));
+            TaskId id = new TaskId(job.job().id(), occurrence, number, i);
+            mTasks.add(new TaskState(id, () -> mDoneTasks++));
         }
     }
 
@@ -49,7 +51,19 @@
     }
 
     boolean isDone() {
-        return mTasks.stream().allMatch(TaskState::isDone);
+        return mDoneTasks == mTasks.size();
+    }
+
+    boolean hasWaitingTask() {
+        if (isDone()) {
+            return false;
+        }
+        for (TaskState task : mTasks) {
+            if (task.isWaiting()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns the tasks that are not done, not held and have no run. */
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.TaskId;
 
@@ -94,6 +95,13 @@
         return all;
     }
 
+    /** Passes all runs that may exist there; the action must not add or remove runs. */
+    void forEachRun(Consumer<Run> action) {
+        for (List<Run> runs : mRuns.values()) {
+            runs.forEach(action);
+        }
+    }
+
     /** Returns whether no run can exist there. */
     public boolean isIdle() {
         return mRuns.isEmpty();
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /** Holds the state of all known targets. Confined to the control thread. */
@@ -108,11 +109,12 @@
     List<Order> beginStops(long nowMillis) {
         List<Order> stops = new ArrayList<>();
         for (TargetState target : mTargets.values()) {
-            for (Run run : target.runs()) {
-                if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
-                    stops.add(new Order.Stop(run));
-                }
-            }
+            target.forEachRun(
+                    run -> {
+                        if (run.beginStop(nowMillis, STOP_RETRY_MILLIS)) {
+                            stops.add(new Order.Stop(run));
+                        }
+                    });
         }
         return stops;
     }
@@ -125,6 +127,26 @@
         return target.hasReported() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
     }
 
+    /** Returns whether {@link #knowsRuns} holds for all targets of a service. */
+    boolean knowsAllRuns(String service, long nowMillis) {
+        for (TargetState target : mTargets.values()) {
+            if (target.entry().service().equals(service) && !knowsRuns(target, nowMillis)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the listed target on a host; empty if none is known. */
+    Optional<TargetState> listedOn(String hostId) {
+        for (TargetState target : mTargets.values()) {
+            if (target.isListed() && target.entry().hostId().equals(hostId)) {
+                return Optional.of(target);
+            }
+        }
+        return Optional.empty();
+    }
+
     /** Returns the targets of a service on which new tasks may start. */
     List<TargetState> usable(String service, long nowMillis) {
         List<TargetState> usable = new ArrayList<>();
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -4,9 +4,13 @@
 import java.util.List;
 import org.marigoldturn.jobs.TaskId;
 
-/** Mutable state of one task over all its runs. Confined to the control thread. */
+/**
+ * Mutable state of one task over all its runs; tells its step when it is done. Confined to the
+ * control thread.
+ */
 final class TaskState {
     private final TaskId mId;
+    private final Runnable mOnDone;
     private final List<Run> mRuns = new ArrayList<>(1);
     private boolean mDone;
     private boolean mHeld;
@@ -14,8 +18,9 @@
     private long mLastRunNumber;
     private String mCheckpoint = "";
 
-    TaskState(TaskId id) {
+    TaskState(TaskId id, Runnable onDone) {
         mId = id;
+        mOnDone = onDone;
     }
 
     TaskId id() {
@@ -48,7 +53,10 @@
     }
 
     void markDone() {
-        mDone = true;
+        if (!mDone) {
+            mDone = true;
+            mOnDone.run();
+        }
     }
 
     void addFailure() {
@@ -62,7 +70,9 @@
     }
 
     void restore(boolean done, int failedRuns, String checkpoint) {
-        mDone = done;
+        if (done) {
+            markDone();
+        }
         mFailedRuns = failedRuns;
         mCheckpoint = checkpoint;
     }
