Replace an owner whose process has ended without waiting for its lease

Change: the peers' transport already reports a refused connection, or another daemon at the address; the election takes that as evidence that the owner has ended and takes over under the next term. At most once in 10 s, so that two daemons that reach the store but not each other don't take the ownership from each other in turn. Ruled out: a shorter lease, which would also depose owners of a slow store. OwnerElectionTest plays evidence of the owner, of others and repeated.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -205,7 +205,7 @@
                                 token,
                                 new InetSocketAddress(mSelf.address(), mSelf.peerPort())),
                         (sender, message) -> mService.onPeerCall(message),
-                        new NoOpPeerListener(),
+                        new EndedPeerListener(),
                         mMetrics);
         mPeers.start();
         mService.setPeers(mPeers);
@@ -267,9 +267,10 @@
     }
 
     /**
-     * Ignores the transport's reports about members and their versions, which are not used here.
+     * Passes evidence of ended daemons on to the election; the versions that members report are not
+     * used here.
      */
-    private static final class NoOpPeerListener implements PeerListener {
+    private final class EndedPeerListener implements PeerListener {
         @Override
         public long heldVersion() {
             return 0;
@@ -282,9 +283,13 @@
         public void onPing(String senderId, long version) {}
 
         @Override
-        public void onConnectionRefused(String memberId) {}
+        public void onConnectionRefused(String memberId) {
+            mControl.execute(() -> mElection.onDaemonEnded(memberId));
+        }
 
         @Override
-        public void onAddressTaken(String memberId, String actualId) {}
+        public void onAddressTaken(String memberId, String actualId) {
+            mControl.execute(() -> mElection.onDaemonEnded(memberId));
+        }
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -49,6 +49,12 @@
     /** Limits the delay of a takeover when no daemon was started recently. */
     private static final long MAX_AGE_DELAY_MILLIS = 120;
 
+    /**
+     * Shortest time between two takeovers because of an owner that has ended. Two daemons that
+     * reach the store but not each other must not take the ownership from each other in turn.
+     */
+    private static final long ENDED_OWNER_INTERVAL_MILLIS = 10_000;
+
     private static final int MAX_PORT = 65_535;
 
     private static final PrefixMirror.Options MIRROR = new PrefixMirror.Options(1_500, 0, 500);
@@ -63,6 +69,8 @@
     private StoredValue mTermRecord;
     private StoredValue mLiveRecord;
     private long mForeignLiveSinceMillis = Long.MAX_VALUE;
+    private String mEndedOwnerId = "";
+    private long mOwnerEndedMillis = Long.MIN_VALUE / 2;
     private long mLeaseId;
     private long mOwnTerm;
     private long mStartedMillis;
@@ -140,6 +148,25 @@
         depose("a newer owner was seen");
     }
 
+    /**
+     * Records evidence that a daemon's process has ended: its address refuses connections or
+     * belongs to another daemon. If it is the owner, its lease in the store is not waited for;
+     * should it be alive after all, the higher term fences it.
+     */
+    void onDaemonEnded(String id) {
+        boolean isOwner = mLiveRecord != null && mLiveRecord.value().toStringUtf8().equals(id);
+        long now = mClocks.now();
+        if (!isOwner
+                || id.equals(mEndedOwnerId)
+                || now - mOwnerEndedMillis < ENDED_OWNER_INTERVAL_MILLIS) {
+            return;
+        }
+        Logger.info("owner: event=ended owner={}", id);
+        mEndedOwnerId = id;
+        mOwnerEndedMillis = now;
+        compete();
+    }
+
     @Override
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
@@ -249,6 +276,7 @@
     private boolean isVacant() {
         return mLiveRecord == null
                 || isOfEarlierIncarnation(mLiveRecord)
+                || mLiveRecord.value().toStringUtf8().equals(mEndedOwnerId)
                 || mClocks.now() - OwnershipLease.LEASE_MILLIS >= mForeignLiveSinceMillis;
     }
 
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -103,6 +103,47 @@
         assertThat(first.getOwnerId()).isEqualTo(SELF.id());
     }
 
+    @Example
+    void ownershipOfAnEndedDaemonIsTakenBeforeItsLeaseEnds() throws InterruptedException {
+        startBesideOwner();
+        mControl.execute(() -> mElection.onDaemonEnded("host-3/c"));
+        assertThat(mElected.poll(500, TimeUnit.MILLISECONDS)).isNull();
+        mControl.execute(() -> mElection.onDaemonEnded("host-2/b"));
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(4);
+    }
+
+    @Example
+    void ownershipIsNotTakenAgainSoonAfterAnEndedDaemon() throws InterruptedException {
+        startBesideOwner();
+        mControl.execute(() -> mElection.onDaemonEnded("host-2/b"));
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(4);
+        mStore.put(StoreLayout.OWNER_TERM, record(5), 0);
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-2/b"), 99);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(-1);
+        mStore.put(StoreLayout.OWNER_TERM, record(6, "host-4/d"), 0);
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-4/d"), 99);
+        awaitOwner("host-4/d");
+        mControl.execute(() -> mElection.onDaemonEnded("host-4/d"));
+        assertThat(mElected.poll(500, TimeUnit.MILLISECONDS)).isNull();
+    }
+
+    private void startBesideOwner() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(3), 0);
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-2/b"), 99);
+        mControl.execute(mElection::start);
+        awaitOwner("host-2/b");
+        // The live record arrives with or after the term.
+        Thread.sleep(200);
+    }
+
+    private void awaitOwner(String id) throws InterruptedException {
+        OwnerRecord owner = mOwners.poll(20, TimeUnit.SECONDS);
+        while (owner != null && !owner.getOwnerId().equals(id)) {
+            owner = mOwners.poll(20, TimeUnit.SECONDS);
+        }
+        assertThat(owner).as("the record of owner " + id).isNotNull();
+    }
+
     private void awaitOwnerSeen() {
         try {
             assertThat(mOwners.poll(20, TimeUnit.SECONDS)).isNotNull();
@@ -112,7 +153,11 @@
     }
 
     private static ByteString record(long term) {
-        return OwnerRecord.newBuilder().setTerm(term).setOwnerId("host-2/b").build().toByteString();
+        return record(term, "host-2/b");
+    }
+
+    private static ByteString record(long term, String ownerId) {
+        return OwnerRecord.newBuilder().setTerm(term).setOwnerId(ownerId).build().toByteString();
     }
 
     @Override
