Let daemons on fast hosts take the ownership first

Change: a daemon takes a vacant ownership later by 250 ms for each core that its host has below one (share of a core times its speed, from the platform's settings). On sites with hosts of one size all are delayed alike, by 63 ms at 0.75 of a core. Ruled out: an order by cores known from the records of others, which costs a record a daemon.

--- a/core/src/main/java/org/marigoldturn/coordination/DaemonIdentity.java
+++ b/core/src/main/java/org/marigoldturn/coordination/DaemonIdentity.java
@@ -8,5 +8,7 @@
  * @param zone its availability zone
  * @param address IP address at which peers reach it
  * @param peerPort port of the peer protocol
+ * @param cores processing power of its host, in cores
  */
-public record DaemonIdentity(String host, String id, String zone, String address, int peerPort) {}
+public record DaemonIdentity(
+        String host, String id, String zone, String address, int peerPort, double cores) {}
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -49,6 +49,15 @@
     /** Limits the delay of a takeover when no daemon was started recently. */
     private static final long MAX_AGE_DELAY_MILLIS = 120;
 
+    /**
+     * Delay of a takeover attempt for each core that a daemon's host has less than {@link
+     * #AMPLE_CORES}. One owner serves all targets, and a slow one takes long to read them.
+     */
+    private static final double DELAY_MILLIS_PER_MISSING_CORE = 250;
+
+    /** Cores beyond these give a daemon no further advantage. */
+    private static final double AMPLE_CORES = 1.0;
+
     /**
      * Shortest time between two takeovers because of an owner that has ended. Two daemons that
      * reach the store but not each other must not take the ownership from each other in turn.
@@ -256,17 +265,20 @@
         long delayMillis =
                 mOwnTerm != 0
                         ? 0
-                        : attemptDelayMillis(mClocks.now() - mStartedMillis, jitterMillis);
+                        : attemptDelayMillis(
+                                mClocks.now() - mStartedMillis, mSelf.cores(), jitterMillis);
         mControl.after("owner attempt", delayMillis, this::attempt);
     }
 
     /**
-     * Returns how long a daemon of the given age waits before it attempts to take over a vacant
-     * ownership.
+     * Returns how long a daemon of the given age on a host with the given cores waits before it
+     * attempts to take over a vacant ownership.
      */
-    static long attemptDelayMillis(long ageMillis, long jitterMillis) {
+    static long attemptDelayMillis(long ageMillis, double cores, long jitterMillis) {
         long byAgeMillis = ageMillis * AGE_DELAY_MILLIS_PER_SECOND / 1_000;
-        return Math.min(MAX_AGE_DELAY_MILLIS, byAgeMillis) + jitterMillis;
+        double missingCores = Math.max(0, AMPLE_CORES - cores);
+        long byCoresMillis = Math.round(missingCores * DELAY_MILLIS_PER_MISSING_CORE);
+        return Math.min(MAX_AGE_DELAY_MILLIS, byAgeMillis) + byCoresMillis + jitterMillis;
     }
 
     /**
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -157,7 +157,7 @@
         GroupCommit commits = new GroupCommit(new MemoryStore(), mControl, mClocks, 1, () -> {});
         OwnerContext context =
                 new OwnerContext(
-                        new DaemonIdentity("front-1", "front-1/a", "z", "127.0.0.1", 1),
+                        new DaemonIdentity("front-1", "front-1/a", "z", "127.0.0.1", 1, 1.0),
                         2,
                         1,
                         new MemoryStore(),
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -19,7 +19,7 @@
  */
 class OwnerElectionTest implements OwnerElection.Listener {
     private static final DaemonIdentity SELF =
-            new DaemonIdentity("host-1", "host-1/a", "z1", "127.0.0.1", 7000);
+            new DaemonIdentity("host-1", "host-1/a", "z1", "127.0.0.1", 7000, 1.0);
 
     private final ControlLoop mControl = new ControlLoop();
     private final MemoryStore mStore = new MemoryStore();
@@ -35,9 +35,17 @@
 
     @Example
     void youngDaemonAttemptsBeforeOldOnesWhateverTheJitter() {
-        long notYet = OwnerElection.attemptDelayMillis(16_000, 0);
-        assertThat(OwnerElection.attemptDelayMillis(1_000, 59)).isLessThan(notYet);
-        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 0)).isLessThanOrEqualTo(120);
+        long notYet = OwnerElection.attemptDelayMillis(16_000, 0.75, 0);
+        assertThat(OwnerElection.attemptDelayMillis(1_000, 0.75, 59)).isLessThan(notYet);
+        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 1.0, 0)).isLessThanOrEqualTo(120);
+    }
+
+    @Example
+    void daemonOnAFastHostAttemptsBeforeOneOfTheSameAgeOnASlowHostWhateverTheJitter() {
+        long slow = OwnerElection.attemptDelayMillis(5_000, 0.36, 0);
+        assertThat(OwnerElection.attemptDelayMillis(5_000, 0.75, 59)).isLessThan(slow);
+        assertThat(OwnerElection.attemptDelayMillis(5_000, 1.5, 59)).isLessThan(slow);
+        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 0.01, 59)).isLessThan(500);
     }
 
     @Example
