Open few first polls at a time after a takeover

Change: TargetSessions keeps at most 16 first polls open; a poll that ends, with or without an answer, lets the next one begin.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -42,6 +42,7 @@
     private boolean mClockKnown;
     private long mRecordedEnd;
     private boolean mPollOpen;
+    private Runnable mOnFirstPoll = () -> {};
     private long mPollCycle;
     private CompletableFuture<Void> mStored = CompletableFuture.completedFuture(null);
     private boolean mClosed;
@@ -86,7 +87,13 @@
         return mTarget;
     }
 
-    void start() {
+    /**
+     * Starts to poll.
+     *
+     * @param onFirstPoll to be run once the first poll has ended, with or without a response
+     */
+    void start(Runnable onFirstPoll) {
+        mOnFirstPoll = onFirstPoll;
         poll();
     }
 
@@ -132,6 +139,7 @@
                                 mControl.execute(
                                         () -> {
                                             mPollOpen = false;
+                                            onFirstPollEnded();
                                             if (mClosed) {
                                                 return;
                                             }
@@ -143,6 +151,12 @@
                                         }));
     }
 
+    private void onFirstPollEnded() {
+        Runnable onFirstPoll = mOnFirstPoll;
+        mOnFirstPoll = () -> {};
+        onFirstPoll.run();
+    }
+
     /**
      * Stops a run whose start was never answered, so that a late order cannot start it under a
      * renewed lease.
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
@@ -1,6 +1,8 @@
 package org.marigoldturn.coordination;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -11,14 +13,25 @@
 import org.tinylog.Logger;
 
 /**
- * Holds the target sessions of one owner, one for each incarnation of a target. Confined to the
- * control thread.
+ * Holds the target sessions of one owner, one for each incarnation of a target.
+ *
+ * <p>After a takeover all targets are to be read at once. Few first polls are open at a time, so
+ * that the renewals of the owner's own lease and of the leases of targets that were read do not
+ * wait behind hundreds of new connections. Confined to the control thread.
  */
 final class TargetSessions {
+    /**
+     * First polls that are open at a time; enough to keep the process busy, since each takes one
+     * round trip and the opening of a connection.
+     */
+    static final int MAX_FIRST_POLLS = 16;
+
     private final OwnerContext mContext;
     private final BooleanSupplier mMayRenew;
     private final TargetSession.Callbacks mCallbacks;
     private final Map<TargetState, TargetSession> mSessions = new HashMap<>();
+    private final Deque<TargetSession> mUnstarted = new ArrayDeque<>();
+    private int mOpenFirstPolls;
 
     TargetSessions(
             OwnerContext context, BooleanSupplier mayRenew, TargetSession.Callbacks callbacks) {
@@ -54,7 +67,22 @@
                 target.entry().zone(),
                 target.entry().rack(),
                 target.entry().hostId());
-        session.start();
+        mUnstarted.add(session);
+        startNext();
+    }
+
+    private void startNext() {
+        while (mOpenFirstPolls < MAX_FIRST_POLLS && !mUnstarted.isEmpty()) {
+            TargetSession session = mUnstarted.remove();
+            if (mSessions.get(session.target()) == session) {
+                mOpenFirstPolls++;
+                session.start(
+                        () -> {
+                            mOpenFirstPolls--;
+                            startNext();
+                        });
+            }
+        }
     }
 
     /**
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -110,7 +110,7 @@
         TargetSession session =
                 new TargetSession(
                         mTarget, mClient, mControl, mClocks, 1, 4_000, () -> mMayRenew, this);
-        mControl.execute(session::start);
+        mControl.execute(() -> session.start(() -> {}));
     }
 
     private TargetClient.PollRequest nextPoll() throws InterruptedException {
