--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -49,7 +49,7 @@
     private void send(Order.Start start, long now) {
         Run run = start.run();
         long lease = mSessions.grantLease(run.target(), now);
-        logRun("start", run);
+        RunLog.logOrder("start", run);
         mContext.targets()
                 .start(run.target().entry(), start, mContext.term(), lease)
                 .whenComplete(
@@ -81,7 +81,7 @@
 
     private void send(Order.Stop stop) {
         Run run = stop.run();
-        logRun("stop", run);
+        RunLog.logOrder("stop", run);
         mContext.targets()
                 .stop(run.target().entry(), run, mContext.term())
                 .whenComplete(
@@ -95,18 +95,6 @@
                                                                 mContext.clocks().now())));
     }
 
-    private static void logRun(String event, Run run) {
-        Logger.info(
-                "run: event={} id={} task={}.{}.{} run={} target={}",
-                event,
-                run.task().jobId(),
-                run.task().occurrence(),
-                run.task().step(),
-                run.task().index(),
-                run.number(),
-                run.target().entry().id());
-    }
-
     private void count(String name) {
         mContext.metrics().counter(MetricRegistry.name(name)).inc();
     }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -1,14 +1,11 @@
 package org.marigoldturn.coordination;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.util.NetUtil;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ThreadLocalRandom;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.jobs.wire.OwnerRecord;
 import org.marigoldturn.store.Compare;
@@ -34,38 +31,12 @@
     /** Three renewals fit into a lease. */
     private static final long RENEW_INTERVAL_MILLIS = 800;
 
-    /**
-     * Spreads the takeover attempts of several daemons, since most simultaneous attempts would
-     * fail.
-     */
-    private static final long MAX_JITTER_MILLIS = 60;
-
-    /**
-     * Delay of a takeover attempt per second of the daemon's age. It favours daemons that were
-     * started recently: during a rolling restart they will not be stopped again soon.
-     */
-    private static final long AGE_DELAY_MILLIS_PER_SECOND = 5;
-
-    /** Limits the delay of a takeover when no daemon was started recently. */
-    private static final long MAX_AGE_DELAY_MILLIS = 120;
-
-    /**
-     * Delay of a takeover attempt for each core that a daemon's host has less than {@link
-     * #AMPLE_CORES}. One owner serves all targets, and a slow one takes long to read them.
-     */
-    private static final double DELAY_MILLIS_PER_MISSING_CORE = 250;
-
-    /** Cores beyond these give a daemon no further advantage. */
-    private static final double AMPLE_CORES = 1.0;
-
     /**
      * Shortest time between two takeovers because of an owner that has ended. Two daemons that
      * reach the store but not each other must not take the ownership from each other in turn.
      */
     private static final long ENDED_OWNER_INTERVAL_MILLIS = 10_000;
 
-    private static final int MAX_PORT = 65_535;
-
     private static final PrefixMirror.Options MIRROR = new PrefixMirror.Options(1_500, 0, 500);
 
     private final MetadataStore mStore;
@@ -180,7 +151,7 @@
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
             mTermRecord = value;
-            onTerm(read(value));
+            onTerm(OwnerRecordCodec.parse(value));
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
         }
@@ -203,7 +174,9 @@
         String owner =
                 mTermRecord == null
                         ? ""
-                        : read(mTermRecord).map(OwnerRecord::getOwnerId).orElse("");
+                        : OwnerRecordCodec.parse(mTermRecord)
+                                .map(OwnerRecord::getOwnerId)
+                                .orElse("");
         boolean foreign = mLiveRecord != null && !mLiveRecord.value().toStringUtf8().equals(owner);
         if (!foreign) {
             mForeignLiveSinceMillis = Long.MAX_VALUE;
@@ -261,26 +234,15 @@
             return;
         }
         mAttempting = true;
-        long jitterMillis = ThreadLocalRandom.current().nextLong(MAX_JITTER_MILLIS);
+        long ageMillis = mClocks.now() - mStartedMillis;
         long delayMillis =
                 mOwnTerm != 0
                         ? 0
-                        : attemptDelayMillis(
-                                mClocks.now() - mStartedMillis, mSelf.cores(), jitterMillis);
+                        : TakeoverDelay.millis(
+                                ageMillis, mSelf.cores(), TakeoverDelay.randomJitterMillis());
         mControl.after("owner attempt", delayMillis, this::attempt);
     }
 
-    /**
-     * Returns how long a daemon of the given age on a host with the given cores waits before it
-     * attempts to take over a vacant ownership.
-     */
-    static long attemptDelayMillis(long ageMillis, double cores, long jitterMillis) {
-        long byAgeMillis = ageMillis * AGE_DELAY_MILLIS_PER_SECOND / 1_000;
-        double missingCores = Math.max(0, AMPLE_CORES - cores);
-        long byCoresMillis = Math.round(missingCores * DELAY_MILLIS_PER_MISSING_CORE);
-        return Math.min(MAX_AGE_DELAY_MILLIS, byAgeMillis) + byCoresMillis + jitterMillis;
-    }
-
     /**
      * Returns whether no daemon holds the live record; one that is not the owner's is disregarded
      * once an owner's lease would have ended.
@@ -326,7 +288,7 @@
         long heldTerm =
                 mTermRecord == null
                         ? 0
-                        : read(mTermRecord)
+                        : OwnerRecordCodec.parse(mTermRecord)
                                 .map(OwnerRecord::getTerm)
                                 .orElse(mTermRecord.modRevision());
         return new Vacancy(
@@ -351,7 +313,10 @@
                 new Operation.Put(
                         StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8(mSelf.id()), lease));
         if (!keepsTerm) {
-            puts.add(new Operation.Put(StoreLayout.OWNER_TERM, record(term).toByteString()));
+            puts.add(
+                    new Operation.Put(
+                            StoreLayout.OWNER_TERM,
+                            OwnerRecordCodec.create(mSelf, term).toByteString()));
         }
         return mStore.commit(
                         List.of(
@@ -387,7 +352,7 @@
         depose("this daemon took over again");
         mOwnTerm = attempt.term();
         Logger.info("owner: event=elected term={}", mOwnTerm);
-        mListener.onOwner(record(mOwnTerm));
+        mListener.onOwner(OwnerRecordCodec.create(mSelf, mOwnTerm));
         mListener.onElected(mOwnTerm, attempt.result().revision());
     }
 
@@ -431,38 +396,4 @@
                     "owner: event=renewal-failed term={} cause={}", mOwnTerm, cause.getMessage());
         }
     }
-
-    private OwnerRecord record(long term) {
-        return OwnerRecord.newBuilder()
-                .setTerm(term)
-                .setOwnerId(mSelf.id())
-                .setZone(mSelf.zone())
-                .setAddress(mSelf.address())
-                .setPeerPort(mSelf.peerPort())
-                .build();
-    }
-
-    private static Optional<OwnerRecord> read(StoredValue value) {
-        try {
-            return Optional.of(OwnerRecord.parseFrom(value.value()))
-                    .filter(record -> isPlausible(record, value.modRevision()));
-        } catch (InvalidProtocolBufferException e) {
-            return Optional.empty();
-        }
-    }
-
-    /** Returns whether a daemon can have written the record at the given revision. */
-    private static boolean isPlausible(OwnerRecord record, long revision) {
-        String address = record.getAddress();
-        boolean canBeCalled =
-                address.isEmpty()
-                        || NetUtil.isValidIpV4Address(address)
-                        || NetUtil.isValidIpV6Address(address);
-        return record.getTerm() > 0
-                && record.getTerm() <= revision
-                && !record.getOwnerId().isEmpty()
-                && canBeCalled
-                && record.getPeerPort() >= 0
-                && record.getPeerPort() <= MAX_PORT;
-    }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -12,6 +12,7 @@
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.SchedulingPace;
 import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
 import org.marigoldturn.store.PrefixMirror;
 import org.marigoldturn.store.StoredValue;
@@ -270,29 +271,16 @@
                 pollSentMillis,
                 mContext.clocks().now(),
                 mContext.clocks().epoch());
-        logEnds(target, response);
+        for (TargetReport.RunEnd end : response.report().ends()) {
+            mContext.metrics().counter("runs.ended." + end.kind()).inc();
+            RunLog.logEnd(target, end);
+        }
         CompletableFuture<Void> stored = storeChanges();
         serveOnceTargetsHaveReported();
         requestScheduling();
         return stored;
     }
 
-    private void logEnds(TargetState target, TargetClient.PollResponse response) {
-        for (var end : response.report().ends()) {
-            mContext.metrics().counter("runs.ended." + end.kind()).inc();
-            Logger.info(
-                    "run: event=ended id={} task={}.{}.{} run={} target={} how={} end={}",
-                    end.task().jobId(),
-                    end.task().occurrence(),
-                    end.task().step(),
-                    end.task().index(),
-                    end.run(),
-                    target.entry().id(),
-                    end.kind(),
-                    end.number());
-        }
-    }
-
     private CompletableFuture<Void> storeChanges() {
         List<CompletableFuture<Void>> writes = new ArrayList<>();
         for (String jobId : mScheduler.takeChangedJobIds()) {
@@ -375,10 +363,7 @@
         }
     }
 
-    /**
-     * Runs the scheduler once after the events that are waiting on the control thread, or when its
-     * pace allows the next pass.
-     */
+    /** Runs the scheduler once after the waiting events, or when its pace allows it. */
     @Override
     public void requestScheduling() {
         if (mSchedulingRequested || mClosed) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -258,7 +258,8 @@
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
         Map<String, List<TargetState>> targets = new HashMap<>();
-        Map<String, Boolean> mayStartRestored = new HashMap<>();
+        RestoredJobsCheck restored =
+                new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
         Placer placer = new Placer();
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
         for (JobEntry job : mJobs.active()) {
@@ -266,12 +267,7 @@
                 continue;
             }
             Optional<String> service = serviceOf(job);
-            if (service.isEmpty()) {
-                continue;
-            }
-            if (job.isRestored()
-                    && !mayStartRestored.computeIfAbsent(
-                            service.get(), s -> mayStartRestored(s, nowMillis))) {
+            if (service.isEmpty() || job.isRestored() && !restored.mayStart(service.get())) {
                 continue;
             }
             List<TargetState> candidates =
@@ -381,14 +377,6 @@
         return mCatalog.account(step.job().job().account());
     }
 
-    /**
-     * Returns whether restored jobs of a service may start: no unknown run of an earlier owner can
-     * exist on its targets.
-     */
-    private boolean mayStartRestored(String service, long nowMillis) {
-        return nowMillis >= mRestoredHeldUntilMillis && mTargets.knowsAllRuns(service, nowMillis);
-    }
-
     private long nextRunNumber(TaskState task) {
         return Math.max(task.lastRunNumber(), (mTerm - 1) * RUNS_PER_TERM) + 1;
     }
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -33,21 +33,6 @@
         mControl.close();
     }
 
-    @Example
-    void youngDaemonAttemptsBeforeOldOnesWhateverTheJitter() {
-        long notYet = OwnerElection.attemptDelayMillis(16_000, 0.75, 0);
-        assertThat(OwnerElection.attemptDelayMillis(1_000, 0.75, 59)).isLessThan(notYet);
-        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 1.0, 0)).isLessThanOrEqualTo(120);
-    }
-
-    @Example
-    void daemonOnAFastHostAttemptsBeforeOneOfTheSameAgeOnASlowHostWhateverTheJitter() {
-        long slow = OwnerElection.attemptDelayMillis(5_000, 0.36, 0);
-        assertThat(OwnerElection.attemptDelayMillis(5_000, 0.75, 59)).isLessThan(slow);
-        assertThat(OwnerElection.attemptDelayMillis(5_000, 1.5, 59)).isLessThan(slow);
-        assertThat(OwnerElection.attemptDelayMillis(3_600_000, 0.01, 59)).isLessThan(500);
-    }
-
     @Example
     void vacantOwnershipIsTakenWithTheNextTerm() throws InterruptedException {
         mStore.put(StoreLayout.OWNER_TERM, record(4), 0);
