Count a failed run once over a change of the owner

Cause: an owner stores a failed run before the target learns that it was recorded; if it is replaced in between, the target reports the end to the next owner, which counted it again, since the record held only the number of failed runs. A job with two attempts then ended FAILED after one failed run (LOST). Change: the record and the task keep the numbers of the failed runs; a number counts once. Records of earlier versions, which hold a count only, are read with numbers that no run has. Ruled out: ignoring all runs up to the highest counted one, since an earlier run on an unreachable target may report its failure late and must count.

--- a/core/src/main/java/org/marigoldturn/jobs/JobProgress.java
+++ b/core/src/main/java/org/marigoldturn/jobs/JobProgress.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.jobs;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Progress of a job, with the data of its durable record. Immutable.
@@ -22,8 +23,12 @@
      *
      * @param task id of the task
      * @param done whether the task is done
-     * @param failedRuns number of its runs that failed
+     * @param failedRuns numbers of its runs that failed
      * @param checkpoint newest checkpoint; empty if there is none
      */
-    public record TaskProgress(TaskId task, boolean done, int failedRuns, String checkpoint) {}
+    public record TaskProgress(TaskId task, boolean done, Set<Long> failedRuns, String checkpoint) {
+        public TaskProgress {
+            failedRuns = Set.copyOf(failedRuns);
+        }
+    }
 }
--- a/core/src/main/java/org/marigoldturn/jobs/JobRecords.java
+++ b/core/src/main/java/org/marigoldturn/jobs/JobRecords.java
@@ -3,7 +3,9 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.marigoldturn.jobs.wire.JobRecord;
 import org.marigoldturn.jobs.wire.ProgressRecord;
 import org.marigoldturn.jobs.wire.StepRecord;
@@ -140,7 +142,8 @@
                             .setStep(task.task().step())
                             .setIndex(task.task().index())
                             .setDone(task.done())
-                            .setFailedRuns(task.failedRuns())
+                            .setFailedRuns(task.failedRuns().size())
+                            .addAllFailedRunNumbers(task.failedRuns().stream().sorted().toList())
                             .setCheckpoint(task.checkpoint()));
         }
         return record.build().toByteString();
@@ -166,12 +169,24 @@
                             new TaskId(
                                     jobId, task.getOccurrence(), task.getStep(), task.getIndex()),
                             task.getDone(),
-                            task.getFailedRuns(),
+                            failedRunsOf(task),
                             task.getCheckpoint()));
         }
         return new JobProgress(stateOf(record.getEnd()), record.getFinishedEpochMillis(), tasks);
     }
 
+    /**
+     * Returns the numbers of the failed runs; negative ones for those of which only the count is
+     * known.
+     */
+    private static Set<Long> failedRunsOf(TaskRecord task) {
+        Set<Long> numbers = new HashSet<>(task.getFailedRunNumbersList());
+        for (long unknown = 1; numbers.size() < task.getFailedRuns(); unknown++) {
+            numbers.add(-unknown);
+        }
+        return numbers;
+    }
+
     private static int endOf(JobState state) {
         return switch (state) {
             case QUEUED, RUNNING -> 0;
--- a/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
@@ -89,26 +89,26 @@
       "nse_target_millis\030\021 \001(\003\022\027\n\017max_unavailab" +
       "le\030\022 \001(\021\"j\n\016ProgressRecord\022\013\n\003end\030\001 \001(\r\022" +
       "\035\n\025finished_epoch_millis\030\002 \001(\003\022,\n\005tasks\030" +
-      "\003 \003(\0132\035.marigoldturn.jobs.TaskRecord\"t\n\n" +
-      "TaskRecord\022\022\n\noccurrence\030\001 \001(\r\022\014\n\004step\030\002" +
-      " \001(\r\022\r\n\005index\030\003 \001(\r\022\014\n\004done\030\004 \001(\010\022\023\n\013fai" +
-      "led_runs\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\"_\n\013Ow" +
-      "nerRecord\022\014\n\004term\030\001 \001(\003\022\020\n\010owner_id\030\002 \001(" +
-      "\t\022\014\n\004zone\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\021\n\tpeer" +
-      "_port\030\005 \001(\r\"\272\001\n\007JobCall\022-\n\004kind\030\001 \001(\0162\037." +
-      "marigoldturn.jobs.JobCall.Kind\022)\n\003job\030\002 " +
-      "\001(\0132\034.marigoldturn.jobs.JobRecord\022\027\n\017cat" +
-      "alog_version\030\003 \001(\003\"<\n\004Kind\022\013\n\007HAND_IN\020\000\022" +
-      "\010\n\004LOOK\020\001\022\n\n\006CANCEL\020\002\022\021\n\rCOUNT_WAITING\020\003" +
-      "\"\231\002\n\010JobReply\0224\n\007outcome\030\001 \001(\0162#.marigol" +
-      "dturn.jobs.JobReply.Outcome\022\033\n\023retry_aft" +
-      "er_seconds\030\002 \001(\r\022\r\n\005state\030\003 \001(\r\022\024\n\014waiti" +
-      "ng_jobs\030\004 \001(\r\022\016\n\006reason\030\005 \001(\t\"\204\001\n\007Outcom" +
-      "e\022\014\n\010ACCEPTED\020\000\022\013\n\007REFUSED\020\001\022\023\n\017UNKNOWN_" +
-      "OUTCOME\020\002\022\r\n\tNOT_FOUND\020\003\022\t\n\005STATE\020\004\022\r\n\tC" +
-      "ANCELLED\020\005\022\021\n\rWAITING_COUNT\020\006\022\r\n\tNOT_OWN" +
-      "ER\020\007B\036\n\032org.marigoldturn.jobs.wireP\001b\006pr" +
-      "oto3"
+      "\003 \003(\0132\035.marigoldturn.jobs.TaskRecord\"\220\001\n" +
+      "\nTaskRecord\022\022\n\noccurrence\030\001 \001(\r\022\014\n\004step\030" +
+      "\002 \001(\r\022\r\n\005index\030\003 \001(\r\022\014\n\004done\030\004 \001(\010\022\023\n\013fa" +
+      "iled_runs\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\032\n\022f" +
+      "ailed_run_numbers\030\007 \003(\022\"_\n\013OwnerRecord\022\014" +
+      "\n\004term\030\001 \001(\003\022\020\n\010owner_id\030\002 \001(\t\022\014\n\004zone\030\003" +
+      " \001(\t\022\017\n\007address\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(\r" +
+      "\"\272\001\n\007JobCall\022-\n\004kind\030\001 \001(\0162\037.marigoldtur" +
+      "n.jobs.JobCall.Kind\022)\n\003job\030\002 \001(\0132\034.marig" +
+      "oldturn.jobs.JobRecord\022\027\n\017catalog_versio" +
+      "n\030\003 \001(\003\"<\n\004Kind\022\013\n\007HAND_IN\020\000\022\010\n\004LOOK\020\001\022\n" +
+      "\n\006CANCEL\020\002\022\021\n\rCOUNT_WAITING\020\003\"\231\002\n\010JobRep" +
+      "ly\0224\n\007outcome\030\001 \001(\0162#.marigoldturn.jobs." +
+      "JobReply.Outcome\022\033\n\023retry_after_seconds\030" +
+      "\002 \001(\r\022\r\n\005state\030\003 \001(\r\022\024\n\014waiting_jobs\030\004 \001" +
+      "(\r\022\016\n\006reason\030\005 \001(\t\"\204\001\n\007Outcome\022\014\n\010ACCEPT" +
+      "ED\020\000\022\013\n\007REFUSED\020\001\022\023\n\017UNKNOWN_OUTCOME\020\002\022\r" +
+      "\n\tNOT_FOUND\020\003\022\t\n\005STATE\020\004\022\r\n\tCANCELLED\020\005\022" +
+      "\021\n\rWAITING_COUNT\020\006\022\r\n\tNOT_OWNER\020\007B\036\n\032org" +
+      ".marigoldturn.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -137,7 +137,7 @@
     internal_static_marigoldturn_jobs_TaskRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_TaskRecord_descriptor,
-        new java.lang.String[] { "Occurrence", "Step", "Index", "Done", "FailedRuns", "Checkpoint", });
+        new java.lang.String[] { "Occurrence", "Step", "Index", "Done", "FailedRuns", "Checkpoint", "FailedRunNumbers", });
     internal_static_marigoldturn_jobs_OwnerRecord_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_marigoldturn_jobs_OwnerRecord_fieldAccessorTable = new
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TaskRecord.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TaskRecord.java
@@ -29,6 +29,7 @@
   }
   private TaskRecord() {
     checkpoint_ = "";
+    failedRunNumbers_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -91,6 +92,10 @@
   public static final int FAILED_RUNS_FIELD_NUMBER = 5;
   private int failedRuns_ = 0;
   /**
+   * <pre>
+   * Number of failed runs; larger than the list below in records of earlier versions.
+   * </pre>
+   *
    * <code>uint32 failed_runs = 5;</code>
    * @return The failedRuns.
    */
@@ -138,6 +143,48 @@
     }
   }
 
+  public static final int FAILED_RUN_NUMBERS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList failedRunNumbers_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @return A list containing the failedRunNumbers.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getFailedRunNumbersList() {
+    return failedRunNumbers_;
+  }
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @return The count of failedRunNumbers.
+   */
+  public int getFailedRunNumbersCount() {
+    return failedRunNumbers_.size();
+  }
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @param index The index of the element to return.
+   * @return The failedRunNumbers at the given index.
+   */
+  public long getFailedRunNumbers(int index) {
+    return failedRunNumbers_.getLong(index);
+  }
+  private int failedRunNumbersMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -152,6 +199,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (occurrence_ != 0) {
       output.writeUInt32(1, occurrence_);
     }
@@ -170,6 +218,13 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, checkpoint_);
     }
+    if (getFailedRunNumbersList().size() > 0) {
+      output.writeUInt32NoTag(58);
+      output.writeUInt32NoTag(failedRunNumbersMemoizedSerializedSize);
+    }
+    for (int i = 0; i < failedRunNumbers_.size(); i++) {
+      output.writeSInt64NoTag(failedRunNumbers_.getLong(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -202,6 +257,20 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, checkpoint_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < failedRunNumbers_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeSInt64SizeNoTag(failedRunNumbers_.getLong(i));
+      }
+      size += dataSize;
+      if (!getFailedRunNumbersList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      failedRunNumbersMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -229,6 +298,8 @@
         != other.getFailedRuns()) return false;
     if (!getCheckpoint()
         .equals(other.getCheckpoint())) return false;
+    if (!getFailedRunNumbersList()
+        .equals(other.getFailedRunNumbersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -253,6 +324,10 @@
     hash = (53 * hash) + getFailedRuns();
     hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpoint().hashCode();
+    if (getFailedRunNumbersCount() > 0) {
+      hash = (37 * hash) + FAILED_RUN_NUMBERS_FIELD_NUMBER;
+      hash = (53 * hash) + getFailedRunNumbersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -390,6 +465,7 @@
       done_ = false;
       failedRuns_ = 0;
       checkpoint_ = "";
+      failedRunNumbers_ = emptyLongList();
       return this;
     }
 
@@ -441,6 +517,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.checkpoint_ = checkpoint_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        failedRunNumbers_.makeImmutable();
+        result.failedRunNumbers_ = failedRunNumbers_;
+      }
     }
 
     @java.lang.Override
@@ -475,6 +555,17 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (!other.failedRunNumbers_.isEmpty()) {
+        if (failedRunNumbers_.isEmpty()) {
+          failedRunNumbers_ = other.failedRunNumbers_;
+          failedRunNumbers_.makeImmutable();
+          bitField0_ |= 0x00000040;
+        } else {
+          ensureFailedRunNumbersIsMutable();
+          failedRunNumbers_.addAll(other.failedRunNumbers_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -531,6 +622,22 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              long v = input.readSInt64();
+              ensureFailedRunNumbersIsMutable();
+              failedRunNumbers_.addLong(v);
+              break;
+            } // case 56
+            case 58: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureFailedRunNumbersIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                failedRunNumbers_.addLong(input.readSInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -678,6 +785,10 @@
 
     private int failedRuns_ ;
     /**
+     * <pre>
+     * Number of failed runs; larger than the list below in records of earlier versions.
+     * </pre>
+     *
      * <code>uint32 failed_runs = 5;</code>
      * @return The failedRuns.
      */
@@ -686,6 +797,10 @@
       return failedRuns_;
     }
     /**
+     * <pre>
+     * Number of failed runs; larger than the list below in records of earlier versions.
+     * </pre>
+     *
      * <code>uint32 failed_runs = 5;</code>
      * @param value The failedRuns to set.
      * @return This builder for chaining.
@@ -698,6 +813,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Number of failed runs; larger than the list below in records of earlier versions.
+     * </pre>
+     *
      * <code>uint32 failed_runs = 5;</code>
      * @return This builder for chaining.
      */
@@ -780,6 +899,118 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.LongList failedRunNumbers_ = emptyLongList();
+    private void ensureFailedRunNumbersIsMutable() {
+      if (!failedRunNumbers_.isModifiable()) {
+        failedRunNumbers_ = makeMutableCopy(failedRunNumbers_);
+      }
+      bitField0_ |= 0x00000040;
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @return A list containing the failedRunNumbers.
+     */
+    public java.util.List<java.lang.Long>
+        getFailedRunNumbersList() {
+      failedRunNumbers_.makeImmutable();
+      return failedRunNumbers_;
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @return The count of failedRunNumbers.
+     */
+    public int getFailedRunNumbersCount() {
+      return failedRunNumbers_.size();
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @param index The index of the element to return.
+     * @return The failedRunNumbers at the given index.
+     */
+    public long getFailedRunNumbers(int index) {
+      return failedRunNumbers_.getLong(index);
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @param index The index to set the value at.
+     * @param value The failedRunNumbers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailedRunNumbers(
+        int index, long value) {
+
+      ensureFailedRunNumbersIsMutable();
+      failedRunNumbers_.setLong(index, value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @param value The failedRunNumbers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFailedRunNumbers(long value) {
+
+      ensureFailedRunNumbersIsMutable();
+      failedRunNumbers_.addLong(value);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @param values The failedRunNumbers to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllFailedRunNumbers(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureFailedRunNumbersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, failedRunNumbers_);
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Numbers of the failed runs, so that an end that is reported again does not count again.
+     * </pre>
+     *
+     * <code>repeated sint64 failed_run_numbers = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailedRunNumbers() {
+      failedRunNumbers_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.jobs.TaskRecord)
   }
 
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TaskRecordOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TaskRecordOrBuilder.java
@@ -35,6 +35,10 @@
   boolean getDone();
 
   /**
+   * <pre>
+   * Number of failed runs; larger than the list below in records of earlier versions.
+   * </pre>
+   *
    * <code>uint32 failed_runs = 5;</code>
    * @return The failedRuns.
    */
@@ -51,4 +55,33 @@
    */
   com.google.protobuf.ByteString
       getCheckpointBytes();
+
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @return A list containing the failedRunNumbers.
+   */
+  java.util.List<java.lang.Long> getFailedRunNumbersList();
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @return The count of failedRunNumbers.
+   */
+  int getFailedRunNumbersCount();
+  /**
+   * <pre>
+   * Numbers of the failed runs, so that an end that is reported again does not count again.
+   * </pre>
+   *
+   * <code>repeated sint64 failed_run_numbers = 7;</code>
+   * @param index The index of the element to return.
+   * @return The failedRunNumbers at the given index.
+   */
+  long getFailedRunNumbers(int index);
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -213,7 +213,9 @@
         for (StepState step : allSteps()) {
             for (TaskState task : step.tasks()) {
                 boolean hasProgress =
-                        task.isDone() || task.failedRuns() > 0 || !task.checkpoint().isEmpty();
+                        task.isDone()
+                                || !task.failedRuns().isEmpty()
+                                || !task.checkpoint().isEmpty();
                 if (hasProgress && isActive()) {
                     tasks.add(
                             new JobProgress.TaskProgress(
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -127,7 +127,7 @@
             onTaskDone(job, members, epochMillis);
         } else {
             if (end.kind().countsAsAttempt()) {
-                onTaskFailed(job, step, task, epochMillis);
+                onTaskFailed(job, step, task, end.run(), epochMillis);
             }
             stopRuns(step.spec().traits().gang() ? members : List.of());
         }
@@ -141,8 +141,12 @@
         }
     }
 
-    private void onTaskFailed(JobEntry job, StepState step, TaskState task, long epochMillis) {
-        task.addFailure();
+    private void onTaskFailed(
+            JobEntry job, StepState step, TaskState task, long runNumber, long epochMillis) {
+        if (!task.addFailure(runNumber)) {
+            // An earlier owner stored this end and was replaced before the target learned that.
+            return;
+        }
         mChanged.add(job.job().id());
         if (step.failedRuns(task) >= mMaxAttempts.applyAsInt(job)) {
             finish(job, JobState.FAILED, epochMillis);
--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -96,7 +96,7 @@
     /** Returns the failed runs that count against the limit of attempts. */
     int failedRuns(TaskState task) {
         return mSpec.traits().gang()
-                ? mTasks.stream().mapToInt(TaskState::failedRuns).sum()
-                : task.failedRuns();
+                ? mTasks.stream().mapToInt(member -> member.failedRuns().size()).sum()
+                : task.failedRuns().size();
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -1,7 +1,9 @@
 package org.marigoldturn.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.marigoldturn.jobs.TaskId;
 
 /**
@@ -14,7 +16,7 @@
     private final List<Run> mRuns = new ArrayList<>(1);
     private boolean mDone;
     private boolean mHeld;
-    private int mFailedRuns;
+    private final Set<Long> mFailedRuns = new HashSet<>(2);
     private long mLastRunNumber;
     private String mCheckpoint = "";
 
@@ -44,7 +46,8 @@
         mHeld = held;
     }
 
-    int failedRuns() {
+    /** Returns the numbers of the runs that failed. */
+    Set<Long> failedRuns() {
         return mFailedRuns;
     }
 
@@ -59,8 +62,9 @@
         }
     }
 
-    void addFailure() {
-        mFailedRuns++;
+    /** Records that a run failed; returns false if that was known. */
+    boolean addFailure(long runNumber) {
+        return mFailedRuns.add(runNumber);
     }
 
     void setCheckpoint(String checkpoint) {
@@ -69,11 +73,11 @@
         }
     }
 
-    void restore(boolean done, int failedRuns, String checkpoint) {
+    void restore(boolean done, Set<Long> failedRuns, String checkpoint) {
         if (done) {
             markDone();
         }
-        mFailedRuns = failedRuns;
+        mFailedRuns.addAll(failedRuns);
         mCheckpoint = checkpoint;
     }
 
--- a/standins/src/test/java/org/marigoldturn/standins/platform/RepeatedFailureTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RepeatedFailureTest.java
@@ -1,4 +1,4 @@
-package org.marigoldturn.standins.platform;
+package org.marigoldturn.scheduling;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -15,11 +15,6 @@
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
-import org.marigoldturn.scheduling.EndKind;
-import org.marigoldturn.scheduling.JobScheduler;
-import org.marigoldturn.scheduling.TargetEntry;
-import org.marigoldturn.scheduling.TargetReport;
-import org.marigoldturn.scheduling.TargetState;
 
 /**
  * Guards against a failed run that counts twice: an owner has stored it but was replaced before the
@@ -36,10 +31,19 @@
         JobScheduler scheduler = nextOwner();
         scheduler.restore(jobOfOneTask(), progressWithOneFailedRun(), 0);
         TargetState target = scheduler.onTargetListed(entry());
-        scheduler.onReport(target, reportOfFailedRun(), 1, 2, 0);
+        scheduler.onReport(target, reportOfFailedRun(1), 1, 2, 0);
         assertThat(scheduler.state("job")).isNotEqualTo(Optional.of(JobState.FAILED));
     }
 
+    @Example
+    void anotherRunThatFailsCounts() {
+        JobScheduler scheduler = nextOwner();
+        scheduler.restore(jobOfOneTask(), progressWithOneFailedRun(), 0);
+        TargetState target = scheduler.onTargetListed(entry());
+        scheduler.onReport(target, reportOfFailedRun(2), 1, 2, 0);
+        assertThat(scheduler.state("job")).contains(JobState.FAILED);
+    }
+
     private static JobScheduler nextOwner() {
         QueueCatalog catalog =
                 new QueueCatalog(
@@ -65,14 +69,16 @@
 
     private static JobProgress progressWithOneFailedRun() {
         return new JobProgress(
-                JobState.RUNNING, 0, List.of(new JobProgress.TaskProgress(TASK, false, 1, "")));
+                JobState.RUNNING,
+                0,
+                List.of(new JobProgress.TaskProgress(TASK, false, Set.of(1L), "")));
     }
 
-    private static TargetReport reportOfFailedRun() {
+    private static TargetReport reportOfFailedRun(long run) {
         return new TargetReport(
                 7,
                 List.of(),
-                List.of(new TargetReport.RunEnd(1, TASK, 1, EndKind.FAILED, "")),
+                List.of(new TargetReport.RunEnd(1, TASK, run, EndKind.FAILED, "")),
                 true);
     }
 
