--- a/review/standin/review/Http.java
+++ b/review/standin/review/Http.java
@@ -27,7 +27,8 @@
             String path,
             Map<String, String> query,
             Map<String, Object> body,
-            String expectedInstance) {}
+            String expectedInstance,
+            long token) {}
 
     /** Handles calls; may block. */
     interface Handler {
@@ -65,6 +66,7 @@
                         URLDecoder.decode(pair.substring(eq + 1), StandardCharsets.UTF_8));
             }
             String expected = exchange.getRequestHeaders().getFirst("Expect-Instance");
+            String token = exchange.getRequestHeaders().getFirst("Fencing-Token");
             response =
                     handler.handle(
                             new Call(
@@ -72,7 +74,8 @@
                                     exchange.getRequestURI().getPath(),
                                     query,
                                     Json.object(text),
-                                    expected == null ? "" : expected));
+                                    expected == null ? "" : expected,
+                                    token == null ? 0 : Long.parseLong(token)));
         } catch (Exception e) {
             e.printStackTrace();
             response = new Response(500, Json.of());
--- a/review/standin/review/Main.java
+++ b/review/standin/review/Main.java
@@ -24,6 +24,7 @@
                 "large-jobs", Main::largeJobs,
                 "unlisted-worker", Main::unlistedWorker,
                 "odd-entry", Main::oddEntry,
+                "stale-upkeep", Main::staleUpkeep,
                 "starved", Main::starved);
         int exit = 2;
         try (Site site = new Site(Path.of(args[1]))) {
@@ -217,6 +218,38 @@
         return unanswered == 0 && notStarted == 0;
     }
 
+    /**
+     * Three waves, one after the other. As each begins the host service is down for 2.2 s; the owner is restarted
+     * as planned meanwhile.
+     */
+    private static boolean staleUpkeep(Site site) throws Exception {
+        begin(site, 6, 4_000, 3);
+        sleep(1_000);
+        for (int n = 1; n <= 3; n++) {
+            if (TROUBLE) {
+                site.cloud.setDown(true);
+            }
+            String wave = "{\"Wave\":" + n + ",\"Machines\":[\"m-1\",\"m-2\",\"m-3\",\"m-4\",\"m-5\",\"m-6\"],"
+                    + "\"DurationS\":26,\"UpperBound\":5}";
+            site.store.put("op/wave/" + n, wave);
+            site.record.add("operator", "op/wave/%d %s", n, wave);
+            sleep(2_000);
+            Site.Daemon owner = site.owner();
+            site.sigterm(owner);
+            sleep(150);
+            if (TROUBLE) {
+                site.cloud.setDown(false);
+            }
+            Site.await("end of " + owner.node, 15_000, () -> !owner.process.isAlive());
+            site.start(owner);
+            site.awaitReady(owner);
+            sleep(12_000);
+        }
+        site.record.add("check", "UpperBound is 5; at most %d machines were down for a wave at the same time",
+                site.cloud.mostDown());
+        return site.cloud.mostDown() <= 5;
+    }
+
     /**
      * For 3 s one job in twenty can never be done: its task fits into no worker, since each worker runs a lasting
      * task too. Ordinary jobs follow. Once the traffic has ended, the ordinary jobs are watched.
--- a/review/standin/review/Site.java
+++ b/review/standin/review/Site.java
@@ -29,7 +29,7 @@
 final class Site implements AutoCloseable {
     final Record record;
     final Store store = new Store();
-    final Map<String, Worker> workers = new LinkedHashMap<>();
+    final Map<String, Worker> workers = new java.util.concurrent.ConcurrentSkipListMap<>();
     private final Set<String> mCutFromStore = new HashSet<>();
     private final Map<String, Long> mLastBeat = new LinkedHashMap<>();
     private final List<Daemon> mDaemons = new ArrayList<>();
@@ -38,7 +38,7 @@
         thread.setDaemon(true);
         return thread;
     });
-    private final Http mCloud = new Http(call -> new Http.Response(200, Json.of("Machines", List.of())));
+    final Cloud cloud = new Cloud(this);
     private final Path mDirectory = Files.createTempDirectory("review");
     private final HttpClient mClient = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(1)).build();
@@ -104,6 +104,29 @@
         return worker;
     }
 
+    /** Ends the worker of a machine; a new one joins after the upkeep. The old entry expires. */
+    void beginUpkeep(String machine, long millis) throws Exception {
+        // The newest worker of the machine has the longest id.
+        Worker old = workers.values().stream().filter(w -> w.machine.equals(machine))
+                .max(java.util.Comparator.comparingInt(w -> w.id.length())).get();
+        mTimer.execute(() -> {
+            synchronized (this) {
+                mCutFromStore.add(old.id);
+            }
+            old.stop();
+        });
+        mTimer.schedule(() -> {
+            try {
+                synchronized (this) {
+                    Worker next = new Worker(old.id + "b", "s1", machine, 4_000, record);
+                    workers.put(next.id, next);
+                }
+            } catch (Exception e) {
+                e.printStackTrace();
+            }
+        }, millis, TimeUnit.MILLISECONDS);
+    }
+
     synchronized void cutFromStore(Worker worker, boolean cut) {
         if (cut) {
             mCutFromStore.add(worker.id);
@@ -134,7 +157,7 @@
                 "Bounds.status_s=120", "Bounds.LeaseMs=3000", "ControlMode=request",
                 "platform.Address=" + store.address(), "platform.form=kv",
                 "platform.WritesPerS=400", "platform.ReadsPerS=2000",
-                "platform.ValueBytes=1048576", "Cloud.Address=" + mCloud.address(), ""));
+                "platform.ValueBytes=1048576", "Cloud.Address=" + cloud.address(), ""));
         Daemon daemon = new Daemon(ip, node, front, ready, settings, mDirectory.resolve(node + ".log"));
         mDaemons.add(daemon);
         start(daemon);
--- a/review/standin/review/Worker.java
+++ b/review/standin/review/Worker.java
@@ -36,7 +36,7 @@
 
     final String id;
     private final String mService;
-    private final String mMachine;
+    final String machine;
     private final long mCpu;
     private final Record mRecord;
     private final long mBornEpochMillis = System.currentTimeMillis();
@@ -54,12 +54,19 @@
     Worker(String id, String service, String machine, long cpu, Record record) throws Exception {
         this.id = id;
         mService = service;
-        mMachine = machine;
+        this.machine = machine;
         mCpu = cpu;
         mRecord = record;
         mHttp = new Http(this::handle);
     }
 
+    /** Ends the worker: everything that runs on it ends, and nothing listens at its address. */
+    synchronized void stop() {
+        mRunning.forEach((task, run) -> noteEnd(task, run.number()));
+        mRunning.clear();
+        mHttp.stop();
+    }
+
     private static long now() {
         return System.nanoTime() / 1_000_000;
     }
@@ -79,7 +86,7 @@
                         "State", "ready",
                         "ColdMs", 0,
                         "Seq", ++mSeq,
-                        "Machine", mMachine,
+                        "Machine", machine,
                         "born", mBornEpochMillis,
                         "Capacity", Json.of("Cpu", mCpu, "MemMb", 131_072, "Gpu", 0),
                         "Labels", List.of("a", "r1")));
