--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -f review/target/review/Main.class ] && [ -f target/marigoldturn-platform-launcher.jar ] || exit 2
 exec java -Dsun.net.httpserver.nodelay=true -Djdk.httpclient.allowRestrictedHeaders=host \
-    -cp review/target review.Main odd-entry review/5/record.txt
+    -cp review/target review.Main stale-upkeep review/5/record.txt
