Model targets that the platform's list loses

The model took the list of targets as complete: an owner started tasks once it knew the runs of all targets.

The list may now lose targets and list them again (ChangeList); an owner knows the targets that are listed and those that an earlier owner has recorded, and records a target before it starts anything there. JobOwnershipBrokenUnrecordedTarget is the old hand-over: TLC finds two runs of one task. JobOwnershipUnlistedTarget passes (235,318 states).

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -16,11 +16,18 @@
     RecordsEndsFirst,  \* FALSE: targets may drop ends before the store holds them
     ResolvesStarts,    \* FALSE: a start without a response counts as not carried out
     FencedWrites,      \* FALSE: writes take effect whatever the term in the store
-    ResolvesWrites     \* FALSE: a submission is refused while its write may still take effect
+    ResolvesWrites,    \* FALSE: a submission is refused while its write may still take effect
+    RecordsTargets,    \* FALSE: a new owner knows only the targets that the platform lists
+    MaxListChanges     \* how often entries of the platform's list are removed or added
 
 VARIABLES
     term,       \* term of the newest owner, in the store
     owner,      \* term that each daemon believes it holds; 0: none
+    listed,     \* targets that have an entry in the platform's list
+    changes,    \* number of changes of that list
+    recorded,   \* targets that have a record in the store
+    aware,      \* targets that each owner has found in the list or in the records
+    confirmed,  \* targets that each owner knows to be recorded
     known,      \* targets whose runs each owner knows, by a poll or by waiting out the leases
     possible,   \* runs that may exist as far as each owner knows
     token,      \* highest token that each target has seen
@@ -38,14 +45,22 @@
     writes,     \* terms of the writes of the submitted job that are in flight
     response    \* response to the client: "none", "accepted" or "refused"
 
-vars == <<term, owner, known, possible, token, runs, ended, refused, orders, done, knownDone,
-          started, lostEnd, restarted, mayRerun, job, writes, response>>
+vars == <<term, owner, listed, changes, recorded, aware, confirmed, known, possible, token, runs,
+          ended, refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
+          writes, response>>
+
+targetLists == <<listed, changes, recorded, aware, confirmed>>
 
 Run == [target : Targets, task : Tasks, number : Nat]
 
 Init ==
     /\ term = 0
     /\ owner = [d \in Daemons |-> 0]
+    /\ listed = Targets
+    /\ changes = 0
+    /\ recorded = {}
+    /\ aware = [d \in Daemons |-> {}]
+    /\ confirmed = [d \in Daemons |-> {}]
     /\ known = [d \in Daemons |-> {}]
     /\ possible = [d \in Daemons |-> {}]
     /\ token = [t \in Targets |-> 0]
@@ -69,40 +84,83 @@
     /\ owner[d] = 0
     /\ term' = term + 1
     /\ owner' = [owner EXCEPT ![d] = term + 1]
+    /\ aware' = [aware EXCEPT ![d] = listed \cup recorded]
+    /\ confirmed' = [confirmed EXCEPT ![d] = recorded]
     /\ known' = [known EXCEPT ![d] = {}]
     /\ possible' = [possible EXCEPT ![d] = {}]
     /\ knownDone' = [knownDone EXCEPT ![d] = done]
     /\ started' = [started EXCEPT ![d] = 0]
-    /\ UNCHANGED <<token, runs, ended, refused, orders, done, lostEnd, restarted, mayRerun, job,
-                   writes, response>>
+    /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 StepDown(d) ==
     /\ owner[d] # 0 /\ owner[d] < term
     /\ owner' = [owner EXCEPT ![d] = 0]
-    /\ UNCHANGED <<term, known, possible, token, runs, ended, refused, orders, done, knownDone,
-                   started, lostEnd, restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, known, possible, token, runs, ended, refused, orders, done,
+                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
+
+\* The platform's list can lack a target that executes runs, for instance one that is cut off from
+\* the store, and can list it again.
+ChangeList(t) ==
+    /\ changes < MaxListChanges
+    /\ changes' = changes + 1
+    /\ listed' = IF t \in listed THEN listed \ {t} ELSE listed \cup {t}
+    /\ UNCHANGED <<term, owner, recorded, aware, confirmed, known, possible, token, runs, ended,
+                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
+                   writes, response>>
+
+\* The owner finds a target that was not listed before.
+FindTarget(d, t) ==
+    /\ owner[d] # 0 /\ t \in listed \ aware[d]
+    /\ aware' = [aware EXCEPT ![d] = @ \cup {t}]
+    /\ UNCHANGED <<term, owner, listed, changes, recorded, confirmed, known, possible, token, runs,
+                   ended, refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun,
+                   job, writes, response>>
+
+\* The owner records a target before it starts anything there.
+RecordTarget(d, t) ==
+    /\ RecordsTargets /\ owner[d] # 0 /\ owner[d] = term
+    /\ t \in aware[d] \ confirmed[d]
+    /\ recorded' = recorded \cup {t}
+    /\ confirmed' = [confirmed EXCEPT ![d] = @ \cup {t}]
+    /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
+                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
+                   writes, response>>
+
+\* The owner deletes the record of an unlisted target once nothing can run there as far as it knows
+\* and the store holds all ends that it knows of.
+ForgetTarget(d, t) ==
+    /\ owner[d] # 0 /\ owner[d] = term
+    /\ t \in (known[d] \cap confirmed[d]) \ listed
+    /\ \A r \in possible[d] : r.target # t
+    /\ knownDone[d] \subseteq done
+    /\ recorded' = recorded \ {t}
+    /\ confirmed' = [confirmed EXCEPT ![d] = @ \ {t}]
+    /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
+                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
+                   writes, response>>
 
 AcceptsTerm(t, n) == ChecksToken => n >= token[t]
 
 \* A poll raises the token of the target and returns what runs there and what has ended. A run that
 \* is not listed is certain not to exist only if its order can no longer arrive.
 Poll(d, t) ==
-    /\ owner[d] # 0 /\ AcceptsTerm(t, owner[d])
+    /\ owner[d] # 0 /\ t \in aware[d] /\ AcceptsTerm(t, owner[d])
     /\ token' = [token EXCEPT ![t] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ known' = [known EXCEPT ![d] = @ \cup {t}]
     /\ possible' = [possible EXCEPT ![d] =
         {r \in @ : r.target # t \/ (r \in orders /\ r \notin refused[t])} \cup runs[t]]
     /\ knownDone' = [knownDone EXCEPT ![d] = @ \cup {r.task : r \in ended[t]}]
-    /\ UNCHANGED <<term, owner, runs, ended, refused, orders, done, started, lostEnd, restarted,
-                   mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, runs, ended, refused, orders, done, started, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 \* The store accepts the ends that the owner knows of if no newer owner has written its term.
 Commit(d) ==
     /\ owner[d] # 0 /\ (FencedWrites => owner[d] = term)
     /\ knownDone[d] \ done # {}
     /\ done' = done \cup knownDone[d]
-    /\ UNCHANGED <<term, owner, known, possible, token, runs, ended, refused, orders, knownDone,
-                   started, lostEnd, restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* The owner tells the target (LastSeen in a poll) that it knows of an end, so the target drops it.
 DropEnd(d, t, r) ==
@@ -111,12 +169,13 @@
     /\ token' = [token EXCEPT ![t] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ ended' = [ended EXCEPT ![t] = @ \ {r}]
     /\ lostEnd' = (lostEnd \/ r.task \notin done)
-    /\ UNCHANGED <<term, owner, known, possible, runs, refused, orders, done, knownDone, started,
-                   restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, runs, refused, orders, done,
+                   knownDone, started, restarted, mayRerun, job, writes, response>>
 
 Start(d, t, task) ==
     /\ owner[d] # 0 /\ job /\ started[d] < MaxRuns
-    /\ KnowsAllFirst => known[d] = Targets
+    /\ t \in aware[d] /\ (RecordsTargets => t \in confirmed[d])
+    /\ KnowsAllFirst => aware[d] \subseteq known[d]
     /\ task \notin knownDone[d]
     /\ \A r \in possible[d] : r.task # task
     /\ Cardinality({r \in possible[d] : r.target = t}) < Capacity
@@ -124,8 +183,8 @@
         /\ orders' = orders \cup {r}
         /\ possible' = [possible EXCEPT ![d] = @ \cup {r}]
     /\ started' = [started EXCEPT ![d] = @ + 1]
-    /\ UNCHANGED <<term, owner, known, token, runs, ended, refused, done, knownDone, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, done, knownDone,
+                   lostEnd, restarted, mayRerun, job, writes, response>>
 
 TermOf(r) == r.number \div 100
 
@@ -137,8 +196,8 @@
             /\ token' = [token EXCEPT ![r.target] = IF TermOf(r) > @ THEN TermOf(r) ELSE @]
             /\ restarted' = (restarted \/ (r.task \in done /\ r.task \notin mayRerun))
        ELSE UNCHANGED <<runs, token, restarted>>
-    /\ UNCHANGED <<term, owner, known, possible, ended, refused, done, knownDone, started, lostEnd,
-                   mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, refused, done, knownDone,
+                   started, lostEnd, mayRerun, job, writes, response>>
 
 \* A stop that the target responds to: the target ends the run, or will not start it. Its outcome is
 \* known only from the next poll, since the run may have completed before the stop.
@@ -147,23 +206,23 @@
     /\ token' = [token EXCEPT ![r.target] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ runs' = [runs EXCEPT ![r.target] = @ \ {r}]
     /\ refused' = [refused EXCEPT ![r.target] = @ \cup {r}]
-    /\ UNCHANGED <<term, owner, known, possible, ended, orders, done, knownDone, started, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, orders, done, knownDone,
+                   started, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* Enabled only in the broken variant: a missing response is taken as a refusal.
 AssumeNotStarted(d, r) ==
     /\ ~ResolvesStarts /\ owner[d] # 0 /\ r \in possible[d]
     /\ possible' = [possible EXCEPT ![d] = @ \ {r}]
-    /\ UNCHANGED <<term, owner, known, token, runs, ended, refused, orders, done, knownDone,
-                   started, lostEnd, restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, orders, done,
+                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
 
 Finish(t, r) ==
     /\ r \in runs[t]
     /\ runs' = [runs EXCEPT ![t] = @ \ {r}]
     /\ ended' = [ended EXCEPT ![t] = @ \cup {r}]
     /\ refused' = [refused EXCEPT ![t] = @ \cup {r}]
-    /\ UNCHANGED <<term, owner, known, possible, token, orders, done, knownDone, started, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, orders, done, knownDone,
+                   started, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* The lease of a target expires: its runs are killed, and orders in flight under it are refused.
 LeaseExpires(t) ==
@@ -171,38 +230,38 @@
     /\ runs' = [runs EXCEPT ![t] = {}]
     /\ orders' = {r \in orders : r.target # t}
     /\ mayRerun' = mayRerun \cup {r.task : r \in ended[t]}
-    /\ UNCHANGED <<term, owner, known, possible, token, ended, refused, done, knownDone, started,
-                   lostEnd, restarted, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, ended, refused, done,
+                   knownDone, started, lostEnd, restarted, job, writes, response>>
 
 \* A target that was not polled counts as empty once no lease under an earlier owner can be valid.
 WaitOutLeases(d, t) ==
-    /\ owner[d] # 0 /\ t \notin known[d]
+    /\ owner[d] # 0 /\ t \in aware[d] \ known[d]
     /\ \A e \in Daemons : owner[e] = 0 \/ owner[e] >= owner[d]
     /\ runs[t] = {} /\ \A r \in orders : r.target # t
     /\ known' = [known EXCEPT ![d] = @ \cup {t}]
     /\ mayRerun' = mayRerun \cup {r.task : r \in ended[t]}
-    /\ UNCHANGED <<term, owner, possible, token, runs, ended, refused, orders, done, knownDone,
-                   started, lostEnd, restarted, job, writes, response>>
+    /\ UNCHANGED <<targetLists, term, owner, possible, token, runs, ended, refused, orders, done,
+                   knownDone, started, lostEnd, restarted, job, writes, response>>
 
 \* On a submission the owner writes the job's record, which may take effect at any later time.
 Submit(d) ==
     /\ owner[d] # 0 /\ ~job /\ response = "none" /\ owner[d] \notin writes
     /\ writes' = writes \cup {owner[d]}
-    /\ UNCHANGED <<term, owner, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, response>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, lostEnd, restarted, mayRerun, job, response>>
 
 WriteArrives(n) ==
     /\ n \in writes /\ ~job
     /\ writes' = writes \ {n}
     /\ job' = (FencedWrites => n = term)
-    /\ UNCHANGED <<term, owner, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, response, mayRerun>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, lostEnd, restarted, response, mayRerun>>
 
 Accept(d) ==
     /\ owner[d] # 0 /\ job /\ response = "none"
     /\ response' = "accepted"
-    /\ UNCHANGED <<term, owner, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
 
 \* Only the owner whose term is the one in the store refuses and, with ResolvesWrites, only if no
 \* write of its own is in flight. It compares its term with the store first, since a refusal is not
@@ -211,12 +270,15 @@
     /\ owner[d] = term /\ term # 0 /\ response = "none" /\ ~job
     /\ ResolvesWrites => owner[d] \notin writes
     /\ response' = "refused"
-    /\ UNCHANGED <<term, owner, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
 
 Next ==
     \/ \E d \in Daemons : TakeOver(d) \/ StepDown(d) \/ Commit(d)
     \/ \E d \in Daemons : Submit(d) \/ Accept(d) \/ Refuse(d)
+    \/ \E t \in Targets : ChangeList(t)
+    \/ \E d \in Daemons, t \in Targets :
+        FindTarget(d, t) \/ RecordTarget(d, t) \/ ForgetTarget(d, t)
     \/ \E d \in Daemons, t \in Targets : Poll(d, t) \/ WaitOutLeases(d, t)
     \/ \E d \in Daemons, t \in Targets, task \in Tasks : Start(d, t, task)
     \/ \E d \in Daemons, t \in Targets : \E r \in ended[t] : DropEnd(d, t, r)
