Record the targets on which tasks may run

What callers saw: a worker that loses only its path to the store drops out of the platform's list after three heartbeats.

Cause: a new owner waits for the reports of the targets that the store lists, and took a missing entry as a target without runs. The last owner had gone on renewing that target's leases, which only its memory told.

Change: an owner records each target that has reported under mt/tgt/, before it starts anything there. The record goes once the scheduler has dropped the target, or the platform does not list it and nothing can run there, and all ends that it has reported are stored. A target that never reports to an owner and is not listed is dropped after the longest lease of earlier owners. TargetList follows list, records and sessions; it takes that out of OwnerRole.

Why it works: no run exists on a target without a record, and a record that a term allowed is in the store before the next term is. A takeover waits for nothing new in the quiet: the records are read with the others, and recorded targets are usable at once.

Ruled out: waiting for the longest lease at each takeover (8.2 s for every restored task); recording a target only when its entry disappears (an owner that ends in between leaves no record); reading removed entries from the store's history (it may be discarded); not renewing leases of unlisted targets (ends sound runs, and the last lease still outlives the takeover). Recording a target when it is listed rather than when it has reported: a later owner would wait for targets that are listed but gone, although nothing was started there.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -18,12 +18,18 @@
  * @param jobs accepted jobs
  * @param progress their progress
  * @param hosts records of maintenance waves and loans of spare hosts
+ * @param targets targets on which tasks may have been started
  */
-record OwnerRecords(List<StoredValue> jobs, List<StoredValue> progress, List<StoredValue> hosts) {
+record OwnerRecords(
+        List<StoredValue> jobs,
+        List<StoredValue> progress,
+        List<StoredValue> hosts,
+        List<StoredValue> targets) {
     OwnerRecords {
         jobs = List.copyOf(jobs);
         progress = List.copyOf(progress);
         hosts = List.copyOf(hosts);
+        targets = List.copyOf(targets);
     }
 
     /** Reads all records; fails if a page of them cannot be read. */
@@ -32,8 +38,15 @@
         CompletableFuture<List<StoredValue>> jobs = reader.listAll(StoreLayout.JOB_PREFIX);
         CompletableFuture<List<StoredValue>> progress = reader.listAll(StoreLayout.PROGRESS_PREFIX);
         CompletableFuture<List<StoredValue>> hosts = reader.listAll(StoreLayout.HOST_PREFIX);
-        return CompletableFuture.allOf(jobs, progress, hosts)
-                .thenApply(done -> new OwnerRecords(jobs.join(), progress.join(), hosts.join()));
+        CompletableFuture<List<StoredValue>> targets = reader.listAll(StoreLayout.TARGET_PREFIX);
+        return CompletableFuture.allOf(jobs, progress, hosts, targets)
+                .thenApply(
+                        done ->
+                                new OwnerRecords(
+                                        jobs.join(),
+                                        progress.join(),
+                                        hosts.join(),
+                                        targets.join()));
     }
 
     /** Restores the jobs in a scheduler and passes their records' revisions to the writer. */
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -1,6 +1,5 @@
 package org.marigoldturn.coordination;
 
-import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -11,12 +10,8 @@
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.SchedulingPace;
-import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
-import org.marigoldturn.store.PrefixMirror;
-import org.marigoldturn.store.StoredValue;
-import org.marigoldturn.store.UnusableEntries;
 import org.tinylog.Logger;
 
 /**
@@ -30,14 +25,7 @@
  * @see OwnerCalls
  */
 final class OwnerRole
-        implements PrefixMirror.Listener, TargetSession.Callbacks, OrderSender.Listener {
-    /**
-     * The list of targets in the store changes with each heartbeat of each target; the pause
-     * between watches combines several changes.
-     */
-    private static final PrefixMirror.Options TARGET_MIRROR =
-            new PrefixMirror.Options(1_500, 250, 500);
-
+        implements TargetList.Listener, TargetSession.Callbacks, OrderSender.Listener {
     private static final long TICK_MILLIS = 100;
 
     /**
@@ -54,10 +42,9 @@
     private final OwnerContext mContext;
     private final OperatorView mOperator;
     private final GroupCommit mCommits;
-    private final PrefixMirror mMirror;
     private final TargetSessions mSessions;
-    private final UnusableEntries mUnusableEntries;
     private final SchedulingPace mPace = new SchedulingPace();
+    private TargetList mTargetList;
     private HostWork mHostWork;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
@@ -80,18 +67,6 @@
                         context.termRevision(),
                         context.onFenced());
         mSessions = new TargetSessions(context, this::mayAct, this);
-        mUnusableEntries =
-                new UnusableEntries(
-                        "target", context.metrics().counter("entries.unusable.targets"));
-        mMirror =
-                new PrefixMirror(
-                        context.store(),
-                        context.formats().targetPrefix(),
-                        TARGET_MIRROR,
-                        this,
-                        context.control(),
-                        (delay, task) -> context.control().after("target watch", delay, task),
-                        context.clocks().monotonicMillis());
     }
 
     /**
@@ -106,10 +81,11 @@
     void close() {
         mClosed = true;
         mServing = false;
-        mMirror.close();
+        if (mTargetList != null) {
+            mTargetList.close();
+        }
         mCommits.close();
         mSessions.closeAll();
-        mUnusableEntries.clear();
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -196,50 +172,45 @@
                 mContext.term(),
                 records.jobs().size(),
                 mScheduler.activeJobs());
-        mMirror.start();
+        mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
+        mTargetList.start(records.targets());
     }
 
     @Override
-    public void onValue(StoredValue value) {
-        Either<PlatformFormats.Unusable, TargetEntry> entry = mContext.formats().target(value);
-        if (entry.isLeft()) {
-            // What is known of the target stays in use: another writer may have left the entry.
-            mUnusableEntries.add(value, entry.getLeft().reason(), mContext.clocks().now());
-            return;
-        }
-        mUnusableEntries.remove(value.key());
+    public void beforeTargetChange() {
         updateOwnerCertain();
-        mSessions.open(mScheduler.onTargetListed(entry.get()));
-    }
-
-    @Override
-    public void onRemoved(String key) {
-        mUnusableEntries.remove(key);
-        mScheduler.onTargetUnlisted(mContext.formats().targetId(key));
     }
 
     @Override
-    public void onUpToDate() {
+    public void onTargetsUpToDate() {
         if (!mTargetListComplete) {
             mTargetListComplete = true;
             mContext.control().after("first polls", FIRST_POLLS_MILLIS, this::serve);
         }
-        serveOnceTargetsHaveReported();
+        serveOnceTargetsAreUsable();
         requestScheduling();
     }
 
     /**
-     * Serves once all targets have reported, since the admission of jobs depends on their free
-     * capacity.
+     * Serves once all targets have reported and are recorded, since the admission of jobs depends
+     * on their free capacity.
      */
-    private void serveOnceTargetsHaveReported() {
-        if (!mServing && mTargetListComplete && countUnreportedTargets() == 0) {
+    private void serveOnceTargetsAreUsable() {
+        if (!mServing && mTargetListComplete && countUnusableTargets() == 0) {
             serve();
         }
     }
 
-    private long countUnreportedTargets() {
-        return mScheduler.targets().stream().filter(target -> !target.hasReported()).count();
+    private long countUnusableTargets() {
+        return mScheduler.targets().stream()
+                .filter(target -> !target.hasReported() || !target.isRecorded())
+                .count();
+    }
+
+    @Override
+    public void onTargetRecorded() {
+        serveOnceTargetsAreUsable();
+        requestScheduling();
     }
 
     private void serve() {
@@ -251,16 +222,11 @@
                 "owner: event=serving term={} targets={} unread={}",
                 mContext.term(),
                 mScheduler.targets().size(),
-                countUnreportedTargets());
+                countUnusableTargets());
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         requestScheduling();
     }
 
-    @Override
-    public void onInterrupted(Throwable cause) {
-        // The mirror logs this; targets that respond stay in use.
-    }
-
     @Override
     public CompletableFuture<Void> onReport(
             TargetState target, TargetClient.PollResponse response, long pollSentMillis) {
@@ -271,12 +237,13 @@
                 pollSentMillis,
                 mContext.clocks().now(),
                 mContext.clocks().epoch());
+        mTargetList.onReport(target);
         for (TargetReport.RunEnd end : response.report().ends()) {
             mContext.metrics().counter("runs.ended." + end.kind()).inc();
             RunLog.logEnd(target, end);
         }
         CompletableFuture<Void> stored = storeChanges();
-        serveOnceTargetsHaveReported();
+        serveOnceTargetsAreUsable();
         requestScheduling();
         return stored;
     }
@@ -302,7 +269,7 @@
         mSessions.close(target);
         updateOwnerCertain();
         mScheduler.onTargetEnded(target);
-        serveOnceTargetsHaveReported();
+        serveOnceTargetsAreUsable();
         requestScheduling();
     }
 
@@ -322,7 +289,7 @@
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
-        mSessions.retain(mScheduler.targets());
+        mTargetList.dropUnused();
         forgetOldJobs();
         logMayActChange();
         requestScheduling();
--- a/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -20,6 +20,12 @@
     /** Hosts that have been seen in a standby pool, one per line. */
     static final String SPARE_HOSTS = HOST_PREFIX + "spare-hosts";
 
+    /**
+     * Targets on which tasks may have been started. Not longer than the platform's own prefix of
+     * targets, so that each id fits into a key.
+     */
+    static final String TARGET_PREFIX = "mt/tgt/";
+
     private StoreLayout() {}
 
     static String job(String id) {
@@ -30,6 +36,10 @@
         return PROGRESS_PREFIX + id;
     }
 
+    static String target(String id) {
+        return TARGET_PREFIX + id;
+    }
+
     static String wave(long number) {
         return HOST_PREFIX + "wave/" + number;
     }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecordCodec.java
@@ -0,0 +1,66 @@
+package org.marigoldturn.coordination;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Set;
+import org.marigoldturn.jobs.ResourceAmounts;
+import org.marigoldturn.jobs.wire.TargetRecord;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.store.StoredValue;
+
+/** Creates and reads the records of targets. Stateless and thread safe. */
+final class TargetRecordCodec {
+    private TargetRecordCodec() {}
+
+    static ByteString encode(TargetEntry entry) {
+        return TargetRecord.newBuilder()
+                .setId(entry.id())
+                .setStartedEpochMillis(entry.startedEpochMillis())
+                .setHostId(entry.hostId())
+                .setService(entry.service())
+                .setAddress(entry.address())
+                .setZone(entry.zone())
+                .setRack(entry.rack())
+                .addAllLabels(entry.labels())
+                .setCpuMillicores(entry.capacity().cpuMillicores())
+                .setMemoryMegabytes(entry.capacity().memoryMegabytes())
+                .setAccelerators(entry.capacity().accelerators())
+                .build()
+                .toByteString();
+    }
+
+    /**
+     * Returns the recorded entry, as one that is not draining.
+     *
+     * @throws IllegalArgumentException if no daemon can have written the record
+     */
+    static TargetEntry decode(StoredValue value) {
+        TargetRecord record = parse(value);
+        if (!StoreLayout.target(record.getId()).equals(value.key())) {
+            throw new IllegalArgumentException(
+                    "the record " + value.key() + " is of the other target " + record.getId());
+        }
+        return new TargetEntry(
+                record.getId(),
+                record.getStartedEpochMillis(),
+                record.getHostId(),
+                record.getService(),
+                record.getAddress(),
+                record.getZone(),
+                record.getRack(),
+                Set.copyOf(record.getLabelsList()),
+                new ResourceAmounts(
+                        record.getCpuMillicores(),
+                        record.getMemoryMegabytes(),
+                        record.getAccelerators()),
+                false);
+    }
+
+    private static TargetRecord parse(StoredValue value) {
+        try {
+            return TargetRecord.parseFrom(value.value());
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException("the record " + value.key() + " is unreadable", e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -0,0 +1,127 @@
+package org.marigoldturn.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetState;
+import org.marigoldturn.store.StoredValue;
+import org.tinylog.Logger;
+
+/**
+ * Keeps a record in the store of each target on which a task may run.
+ *
+ * <p>The platform's list drops a target that cannot reach the store, while its runs go on under
+ * leases that the owner renews. A later owner finds such a target by its record. Invariant: while a
+ * run can exist on a target, or an end that it has reported is not stored, the store holds its
+ * record. A target that has not reported is not recorded, since a later owner would wait for its
+ * response although nothing was started there. Confined to the control thread.
+ */
+final class TargetRecords {
+    private final JobScheduler mScheduler;
+    private final GroupCommit mCommits;
+    private final Runnable mOnRecorded;
+    private final Map<String, Recorded> mRecords = new HashMap<>();
+
+    /** An incarnation whose record was written, and a future that completes once it is stored. */
+    private record Recorded(TargetEntry entry, CompletableFuture<Void> stored) {}
+
+    /**
+     * Creates the keeper of one owner's records.
+     *
+     * @param onRecorded to be run when tasks may start on one more target
+     */
+    TargetRecords(JobScheduler scheduler, GroupCommit commits, Runnable onRecorded) {
+        mScheduler = scheduler;
+        mCommits = commits;
+        mOnRecorded = onRecorded;
+    }
+
+    /**
+     * Adds the targets that earlier owners have recorded to the scheduler and returns them. Records
+     * that cannot be read are logged and left.
+     */
+    List<TargetState> restore(List<StoredValue> records) {
+        List<TargetState> restored = new ArrayList<>();
+        for (StoredValue record : records) {
+            mCommits.recordRevision(record.key(), record.modRevision());
+            try {
+                TargetEntry entry = TargetRecordCodec.decode(record);
+                mRecords.put(
+                        entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
+                restored.add(mScheduler.restoreTarget(entry));
+            } catch (IllegalArgumentException e) {
+                // Another writer's record must not keep the other targets from being restored.
+                Logger.error(e, "owner: event=unreadable-target key={}", record.key());
+            }
+        }
+        return restored;
+    }
+
+    /** Writes the record of a target that has reported, unless there is one of this incarnation. */
+    void add(TargetState target) {
+        if (target.isRecorded() || !target.hasReported() || !target.isListed()) {
+            return;
+        }
+        TargetEntry entry = target.entry();
+        Recorded recorded = mRecords.get(entry.id());
+        if (recorded == null || !recorded.entry().isSameIncarnation(entry)) {
+            recorded = new Recorded(entry, write(entry));
+            mRecords.put(entry.id(), recorded);
+        }
+        var unused = recorded.stored().thenRun(() -> onStored(target));
+    }
+
+    private CompletableFuture<Void> write(TargetEntry entry) {
+        return mCommits.put(StoreLayout.target(entry.id()), TargetRecordCodec.encode(entry));
+    }
+
+    private void onStored(TargetState target) {
+        // The record may have been dropped before it was stored.
+        if (!target.isRecorded() && mRecords.containsKey(target.entry().id())) {
+            target.setRecorded(true);
+            mOnRecorded.run();
+        }
+    }
+
+    /**
+     * Deletes the records of targets on which nothing can run and nothing will start: those that
+     * the scheduler has dropped, and idle ones that the platform does not list.
+     */
+    void dropUnused() {
+        Set<String> inUse = new HashSet<>();
+        for (TargetState target : mScheduler.targets()) {
+            if (isUnused(target)) {
+                target.setRecorded(false);
+            } else {
+                inUse.add(target.entry().id());
+            }
+        }
+        for (String id : List.copyOf(mRecords.keySet())) {
+            if (!inUse.contains(id)) {
+                drop(id);
+            }
+        }
+    }
+
+    /** Until the ends that the target has reported are stored, a later owner must find it. */
+    private void drop(String id) {
+        mRecords.remove(id);
+        var unused = mCommits.flush().thenRun(() -> deleteUnlessAddedAgain(id));
+    }
+
+    private static boolean isUnused(TargetState target) {
+        return !target.isListed() && target.hasReported() && target.isIdle();
+    }
+
+    private void deleteUnlessAddedAgain(String id) {
+        if (!mRecords.containsKey(id)) {
+            var unused = mCommits.delete(StoreLayout.target(id));
+        }
+    }
+}
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -97,6 +97,17 @@
         return mTargets.addOrUpdate(entry);
     }
 
+    /**
+     * Adds a target that an earlier owner has recorded; it counts as unlisted until the platform's
+     * list contains it.
+     */
+    public TargetState restoreTarget(TargetEntry entry) {
+        TargetState target = mTargets.addOrUpdate(entry);
+        target.setListed(false);
+        target.setRecorded(true);
+        return target;
+    }
+
     /** Records that the platform's list has no entry for a target. */
     public void onTargetUnlisted(String id) {
         mTargets.markUnlisted(id);
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -37,6 +37,7 @@
     private ResourceAmounts mUsed = ResourceAmounts.NONE;
     private ResourceAmounts mHeldBack = ResourceAmounts.NONE;
     private boolean mListed = true;
+    private boolean mRecorded;
     private boolean mReported;
     private boolean mReportedToCertainOwner;
     private boolean mReachable;
@@ -63,6 +64,11 @@
         return mListed;
     }
 
+    /** Returns whether the store holds its record, by which a later owner finds it. */
+    public boolean isRecorded() {
+        return mRecorded;
+    }
+
     /**
      * Returns whether it has reported its runs in response to a poll with the current owner's term.
      */
@@ -133,6 +139,11 @@
         return mInterrupted;
     }
 
+    /** Sets whether the store holds its record; no task starts there otherwise. */
+    public void setRecorded(boolean recorded) {
+        mRecorded = recorded;
+    }
+
     /** Records whether it responded to a call. */
     public void setReachable(boolean reachable) {
         mReachable = reachable;
@@ -206,6 +217,7 @@
 
     boolean accepts(Set<String> closedZones, long nowMillis) {
         return mListed
+                && mRecorded
                 && mReported
                 && mReachable
                 && !mCordoned
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -94,8 +94,7 @@
             return;
         }
         for (TargetState target : all()) {
-            boolean expired = !target.isReachable() && nowMillis > target.leaseEndMillis();
-            if (expired && target.leaseEndMillis() > 0) {
+            if (!target.isReachable() && isLeaseOver(target, nowMillis)) {
                 target.abandonUnconfirmedRuns();
                 mRuns.endAllRuns(target, mOwnerCertain);
                 if (!target.isListed()) {
@@ -105,6 +104,17 @@
         }
     }
 
+    /** A target that this owner has granted no lease can have one of an earlier owner. */
+    private boolean isLeaseOver(TargetState target, long nowMillis) {
+        return target.leaseEndMillis() > 0
+                ? nowMillis > target.leaseEndMillis()
+                : leasesOfEarlierOwnersAreOver(nowMillis);
+    }
+
+    private boolean leasesOfEarlierOwnersAreOver(long nowMillis) {
+        return nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
+    }
+
     /** Returns the stop orders that are due, and marks them as sent. */
     List<Order> beginStops(long nowMillis) {
         List<Order> stops = new ArrayList<>();
@@ -124,7 +134,7 @@
      * lease of an earlier owner has expired.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
-        return target.hasReported() || nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
+        return target.hasReported() || leasesOfEarlierOwnersAreOver(nowMillis);
     }
 
     /** Returns whether {@link #knowsRuns} holds for all targets of a service. */
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
@@ -62,6 +62,7 @@
                         List.of(
                                 value(StoreLayout.progress("w"), GARBAGE),
                                 value(StoreLayout.progress("a"), oddTask)),
+                        List.of(),
                         List.of())
                 .restoreInto(mScheduler, mCommits, 0);
         assertThat(mScheduler.state("a")).isPresent();
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -0,0 +1,231 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.ResourceAmounts;
+import org.marigoldturn.jobs.TaskId;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetReport;
+import org.marigoldturn.scheduling.TargetState;
+import org.marigoldturn.store.Compare;
+import org.marigoldturn.store.Operation;
+import org.marigoldturn.store.StoredValue;
+
+/** Guards against a target on which tasks may run and that a next owner does not find. */
+class TargetRecordsTest {
+    private static final ByteString GARBAGE = ByteString.copyFrom(new byte[] {-1, 8, 127, 0});
+
+    private static final TargetReport.RunReport RUN =
+            new TargetReport.RunReport(new TaskId("job", 0, 0, 0), 1, "", 100);
+
+    private final ControlLoop mControl = new ControlLoop();
+    private final MemoryStore mStore = new MemoryStore();
+    private final JobScheduler mScheduler = scheduler();
+    private final GroupCommit mCommits =
+            new GroupCommit(mStore, mControl, Clocks.system(), writeTerm(), () -> {});
+    private final TargetRecords mRecords = new TargetRecords(mScheduler, mCommits, () -> {});
+    private long mNowMillis = 1_000;
+
+    @AfterTry
+    void stop() {
+        mControl.close();
+    }
+
+    @Example
+    void aTargetIsUsableOnceItsRecordIsStored() throws Exception {
+        TargetState target = add(entry("t1", 7));
+        assertThat(stored("t1")).contains(entry("t1", 7));
+        assertThat(target.isRecorded()).isTrue();
+    }
+
+    @Example
+    void aNextOwnerFindsARecordedTargetAsUnlisted() throws Exception {
+        add(entry("t1", 7));
+        JobScheduler next = scheduler();
+        List<TargetState> restored =
+                new TargetRecords(next, mCommits, () -> {})
+                        .restore(
+                                List.of(
+                                        mStore.read(StoreLayout.target("t1")).join().orElseThrow(),
+                                        value("t2", GARBAGE),
+                                        value("t3", TargetRecordCodec.encode(entry("t4", 7))),
+                                        value("t5", TargetRecordCodec.encode(entry("t5", 7)))));
+        assertThat(restored).extracting(target -> target.entry().id()).containsExactly("t1", "t5");
+        assertThat(restored).allMatch(target -> target.isRecorded() && !target.isListed());
+        TargetState listed = next.onTargetListed(entry("t1", 7));
+        assertThat(listed).isSameAs(restored.get(0));
+        assertThat(listed.isListed()).isTrue();
+    }
+
+    @Example
+    void aNewIncarnationReplacesTheRecord() throws Exception {
+        add(entry("t1", 7));
+        TargetState next = add(entry("t1", 8));
+        assertThat(stored("t1")).contains(entry("t1", 8));
+        assertThat(next.isRecorded()).isTrue();
+    }
+
+    @Example
+    void theRecordOfADroppedTargetIsDeleted() throws Exception {
+        add(entry("t1", 7));
+        add(entry("t2", 7));
+        drop("t1");
+        assertThat(stored("t1")).isEmpty();
+        assertThat(stored("t2")).isPresent();
+    }
+
+    @Example
+    void aDroppedTargetThatIsListedAgainIsRecordedAgain() throws Exception {
+        add(entry("t1", 7));
+        onControl(
+                () -> {
+                    mScheduler.targets().forEach(mScheduler::onTargetEnded);
+                    mRecords.dropUnused();
+                    mRecords.add(reported(entry("t1", 7), List.of()));
+                });
+        flush();
+        assertThat(stored("t1")).isPresent();
+        assertThat(mScheduler.targets()).allMatch(TargetState::isRecorded);
+    }
+
+    @Example
+    void aTargetThatIsListedAgainBeforeItsRecordIsDeletedStaysUsable() throws Exception {
+        add(entry("t1", 7));
+        onControl(
+                () -> {
+                    mScheduler.targets().forEach(mScheduler::onTargetEnded);
+                    mRecords.add(reported(entry("t1", 7), List.of()));
+                    mRecords.dropUnused();
+                });
+        flush();
+        assertThat(stored("t1")).isPresent();
+        assertThat(mScheduler.targets()).allMatch(TargetState::isRecorded);
+    }
+
+    @Example
+    void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
+        onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7))));
+        flush();
+        assertThat(stored("t1")).isEmpty();
+    }
+
+    @Example
+    void theRecordOfAnUnlistedTargetIsDeletedOnceNothingCanRunThere() throws Exception {
+        TargetState target = add(entry("t1", 7), RUN);
+        onControl(() -> mScheduler.onTargetUnlisted("t1"));
+        dropUnused();
+        assertThat(stored("t1")).isPresent();
+
+        onControl(() -> report(target, List.of()));
+        dropUnused();
+        assertThat(stored("t1")).isEmpty();
+        assertThat(target.isRecorded()).isFalse();
+    }
+
+    private TargetState add(TargetEntry entry, TargetReport.RunReport... runs) throws Exception {
+        CompletableFuture<TargetState> added = new CompletableFuture<>();
+        onControl(
+                () -> {
+                    TargetState target = reported(entry, List.of(runs));
+                    mRecords.add(target);
+                    added.complete(target);
+                });
+        flush();
+        return added.join();
+    }
+
+    private TargetState reported(TargetEntry entry, List<TargetReport.RunReport> runs) {
+        TargetState target = mScheduler.onTargetListed(entry);
+        report(target, runs);
+        return target;
+    }
+
+    private void report(TargetState target, List<TargetReport.RunReport> runs) {
+        mNowMillis += 10;
+        mScheduler.onReport(
+                target,
+                new TargetReport(target.entry().startedEpochMillis(), runs, List.of(), true),
+                mNowMillis,
+                mNowMillis,
+                mNowMillis);
+    }
+
+    private void drop(String id) throws Exception {
+        onControl(
+                () ->
+                        mScheduler.targets().stream()
+                                .filter(target -> target.entry().id().equals(id))
+                                .forEach(mScheduler::onTargetEnded));
+        dropUnused();
+    }
+
+    private void dropUnused() throws Exception {
+        onControl(mRecords::dropUnused);
+        flush();
+    }
+
+    private void onControl(Runnable action) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    action.run();
+                    done.complete(null);
+                });
+        done.get(10, TimeUnit.SECONDS);
+    }
+
+    private void flush() throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mControl.execute(() -> mCommits.flush().thenRun(() -> done.complete(null)));
+        done.get(10, TimeUnit.SECONDS);
+    }
+
+    private Optional<TargetEntry> stored(String id) {
+        return mStore.read(StoreLayout.target(id)).join().map(TargetRecordCodec::decode);
+    }
+
+    private long writeTerm() {
+        return mStore.commit(
+                        List.of(new Compare(StoreLayout.OWNER_TERM, Compare.ABSENT)),
+                        List.of(
+                                new Operation.Put(
+                                        StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("term"))),
+                        List.of())
+                .join()
+                .revision();
+    }
+
+    private static JobScheduler scheduler() {
+        return new JobScheduler(
+                new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+    }
+
+    private static StoredValue value(String id, ByteString content) {
+        return new StoredValue(StoreLayout.target(id), content, 1, 1);
+    }
+
+    private static TargetEntry entry(String id, long startedEpochMillis) {
+        return new TargetEntry(
+                id,
+                startedEpochMillis,
+                "h1",
+                "service",
+                "127.0.0.1:9",
+                "z",
+                "r",
+                Set.of("kind", "r"),
+                new ResourceAmounts(8_000, 16_000, 1),
+                false);
+    }
+}
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -20,7 +20,16 @@
 
     @Property(tries = 1_000, seed = "20261204")
     void noRuleIsBrokenAndAllWorkEnds(@ForAll long seed) {
-        simulate(seed);
+        simulate(seed, false);
+    }
+
+    /**
+     * Guards against a new owner that starts a task again because the platform's list lacks the
+     * target that runs it.
+     */
+    @Property(tries = 1_000, seed = "20261205")
+    void noRuleIsBrokenWhileTheListLosesTargets(@ForAll long seed) {
+        simulate(seed, true);
     }
 
     /**
@@ -29,12 +38,12 @@
      */
     @Example
     void ownerThatMayHaveBeenReplacedStartsNothingAgain() {
-        simulate(6);
-        simulate(67_715);
+        simulate(6, false);
+        simulate(67_715, false);
     }
 
-    private static void simulate(long seed) {
-        ScheduleSimulation simulation = new ScheduleSimulation(seed, 4);
+    private static void simulate(long seed, boolean listLosesTargets) {
+        ScheduleSimulation simulation = new ScheduleSimulation(seed, 4, listLosesTargets);
         Random random = new Random(seed);
         for (int i = 0; i < JOBS; i++) {
             simulation.submit(job("job" + i, random));
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -197,6 +197,42 @@
         assertThat(owner.starts()).hasSize(1);
     }
 
+    @Example
+    void newOwnerKeepsTheRunsOfARecordedTargetThatIsNotListed() {
+        SchedulerFixture owner = new SchedulerFixture(2);
+        owner.mScheduler.restore(
+                job("a", "account", step(2, 1_000)), JobProgress.NONE, owner.mNowMillis);
+        TargetState unlisted =
+                owner.mScheduler.restoreTarget(SchedulerFixture.entry("t2", 1, 8_000));
+        owner.addTarget("t1", 8_000);
+        assertThat(owner.starts()).isEmpty();
+
+        unlisted.setReachable(true);
+        owner.report(
+                unlisted, List.of(new TargetReport.RunReport(new TaskId("a", 0, 0, 0), 1, "", 10)));
+        List<Run> starts = owner.starts();
+        assertThat(starts).extracting(run -> run.task().index()).containsExactly(1);
+        assertThat(starts.get(0).target().entry().id()).isEqualTo("t1");
+    }
+
+    @Example
+    void newOwnerForgetsARecordedTargetThatIsNeitherListedNorReached() {
+        SchedulerFixture owner = new SchedulerFixture(2);
+        owner.mScheduler.restore(
+                job("a", "account", step(1, 1_000)), JobProgress.NONE, owner.mNowMillis);
+        owner.mScheduler.restoreTarget(SchedulerFixture.entry("t2", 1, 8_000));
+        owner.addTarget("t1", 8_000);
+        owner.mScheduler.expireLeases(owner.mNowMillis);
+        assertThat(owner.starts()).isEmpty();
+
+        owner.mNowMillis += SchedulerFixture.LONGEST_LEASE_MILLIS;
+        owner.mScheduler.expireLeases(owner.mNowMillis);
+        assertThat(owner.mScheduler.targets())
+                .extracting(target -> target.entry().id())
+                .containsExactly("t1");
+        assertThat(owner.starts()).hasSize(1);
+    }
+
     @Example
     void endThatIsListedTwiceChangesNothing() {
         TargetState target = mFixture.addTarget("t1", 8_000);
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -47,9 +47,16 @@
     private static final int MAX_LATE_MILLIS = 12_000;
 
     private final Random mRandom;
+
+    /** Kept apart, so that a seed's other faults stay the same. */
+    private final Random mListRandom;
+
+    private final boolean mListLosesTargets;
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparing(Event::atMillis).thenComparing(Event::order));
     private final Map<String, SimulatedTarget> mTargets = new TreeMap<>();
+    private final Map<String, TargetEntry> mStoredTargets = new TreeMap<>();
+    private final Set<String> mUnlisted = new HashSet<>();
     private final Map<String, Job> mStoredJobs = new TreeMap<>();
     private final Map<String, JobProgress> mStoredProgress = new HashMap<>();
     private final Map<TaskId, List<Long>> mStarts = new HashMap<>();
@@ -67,8 +74,16 @@
 
     private record Event(long atMillis, long order, Runnable action) {}
 
-    ScheduleSimulation(long seed, int targets) {
+    /**
+     * Creates a simulation with an owner.
+     *
+     * @param listLosesTargets whether the platform's list loses entries of targets that are up, so
+     *     that owners restore the targets that earlier ones have recorded
+     */
+    ScheduleSimulation(long seed, int targets, boolean listLosesTargets) {
         mRandom = new Random(seed);
+        mListRandom = new Random(~seed);
+        mListLosesTargets = listLosesTargets;
         for (int i = 0; i < targets; i++) {
             addTarget("t" + i);
         }
@@ -103,6 +118,30 @@
         return mTargets.get(id);
     }
 
+    boolean isListed(SimulatedTarget target) {
+        return target.isUp() && !mUnlisted.contains(target.id());
+    }
+
+    /** Returns the recorded targets; none if the list loses no entries. */
+    List<TargetEntry> storedTargets() {
+        return mListLosesTargets ? List.copyOf(mStoredTargets.values()) : List.of();
+    }
+
+    /** Records a target, unless a newer owner has been elected. Returns whether it was stored. */
+    boolean storeTarget(long term, TargetEntry entry) {
+        if (term == mTerm) {
+            mStoredTargets.put(entry.id(), entry);
+        }
+        return term == mTerm;
+    }
+
+    /** Deletes the records of all targets but the given ones, unless a newer owner was elected. */
+    void retainTargets(long term, Set<String> ids) {
+        if (term == mTerm) {
+            mStoredTargets.keySet().retainAll(ids);
+        }
+    }
+
     List<String> findings() {
         return mFindings;
     }
@@ -140,10 +179,14 @@
         long endMillis = mNowMillis + millis;
         if (!faults) {
             mUnreachable.clear();
+            mUnlisted.clear();
         }
         if (faults) {
             for (long at = mNowMillis; at < endMillis; at += 700) {
                 at(at + mRandom.nextInt(700), this::injectFault);
+                if (mListLosesTargets && mListRandom.nextInt(4) == 0) {
+                    at(at + mListRandom.nextInt(700), this::unlistTarget);
+                }
             }
         }
         while (!mEvents.isEmpty() && mEvents.peek().atMillis() <= endMillis) {
@@ -242,6 +285,12 @@
         }
     }
 
+    private void unlistTarget() {
+        String target = "t" + mListRandom.nextInt(mTargets.size());
+        mUnlisted.add(target);
+        after(200 + mListRandom.nextInt(9_000), () -> mUnlisted.remove(target));
+    }
+
     /**
      * Partitions the network: the owner reaches only some of the targets, and the next owner only
      * the others.
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -108,6 +108,7 @@
 
     TargetState addTarget(String id, long cpu) {
         TargetState target = mScheduler.onTargetListed(entry(id, 1, cpu));
+        target.setRecorded(true);
         target.setReachable(true);
         report(target);
         return target;
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 
@@ -49,6 +51,9 @@
                     mSimulation.storedProgress().getOrDefault(job.id(), JobProgress.NONE),
                     mSimulation.nowMillis());
         }
+        for (TargetEntry recorded : mSimulation.storedTargets()) {
+            addLink(mScheduler.restoreTarget(recorded));
+        }
         tick();
     }
 
@@ -82,12 +87,15 @@
             return;
         }
         for (SimulatedTarget target : mSimulation.targets()) {
-            if (target.isUp()) {
+            if (mSimulation.isListed(target)) {
                 addIfUnknown(target);
+            } else if (target.isUp()) {
+                mScheduler.onTargetUnlisted(target.id());
             }
         }
         updateCertainty();
         mScheduler.expireLeases(mSimulation.nowMillis());
+        mSimulation.retainTargets(mTerm, knownTargets());
         decide();
         mSimulation.after(TICK_MILLIS, this::tick);
     }
@@ -100,11 +108,23 @@
         mScheduler.setOwnerCertain(mSimulation.term() == mTerm);
     }
 
+    private Set<String> knownTargets() {
+        return mScheduler.targets().stream()
+                .map(target -> target.entry().id())
+                .collect(Collectors.toSet());
+    }
+
     private void addIfUnknown(SimulatedTarget target) {
-        TargetState state =
-                mScheduler.onTargetListed(
-                        SchedulerFixture.entry(
-                                target.id(), target.startedMillis(), TARGET_MILLICORES));
+        TargetEntry entry =
+                SchedulerFixture.entry(target.id(), target.startedMillis(), TARGET_MILLICORES);
+        TargetState state = mScheduler.onTargetListed(entry);
+        if (!state.isRecorded() && mSimulation.storeTarget(mTerm, entry)) {
+            state.setRecorded(true);
+        }
+        addLink(state);
+    }
+
+    private void addLink(TargetState state) {
         if (!mLinks.containsKey(state)) {
             mLinks.put(state, new Link());
             poll(state);
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,6 +25,7 @@
 
     private final StandInStore mStore = new StandInStore();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
+    private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
     private final List<String> mMaintainedHosts = new ArrayList<>();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final StandInHttp mStoreHttp = new StandInHttp(this::handleStore);
@@ -107,6 +109,12 @@
         mTargets.remove(id).close();
     }
 
+    /** Cuts a target off from the store, and lets its entry expire; it goes on with its tasks. */
+    public void cutTargetFromStore(String id) {
+        mCutFromStore.add(id);
+        mStore.delete("servers/" + id);
+    }
+
     /** Lets a target carry out further calls but hold back each response for 60 s. */
     public void holdBackResponses(String id) {
         mTargets.get(id).holdBackResponses();
@@ -129,6 +137,14 @@
         return mTargets.values().stream().mapToInt(StandInTarget::countRunning).sum();
     }
 
+    /** Returns the ids of the targets on which tasks run. */
+    public List<String> targetsInUse() {
+        return mTargets.values().stream()
+                .filter(target -> target.countRunning() > 0)
+                .map(StandInTarget::id)
+                .toList();
+    }
+
     /** Returns the hosts whose maintenance has begun, also the ended ones, in order. */
     public synchronized List<String> hostsInMaintenance() {
         return List.copyOf(mMaintainedHosts);
@@ -136,7 +152,9 @@
 
     private void writeTargetEntries() {
         for (StandInTarget target : mTargets.values()) {
-            mStore.put("servers/" + target.id(), target.entry("ready"));
+            if (!mCutFromStore.contains(target.id())) {
+                mStore.put("servers/" + target.id(), target.entry("ready"));
+            }
         }
     }
 
--- a/standins/src/test/java/org/marigoldturn/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/PlatformPathTest.java
@@ -175,6 +175,29 @@
         assertThat(mFleet.platform().starts()).hasSize(2);
     }
 
+    /**
+     * Guards against a new owner that starts tasks again because the platform's list lacks the
+     * target that runs them.
+     */
+    @Example
+    void nextOwnerKeepsTheRunsOfATargetThatIsNotListed() throws Exception {
+        mFleet.platform().addTarget("service", "h3", 300);
+        assertThat(mFleet.submit(1, ID, LONG_RUNNING).status().code()).isEqualTo(200);
+        PlatformFleet.await("both run", () -> mFleet.platform().countRunning() == 2);
+        for (String target : mFleet.platform().targetsInUse()) {
+            mFleet.platform().cutTargetFromStore(target);
+        }
+        mFleet.daemon(0).terminate();
+        PlatformFleet.await(
+                "the next owner runs other tasks",
+                () -> mFleet.submit(1, OTHER_ID, TWO_STEPS).status().code() == 200);
+        PlatformFleet.await("completed", () -> isCompleted(1, OTHER_ID));
+        // Longer than the lease of the first owner: the next one has to renew it.
+        Thread.sleep(5_000);
+        assertThat(mFleet.platform().starts()).hasSize(7).doesNotHaveDuplicates();
+        assertThat(mFleet.platform().countRunning()).isEqualTo(2);
+    }
+
     private boolean isCompleted(int daemon, String id) {
         return mFleet.queryState(daemon, id).contentUtf8().contains("completed");
     }
