Wait longer for unread targets if the last owner may be alive

Cause: refused connections let another daemon take over before the owner's lease in the store has ended. The wait for targets that cannot be read assumed an ended lease: it covered the owner's grace and one lease of a target, but not the 2.5 s of its own lease. Two gaps of the same kind came out of the model: renewals of the replaced owner's lease went on confirming it, and a second takeover soon after did not know of the first replaced owner.

Change: a takeover computes for how long earlier owners may act (EarlierOwners), waits accordingly, and stores that time in the record of its term for the next owner. A renewal confirms only together with a read of the term's record. Work on hosts starts once no earlier owner can be certain. Targets that respond are not waited for, so an owner whose process was killed is replaced as fast as before.

Ruled out: giving up the evidence of refused connections (2.5 s without an owner at each kill); a longer wait after every takeover (2.5 s more for targets that crash with an ended owner, where the lease had run out); ending the old owner's lease in the store first (a third daemon that wins then cannot tell it from one that has run out).

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -213,7 +213,7 @@
     }
 
     @Override
-    public void onElected(long term, long termRevision) {
+    public void onElected(long term, long termRevision, long earlierOwnersActMillis) {
         mRole =
                 new OwnerRole(
                         new OwnerContext(
@@ -229,6 +229,7 @@
                                 mClocks,
                                 mLimits,
                                 mMetrics,
+                                earlierOwnersActMillis,
                                 mElection.ownershipLease(),
                                 mElection.storeRegainedMillis(),
                                 mElection::onFenced),
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -53,6 +53,8 @@
     private long mOwnerEndedMillis = Long.MIN_VALUE / 2;
     private long mLeaseId;
     private long mOwnTerm;
+    private long mOwnTermRevision;
+    private long mTermKnownSinceMillis;
     private long mStartedMillis;
     private boolean mInterrupted;
     private long mStoreRegainedMillis = Long.MIN_VALUE / 2;
@@ -63,8 +65,12 @@
 
     /** Is notified of changes of ownership. */
     interface Listener {
-        /** This daemon is the owner from now on. */
-        void onElected(long term, long termRevision);
+        /**
+         * This daemon is the owner from now on.
+         *
+         * @param earlierOwnersActMillis for how long earlier owners may still act
+         */
+        void onElected(long term, long termRevision, long earlierOwnersActMillis);
 
         /** This daemon is no longer the owner. */
         void onDeposed(String reason);
@@ -130,8 +136,9 @@
 
     /**
      * Records evidence that a daemon's process has ended: its address refuses connections or
-     * belongs to another daemon. If it is the owner, its lease in the store is not waited for;
-     * should it be alive after all, the higher term fences it.
+     * belongs to another daemon. If it is the owner, its lease in the store is not waited for. It
+     * may be alive after all, since a network fault can refuse connections; the higher term then
+     * fences it, and the takeover tells for how long it may act ({@link EarlierOwners}).
      */
     void onDaemonEnded(String id) {
         boolean isOwner = mLiveRecord != null && mLiveRecord.value().toStringUtf8().equals(id);
@@ -151,6 +158,7 @@
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
             mTermRecord = value;
+            mTermKnownSinceMillis = mClocks.now();
             onTerm(OwnerRecordCodec.parse(value));
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
@@ -285,22 +293,29 @@
     private Vacancy vacancy() {
         // Each term took at least one revision, so the revision of a damaged record is no lower
         // than the term that it replaced.
-        long heldTerm =
-                mTermRecord == null
-                        ? 0
-                        : OwnerRecordCodec.parse(mTermRecord)
-                                .map(OwnerRecord::getTerm)
-                                .orElse(mTermRecord.modRevision());
+        Optional<OwnerRecord> last =
+                mTermRecord == null ? Optional.empty() : OwnerRecordCodec.parse(mTermRecord);
+        long unreadableTerm = mTermRecord == null ? 0 : mTermRecord.modRevision();
+        long heldTerm = last.map(OwnerRecord::getTerm).orElse(unreadableTerm);
+        boolean leaseEnded = mLiveRecord == null || isOfEarlierIncarnation(mLiveRecord);
         return new Vacancy(
                 heldTerm,
                 mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
                 mLiveRecord == null ? Compare.ABSENT : mLiveRecord.modRevision(),
-                mOwnTerm != 0 && mOwnTerm == heldTerm);
+                mOwnTerm != 0 && mOwnTerm == heldTerm,
+                EarlierOwners.actMillis(last, mClocks.now() - mTermKnownSinceMillis, leaseEnded));
     }
 
-    /** The record revisions that a takeover requires, and whether it keeps this daemon's term. */
+    /**
+     * The record revisions that a takeover requires, whether it keeps this daemon's term, and for
+     * how long earlier owners may act after it.
+     */
     private record Vacancy(
-            long heldTerm, long termRevision, long liveRevision, boolean keepsTerm) {}
+            long heldTerm,
+            long termRevision,
+            long liveRevision,
+            boolean keepsTerm,
+            long earlierOwnersActMillis) {}
 
     /**
      * Writes the next term, or restores the live record of the same term after its lease expired.
@@ -316,7 +331,8 @@
             puts.add(
                     new Operation.Put(
                             StoreLayout.OWNER_TERM,
-                            OwnerRecordCodec.create(mSelf, term).toByteString()));
+                            OwnerRecordCodec.create(mSelf, term, vacancy.earlierOwnersActMillis())
+                                    .toByteString()));
         }
         return mStore.commit(
                         List.of(
@@ -324,12 +340,12 @@
                                 new Compare(StoreLayout.OWNER_LIVE, vacancy.liveRevision())),
                         puts,
                         List.of())
-                .thenApply(result -> new Attempt(lease, term, keepsTerm, result));
+                .thenApply(result -> new Attempt(lease, term, vacancy, result));
     }
 
     /** A takeover attempt and its result. */
     private record Attempt(
-            long lease, long term, boolean keepsTerm, MetadataStore.CommitResult result) {}
+            long lease, long term, Vacancy vacancy, MetadataStore.CommitResult result) {}
 
     private void onAttempt(Attempt attempt, Throwable failure) {
         mAttempting = false;
@@ -345,15 +361,20 @@
             return;
         }
         mLeaseId = attempt.lease();
-        if (attempt.keepsTerm()) {
+        if (attempt.vacancy().keepsTerm()) {
             Logger.info("owner: event=claim-renewed term={}", attempt.term());
             return;
         }
         depose("this daemon took over again");
         mOwnTerm = attempt.term();
-        Logger.info("owner: event=elected term={}", mOwnTerm);
-        mListener.onOwner(OwnerRecordCodec.create(mSelf, mOwnTerm));
-        mListener.onElected(mOwnTerm, attempt.result().revision());
+        mOwnTermRevision = attempt.result().revision();
+        long earlierOwnersActMillis = attempt.vacancy().earlierOwnersActMillis();
+        Logger.info(
+                "owner: event=elected term={} earlierOwnersActMillis={}",
+                mOwnTerm,
+                earlierOwnersActMillis);
+        mListener.onOwner(OwnerRecordCodec.create(mSelf, mOwnTerm, earlierOwnersActMillis));
+        mListener.onElected(mOwnTerm, mOwnTermRevision, earlierOwnersActMillis);
     }
 
     private static void logRevocation(Throwable problem) {
@@ -370,19 +391,29 @@
         long lease = mLeaseId;
         long sentMillis = mClocks.now();
         long sentEpochMillis = mClocks.epoch();
+        // The lease alone proves nothing: it goes on when another daemon replaces the live record.
         mStore.keepLeaseAlive(lease)
+                .thenCombine(mStore.read(StoreLayout.OWNER_TERM), (kept, term) -> term)
                 .whenComplete(
-                        (done, failure) ->
+                        (term, failure) ->
                                 mControl.execute(
                                         () -> {
                                             if (failure == null && lease == mLeaseId) {
-                                                mOwnershipLease.confirm(
-                                                        sentMillis, sentEpochMillis);
+                                                onConfirmed(term, sentMillis, sentEpochMillis);
                                             }
                                             onRenewed(lease, failure);
                                         }));
     }
 
+    private void onConfirmed(Optional<StoredValue> term, long sentMillis, long sentEpochMillis) {
+        long revision = term.map(StoredValue::modRevision).orElse(Compare.ABSENT);
+        if (revision == mOwnTermRevision) {
+            mOwnershipLease.confirm(sentMillis, sentEpochMillis);
+        } else {
+            depose("the store holds revision " + revision + " of the term's record");
+        }
+    }
+
     private void onRenewed(long lease, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (cause instanceof LeaseExpiredException && lease == mLeaseId) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecordCodec.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecordCodec.java
@@ -15,14 +15,19 @@
 
     private OwnerRecordCodec() {}
 
-    /** Returns the record of a term that a daemon takes. */
-    static OwnerRecord create(DaemonIdentity owner, long term) {
+    /**
+     * Returns the record of a term that a daemon takes.
+     *
+     * @param earlierOwnersActMillis for how long after the takeover earlier owners may act
+     */
+    static OwnerRecord create(DaemonIdentity owner, long term, long earlierOwnersActMillis) {
         return OwnerRecord.newBuilder()
                 .setTerm(term)
                 .setOwnerId(owner.id())
                 .setZone(owner.zone())
                 .setAddress(owner.address())
                 .setPeerPort(owner.peerPort())
+                .setEarlierOwnersActMillis(earlierOwnersActMillis)
                 .build();
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -46,6 +46,7 @@
     private final SchedulingPace mPace = new SchedulingPace();
     private TargetList mTargetList;
     private HostWork mHostWork;
+    private long mHostWorkFromMillis;
     private JobScheduler mScheduler;
     private OwnerCalls mCalls;
     private OrderSender mOrders;
@@ -145,7 +146,7 @@
         long now = mContext.clocks().now();
         // 4%: a target's clock may be 2% slow, the rest is a margin.
         long longestLeaseMillis =
-                mContext.limits().leaseMillis() * 52 / 50 + OwnershipLease.GRACE_MILLIS;
+                mContext.limits().leaseMillis() * 52 / 50 + mContext.earlierOwnersActMillis();
         mScheduler =
                 new JobScheduler(
                         mOperator.catalog().orElseThrow(),
@@ -154,6 +155,7 @@
                         longestLeaseMillis);
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
+        mHostWorkFromMillis = now + EarlierOwners.certainMillis(mContext.earlierOwnersActMillis());
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
         mOrders = new OrderSender(mContext, mScheduler, mSessions, this);
         mAdvice = new AdviceRunner(mContext, mScheduler, this::requestScheduling);
@@ -285,7 +287,8 @@
         }
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         long now = mContext.clocks().now();
-        if (updateOwnerCertain()) {
+        // Until then an earlier owner may order work on the same hosts.
+        if (updateOwnerCertain() && now >= mHostWorkFromMillis) {
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
--- a/core/src/main/java/org/marigoldturn/coordination/OwnershipLease.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnershipLease.java
@@ -22,6 +22,9 @@
      */
     static final long GRACE_MILLIS = 4_000;
 
+    /** Longest time for which an owner acts after a confirmation. */
+    static final long LONGEST_ACT_MILLIS = LEASE_MILLIS + GRACE_MILLIS;
+
     private long mConfirmedMillis = Long.MIN_VALUE / 2;
     private long mConfirmedEpochMillis = Long.MIN_VALUE / 2;
 
@@ -38,7 +41,7 @@
 
     /** Returns whether tasks may be started and leases of targets be renewed. */
     boolean mayAct(long nowMillis, long epochMillis) {
-        return unconfirmedMillis(nowMillis, epochMillis) < LEASE_MILLIS + GRACE_MILLIS;
+        return unconfirmedMillis(nowMillis, epochMillis) < LONGEST_ACT_MILLIS;
     }
 
     private long unconfirmedMillis(long nowMillis, long epochMillis) {
--- a/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecord.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecord.java
@@ -189,6 +189,22 @@
     return peerPort_;
   }
 
+  public static final int EARLIER_OWNERS_ACT_MILLIS_FIELD_NUMBER = 6;
+  private long earlierOwnersActMillis_ = 0L;
+  /**
+   * <pre>
+   * For how long after this takeover earlier owners may act; 0 in records of earlier versions, which
+   * did not tell it.
+   * </pre>
+   *
+   * <code>int64 earlier_owners_act_millis = 6;</code>
+   * @return The earlierOwnersActMillis.
+   */
+  @java.lang.Override
+  public long getEarlierOwnersActMillis() {
+    return earlierOwnersActMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +234,9 @@
     if (peerPort_ != 0) {
       output.writeUInt32(5, peerPort_);
     }
+    if (earlierOwnersActMillis_ != 0L) {
+      output.writeInt64(6, earlierOwnersActMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -244,6 +263,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, peerPort_);
     }
+    if (earlierOwnersActMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, earlierOwnersActMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -269,6 +292,8 @@
         .equals(other.getAddress())) return false;
     if (getPeerPort()
         != other.getPeerPort()) return false;
+    if (getEarlierOwnersActMillis()
+        != other.getEarlierOwnersActMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -291,6 +316,9 @@
     hash = (53 * hash) + getAddress().hashCode();
     hash = (37 * hash) + PEER_PORT_FIELD_NUMBER;
     hash = (53 * hash) + getPeerPort();
+    hash = (37 * hash) + EARLIER_OWNERS_ACT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEarlierOwnersActMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -431,6 +459,7 @@
       zone_ = "";
       address_ = "";
       peerPort_ = 0;
+      earlierOwnersActMillis_ = 0L;
       return this;
     }
 
@@ -479,6 +508,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.peerPort_ = peerPort_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.earlierOwnersActMillis_ = earlierOwnersActMillis_;
+      }
     }
 
     @java.lang.Override
@@ -514,6 +546,9 @@
       if (other.getPeerPort() != 0) {
         setPeerPort(other.getPeerPort());
       }
+      if (other.getEarlierOwnersActMillis() != 0L) {
+        setEarlierOwnersActMillis(other.getEarlierOwnersActMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -565,6 +600,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              earlierOwnersActMillis_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -862,6 +902,53 @@
       return this;
     }
 
+    private long earlierOwnersActMillis_ ;
+    /**
+     * <pre>
+     * For how long after this takeover earlier owners may act; 0 in records of earlier versions, which
+     * did not tell it.
+     * </pre>
+     *
+     * <code>int64 earlier_owners_act_millis = 6;</code>
+     * @return The earlierOwnersActMillis.
+     */
+    @java.lang.Override
+    public long getEarlierOwnersActMillis() {
+      return earlierOwnersActMillis_;
+    }
+    /**
+     * <pre>
+     * For how long after this takeover earlier owners may act; 0 in records of earlier versions, which
+     * did not tell it.
+     * </pre>
+     *
+     * <code>int64 earlier_owners_act_millis = 6;</code>
+     * @param value The earlierOwnersActMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEarlierOwnersActMillis(long value) {
+
+      earlierOwnersActMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * For how long after this takeover earlier owners may act; 0 in records of earlier versions, which
+     * did not tell it.
+     * </pre>
+     *
+     * <code>int64 earlier_owners_act_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEarlierOwnersActMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      earlierOwnersActMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.jobs.OwnerRecord)
   }
 
--- a/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecordOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecordOrBuilder.java
@@ -57,4 +57,15 @@
    * @return The peerPort.
    */
   int getPeerPort();
+
+  /**
+   * <pre>
+   * For how long after this takeover earlier owners may act; 0 in records of earlier versions, which
+   * did not tell it.
+   * </pre>
+   *
+   * <code>int64 earlier_owners_act_millis = 6;</code>
+   * @return The earlierOwnersActMillis.
+   */
+  long getEarlierOwnersActMillis();
 }
--- a/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
@@ -28,6 +28,7 @@
 
     private long mLastLease;
     private int mResponsesToLose;
+    private boolean mHidesChanges;
     private Runnable mBeforeGrant = () -> {};
 
     /** Carries out the next commits without responding to them. */
@@ -35,6 +36,11 @@
         mResponsesToLose = count;
     }
 
+    /** Returns no further changes to watches, as a silent connection does. */
+    synchronized void hideChanges() {
+        mHidesChanges = true;
+    }
+
     /** Runs once before the next lease is granted. */
     synchronized void beforeNextGrant(Runnable action) {
         mBeforeGrant = action;
@@ -89,6 +95,9 @@
             Thread.currentThread().interrupt();
         }
         synchronized (this) {
+            if (mHidesChanges) {
+                return new Changes(List.of(), afterRevision);
+            }
             List<Change> found =
                     mChanges.stream()
                             .filter(c -> c.value().key().startsWith(prefix))
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -25,6 +25,7 @@
     private final MemoryStore mStore = new MemoryStore();
     private final BlockingQueue<Long> mElected = new LinkedBlockingQueue<>();
     private final BlockingQueue<OwnerRecord> mOwners = new LinkedBlockingQueue<>();
+    private volatile long mEarlierOwnersActMillis;
     private final OwnerElection mElection =
             new OwnerElection(mStore, mControl, Clocks.system(), SELF, this);
 
@@ -120,6 +121,55 @@
         assertThat(mElected.poll(500, TimeUnit.MILLISECONDS)).isNull();
     }
 
+    /** Guards against a wait that is too short for an owner that is alive behind a cut network. */
+    @Example
+    void anOwnerThatRefusesConnectionsMayActForLongerThanOneWhoseLeaseHasEnded()
+            throws InterruptedException {
+        startBesideOwner();
+        mControl.execute(() -> mElection.onDaemonEnded("host-2/b"));
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(4);
+        assertThat(mEarlierOwnersActMillis).isEqualTo(OwnershipLease.LONGEST_ACT_MILLIS);
+    }
+
+    @Example
+    void anOwnerWhoseLeaseHasEndedActsForItsGraceOnly() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(4, OwnershipLease.GRACE_MILLIS), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
+        assertThat(mEarlierOwnersActMillis).isEqualTo(OwnershipLease.GRACE_MILLIS);
+    }
+
+    /** Guards against a second takeover that forgets the owner that the first one replaced. */
+    @Example
+    void theTimeOfEarlierOwnersIsPassedOnToTheNextOwner() throws InterruptedException {
+        mStore.put(StoreLayout.OWNER_TERM, record(4, OwnershipLease.LONGEST_ACT_MILLIS), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
+        assertThat(mEarlierOwnersActMillis)
+                .isGreaterThan(OwnershipLease.GRACE_MILLIS)
+                .isLessThanOrEqualTo(OwnershipLease.LONGEST_ACT_MILLIS);
+        assertThat(storedTerm().getEarlierOwnersActMillis()).isEqualTo(mEarlierOwnersActMillis);
+    }
+
+    /**
+     * Guards against an owner that counts as confirmed after it was replaced: its lease in the
+     * store goes on, and here its watch shows no change.
+     */
+    @Example
+    void aRenewalAfterATakeoverDoesNotConfirmTheOwner() throws InterruptedException {
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(1);
+        mStore.hideChanges();
+        mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-2/b"), 99);
+        mStore.put(StoreLayout.OWNER_TERM, record(2), 0);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(-1);
+    }
+
+    private OwnerRecord storedTerm() {
+        return OwnerRecordCodec.parse(mStore.value(StoreLayout.OWNER_TERM).orElseThrow())
+                .orElseThrow();
+    }
+
     private void startBesideOwner() throws InterruptedException {
         mStore.put(StoreLayout.OWNER_TERM, record(3), 0);
         mStore.put(StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8("host-2/b"), 99);
@@ -149,12 +199,22 @@
         return record(term, "host-2/b");
     }
 
+    private static ByteString record(long term, long earlierOwnersActMillis) {
+        return OwnerRecord.newBuilder()
+                .setTerm(term)
+                .setOwnerId("host-2/b")
+                .setEarlierOwnersActMillis(earlierOwnersActMillis)
+                .build()
+                .toByteString();
+    }
+
     private static ByteString record(long term, String ownerId) {
         return OwnerRecord.newBuilder().setTerm(term).setOwnerId(ownerId).build().toByteString();
     }
 
     @Override
-    public void onElected(long term, long termRevision) {
+    public void onElected(long term, long termRevision, long earlierOwnersActMillis) {
+        mEarlierOwnersActMillis = earlierOwnersActMillis;
         assertThat(List.of(StoreLayout.OWNER_LIVE)).allMatch(key -> mStore.value(key).isPresent());
         mElected.add(term);
     }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -47,6 +47,7 @@
                             Clocks.system(),
                             new JobLimits(6_000, 1_000),
                             new MetricRegistry(),
+                            OwnershipLease.GRACE_MILLIS,
                             new OwnershipLease(),
                             0,
                             () -> {}),
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -20,7 +21,7 @@
 
     @Property(tries = 1_000, seed = "20261204")
     void noRuleIsBrokenAndAllWorkEnds(@ForAll long seed) {
-        simulate(seed, false);
+        simulate(seed, Set.of());
     }
 
     /**
@@ -29,7 +30,27 @@
      */
     @Property(tries = 1_000, seed = "20261205")
     void noRuleIsBrokenWhileTheListLosesTargets(@ForAll long seed) {
-        simulate(seed, true);
+        simulate(seed, Set.of(ScheduleSimulation.Trouble.LIST_LOSES_TARGETS));
+    }
+
+    /**
+     * Guards against a new owner that starts a task again while a living owner, which it has
+     * replaced before the end of its lease in the store, renews the lease of the task's target.
+     */
+    @Property(tries = 200, seed = "20261206")
+    void noRuleIsBrokenWhenALivingOwnerIsReplaced(@ForAll long seed) {
+        ScheduleSimulation simulation =
+                new ScheduleSimulation(
+                        seed, 4, Set.of(ScheduleSimulation.Trouble.LIVING_OWNERS_ARE_REPLACED));
+        Random random = new Random(seed);
+        for (int i = 0; i < 2 * JOBS; i++) {
+            simulation.submit(job("job" + i, random));
+        }
+        long partitionMillis = 8_500 + random.nextInt(4_000);
+        simulation.after(
+                random.nextInt(1_000), () -> simulation.replaceLivingOwner(partitionMillis));
+        simulation.run(60_000, false);
+        assertThat(simulation.findings()).isEmpty();
     }
 
     /**
@@ -38,12 +59,12 @@
      */
     @Example
     void ownerThatMayHaveBeenReplacedStartsNothingAgain() {
-        simulate(6, false);
-        simulate(67_715, false);
+        simulate(6, Set.of());
+        simulate(67_715, Set.of());
     }
 
-    private static void simulate(long seed, boolean listLosesTargets) {
-        ScheduleSimulation simulation = new ScheduleSimulation(seed, 4, listLosesTargets);
+    private static void simulate(long seed, Set<ScheduleSimulation.Trouble> troubles) {
+        ScheduleSimulation simulation = new ScheduleSimulation(seed, 4, troubles);
         Random random = new Random(seed);
         for (int i = 0; i < JOBS; i++) {
             simulation.submit(job("job" + i, random));
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -36,10 +36,9 @@
 
     /**
      * Computed as in the real owner: the longest lease, lengthened by 4% for a clock that is 2%
-     * slow and a margin, plus the time for which an old owner stays active.
+     * slow and a margin.
      */
-    private static final long LONGEST_LEASE_MILLIS =
-            LEASE_MILLIS * 52 / 50 + ACTIVE_WITHOUT_STORE_MILLIS;
+    private static final long LONGEST_LEASE_MILLIS = LEASE_MILLIS * 52 / 50;
 
     private static final int MAX_ATTEMPTS = SchedulerFixture.QUEUE.maxAttempts();
 
@@ -51,7 +50,19 @@
     /** Kept apart, so that a seed's other faults stay the same. */
     private final Random mListRandom;
 
-    private final boolean mListLosesTargets;
+    private final Set<Trouble> mTroubles;
+
+    /** Faults that only some simulations have. */
+    enum Trouble {
+        /**
+         * The platform's list loses entries of targets that are up, so owners restore the targets
+         * that earlier ones have recorded.
+         */
+        LIST_LOSES_TARGETS,
+        /** Owners are replaced before their lease in the store has ended. */
+        LIVING_OWNERS_ARE_REPLACED
+    }
+
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparing(Event::atMillis).thenComparing(Event::order));
     private final Map<String, SimulatedTarget> mTargets = new TreeMap<>();
@@ -74,16 +85,10 @@
 
     private record Event(long atMillis, long order, Runnable action) {}
 
-    /**
-     * Creates a simulation with an owner.
-     *
-     * @param listLosesTargets whether the platform's list loses entries of targets that are up, so
-     *     that owners restore the targets that earlier ones have recorded
-     */
-    ScheduleSimulation(long seed, int targets, boolean listLosesTargets) {
+    ScheduleSimulation(long seed, int targets, Set<Trouble> troubles) {
         mRandom = new Random(seed);
         mListRandom = new Random(~seed);
-        mListLosesTargets = listLosesTargets;
+        mTroubles = Set.copyOf(troubles);
         for (int i = 0; i < targets; i++) {
             addTarget("t" + i);
         }
@@ -98,8 +103,16 @@
         return mTerm;
     }
 
-    static long longestLeaseMillis() {
-        return LONGEST_LEASE_MILLIS;
+    /** Returns the time after a takeover by which all leases of earlier owners have ended. */
+    long longestLeaseMillis() {
+        return LONGEST_LEASE_MILLIS + activeMillis();
+    }
+
+    /** Returns for how long an owner stays active after it was replaced. */
+    private int activeMillis() {
+        return mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED)
+                ? OWNER_LEASE_MILLIS + ACTIVE_WITHOUT_STORE_MILLIS
+                : ACTIVE_WITHOUT_STORE_MILLIS;
     }
 
     Map<String, Job> storedJobs() {
@@ -124,7 +137,9 @@
 
     /** Returns the recorded targets; none if the list loses no entries. */
     List<TargetEntry> storedTargets() {
-        return mListLosesTargets ? List.copyOf(mStoredTargets.values()) : List.of();
+        return mTroubles.contains(Trouble.LIST_LOSES_TARGETS)
+                ? List.copyOf(mStoredTargets.values())
+                : List.of();
     }
 
     /** Records a target, unless a newer owner has been elected. Returns whether it was stored. */
@@ -184,7 +199,7 @@
         if (faults) {
             for (long at = mNowMillis; at < endMillis; at += 700) {
                 at(at + mRandom.nextInt(700), this::injectFault);
-                if (mListLosesTargets && mListRandom.nextInt(4) == 0) {
+                if (mTroubles.contains(Trouble.LIST_LOSES_TARGETS) && mListRandom.nextInt(4) == 0) {
                     at(at + mListRandom.nextInt(700), this::unlistTarget);
                 }
             }
@@ -291,6 +306,23 @@
         after(200 + mListRandom.nextInt(9_000), () -> mUnlisted.remove(target));
     }
 
+    /**
+     * Partitions the network and replaces the owner, which stays active for as long as it may: it
+     * reaches only some of the targets, and the new owner only the others.
+     */
+    void replaceLivingOwner(long partitionMillis) {
+        long oldTerm = mTerm;
+        List<String> ids = List.copyOf(mTargets.keySet());
+        mTerm++;
+        for (int i = 0; i < ids.size(); i++) {
+            mUnreachable.add((i % 2 == 0 ? oldTerm : mTerm) + "/" + ids.get(i));
+        }
+        after(activeMillis(), mOwner::close);
+        mOwner = new SimulatedOwner(this);
+        mOwner.start();
+        after(partitionMillis, mUnreachable::clear);
+    }
+
     /**
      * Partitions the network: the owner reaches only some of the targets, and the next owner only
      * the others.
@@ -300,8 +332,9 @@
         Set<String> far = new HashSet<>();
         mTargets.keySet().stream().filter(id -> mRandom.nextBoolean()).forEach(far::add);
         far.forEach(id -> mUnreachable.add(oldTerm + "/" + id));
+        boolean replacedAtOnce = mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED);
         after(
-                OWNER_LEASE_MILLIS,
+                replacedAtOnce ? 0 : OWNER_LEASE_MILLIS,
                 () -> {
                     if (mTerm == oldTerm && mFaults) {
                         changeOwner();
@@ -331,7 +364,7 @@
         mOwner = new SimulatedOwner(this);
         mOwner.start();
         if (old != null) {
-            after(mRandom.nextInt(ACTIVE_WITHOUT_STORE_MILLIS), old::close);
+            after(mRandom.nextInt(activeMillis()), old::close);
         }
     }
 
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -41,7 +41,7 @@
                         SchedulerFixture.catalog(SchedulerFixture.ACCOUNT),
                         mTerm,
                         simulation.nowMillis(),
-                        ScheduleSimulation.longestLeaseMillis());
+                        simulation.longestLeaseMillis());
     }
 
     void start() {
