Wait for all actions on stored records in TargetRecordsTest

Cause: a CompletableFuture runs its dependents in the reverse order of their registration, so the test's future, registered last, completed before the keeper's own action on the same write, and the test's thread read the target in between. The test now waits for the control task in which both run. Ruled out: a delay of the product; both actions run in one control task, and nothing else reads the state between them.

--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -189,6 +189,8 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         mControl.execute(() -> mCommits.flush().thenRun(() -> done.complete(null)));
         done.get(10, TimeUnit.SECONDS);
+        // The other actions that depend on the same writes run later in the same control task.
+        onControl(() -> {});
     }
 
     private Optional<TargetEntry> stored(String id) {
