Hold back capacity only where a task will fit, and for a bounded time

Cause: JobScheduler.startStep and Placer.holdBack let each task older than 500 ms that fits nowhere hold back its need on one more target in each pass. The hold counted the target's whole capacity, as if its long-running tasks ended too, and nothing bounded it in time or number. Change: HeldBackCapacity allows a hold only if the task fits once the target's short runs have ended, and for a short task for 2 s in succession at most; the next pass leaves the target to all tasks. Why it works: a task that fits nowhere for good holds nothing; where runs hang, tasks that fit pass after 2 s. Weighed: holding for the first waiting task only, passing by estimates, refusing such tasks at admission, no hold (docs/platform.md). Ruled out as causes: admission (the jobs are accepted), the account's limit (none), pauses of targets (none failed).

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -43,6 +43,7 @@
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final AdvicePlanner mAdvice;
+    private final HeldBackCapacity mHeldBack = new HeldBackCapacity();
     private QueueCatalog mCatalog;
     private long mRestoredHeldUntilMillis = Long.MIN_VALUE;
 
@@ -271,7 +272,7 @@
         Map<String, List<TargetState>> targets = new HashMap<>();
         RestoredJobsCheck restored =
                 new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
-        Placer placer = new Placer();
+        Placer placer = new Placer(mHeldBack);
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
         for (JobEntry job : mJobs.active()) {
             if (!job.isStored() || !job.hasStartableStep(dueEpochMillis)) {
@@ -290,7 +291,7 @@
                 startStep(step, allowed, placer, nowMillis, orders);
             }
         }
-        placer.releaseHeldBack();
+        mHeldBack.release();
         return orders;
     }
 
@@ -334,7 +335,7 @@
             TargetState target = placer.choose(step, candidates);
             if (target == null) {
                 if (mayHoldBackCapacity(step, nowMillis)) {
-                    placer.holdBack(step, candidates);
+                    placer.holdBack(step, candidates, nowMillis);
                 }
                 return;
             }
@@ -364,7 +365,14 @@
 
     private Order start(
             StepState step, TaskState task, TargetState target, long number, long nowMillis) {
-        Run run = new Run(task.id(), number, target, step.spec().reservedResources(), nowMillis);
+        Run run =
+                new Run(
+                        task.id(),
+                        number,
+                        target,
+                        step.spec().reservedResources(),
+                        step.spec().traits().longRunning(),
+                        nowMillis);
         task.recordRunNumber(number);
         step.job().markStarted();
         mRuns.addRun(run, task, step.job());
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -28,8 +28,11 @@
     /** Score of a target in the preferred rack; outweighs any amount of free CPU. */
     private static final long PREFERRED_RACK_SCORE = 1L << 40;
 
-    /** Targets on which this pass holds back free capacity for a task that fits nowhere yet. */
-    private final Set<TargetState> mHeldBack = new HashSet<>();
+    private final HeldBackCapacity mHeldBack;
+
+    Placer(HeldBackCapacity heldBack) {
+        mHeldBack = heldBack;
+    }
 
     /** Chooses a target for one task, or null if it fits nowhere. */
     TargetState choose(StepState step, List<TargetState> candidates) {
@@ -92,28 +95,22 @@
 
     /**
      * Holds back capacity for a task that fits nowhere now, on the eligible target with the most
-     * free CPU, so that smaller tasks do not use it.
+     * free CPU among those on which that is allowed.
      */
-    void holdBack(StepState step, List<TargetState> candidates) {
+    void holdBack(StepState step, List<TargetState> candidates, long nowMillis) {
         TargetState best = null;
         for (TargetState target : preferTargetsNotOnLoan(step, candidates)) {
-            boolean eligible = !mHeldBack.contains(target) && isEligible(step, target);
+            boolean eligible =
+                    isEligible(step, target) && mHeldBack.isAllowed(step, target, nowMillis);
             if (eligible && (best == null || freeCpu(target) > freeCpu(best))) {
                 best = target;
             }
         }
         if (best != null) {
-            mHeldBack.add(best);
-            best.holdBack(step.spec().reservedResources());
+            mHeldBack.add(step, best, nowMillis);
         }
     }
 
-    /** Releases all capacity that this pass holds back. */
-    void releaseHeldBack() {
-        mHeldBack.forEach(target -> target.holdBack(ResourceAmounts.NONE));
-        mHeldBack.clear();
-    }
-
     private TargetState best(
             StepState step,
             List<TargetState> candidates,
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -27,6 +27,7 @@
     private final long mNumber;
     private final TargetState mTarget;
     private final ResourceAmounts mReservedResources;
+    private final boolean mLongRunning;
     private final long mDecidedMillis;
     private Phase mPhase = Phase.STARTING;
     private boolean mStopRequested;
@@ -41,11 +42,13 @@
             long number,
             TargetState target,
             ResourceAmounts reservedResources,
+            boolean longRunning,
             long nowMillis) {
         mTask = task;
         mNumber = number;
         mTarget = target;
         mReservedResources = reservedResources;
+        mLongRunning = longRunning;
         mDecidedMillis = nowMillis;
     }
 
@@ -73,6 +76,11 @@
         return mReservedResources;
     }
 
+    /** Returns whether its task has no end of its own. */
+    boolean isLongRunning() {
+        return mLongRunning;
+    }
+
     Phase phase() {
         return mPhase;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -94,6 +94,7 @@
                         report.run(),
                         target,
                         spec == null ? ResourceAmounts.NONE : spec.reservedResources(),
+                        spec != null && spec.traits().longRunning(),
                         nowMillis);
         boolean needed = task != null && job.isActive() && !task.isDone() && task.runs().isEmpty();
         if (!needed) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -14,8 +14,8 @@
 /**
  * State of one incarnation of a target: its entry, the runs that may exist there and its lease.
  *
- * <p>Invariant: {@code mUsed} is the sum of the resources reserved by all runs that may exist
- * there. Confined to the control thread.
+ * <p>Invariants: {@code mUsed} is the sum of the resources reserved by all runs that may exist
+ * there, {@code mUsedByLongRunning} of those by long-running ones. Confined to the control thread.
  */
 public final class TargetState {
     /** Consecutive failed runs after which a target is paused. */
@@ -35,6 +35,7 @@
     private final List<Run> mAbandoned = new ArrayList<>();
     private TargetEntry mEntry;
     private ResourceAmounts mUsed = ResourceAmounts.NONE;
+    private ResourceAmounts mUsedByLongRunning = ResourceAmounts.NONE;
     private ResourceAmounts mHeldBack = ResourceAmounts.NONE;
     private boolean mListed = true;
     private boolean mRecorded;
@@ -215,6 +216,11 @@
         return mEntry.capacity().minus(mUsed);
     }
 
+    /** Returns the capacity that is free once all runs but the long-running ones have ended. */
+    ResourceAmounts freeAfterShortRuns() {
+        return mEntry.capacity().minus(mUsedByLongRunning);
+    }
+
     boolean accepts(Set<String> closedZones, long nowMillis) {
         return mListed
                 && mRecorded
@@ -233,12 +239,18 @@
     void add(Run run) {
         mRuns.computeIfAbsent(run.task(), task -> new ArrayList<>(1)).add(run);
         mUsed = mUsed.plus(run.reservedResources());
+        if (run.isLongRunning()) {
+            mUsedByLongRunning = mUsedByLongRunning.plus(run.reservedResources());
+        }
     }
 
     void remove(Run run) {
         List<Run> runs = mRuns.get(run.task());
         if (runs != null && runs.remove(run)) {
             mUsed = mUsed.minus(run.reservedResources());
+            if (run.isLongRunning()) {
+                mUsedByLongRunning = mUsedByLongRunning.minus(run.reservedResources());
+            }
             if (runs.isEmpty()) {
                 mRuns.remove(run.task());
             }
