Decide on a job's last attempt only while its queue is configured

Cause: JobScheduler.maxAttempts took a queue that the configuration lacks as one with a single attempt, and RunTracker.onTaskFailed ended the job for good. Change: without a limit a failure is recorded and nothing decided; before a task starts, its failed runs are compared with the limit then in force, and the job ends if it is used up. On the same path, a job that is restored without its queue got the most urgent priority; priorities of active jobs now follow the configuration. Why it works: tasks of an unconfigured queue do not start, and failed runs are stored, so the comparison comes before any further start, also under a next owner. Weighed: the last known limit, a limit stored with the job, not counting such failures (docs/platform.md). Ruled out: the targets' report (one end, failed) and the store (one record, final).

--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -10,11 +10,11 @@
 /** State of one accepted job and of all its tasks. Confined to the control thread. */
 final class JobEntry {
     private final Job mJob;
-    private final int mPriority;
     private final long mAcceptedMillis;
     private final boolean mRestored;
     private final List<List<StepState>> mOccurrences = new ArrayList<>();
     private final List<StepState> mAllSteps = new ArrayList<>();
+    private int mPriority;
     private boolean mStored;
     private boolean mStarted;
     private JobState mFinalState;
@@ -50,6 +50,11 @@
         return mPriority;
     }
 
+    /** Changes the priority; only while the job is in no collection that is sorted by it. */
+    void setPriority(int priority) {
+        mPriority = priority;
+    }
+
     long acceptedMillis() {
         return mAcceptedMillis;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -35,6 +35,9 @@
     /** Delays starts after due times: clocks differ by less, and no task may start early. */
     private static final long DUE_MARGIN_MILLIS = 40;
 
+    /** Priority of a restored job until its queue is configured. */
+    private static final int LEAST_URGENT_PRIORITY = Integer.MAX_VALUE;
+
     private final long mTerm;
     private final JobTable mJobs = new JobTable();
     private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
@@ -64,7 +67,8 @@
 
     /** Restores a job from the records of an earlier owner. */
     public void restore(Job job, JobProgress progress, long nowMillis) {
-        JobEntry entry = new JobEntry(job, priorityOf(job), nowMillis, true);
+        int priority = priorityOf(job).orElse(LEAST_URGENT_PRIORITY);
+        JobEntry entry = new JobEntry(job, priority, nowMillis, true);
         entry.restore(progress);
         mJobs.add(entry);
     }
@@ -74,9 +78,10 @@
         mRestoredHeldUntilMillis = untilMillis;
     }
 
-    /** Uses a newer configuration. */
+    /** Uses a newer configuration; jobs of queues that it does not have wait for one that does. */
     public void setCatalog(QueueCatalog catalog) {
         mCatalog = catalog;
+        mJobs.updatePriorities(this::priorityOf);
     }
 
     /**
@@ -274,7 +279,7 @@
                 new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
         Placer placer = new Placer(mHeldBack);
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
-        for (JobEntry job : mJobs.active()) {
+        for (JobEntry job : List.copyOf(mJobs.active())) {
             if (!job.isStored() || !job.hasStartableStep(dueEpochMillis)) {
                 continue;
             }
@@ -288,6 +293,10 @@
             for (StepState step : job.startableSteps(dueEpochMillis)) {
                 List<TargetState> allowed =
                         advised ? AdvicePlanner.allowed(step, candidates, nowMillis) : candidates;
+                // The limit may have been unknown or higher when a task failed last.
+                if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), epochMillis)) {
+                    break;
+                }
                 startStep(step, allowed, placer, nowMillis, orders);
             }
         }
@@ -408,11 +417,11 @@
         return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
     }
 
-    private int priorityOf(Job job) {
-        return mCatalog.queue(job.queue()).map(QueueSettings::priority).orElse(0);
+    private Optional<Integer> priorityOf(Job job) {
+        return mCatalog.queue(job.queue()).map(QueueSettings::priority);
     }
 
-    private int maxAttempts(JobEntry job) {
-        return mCatalog.queue(job.job().queue()).map(QueueSettings::maxAttempts).orElse(1);
+    private Optional<Integer> maxAttempts(JobEntry job) {
+        return mCatalog.queue(job.job().queue()).map(QueueSettings::maxAttempts);
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -7,8 +7,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.TaskId;
 
@@ -37,6 +40,22 @@
         }
     }
 
+    /**
+     * Changes the priorities of active jobs.
+     *
+     * @param priorityOf returns a job's priority; empty if it stays as it is
+     */
+    void updatePriorities(Function<Job, Optional<Integer>> priorityOf) {
+        for (JobEntry entry : List.copyOf(mActive)) {
+            int priority = priorityOf.apply(entry.job()).orElse(entry.priority());
+            if (priority != entry.priority()) {
+                mActive.remove(entry);
+                entry.setPriority(priority);
+                mActive.add(entry);
+            }
+        }
+    }
+
     /** Ends a job. */
     void finish(JobEntry entry, JobState end, long epochMillis) {
         entry.finish(end, epochMillis);
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -3,8 +3,9 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
-import java.util.function.ToIntFunction;
+import java.util.function.Function;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
@@ -19,11 +20,18 @@
 final class RunTracker {
     private final JobTable mJobs;
     private final AccountUsage mUsage;
-    private final ToIntFunction<JobEntry> mMaxAttempts;
+    private final Function<JobEntry, Optional<Integer>> mMaxAttempts;
     private final Set<String> mChanged = new LinkedHashSet<>();
     private final Set<TaskState> mHeldTasks = new HashSet<>();
 
-    RunTracker(JobTable jobs, AccountUsage usage, ToIntFunction<JobEntry> maxAttempts) {
+    /**
+     * Creates a tracker without runs.
+     *
+     * @param maxAttempts returns how often a task of a job may fail; empty while the job's queue is
+     *     not configured
+     */
+    RunTracker(
+            JobTable jobs, AccountUsage usage, Function<JobEntry, Optional<Integer>> maxAttempts) {
         mJobs = jobs;
         mUsage = usage;
         mMaxAttempts = maxAttempts;
@@ -149,9 +157,24 @@
             return;
         }
         mChanged.add(job.job().id());
-        if (step.failedRuns(task) >= mMaxAttempts.applyAsInt(job)) {
-            finish(job, JobState.FAILED, epochMillis);
+        finishIfOutOfAttempts(step, List.of(task), epochMillis);
+    }
+
+    /**
+     * Ends a step's job as failed if one of the given tasks has failed as often as the job's queue
+     * allows; decides nothing while the queue is not configured, since its limit is unknown.
+     *
+     * @return whether the job has ended
+     */
+    boolean finishIfOutOfAttempts(StepState step, List<TaskState> tasks, long epochMillis) {
+        Optional<Integer> maxAttempts = mMaxAttempts.apply(step.job());
+        for (TaskState task : tasks) {
+            if (maxAttempts.isPresent() && step.failedRuns(task) >= maxAttempts.get()) {
+                finish(step.job(), JobState.FAILED, epochMillis);
+                return true;
+            }
         }
+        return false;
     }
 
     void finish(JobEntry job, JobState end, long epochMillis) {
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -33,6 +33,12 @@
         simulate(seed, Set.of(ScheduleSimulation.Trouble.LIST_LOSES_TARGETS));
     }
 
+    /** Guards against a job that fails too early because its queue is not configured meanwhile. */
+    @Property(tries = 500, seed = "20261207")
+    void noRuleIsBrokenWhileTheQueueIsRemovedAndRestored(@ForAll long seed) {
+        simulate(seed, Set.of(ScheduleSimulation.Trouble.QUEUE_IS_REMOVED));
+    }
+
     /**
      * Guards against a new owner that starts a task again while a living owner, which it has
      * replaced before the end of its lease in the store, renews the lease of the task's target.
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -15,6 +15,7 @@
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
@@ -42,6 +43,10 @@
 
     private static final int MAX_ATTEMPTS = SchedulerFixture.QUEUE.maxAttempts();
 
+    private static final QueueCatalog CATALOG = SchedulerFixture.catalog(SchedulerFixture.ACCOUNT);
+    private static final QueueCatalog CATALOG_WITHOUT_QUEUE =
+            new QueueCatalog(2, List.of(), Set.of(), Set.of(), List.of(SchedulerFixture.ACCOUNT));
+
     /** The platform carries out an order without a response at most this much later. */
     private static final int MAX_LATE_MILLIS = 12_000;
 
@@ -60,7 +65,9 @@
          */
         LIST_LOSES_TARGETS,
         /** Owners are replaced before their lease in the store has ended. */
-        LIVING_OWNERS_ARE_REPLACED
+        LIVING_OWNERS_ARE_REPLACED,
+        /** Versions of the configuration lack the queue of all jobs. */
+        QUEUE_IS_REMOVED
     }
 
     private final PriorityQueue<Event> mEvents =
@@ -78,6 +85,7 @@
     private final Set<String> mUnreachable = new HashSet<>();
     private SimulatedOwner mOwner;
     private boolean mFaults = true;
+    private boolean mQueueConfigured = true;
     private long mNowMillis = 1_000;
     private long mNextEventOrder;
     private long mTerm;
@@ -157,6 +165,11 @@
         }
     }
 
+    /** Returns the newest configuration. */
+    QueueCatalog catalog() {
+        return mQueueConfigured ? CATALOG : CATALOG_WITHOUT_QUEUE;
+    }
+
     List<String> findings() {
         return mFindings;
     }
@@ -172,6 +185,7 @@
     boolean store(long term, String jobId, JobProgress progress) {
         if (term == mTerm) {
             mStoredProgress.put(jobId, progress);
+            checkFailedJob(jobId, progress);
         }
         return term == mTerm;
     }
@@ -191,6 +205,7 @@
      */
     void run(long millis, boolean faults) {
         mFaults = faults;
+        mQueueConfigured |= !faults;
         long endMillis = mNowMillis + millis;
         if (!faults) {
             mUnreachable.clear();
@@ -202,6 +217,9 @@
                 if (mTroubles.contains(Trouble.LIST_LOSES_TARGETS) && mListRandom.nextInt(4) == 0) {
                     at(at + mListRandom.nextInt(700), this::unlistTarget);
                 }
+                if (mTroubles.contains(Trouble.QUEUE_IS_REMOVED)) {
+                    at(at + mListRandom.nextInt(700), this::toggleQueue);
+                }
             }
         }
         while (!mEvents.isEmpty() && mEvents.peek().atMillis() <= endMillis) {
@@ -300,6 +318,10 @@
         }
     }
 
+    private void toggleQueue() {
+        mQueueConfigured = !mFaults || !mQueueConfigured;
+    }
+
     private void unlistTarget() {
         String target = "t" + mListRandom.nextInt(mTargets.size());
         mUnlisted.add(target);
@@ -422,6 +444,16 @@
         }
     }
 
+    private void checkFailedJob(String jobId, JobProgress progress) {
+        boolean startedOftenEnough =
+                mStarts.entrySet().stream()
+                        .filter(entry -> entry.getKey().jobId().equals(jobId))
+                        .anyMatch(entry -> entry.getValue().size() >= MAX_ATTEMPTS);
+        if (progress.state() == JobState.FAILED && !startedOftenEnough) {
+            mFindings.add("LOST " + jobId + " failed before its last attempt");
+        }
+    }
+
     private void checkCapacity() {
         for (SimulatedTarget target : mTargets.values()) {
             ResourceAmounts used = target.isUp() ? target.used(mNowMillis) : ResourceAmounts.NONE;
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -38,7 +38,7 @@
         mTerm = simulation.term();
         mScheduler =
                 new JobScheduler(
-                        SchedulerFixture.catalog(SchedulerFixture.ACCOUNT),
+                        simulation.catalog(),
                         mTerm,
                         simulation.nowMillis(),
                         simulation.longestLeaseMillis());
@@ -93,6 +93,7 @@
                 mScheduler.onTargetUnlisted(target.id());
             }
         }
+        mScheduler.setCatalog(mSimulation.catalog());
         updateCertainty();
         mScheduler.expireLeases(mSimulation.nowMillis());
         mSimulation.retainTargets(mTerm, knownTargets());
