Split the starting of tasks from JobScheduler

Cause: JobScheduler had over 400 lines, with two subjects: what may start, and where and in what number it starts. Change: TaskStarter holds the second, with the placer and the capacity that is held back; no change of behaviour. Ruled out: a class for gangs of its own, which would share all but one method. Result: JobSchedulerTest, HeldBackCapacityTest, UnconfiguredQueueTest and JobSchedulerProperties pass.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.marigoldturn.jobs.AccountSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
@@ -26,19 +25,12 @@
  * thread.
  */
 public final class JobScheduler {
-    /** Run numbers per term; assumes that no task starts more often under one owner. */
-    private static final long RUNS_PER_TERM = 65_536;
-
-    /** Age of a job from which capacity is held back, so that smaller tasks cannot starve it. */
-    private static final long HOLD_BACK_AFTER_MILLIS = 500;
-
     /** Delays starts after due times: clocks differ by less, and no task may start early. */
     private static final long DUE_MARGIN_MILLIS = 40;
 
     /** Priority of a restored job until its queue is configured. */
     private static final int LEAST_URGENT_PRIORITY = Integer.MAX_VALUE;
 
-    private final long mTerm;
     private final JobTable mJobs = new JobTable();
     private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
     private final AccountUsage mUsage = new AccountUsage();
@@ -46,7 +38,7 @@
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final AdvicePlanner mAdvice;
-    private final HeldBackCapacity mHeldBack = new HeldBackCapacity();
+    private final TaskStarter mStarter;
     private QueueCatalog mCatalog;
     private long mRestoredHeldUntilMillis = Long.MIN_VALUE;
 
@@ -59,7 +51,7 @@
      */
     public JobScheduler(QueueCatalog catalog, long term, long nowMillis, long longestLeaseMillis) {
         mCatalog = catalog;
-        mTerm = term;
+        mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
@@ -277,7 +269,6 @@
         Map<String, List<TargetState>> targets = new HashMap<>();
         RestoredJobsCheck restored =
                 new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
-        Placer placer = new Placer(mHeldBack);
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
         for (JobEntry job : List.copyOf(mJobs.active())) {
             if (!job.isStored() || !job.hasStartableStep(dueEpochMillis)) {
@@ -297,10 +288,10 @@
                 if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), epochMillis)) {
                     break;
                 }
-                startStep(step, allowed, placer, nowMillis, orders);
+                orders.addAll(mStarter.start(step, allowed, nowMillis));
             }
         }
-        mHeldBack.release();
+        mStarter.endPass();
         return orders;
     }
 
@@ -323,92 +314,6 @@
         mAdvice.record(request, tickets, sentMillis);
     }
 
-    private void startStep(
-            StepState step,
-            List<TargetState> candidates,
-            Placer placer,
-            long nowMillis,
-            List<Order> orders) {
-        List<TaskState> waiting = step.waitingTasks();
-        if (waiting.isEmpty() || !isWithinLimit(step)) {
-            return;
-        }
-        if (step.spec().traits().gang()) {
-            startGang(step, candidates, placer, nowMillis, orders);
-            return;
-        }
-        for (TaskState task : waiting) {
-            if (!isWithinLimit(step)) {
-                return;
-            }
-            TargetState target = placer.choose(step, candidates);
-            if (target == null) {
-                if (mayHoldBackCapacity(step, nowMillis)) {
-                    placer.holdBack(step, candidates, nowMillis);
-                }
-                return;
-            }
-            orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
-        }
-    }
-
-    private void startGang(
-            StepState step,
-            List<TargetState> candidates,
-            Placer placer,
-            long nowMillis,
-            List<Order> orders) {
-        List<TargetState> chosen =
-                step.isGangIdle() ? placer.chooseForGang(step, candidates) : List.of();
-        if (chosen.isEmpty() || !mUsage.allows(accountOf(step), step.spec(), chosen.size())) {
-            return;
-        }
-        long number = 0;
-        for (TaskState task : step.tasks()) {
-            number = Math.max(number, nextRunNumber(task));
-        }
-        for (int i = 0; i < chosen.size(); i++) {
-            orders.add(start(step, step.tasks().get(i), chosen.get(i), number, nowMillis));
-        }
-    }
-
-    private Order start(
-            StepState step, TaskState task, TargetState target, long number, long nowMillis) {
-        Run run =
-                new Run(
-                        task.id(),
-                        number,
-                        target,
-                        step.spec().reservedResources(),
-                        step.spec().traits().longRunning(),
-                        nowMillis);
-        task.recordRunNumber(number);
-        step.job().markStarted();
-        mRuns.addRun(run, task, step.job());
-        return new Order.Start(
-                run,
-                step.job().job().spec().payload(),
-                task.checkpoint(),
-                step.advice().ticket(target, nowMillis));
-    }
-
-    private boolean mayHoldBackCapacity(StepState step, long nowMillis) {
-        return step.spec().traits().longRunning()
-                || nowMillis - step.job().acceptedMillis() >= HOLD_BACK_AFTER_MILLIS;
-    }
-
-    private boolean isWithinLimit(StepState step) {
-        return mUsage.allows(accountOf(step), step.spec(), 1);
-    }
-
-    private Optional<AccountSettings> accountOf(StepState step) {
-        return mCatalog.account(step.job().job().account());
-    }
-
-    private long nextRunNumber(TaskState task) {
-        return Math.max(task.lastRunNumber(), (mTerm - 1) * RUNS_PER_TERM) + 1;
-    }
-
     private boolean needsTicket(JobEntry job) {
         return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
     }
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -0,0 +1,134 @@
+package org.marigoldturn.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.marigoldturn.jobs.AccountSettings;
+
+/**
+ * Starts the waiting tasks of steps in scheduling passes, as far as capacity and the accounts'
+ * limits allow.
+ *
+ * <p>Invariants: the run numbers of a task rise, also over terms; the members of a gang start
+ * together or not at all. Confined to the control thread.
+ */
+final class TaskStarter {
+    /** Run numbers per term; assumes that no task starts more often under one owner. */
+    private static final long RUNS_PER_TERM = 65_536;
+
+    /** Age of a job from which capacity is held back, so that smaller tasks cannot starve it. */
+    private static final long HOLD_BACK_AFTER_MILLIS = 500;
+
+    private final long mTerm;
+    private final RunTracker mRuns;
+    private final AccountUsage mUsage;
+    private final Function<String, Optional<AccountSettings>> mAccounts;
+    private final HeldBackCapacity mHeldBack = new HeldBackCapacity();
+    private final Placer mPlacer = new Placer(mHeldBack);
+
+    /**
+     * Creates the starter of one owner.
+     *
+     * @param accounts returns the newest settings of an account; empty if it is not configured
+     */
+    TaskStarter(
+            long term,
+            RunTracker runs,
+            AccountUsage usage,
+            Function<String, Optional<AccountSettings>> accounts) {
+        mTerm = term;
+        mRuns = runs;
+        mUsage = usage;
+        mAccounts = accounts;
+    }
+
+    /** Decides on the waiting tasks of a step and returns the orders that start them. */
+    List<Order> start(StepState step, List<TargetState> candidates, long nowMillis) {
+        List<TaskState> waiting = step.waitingTasks();
+        if (waiting.isEmpty() || !isWithinLimit(step)) {
+            return List.of();
+        }
+        return step.spec().traits().gang()
+                ? startGang(step, candidates, nowMillis)
+                : startTasks(step, waiting, candidates, nowMillis);
+    }
+
+    /** Ends the scheduling pass; the next one decides anew where capacity is held back. */
+    void endPass() {
+        mHeldBack.release();
+    }
+
+    private List<Order> startTasks(
+            StepState step, List<TaskState> waiting, List<TargetState> candidates, long nowMillis) {
+        List<Order> orders = new ArrayList<>();
+        for (TaskState task : waiting) {
+            if (!isWithinLimit(step)) {
+                return orders;
+            }
+            TargetState target = mPlacer.choose(step, candidates);
+            if (target == null) {
+                if (mayHoldBackCapacity(step, nowMillis)) {
+                    mPlacer.holdBack(step, candidates, nowMillis);
+                }
+                return orders;
+            }
+            orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
+        }
+        return orders;
+    }
+
+    private List<Order> startGang(StepState step, List<TargetState> candidates, long nowMillis) {
+        List<TargetState> chosen =
+                step.isGangIdle() ? mPlacer.chooseForGang(step, candidates) : List.of();
+        if (chosen.isEmpty() || !mUsage.allows(accountOf(step), step.spec(), chosen.size())) {
+            return List.of();
+        }
+        long number = 0;
+        for (TaskState task : step.tasks()) {
+            number = Math.max(number, nextRunNumber(task));
+        }
+        List<Order> orders = new ArrayList<>();
+        for (int i = 0; i < chosen.size(); i++) {
+            orders.add(start(step, step.tasks().get(i), chosen.get(i), number, nowMillis));
+        }
+        return orders;
+    }
+
+    private Order start(
+            StepState step, TaskState task, TargetState target, long number, long nowMillis) {
+        Run run =
+                new Run(
+                        task.id(),
+                        number,
+                        target,
+                        step.spec().reservedResources(),
+                        step.spec().traits().longRunning(),
+                        nowMillis);
+        task.recordRunNumber(number);
+        step.job().markStarted();
+        mRuns.addRun(run, task, step.job());
+        return new Order.Start(
+                run,
+                step.job().job().spec().payload(),
+                task.checkpoint(),
+                step.advice().ticket(target, nowMillis));
+    }
+
+    private boolean mayHoldBackCapacity(StepState step, long nowMillis) {
+        return step.spec().traits().longRunning()
+                || nowMillis - step.job().acceptedMillis() >= HOLD_BACK_AFTER_MILLIS;
+    }
+
+    private boolean isWithinLimit(StepState step) {
+        return mUsage.allows(accountOf(step), step.spec(), 1);
+    }
+
+    private Optional<AccountSettings> accountOf(StepState step) {
+        return mAccounts.apply(step.job().job().account());
+    }
+
+    private long nextRunNumber(TaskState task) {
+        return Math.max(task.lastRunNumber(), (mTerm - 1) * RUNS_PER_TERM) + 1;
+    }
+}
