Split the takeover transaction from OwnerElection

Change: Takeover holds the transaction and its records; no change of behaviour. Ruled out: splitting off the renewal, which shares most of the election's state. Result: OwnerElectionTest passes.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -1,8 +1,5 @@
 package org.marigoldturn.coordination;
 
-import com.google.protobuf.ByteString;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -11,7 +8,6 @@
 import org.marigoldturn.store.Compare;
 import org.marigoldturn.store.LeaseExpiredException;
 import org.marigoldturn.store.MetadataStore;
-import org.marigoldturn.store.Operation;
 import org.marigoldturn.store.PrefixMirror;
 import org.marigoldturn.store.StoredValue;
 import org.tinylog.Logger;
@@ -44,6 +40,7 @@
     private final Clocks mClocks;
     private final DaemonIdentity mSelf;
     private final Listener mListener;
+    private final Takeover mTakeover;
     private final PrefixMirror mMirror;
     private final OwnershipLease mOwnershipLease = new OwnershipLease();
     private StoredValue mTermRecord;
@@ -90,6 +87,7 @@
         mClocks = clocks;
         mSelf = self;
         mListener = listener;
+        mTakeover = new Takeover(store, self);
         mMirror =
                 new PrefixMirror(
                         store,
@@ -275,9 +273,8 @@
         long sentMillis = mClocks.now();
         long sentEpochMillis = mClocks.epoch();
         // The takeover requires the records as they are now; later watch events don't change that.
-        Vacancy vacancy = vacancy();
-        mStore.grantLease(OwnershipLease.LEASE_MILLIS)
-                .thenCompose(lease -> takeOver(vacancy, lease))
+        mTakeover
+                .attempt(vacancy())
                 .whenComplete(
                         (result, failure) ->
                                 mControl.execute(
@@ -290,7 +287,7 @@
                                         }));
     }
 
-    private Vacancy vacancy() {
+    private Takeover.Vacancy vacancy() {
         // Each term took at least one revision, so the revision of a damaged record is no lower
         // than the term that it replaced.
         Optional<OwnerRecord> last =
@@ -298,7 +295,7 @@
         long unreadableTerm = mTermRecord == null ? 0 : mTermRecord.modRevision();
         long heldTerm = last.map(OwnerRecord::getTerm).orElse(unreadableTerm);
         boolean leaseEnded = mLiveRecord == null || isOfEarlierIncarnation(mLiveRecord);
-        return new Vacancy(
+        return new Takeover.Vacancy(
                 heldTerm,
                 mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
                 mLiveRecord == null ? Compare.ABSENT : mLiveRecord.modRevision(),
@@ -306,48 +303,7 @@
                 EarlierOwners.actMillis(last, mClocks.now() - mTermKnownSinceMillis, leaseEnded));
     }
 
-    /**
-     * The record revisions that a takeover requires, whether it keeps this daemon's term, and for
-     * how long earlier owners may act after it.
-     */
-    private record Vacancy(
-            long heldTerm,
-            long termRevision,
-            long liveRevision,
-            boolean keepsTerm,
-            long earlierOwnersActMillis) {}
-
-    /**
-     * Writes the next term, or restores the live record of the same term after its lease expired.
-     */
-    private CompletableFuture<Attempt> takeOver(Vacancy vacancy, long lease) {
-        boolean keepsTerm = vacancy.keepsTerm();
-        long term = keepsTerm ? vacancy.heldTerm() : vacancy.heldTerm() + 1;
-        List<Operation.Put> puts = new ArrayList<>();
-        puts.add(
-                new Operation.Put(
-                        StoreLayout.OWNER_LIVE, ByteString.copyFromUtf8(mSelf.id()), lease));
-        if (!keepsTerm) {
-            puts.add(
-                    new Operation.Put(
-                            StoreLayout.OWNER_TERM,
-                            OwnerRecordCodec.create(mSelf, term, vacancy.earlierOwnersActMillis())
-                                    .toByteString()));
-        }
-        return mStore.commit(
-                        List.of(
-                                new Compare(StoreLayout.OWNER_TERM, vacancy.termRevision()),
-                                new Compare(StoreLayout.OWNER_LIVE, vacancy.liveRevision())),
-                        puts,
-                        List.of())
-                .thenApply(result -> new Attempt(lease, term, vacancy, result));
-    }
-
-    /** A takeover attempt and its result. */
-    private record Attempt(
-            long lease, long term, Vacancy vacancy, MetadataStore.CommitResult result) {}
-
-    private void onAttempt(Attempt attempt, Throwable failure) {
+    private void onAttempt(Takeover.Attempt attempt, Throwable failure) {
         mAttempting = false;
         if (failure != null) {
             Logger.warn("owner: event=attempt-failed cause={}", failure.getMessage());
