--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -1,6 +1,5 @@
 package org.marigoldturn.scheduling;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,7 +26,7 @@
  * <p>A seed determines the whole history. A test submits jobs, runs the simulation with faults and
  * then without, and checks the findings and the states of the jobs.
  */
-final class ScheduleSimulation implements SimulatedTarget.Observer {
+final class ScheduleSimulation {
     static final long LEASE_MILLIS = 4_000;
 
     private static final int OWNER_LEASE_MILLIS = 2_500;
@@ -41,8 +40,6 @@
      */
     private static final long LONGEST_LEASE_MILLIS = LEASE_MILLIS * 52 / 50;
 
-    private static final int MAX_ATTEMPTS = SchedulerFixture.QUEUE.maxAttempts();
-
     private static final QueueCatalog CATALOG = SchedulerFixture.catalog(SchedulerFixture.ACCOUNT);
     private static final QueueCatalog CATALOG_WITHOUT_QUEUE =
             new QueueCatalog(2, List.of(), Set.of(), Set.of(), List.of(SchedulerFixture.ACCOUNT));
@@ -76,12 +73,8 @@
     private final Map<String, TargetEntry> mStoredTargets = new TreeMap<>();
     private final Set<String> mUnlisted = new HashSet<>();
     private final Map<String, Job> mStoredJobs = new TreeMap<>();
+    private final ScheduleRules mRules = new ScheduleRules(mTargets, mStoredJobs);
     private final Map<String, JobProgress> mStoredProgress = new HashMap<>();
-    private final Map<TaskId, List<Long>> mStarts = new HashMap<>();
-    private final Map<TaskId, Integer> mRecordedFailures = new HashMap<>();
-    private final Set<TaskId> mRecordedDone = new HashSet<>();
-    private final Set<TaskId> mListedDone = new HashSet<>();
-    private final List<String> mFindings = new ArrayList<>();
     private final Set<String> mUnreachable = new HashSet<>();
     private SimulatedOwner mOwner;
     private boolean mFaults = true;
@@ -170,8 +163,12 @@
         return mQueueConfigured ? CATALOG : CATALOG_WITHOUT_QUEUE;
     }
 
+    void onListedDone(TaskId task) {
+        mRules.onListedDone(task);
+    }
+
     List<String> findings() {
-        return mFindings;
+        return mRules.findings();
     }
 
     JobState state(String jobId) {
@@ -185,7 +182,7 @@
     boolean store(long term, String jobId, JobProgress progress) {
         if (term == mTerm) {
             mStoredProgress.put(jobId, progress);
-            checkFailedJob(jobId, progress);
+            mRules.checkFailedJob(jobId, progress.state());
         }
         return term == mTerm;
     }
@@ -226,7 +223,7 @@
             Event event = mEvents.poll();
             mNowMillis = Math.max(mNowMillis, event.atMillis());
             event.action().run();
-            checkCapacity();
+            mRules.checkCapacity(mNowMillis);
         }
         mNowMillis = endMillis;
     }
@@ -373,7 +370,7 @@
             return;
         }
         double clockRate = 0.98 + mRandom.nextInt(21) / 1_000.0;
-        mTargets.put(id, new SimulatedTarget(id, mNowMillis + ++mIncarnations, clockRate, this));
+        mTargets.put(id, new SimulatedTarget(id, mNowMillis + ++mIncarnations, clockRate, mRules));
     }
 
     /**
@@ -390,79 +387,6 @@
         }
     }
 
-    @Override
-    public void onStart(SimulatedTarget target, TaskId task, long run, long nowMillis) {
-        for (SimulatedTarget other : mTargets.values()) {
-            if (other != target && other.isUp() && other.isRunning(task, nowMillis)) {
-                mFindings.add("TWICE " + task + " at " + target.id() + " and " + other.id());
-            }
-        }
-        if (mRecordedDone.contains(task)) {
-            mFindings.add("TWICE " + task + " started after its recorded end");
-        }
-        if (mRecordedFailures.getOrDefault(task, 0) >= MAX_ATTEMPTS) {
-            mFindings.add("BUDGET " + task + " started after its last attempt");
-        }
-        Job job = mStoredJobs.get(task.jobId());
-        for (int earlier : job.spec().steps().get(task.step()).after()) {
-            for (int i = 0; i < job.spec().steps().get(earlier).taskCount(); i++) {
-                if (!isDone(new TaskId(task.jobId(), 0, earlier, i))) {
-                    mFindings.add("ORDER " + task + " before step " + earlier);
-                }
-            }
-        }
-        mStarts.computeIfAbsent(task, t -> new ArrayList<>()).add(nowMillis);
-    }
-
-    /**
-     * A step may start once the ends of its earlier steps have been listed, even before they are
-     * recorded.
-     */
-    private boolean isDone(TaskId task) {
-        return mRecordedDone.contains(task) || mListedDone.contains(task);
-    }
-
-    void onListedDone(TaskId task) {
-        mListedDone.add(task);
-    }
-
-    @Override
-    public void onEndRecorded(SimulatedTarget target, SimulatedTarget.End end, long nowMillis) {
-        boolean expired = target.lastExpiryMillis() >= end.atMillis();
-        if (end.kind() == EndKind.DONE && !expired) {
-            mRecordedDone.add(end.task());
-            for (long start : mStarts.getOrDefault(end.task(), List.of())) {
-                if (start > end.atMillis()) {
-                    mFindings.add(
-                            "TWICE "
-                                    + end.task()
-                                    + " started after an end that was recorded later");
-                }
-            }
-        } else if (end.kind() == EndKind.FAILED) {
-            mRecordedFailures.merge(end.task(), 1, Integer::sum);
-        }
-    }
-
-    private void checkFailedJob(String jobId, JobProgress progress) {
-        boolean startedOftenEnough =
-                mStarts.entrySet().stream()
-                        .filter(entry -> entry.getKey().jobId().equals(jobId))
-                        .anyMatch(entry -> entry.getValue().size() >= MAX_ATTEMPTS);
-        if (progress.state() == JobState.FAILED && !startedOftenEnough) {
-            mFindings.add("LOST " + jobId + " failed before its last attempt");
-        }
-    }
-
-    private void checkCapacity() {
-        for (SimulatedTarget target : mTargets.values()) {
-            ResourceAmounts used = target.isUp() ? target.used(mNowMillis) : ResourceAmounts.NONE;
-            if (used.cpuMillicores() > SimulatedOwner.TARGET_MILLICORES) {
-                mFindings.add("LIMIT " + target.id() + " runs " + used);
-            }
-        }
-    }
-
     static ResourceAmounts reservedResources(Job job, TaskId task) {
         StepSpec step = job.spec().steps().get(task.step());
         return step.reservedResources();
