Model an owner that concludes that leases have ended

JobOwnership let an owner wait out only the leases of earlier owners, and only where nothing ran. It now may give up on any target that it does not reach, and, without ConfirmsTerm, also after a newer owner has renewed the target's lease.

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -18,6 +18,7 @@
     FencedWrites,      \* FALSE: writes take effect whatever the term in the store
     ResolvesWrites,    \* FALSE: a submission is refused while its write may still take effect
     RecordsTargets,    \* FALSE: a new owner knows only the targets that the platform lists
+    ConfirmsTerm,      \* FALSE: an owner that was replaced concludes that leases have ended
     MaxListChanges     \* how often entries of the platform's list are removed or added
 
 VARIABLES
@@ -233,15 +234,26 @@
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, ended, refused, done,
                    knownDone, started, lostEnd, restarted, job, writes, response>>
 
-\* A target that was not polled counts as empty once no lease under an earlier owner can be valid.
+\* No lease of the given owner or an earlier one holds at a target, or it is not that owner's any more.
+LeaseIsOver(d, t) ==
+    \/ token[t] > owner[d]
+    \/ runs[t] = {} /\ \A r \in orders : r.target # t
+
+\* An owner that does not reach a target waits until the leases that it knows of have ended: its own,
+\* or those of earlier owners if it has not polled the target. The target counts as empty then. With
+\* ConfirmsTerm the owner requires that the store still held its term when the leases had ended, since a
+\* newer owner renews them.
 WaitOutLeases(d, t) ==
-    /\ owner[d] # 0 /\ t \in aware[d] \ known[d]
-    /\ \A e \in Daemons : owner[e] = 0 \/ owner[e] >= owner[d]
-    /\ runs[t] = {} /\ \A r \in orders : r.target # t
+    /\ owner[d] # 0 /\ t \in aware[d]
+    /\ t \in known[d] \/ \A e \in Daemons : owner[e] = 0 \/ owner[e] >= owner[d]
+    /\ ConfirmsTerm => owner[d] = term
+    /\ LeaseIsOver(d, t)
     /\ known' = [known EXCEPT ![d] = @ \cup {t}]
-    /\ mayRerun' = mayRerun \cup {r.task : r \in ended[t]}
-    /\ UNCHANGED <<targetLists, term, owner, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, job, writes, response>>
+    /\ possible' = [possible EXCEPT ![d] = {r \in @ : r.target # t}]
+    /\ mayRerun' = IF token[t] > owner[d] THEN mayRerun
+                   ELSE mayRerun \cup {r.task : r \in ended[t]}
+    /\ UNCHANGED <<targetLists, term, owner, token, runs, ended, refused, orders, done, knownDone,
+                   started, lostEnd, restarted, job, writes, response>>
 
 \* On a submission the owner writes the job's record, which may take effect at any later time.
 Submit(d) ==
