Conclude nothing from time that a newer owner may have used

What callers would see: a task runs twice, or again after its end. An owner that waits out the leases of earlier owners did so without any certainty. Cause: certainty was a statement about the present that rests on a confirmation in the past. Change: such conclusions hold only up to the time at which the last confirmed renewal was sent; held tasks are released by a confirmation sent after they were held. If only that is missing, the owner renews at once. Why it works: while the store holds the owner's term no newer owner has renewed a lease or recorded an end. Ruled out: longer waits of the new owner and shorter intervals (docs/platform.md, What was weighed). The wait: one round trip to the store for each lost or ended target; not measured yet.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -232,13 +232,21 @@
                                 earlierOwnersActMillis,
                                 mElection.ownershipLease(),
                                 mElection.storeRegainedMillis(),
-                                mElection::onFenced),
+                                mElection::onFenced,
+                                mElection::confirmNow),
                         mOperator);
         mService.setRole(mRole);
         mRole.start();
         updateReady();
     }
 
+    @Override
+    public void onConfirmed() {
+        if (mRole != null) {
+            mRole.onOwnershipConfirmed();
+        }
+    }
+
     @Override
     public void onDeposed(String reason) {
         if (mRole != null) {
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -359,7 +359,7 @@
             target.setInterrupted(false);
             target.setCordoned(false);
         } else if (target != null) {
-            mScheduler.onTargetEnded(target);
+            mScheduler.onTargetEnded(target, mClocks.now());
         }
         if (up || status == null || status.down()) {
             mDownHosts.remove(host);
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
@@ -13,6 +13,7 @@
  * @param storeRegainedMillis monotonic time at which the store last became readable again after an
  *     interruption
  * @param onFenced to be run on evidence of a newer owner
+ * @param confirmOwnership to be run to have the ownership confirmed at once
  */
 record OwnerContext(
         DaemonIdentity self,
@@ -30,4 +31,5 @@
         long earlierOwnersActMillis,
         OwnershipLease ownershipLease,
         long storeRegainedMillis,
-        Runnable onFenced) {}
+        Runnable onFenced,
+        Runnable confirmOwnership) {}
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -57,6 +57,7 @@
     private long mStoreRegainedMillis = Long.MIN_VALUE / 2;
     private long mRetryMillis = RENEW_INTERVAL_MILLIS;
     private boolean mAttempting;
+    private boolean mRenewing;
     private boolean mUpToDate;
     private boolean mLeaving;
 
@@ -69,6 +70,9 @@
          */
         void onElected(long term, long termRevision, long earlierOwnersActMillis);
 
+        /** The store has confirmed that this daemon is the owner. */
+        void onConfirmed();
+
         /** This daemon is no longer the owner. */
         void onDeposed(String reason);
 
@@ -127,6 +131,13 @@
         return mStoreRegainedMillis;
     }
 
+    /** Lets the store confirm the ownership at once, unless a renewal is under way. */
+    void confirmNow() {
+        if (!mRenewing) {
+            renew();
+        }
+    }
+
     /** Gives up ownership after evidence of a newer owner. */
     void onFenced() {
         depose("a newer owner was seen");
@@ -344,6 +355,7 @@
             compete();
             return;
         }
+        mRenewing = true;
         long lease = mLeaseId;
         long sentMillis = mClocks.now();
         long sentEpochMillis = mClocks.epoch();
@@ -354,6 +366,7 @@
                         (term, failure) ->
                                 mControl.execute(
                                         () -> {
+                                            mRenewing = false;
                                             if (failure == null && lease == mLeaseId) {
                                                 onConfirmed(term, sentMillis, sentEpochMillis);
                                             }
@@ -365,6 +378,7 @@
         long revision = term.map(StoredValue::modRevision).orElse(Compare.ABSENT);
         if (revision == mOwnTermRevision) {
             mOwnershipLease.confirm(sentMillis, sentEpochMillis);
+            mListener.onConfirmed();
         } else {
             depose("the store holds revision " + revision + " of the term's record");
         }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -180,7 +180,7 @@
 
     @Override
     public void beforeTargetChange() {
-        updateOwnerCertain();
+        updateOwnership();
     }
 
     @Override
@@ -232,7 +232,7 @@
     @Override
     public CompletableFuture<Void> onReport(
             TargetState target, TargetClient.PollResponse response, long pollSentMillis) {
-        updateOwnerCertain();
+        updateOwnership();
         mScheduler.onReport(
                 target,
                 response.report(),
@@ -269,8 +269,8 @@
     public void onEnded(TargetState target) {
         Logger.info("target: event=ended target={}", target.entry().id());
         mSessions.close(target);
-        updateOwnerCertain();
-        mScheduler.onTargetEnded(target);
+        updateOwnership();
+        mScheduler.onTargetEnded(target, mContext.clocks().now());
         serveOnceTargetsAreUsable();
         requestScheduling();
     }
@@ -288,7 +288,7 @@
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         long now = mContext.clocks().now();
         // Until then an earlier owner may order work on the same hosts.
-        if (updateOwnerCertain() && now >= mHostWorkFromMillis) {
+        if (updateOwnership() && now >= mHostWorkFromMillis) {
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
@@ -299,17 +299,26 @@
     }
 
     /**
-     * Determines whether this daemon is certainly the owner, passes that to the scheduler and
-     * returns it.
+     * Passes on to the scheduler what is known of the ownership; returns whether this daemon is
+     * certainly the owner.
      */
-    private boolean updateOwnerCertain() {
+    private boolean updateOwnership() {
         boolean certain =
                 mContext.ownershipLease()
                         .isCertain(mContext.clocks().now(), mContext.clocks().epoch());
-        mScheduler.setOwnerCertain(certain);
+        mScheduler.setOwnership(certain, mContext.ownershipLease().confirmedMillis());
         return certain;
     }
 
+    /** Applies a confirmation that this daemon was the owner when it was requested. */
+    void onOwnershipConfirmed() {
+        if (mScheduler != null) {
+            updateOwnership();
+            mScheduler.expireLeases(mContext.clocks().now());
+            requestScheduling();
+        }
+    }
+
     private boolean mayAct() {
         return mContext.ownershipLease().mayAct(mContext.clocks().now(), mContext.clocks().epoch());
     }
@@ -357,8 +366,11 @@
         if (!mayAct()) {
             return;
         }
-        updateOwnerCertain();
+        boolean certain = updateOwnership();
         long now = mContext.clocks().now();
+        if (certain && mScheduler.lacksConfirmation(now)) {
+            mContext.confirmOwnership().run();
+        }
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
             mOrders.send(order, now);
         }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnershipLease.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnershipLease.java
@@ -30,8 +30,13 @@
 
     /** Records a renewal that the store has confirmed, with the times at which it was sent. */
     void confirm(long sentMillis, long sentEpochMillis) {
-        mConfirmedMillis = sentMillis;
-        mConfirmedEpochMillis = sentEpochMillis;
+        mConfirmedMillis = Math.max(mConfirmedMillis, sentMillis);
+        mConfirmedEpochMillis = Math.max(mConfirmedEpochMillis, sentEpochMillis);
+    }
+
+    /** Returns the monotonic time at which the last confirmed renewal was sent. */
+    long confirmedMillis() {
+        return mConfirmedMillis;
     }
 
     /** Returns whether no other daemon can be the owner. */
--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -181,7 +181,7 @@
                 failure == null ? "-" : failure.getMessage());
         if (outcome == HostClient.HostOrderOutcome.BEGUN) {
             if (target != null) {
-                mScheduler.onTargetEnded(target);
+                mScheduler.onTargetEnded(target, mContext.clocks().now());
             }
             HostClient.HostStatus listed = mListed.get(move.hostId());
             if (listed != null) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -69,7 +69,7 @@
 
     /** Restores the recorded targets and starts to follow the platform's list. */
     void start(List<StoredValue> records) {
-        mRecords.restore(records).forEach(mSessions::open);
+        mRecords.restore(records, mContext.clocks().now()).forEach(mSessions::open);
         mMirror.start();
     }
 
@@ -99,7 +99,7 @@
         }
         mUnusableEntries.remove(value.key());
         mListener.beforeTargetChange();
-        TargetState target = mScheduler.onTargetListed(entry.get());
+        TargetState target = mScheduler.onTargetListed(entry.get(), mContext.clocks().now());
         mRecords.add(target);
         mSessions.open(target);
     }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -46,7 +46,7 @@
      * Adds the targets that earlier owners have recorded to the scheduler and returns them. Records
      * that cannot be read are logged and left.
      */
-    List<TargetState> restore(List<StoredValue> records) {
+    List<TargetState> restore(List<StoredValue> records, long nowMillis) {
         List<TargetState> restored = new ArrayList<>();
         for (StoredValue record : records) {
             mCommits.recordRevision(record.key(), record.modRevision());
@@ -54,7 +54,7 @@
                 TargetEntry entry = TargetRecordCodec.decode(record);
                 mRecords.put(
                         entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
-                restored.add(mScheduler.restoreTarget(entry));
+                restored.add(mScheduler.restoreTarget(entry, nowMillis));
             } catch (IllegalArgumentException e) {
                 // Another writer's record must not keep the other targets from being restored.
                 Logger.error(e, "owner: event=unreadable-target key={}", record.key());
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -77,12 +77,21 @@
     }
 
     /**
-     * Sets whether it is certain that no other daemon is the owner. If not, no lease counts as
-     * expired, tasks start only on targets that reported while it was certain, and tasks whose runs
-     * ended with their target are held, since another owner may have recorded them as done.
+     * Sets what is known of the ownership. While another daemon may be the owner, tasks start only
+     * on targets that reported before. Leases count as expired only up to the time of the last
+     * confirmation, since a newer owner may have renewed them; tasks whose runs ended with their
+     * target are held until a later one, since a newer owner may have recorded them as done.
+     *
+     * @param certain whether no other daemon can be the owner now
+     * @param confirmedMillis latest monotonic time at which none was, as shown by the store
      */
-    public void setOwnerCertain(boolean certain) {
-        mTargets.setOwnerCertain(certain);
+    public void setOwnership(boolean certain, long confirmedMillis) {
+        mTargets.setOwnership(certain, confirmedMillis);
+    }
+
+    /** Returns whether decisions wait only for a later confirmation of the ownership. */
+    public boolean lacksConfirmation(long nowMillis) {
+        return mTargets.lacksConfirmation(nowMillis);
     }
 
     /** Sets the availability zones in which no task starts. */
@@ -91,16 +100,16 @@
     }
 
     /** Adds a target or updates its entry; a new incarnation ends the earlier one and its runs. */
-    public TargetState onTargetListed(TargetEntry entry) {
-        return mTargets.addOrUpdate(entry);
+    public TargetState onTargetListed(TargetEntry entry, long nowMillis) {
+        return mTargets.addOrUpdate(entry, nowMillis);
     }
 
     /**
      * Adds a target that an earlier owner has recorded; it counts as unlisted until the platform's
      * list contains it.
      */
-    public TargetState restoreTarget(TargetEntry entry) {
-        TargetState target = mTargets.addOrUpdate(entry);
+    public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
+        TargetState target = mTargets.addOrUpdate(entry, nowMillis);
         target.setListed(false);
         target.setRecorded(true);
         return target;
@@ -112,8 +121,8 @@
     }
 
     /** Records that an incarnation of a target has ended, and all its runs with it. */
-    public void onTargetEnded(TargetState target) {
-        mTargets.endIncarnation(target);
+    public void onTargetEnded(TargetState target, long nowMillis) {
+        mTargets.endIncarnation(target, nowMillis);
     }
 
     /** Returns all known targets. */
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -1,8 +1,11 @@
 package org.marigoldturn.scheduling;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -22,7 +25,7 @@
     private final AccountUsage mUsage;
     private final Function<JobEntry, Optional<Integer>> mMaxAttempts;
     private final Set<String> mChanged = new LinkedHashSet<>();
-    private final Set<TaskState> mHeldTasks = new HashSet<>();
+    private final Map<TaskState, Long> mHeldSinceMillis = new HashMap<>();
 
     /**
      * Creates a tracker without runs.
@@ -208,26 +211,45 @@
         }
     }
 
-    /**
-     * Ends all runs of a target that has ended or whose lease has expired.
-     *
-     * @param ownerCertain whether no other owner can have recorded their ends in the meantime;
-     *     otherwise their tasks are held
-     */
-    void endAllRuns(TargetState target, boolean ownerCertain) {
+    /** Ends all runs of a target that has ended or whose lease has expired; returns their tasks. */
+    List<TaskState> endAllRuns(TargetState target) {
+        List<TaskState> tasks = new ArrayList<>();
         for (Run run : target.runs()) {
             removeRun(run);
             TaskState task = mJobs.task(run.task());
-            if (task != null && !ownerCertain) {
-                task.setHeld(true);
-                mHeldTasks.add(task);
+            if (task != null) {
+                tasks.add(task);
             }
         }
+        return tasks;
+    }
+
+    /**
+     * Holds tasks until it is certain that no other daemon was the owner at the given time, since
+     * that one may have recorded the ends of their runs.
+     */
+    void hold(List<TaskState> tasks, long nowMillis) {
+        for (TaskState task : tasks) {
+            task.setHeld(true);
+            mHeldSinceMillis.put(task, nowMillis);
+        }
+    }
+
+    boolean hasHeldTasks() {
+        return !mHeldSinceMillis.isEmpty();
     }
 
-    /** Releases the tasks that were held while another daemon could have been the owner. */
-    void releaseHeldTasks() {
-        mHeldTasks.forEach(task -> task.setHeld(false));
-        mHeldTasks.clear();
+    /** Releases the tasks that are held since the given time or an earlier one. */
+    void releaseHeldTasks(long confirmedMillis) {
+        mHeldSinceMillis
+                .entrySet()
+                .removeIf(
+                        held -> {
+                            boolean released = held.getValue() <= confirmedMillis;
+                            if (released) {
+                                held.getKey().setHeld(false);
+                            }
+                            return released;
+                        });
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -8,7 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Holds the state of all known targets. Confined to the control thread. */
+/**
+ * Holds the state of all known targets.
+ *
+ * <p>Invariant: that a lease has ended, or that nothing more can be known of the runs of a target
+ * that has ended, is concluded only for times at which no other daemon was the owner, since a newer
+ * owner may have renewed the lease or recorded the ends. Confined to the control thread.
+ */
 final class TargetTable {
     /**
      * A stop order is repeated after this time unless the target has listed the end; longer than a
@@ -22,10 +28,12 @@
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
+    private long mConfirmedMillis;
 
     TargetTable(RunTracker runs, long takeoverMillis, long longestLeaseMillis) {
         mRuns = runs;
         mTakeoverMillis = takeoverMillis;
+        mConfirmedMillis = takeoverMillis;
         mLongestLeaseMillis = longestLeaseMillis;
     }
 
@@ -33,12 +41,32 @@
         mClosedZones = Set.copyOf(zones);
     }
 
-    /** Sets whether it is certain that no other daemon is the owner. */
-    void setOwnerCertain(boolean certain) {
+    /**
+     * Sets whether no other daemon can be the owner now, and the latest time at which the store has
+     * shown that none was.
+     */
+    void setOwnership(boolean certain, long confirmedMillis) {
         mOwnerCertain = certain;
-        if (certain) {
-            mRuns.releaseHeldTasks();
+        mConfirmedMillis = confirmedMillis;
+        mRuns.releaseHeldTasks(confirmedMillis);
+    }
+
+    /**
+     * Returns whether leases or held tasks wait only for a later confirmation that no other daemon
+     * is the owner.
+     */
+    boolean lacksConfirmation(long nowMillis) {
+        long provenMillis = provenMillis(nowMillis);
+        for (TargetState target : mTargets.values()) {
+            if (!target.isReachable()
+                    && isLeaseOver(target, nowMillis)
+                    && !isLeaseOver(target, provenMillis)) {
+                return true;
+            }
         }
+        return mRuns.hasHeldTasks()
+                || leasesOfEarlierOwnersAreOver(nowMillis)
+                        && !leasesOfEarlierOwnersAreOver(provenMillis);
     }
 
     boolean isOwnerCertain() {
@@ -57,14 +85,14 @@
      * Adds a target or updates its entry. If the entry describes a new incarnation, the earlier one
      * and its runs have ended.
      */
-    TargetState addOrUpdate(TargetEntry entry) {
+    TargetState addOrUpdate(TargetEntry entry, long nowMillis) {
         TargetState known = mTargets.get(entry.id());
         if (known != null && known.entry().isSameIncarnation(entry)) {
             known.update(entry);
             return known;
         }
         if (known != null) {
-            mRuns.endAllRuns(known, mOwnerCertain);
+            endRuns(known, nowMillis);
         }
         TargetState state = new TargetState(entry);
         mTargets.put(entry.id(), state);
@@ -80,23 +108,25 @@
     }
 
     /** Records that an incarnation of a target has ended, and all its runs with it. */
-    void endIncarnation(TargetState target) {
-        mRuns.endAllRuns(target, mOwnerCertain);
+    void endIncarnation(TargetState target, long nowMillis) {
+        endRuns(target, nowMillis);
         mTargets.remove(target.entry().id(), target);
     }
 
-    /**
-     * Ends the runs of targets whose lease has certainly expired. While another daemon may be the
-     * owner, no lease counts as expired, since that owner may have renewed it.
-     */
-    void expireLeases(long nowMillis) {
-        if (!mOwnerCertain) {
-            return;
+    private void endRuns(TargetState target, long nowMillis) {
+        List<TaskState> tasks = mRuns.endAllRuns(target);
+        if (nowMillis > mConfirmedMillis) {
+            mRuns.hold(tasks, nowMillis);
         }
+    }
+
+    /** Ends the runs of targets whose lease has certainly expired. */
+    void expireLeases(long nowMillis) {
+        long provenMillis = provenMillis(nowMillis);
         for (TargetState target : all()) {
-            if (!target.isReachable() && isLeaseOver(target, nowMillis)) {
+            if (!target.isReachable() && isLeaseOver(target, provenMillis)) {
                 target.abandonUnconfirmedRuns();
-                mRuns.endAllRuns(target, mOwnerCertain);
+                mRuns.endAllRuns(target);
                 if (!target.isListed()) {
                     mTargets.remove(target.entry().id());
                 }
@@ -104,6 +134,11 @@
         }
     }
 
+    /** Returns the latest time at which this daemon was the only owner. */
+    private long provenMillis(long nowMillis) {
+        return Math.min(nowMillis, mConfirmedMillis);
+    }
+
     /** A target that this owner has granted no lease can have one of an earlier owner. */
     private boolean isLeaseOver(TargetState target, long nowMillis) {
         return target.leaseEndMillis() > 0
@@ -134,7 +169,7 @@
      * lease of an earlier owner has expired.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
-        return target.hasReported() || leasesOfEarlierOwnersAreOver(nowMillis);
+        return target.hasReported() || leasesOfEarlierOwnersAreOver(provenMillis(nowMillis));
     }
 
     /** Returns whether {@link #knowsRuns} holds for all targets of a service. */
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -52,7 +52,7 @@
     @Example
     void newOwnerOrdersNoMaintenanceOfATargetThatItHasNotRead() {
         mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
-        TargetState target = mScheduler.onTargetListed(entry());
+        TargetState target = mScheduler.onTargetListed(entry(), 0);
         MaintenanceRunner runner = runner();
         tick(runner, TAKEOVER_MILLIS);
         tick(runner, TAKEOVER_MILLIS + 100);
@@ -120,7 +120,7 @@
     }
 
     private TargetState read(TargetEntry entry, List<TargetReport.RunReport> runs) {
-        TargetState target = mScheduler.onTargetListed(entry);
+        TargetState target = mScheduler.onTargetListed(entry, 0);
         target.setReachable(true);
         mScheduler.onReport(
                 target, new TargetReport(1, runs, List.of(), true), mNowMillis, mNowMillis, 0);
@@ -172,6 +172,7 @@
                         OwnershipLease.GRACE_MILLIS,
                         new OwnershipLease(),
                         0,
+                        () -> {},
                         () -> {});
         return new MaintenanceRunner(
                 new PlatformFormats.OperatorItem.Wave(1, hostIds, 20_000, maxHostsDown),
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -25,6 +26,7 @@
     private final MemoryStore mStore = new MemoryStore();
     private final BlockingQueue<Long> mElected = new LinkedBlockingQueue<>();
     private final BlockingQueue<OwnerRecord> mOwners = new LinkedBlockingQueue<>();
+    private final Semaphore mConfirmed = new Semaphore(0);
     private volatile long mEarlierOwnersActMillis;
     private final OwnerElection mElection =
             new OwnerElection(mStore, mControl, Clocks.system(), SELF, this);
@@ -219,6 +221,11 @@
         mElected.add(term);
     }
 
+    @Override
+    public void onConfirmed() {
+        mConfirmed.release();
+    }
+
     @Override
     public void onDeposed(String reason) {
         mElected.add(-1L);
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -60,10 +60,11 @@
                                         mStore.read(StoreLayout.target("t1")).join().orElseThrow(),
                                         value("t2", GARBAGE),
                                         value("t3", TargetRecordCodec.encode(entry("t4", 7))),
-                                        value("t5", TargetRecordCodec.encode(entry("t5", 7)))));
+                                        value("t5", TargetRecordCodec.encode(entry("t5", 7)))),
+                                0);
         assertThat(restored).extracting(target -> target.entry().id()).containsExactly("t1", "t5");
         assertThat(restored).allMatch(target -> target.isRecorded() && !target.isListed());
-        TargetState listed = next.onTargetListed(entry("t1", 7));
+        TargetState listed = next.onTargetListed(entry("t1", 7), 0);
         assertThat(listed).isSameAs(restored.get(0));
         assertThat(listed.isListed()).isTrue();
     }
@@ -90,7 +91,9 @@
         add(entry("t1", 7));
         onControl(
                 () -> {
-                    mScheduler.targets().forEach(mScheduler::onTargetEnded);
+                    mScheduler
+                            .targets()
+                            .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
                     mRecords.dropUnused();
                     mRecords.add(reported(entry("t1", 7), List.of()));
                 });
@@ -104,7 +107,9 @@
         add(entry("t1", 7));
         onControl(
                 () -> {
-                    mScheduler.targets().forEach(mScheduler::onTargetEnded);
+                    mScheduler
+                            .targets()
+                            .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
                     mRecords.add(reported(entry("t1", 7), List.of()));
                     mRecords.dropUnused();
                 });
@@ -115,7 +120,7 @@
 
     @Example
     void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
-        onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7))));
+        onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0)));
         flush();
         assertThat(stored("t1")).isEmpty();
     }
@@ -146,7 +151,7 @@
     }
 
     private TargetState reported(TargetEntry entry, List<TargetReport.RunReport> runs) {
-        TargetState target = mScheduler.onTargetListed(entry);
+        TargetState target = mScheduler.onTargetListed(entry, 0);
         report(target, runs);
         return target;
     }
@@ -166,7 +171,7 @@
                 () ->
                         mScheduler.targets().stream()
                                 .filter(target -> target.entry().id().equals(id))
-                                .forEach(mScheduler::onTargetEnded));
+                                .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis)));
         dropUnused();
     }
 
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -55,7 +55,7 @@
     private final JobScheduler mScheduler =
             new JobScheduler(
                     new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
-    private final TargetState mTarget = mScheduler.onTargetListed(ENTRY);
+    private final TargetState mTarget = mScheduler.onTargetListed(ENTRY, 0);
     private final ScriptedTarget mClient = new ScriptedTarget();
     private volatile boolean mMayRenew = true;
     private final List<CompletableFuture<Void>> mWrites = new ArrayList<>();
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -50,6 +50,7 @@
                             OwnershipLease.GRACE_MILLIS,
                             new OwnershipLease(),
                             0,
+                            () -> {},
                             () -> {}),
                     () -> true,
                     this);
@@ -100,7 +101,7 @@
         CompletableFuture<TargetState> opened = new CompletableFuture<>();
         onControl(
                 () -> {
-                    TargetState target = mScheduler.onTargetListed(entry);
+                    TargetState target = mScheduler.onTargetListed(entry, 0);
                     mSessions.open(target);
                     opened.complete(target);
                 });
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -45,13 +45,8 @@
      */
     @Property(tries = 200, seed = "20261206")
     void noRuleIsBrokenWhenALivingOwnerIsReplaced(@ForAll long seed) {
-        ScheduleSimulation simulation =
-                new ScheduleSimulation(
-                        seed, 4, Set.of(ScheduleSimulation.Trouble.LIVING_OWNERS_ARE_REPLACED));
         Random random = new Random(seed);
-        for (int i = 0; i < 2 * JOBS; i++) {
-            simulation.submit(job("job" + i, random));
-        }
+        ScheduleSimulation simulation = simulationWithLivingOwners(seed, random);
         long partitionMillis = 8_500 + random.nextInt(4_000);
         simulation.after(
                 random.nextInt(1_000), () -> simulation.replaceLivingOwner(partitionMillis));
@@ -59,6 +54,33 @@
         assertThat(simulation.findings()).isEmpty();
     }
 
+    /**
+     * Guards against an owner that has lost targets, is replaced before their leases end and, until
+     * it learns that, starts their tasks elsewhere.
+     */
+    @Property(tries = 200, seed = "20261208")
+    void noRuleIsBrokenWhenAnOwnerThatHasLostTargetsIsReplaced(@ForAll long seed) {
+        Random random = new Random(seed);
+        ScheduleSimulation simulation = simulationWithLivingOwners(seed, random);
+        int lostMillis = random.nextInt(1_000);
+        int replacedMillis =
+                lostMillis + (int) ScheduleSimulation.LEASE_MILLIS - random.nextInt(1_000);
+        simulation.after(lostMillis, simulation::cutOwnerOff);
+        simulation.after(replacedMillis, () -> simulation.replaceLivingOwner(8_500));
+        simulation.run(60_000, false);
+        assertThat(simulation.findings()).isEmpty();
+    }
+
+    private static ScheduleSimulation simulationWithLivingOwners(long seed, Random random) {
+        ScheduleSimulation simulation =
+                new ScheduleSimulation(
+                        seed, 4, Set.of(ScheduleSimulation.Trouble.LIVING_OWNERS_ARE_REPLACED));
+        for (int i = 0; i < 2 * JOBS; i++) {
+            simulation.submit(job("job" + i, random));
+        }
+        return simulation;
+    }
+
     /**
      * With these seeds, an old owner that had already been replaced took the missing responses or
      * the end of a target as proof that its tasks could be started elsewhere.
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -172,7 +172,8 @@
                 job("a", "account", step(2, 1_000)), JobProgress.NONE, owner.mNowMillis);
         TargetState reported = owner.addTarget("t1", 8_000);
         TargetState unreported =
-                owner.mScheduler.onTargetListed(SchedulerFixture.entry("t2", 1, 8_000));
+                owner.mScheduler.onTargetListed(
+                        SchedulerFixture.entry("t2", 1, 8_000), owner.mNowMillis);
         owner.report(
                 reported, List.of(new TargetReport.RunReport(new TaskId("a", 0, 0, 0), 1, "", 10)));
         assertThat(owner.starts()).isEmpty();
@@ -191,7 +192,7 @@
         owner.mScheduler.restore(
                 job("a", "account", step(1, 1_000)), JobProgress.NONE, owner.mNowMillis);
         owner.addTarget("t1", 8_000);
-        owner.mScheduler.onTargetListed(SchedulerFixture.entry("t2", 1, 8_000));
+        owner.mScheduler.onTargetListed(SchedulerFixture.entry("t2", 1, 8_000), owner.mNowMillis);
         assertThat(owner.starts()).isEmpty();
         owner.mNowMillis += SchedulerFixture.LONGEST_LEASE_MILLIS;
         assertThat(owner.starts()).hasSize(1);
@@ -203,7 +204,8 @@
         owner.mScheduler.restore(
                 job("a", "account", step(2, 1_000)), JobProgress.NONE, owner.mNowMillis);
         TargetState unlisted =
-                owner.mScheduler.restoreTarget(SchedulerFixture.entry("t2", 1, 8_000));
+                owner.mScheduler.restoreTarget(
+                        SchedulerFixture.entry("t2", 1, 8_000), owner.mNowMillis);
         owner.addTarget("t1", 8_000);
         assertThat(owner.starts()).isEmpty();
 
@@ -220,7 +222,7 @@
         SchedulerFixture owner = new SchedulerFixture(2);
         owner.mScheduler.restore(
                 job("a", "account", step(1, 1_000)), JobProgress.NONE, owner.mNowMillis);
-        owner.mScheduler.restoreTarget(SchedulerFixture.entry("t2", 1, 8_000));
+        owner.mScheduler.restoreTarget(SchedulerFixture.entry("t2", 1, 8_000), owner.mNowMillis);
         owner.addTarget("t1", 8_000);
         owner.mScheduler.expireLeases(owner.mNowMillis);
         assertThat(owner.starts()).isEmpty();
--- a/core/src/test/java/org/marigoldturn/scheduling/RepeatedFailureTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RepeatedFailureTest.java
@@ -30,7 +30,7 @@
     void failedRunThatAnEarlierOwnerStoredDoesNotCountAgain() {
         JobScheduler scheduler = nextOwner();
         scheduler.restore(jobOfOneTask(), progressWithOneFailedRun(), 0);
-        TargetState target = scheduler.onTargetListed(entry());
+        TargetState target = scheduler.onTargetListed(entry(), 0);
         scheduler.onReport(target, reportOfFailedRun(1), 1, 2, 0);
         assertThat(scheduler.state("job")).isNotEqualTo(Optional.of(JobState.FAILED));
     }
@@ -39,7 +39,7 @@
     void anotherRunThatFailsCounts() {
         JobScheduler scheduler = nextOwner();
         scheduler.restore(jobOfOneTask(), progressWithOneFailedRun(), 0);
-        TargetState target = scheduler.onTargetListed(entry());
+        TargetState target = scheduler.onTargetListed(entry(), 0);
         scheduler.onReport(target, reportOfFailedRun(2), 1, 2, 0);
         assertThat(scheduler.state("job")).contains(JobState.FAILED);
     }
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -29,7 +29,7 @@
 final class ScheduleSimulation {
     static final long LEASE_MILLIS = 4_000;
 
-    private static final int OWNER_LEASE_MILLIS = 2_500;
+    static final int OWNER_LEASE_MILLIS = 2_500;
 
     /** An owner that cannot reach the store stays active for this time. */
     private static final int ACTIVE_WITHOUT_STORE_MILLIS = 4_000;
@@ -116,6 +116,10 @@
                 : ACTIVE_WITHOUT_STORE_MILLIS;
     }
 
+    boolean replacesLivingOwners() {
+        return mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED);
+    }
+
     Map<String, Job> storedJobs() {
         return mStoredJobs;
     }
@@ -325,6 +329,14 @@
         after(200 + mListRandom.nextInt(9_000), () -> mUnlisted.remove(target));
     }
 
+    /** Cuts the owner off from those targets that it also loses if it is replaced. */
+    void cutOwnerOff() {
+        List<String> ids = List.copyOf(mTargets.keySet());
+        for (int i = 0; i < ids.size(); i += 2) {
+            mUnreachable.add(mTerm + "/" + ids.get(i));
+        }
+    }
+
     /**
      * Partitions the network and replaces the owner, which stays active for as long as it may: it
      * reaches only some of the targets, and the new owner only the others.
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -56,6 +56,7 @@
 
     SchedulerFixture(long term) {
         mScheduler = new JobScheduler(catalog(ACCOUNT), term, mNowMillis, LONGEST_LEASE_MILLIS);
+        mScheduler.setOwnership(true, Long.MAX_VALUE);
     }
 
     static QueueCatalog catalog(AccountSettings account) {
@@ -107,7 +108,7 @@
     }
 
     TargetState addTarget(String id, long cpu) {
-        TargetState target = mScheduler.onTargetListed(entry(id, 1, cpu));
+        TargetState target = mScheduler.onTargetListed(entry(id, 1, cpu), mNowMillis);
         target.setRecorded(true);
         target.setReachable(true);
         report(target);
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -18,11 +18,13 @@
     static final long TARGET_MILLICORES = 4_000;
     private static final double SLOWEST_CLOCK = 0.98;
     private static final long TICK_MILLIS = 100;
+    private static final long RENEW_INTERVAL_MILLIS = 800;
 
     private final ScheduleSimulation mSimulation;
     private final long mTerm;
     private final JobScheduler mScheduler;
     private final Map<TargetState, Link> mLinks = new HashMap<>();
+    private long mConfirmedMillis;
     private boolean mClosed;
 
     /** The last known clock of a target and the highest number among its recorded ends. */
@@ -52,7 +54,7 @@
                     mSimulation.nowMillis());
         }
         for (TargetEntry recorded : mSimulation.storedTargets()) {
-            addLink(mScheduler.restoreTarget(recorded));
+            addLink(mScheduler.restoreTarget(recorded, mSimulation.nowMillis()));
         }
         tick();
     }
@@ -102,11 +104,23 @@
     }
 
     /**
-     * Once a newer owner is elected, this one is no longer certain, since its own lease in the
-     * store expires before an election.
+     * If owners are replaced only after their lease has expired, this one is no longer certain once
+     * a newer one is elected; otherwise it learns that by its next renewal.
      */
     private void updateCertainty() {
-        mScheduler.setOwnerCertain(mSimulation.term() == mTerm);
+        long nowMillis = mSimulation.nowMillis();
+        boolean renews =
+                !mSimulation.replacesLivingOwners()
+                        || nowMillis - mConfirmedMillis >= RENEW_INTERVAL_MILLIS
+                        || mScheduler.lacksConfirmation(nowMillis);
+        if (renews && mSimulation.term() == mTerm) {
+            mConfirmedMillis = nowMillis;
+        }
+        boolean certain =
+                mSimulation.replacesLivingOwners()
+                        ? nowMillis - mConfirmedMillis < ScheduleSimulation.OWNER_LEASE_MILLIS
+                        : mSimulation.term() == mTerm;
+        mScheduler.setOwnership(certain, mConfirmedMillis);
     }
 
     private Set<String> knownTargets() {
@@ -118,7 +132,7 @@
     private void addIfUnknown(SimulatedTarget target) {
         TargetEntry entry =
                 SchedulerFixture.entry(target.id(), target.startedMillis(), TARGET_MILLICORES);
-        TargetState state = mScheduler.onTargetListed(entry);
+        TargetState state = mScheduler.onTargetListed(entry, mSimulation.nowMillis());
         if (!state.isRecorded() && mSimulation.storeTarget(mTerm, entry)) {
             state.setRecorded(true);
         }
@@ -173,7 +187,7 @@
             boolean replaced =
                     !target.isUp() || target.startedMillis() != state.entry().startedEpochMillis();
             if (replaced) {
-                mScheduler.onTargetEnded(state);
+                mScheduler.onTargetEnded(state, mSimulation.nowMillis());
                 return;
             }
             mSimulation.after(200, () -> poll(state));
