Test that an owner waits for a confirmation before it gives up on runs

OwnerElectionTest: a requested confirmation is reported. The parameters of TargetTable and its class doc say what they mean; no change of behaviour.

--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -11,9 +11,9 @@
 /**
  * Holds the state of all known targets.
  *
- * <p>Invariant: that a lease has ended, or that nothing more can be known of the runs of a target
- * that has ended, is concluded only for times at which no other daemon was the owner, since a newer
- * owner may have renewed the lease or recorded the ends. Confined to the control thread.
+ * <p>Invariant: a lease counts as ended, and the tasks of a target that has ended start again, only
+ * once it is known that no other daemon was the owner at that time, since a newer owner may have
+ * renewed the lease or recorded the tasks as done. Confined to the control thread.
  */
 final class TargetTable {
     /**
@@ -140,14 +140,14 @@
     }
 
     /** A target that this owner has granted no lease can have one of an earlier owner. */
-    private boolean isLeaseOver(TargetState target, long nowMillis) {
+    private boolean isLeaseOver(TargetState target, long timeMillis) {
         return target.leaseEndMillis() > 0
-                ? nowMillis > target.leaseEndMillis()
-                : leasesOfEarlierOwnersAreOver(nowMillis);
+                ? timeMillis > target.leaseEndMillis()
+                : leasesOfEarlierOwnersAreOver(timeMillis);
     }
 
-    private boolean leasesOfEarlierOwnersAreOver(long nowMillis) {
-        return nowMillis - mTakeoverMillis >= mLongestLeaseMillis;
+    private boolean leasesOfEarlierOwnersAreOver(long timeMillis) {
+        return timeMillis - mTakeoverMillis >= mLongestLeaseMillis;
     }
 
     /** Returns the stop orders that are due, and marks them as sent. */
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -43,6 +43,14 @@
         assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
     }
 
+    @Example
+    void requestedConfirmationIsReported() throws InterruptedException {
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(1);
+        mControl.execute(mElection::confirmNow);
+        assertThat(mConfirmed.tryAcquire(20, TimeUnit.SECONDS)).isTrue();
+    }
+
     @Example
     void ownerThatWasElectedDuringTheAttemptIsNotReplaced() throws InterruptedException {
         CountDownLatch seen = new CountDownLatch(1);
