Drop the kind of call that takes a refused connection as the end of a target

A cut network can refuse connections too. Ruled out: keeping it for adapters that know better, since none can.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetCallException.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetCallException.java
@@ -6,10 +6,11 @@
 
     /** What the caller knows about the effect of the call. */
     public enum Kind {
-        /** No response: the call may have been carried out, or may still be. */
+        /**
+         * No response: the call may have been carried out, or may still be. Refused connections
+         * count too, since a network fault can refuse them for a target that is running.
+         */
         UNANSWERED,
-        /** Nothing listens at the address: the target's process has ended. */
-        REFUSED,
         /** Another incarnation of the target or another target responded. */
         OTHER_INSTANCE,
         /** The target has seen a higher term. */
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -240,8 +240,7 @@
                     cause);
         }
         mTarget.setReachable(false);
-        if (kind == TargetCallException.Kind.REFUSED
-                || kind == TargetCallException.Kind.OTHER_INSTANCE) {
+        if (kind == TargetCallException.Kind.OTHER_INSTANCE) {
             mCallbacks.onEnded(mTarget);
             return;
         }
