--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -15,8 +15,6 @@
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
-import org.marigoldturn.jobs.ResourceAmounts;
-import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
 
 /**
@@ -398,9 +396,4 @@
             after(mRandom.nextInt(activeMillis()), old::close);
         }
     }
-
-    static ResourceAmounts reservedResources(Job job, TaskId task) {
-        StepSpec step = job.spec().steps().get(task.step());
-        return step.reservedResources();
-    }
 }
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -9,6 +9,9 @@
 import java.util.stream.Collectors;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.ResourceAmounts;
+import org.marigoldturn.jobs.StepSpec;
+import org.marigoldturn.jobs.TaskId;
 
 /**
  * Simulates one owner: it runs a scheduler, polls each target and sends orders, all without
@@ -298,7 +301,7 @@
                                         run.number(),
                                         mTerm,
                                         lease,
-                                        ScheduleSimulation.reservedResources(job, run.task()),
+                                        reservedResources(job, run.task()),
                                         duration,
                                         kind,
                                         mSimulation.nowMillis()),
@@ -342,4 +345,9 @@
                     }
                 });
     }
+
+    private static ResourceAmounts reservedResources(Job job, TaskId task) {
+        StepSpec step = job.spec().steps().get(task.step());
+        return step.reservedResources();
+    }
 }
