--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -17,7 +17,8 @@
  * Stand-in for the users' platform in one process: metadata store, targets, host service and policy
  * service.
  *
- * <p>The store can be made to leave all calls without a response. Thread safe.
+ * <p>The store can be made to leave all calls without a response, or to lose certain writes. Thread
+ * safe.
  */
 public final class StandInPlatform implements AutoCloseable {
     private static final long ENTRY_INTERVAL_MILLIS = 500;
@@ -26,6 +27,8 @@
     private final StandInStore mStore = new StandInStore();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
+    private final Set<String> mLostPrefixes = ConcurrentHashMap.newKeySet();
+    private final Set<String> mLostWrites = ConcurrentHashMap.newKeySet();
     private final List<String> mMaintainedHosts = new ArrayList<>();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final StandInHttp mStoreHttp = new StandInHttp(this::handleStore);
@@ -93,6 +96,24 @@
         mStoreUnavailable = unavailable;
     }
 
+    /**
+     * Leaves each transaction that writes a key with this prefix without an effect and without a
+     * response; all other calls are carried out.
+     */
+    public void loseWrites(String keyPrefix) {
+        mLostPrefixes.add(keyPrefix);
+    }
+
+    /** Carries out all further transactions; the lost ones stay without an effect. */
+    public void stopLosingWrites() {
+        mLostPrefixes.clear();
+    }
+
+    /** Returns the keys of all writes that were lost. */
+    public Set<String> lostWrites() {
+        return Set.copyOf(mLostWrites);
+    }
+
     /** Starts a target whose tasks run for the given time, and returns its id. */
     public synchronized String addTarget(String service, String hostId, long taskMillis) {
         String id = "i-" + (++mLastTargetNumber);
@@ -115,6 +136,32 @@
         mStore.delete("servers/" + id);
     }
 
+    /** Writes the entries of a target that was cut off from the store again. */
+    public void reconnectTarget(String id) {
+        mCutFromStore.remove(id);
+        mStore.put("servers/" + id, mTargets.get(id).entry("ready"));
+    }
+
+    /** Lets all targets delay stop orders until {@link #endRuns} is called for them. */
+    public void delayStops() {
+        mTargets.values().forEach(StandInTarget::delayStops);
+    }
+
+    /** Ends all runs on a target as done; stop orders that it has delayed come too late. */
+    public void endRuns(String id) {
+        mTargets.get(id).endRuns();
+    }
+
+    /** Returns the tasks with an end {@code done} on one target that an owner has confirmed. */
+    public List<String> confirmedDone(String id) {
+        return mTargets.get(id).confirmedDone();
+    }
+
+    /** Returns the number of polls that a target has accepted. */
+    public int countPolls(String id) {
+        return mTargets.get(id).countPolls();
+    }
+
     /** Lets a target carry out further calls but hold back each response for 60 s. */
     public void holdBackResponses(String id) {
         mTargets.get(id).holdBackResponses();
@@ -177,7 +224,7 @@
             case "/v1/kv-key" -> mStore.read(context.queryParam("Key"));
             case "/v1/kv-range" -> mStore.list(context.queryParam("Prefix"), after(context, ""));
             case "/v1/kv-watch" -> watch(context);
-            case "/v1/kv-txn" -> mStore.commit(body);
+            case "/v1/kv-txn" -> commit(body);
             case "/v1/kv-lease" -> {
                 long ttl = body.path("TtlMs").asLong();
                 ObjectNode lease = StandInHttp.object().put("TtlMs", ttl);
@@ -188,6 +235,19 @@
         };
     }
 
+    private StandInStore.Response commit(JsonNode body) throws InterruptedException {
+        List<String> keys = new ArrayList<>();
+        body.path("Writes").forEach(write -> keys.add(write.path("Key").asText()));
+        if (keys.stream().noneMatch(key -> mLostPrefixes.stream().anyMatch(key::startsWith))) {
+            return mStore.commit(body);
+        }
+        mLostWrites.addAll(keys);
+        while (!mLostPrefixes.isEmpty()) {
+            Thread.sleep(50);
+        }
+        return StandInStore.Response.of(503);
+    }
+
     private StandInStore.Response watch(ServiceRequestContext context) throws InterruptedException {
         String prefix = context.queryParam("Prefix");
         long after = Long.parseLong(after(context, "0"));
@@ -257,6 +317,7 @@
     public void close() {
         mTimer.shutdownNow();
         mStoreUnavailable = false;
+        mLostPrefixes.clear();
         mTargets.values().forEach(StandInTarget::close);
         mStoreHttp.close();
         mHostsHttp.close();
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -17,8 +17,8 @@
  *
  * <p>It keeps the highest fencing token that it has received, and the ends of runs until a poll
  * states that they have been seen. A task whose payload starts with {@code lasting} runs until it
- * is stopped or the lease expires; one whose payload starts with {@code advised} starts only with a
- * ticket of the policy service. Thread safe.
+ * is stopped or ended by a test, or the lease expires; one whose payload starts with {@code
+ * advised} starts only with a ticket of the policy service. Thread safe.
  */
 final class StandInTarget implements AutoCloseable {
     private final String mId;
@@ -31,10 +31,13 @@
     private final List<ArrayNode> mUnseenEnds = new ArrayList<>();
     private final Map<String, Long> mHighestEndedRun = new HashMap<>();
     private final List<String> mStarts = new ArrayList<>();
+    private final List<String> mConfirmedDone = new ArrayList<>();
     private long mHighestToken;
     private long mLastEndNumber;
     private long mLeaseEndMillis;
+    private int mPolls;
     private boolean mHoldsBackResponses;
+    private boolean mDelaysStops;
 
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
@@ -86,6 +89,31 @@
         mHoldsBackResponses = true;
     }
 
+    /** Returns the names of the tasks with an end {@code done} that a poll has stated as seen. */
+    synchronized List<String> confirmedDone() {
+        return List.copyOf(mConfirmedDone);
+    }
+
+    /** Returns the number of accepted polls. */
+    synchronized int countPolls() {
+        return mPolls;
+    }
+
+    /** Delays the stop orders until {@link #endRuns} is called. */
+    synchronized void delayStops() {
+        mDelaysStops = true;
+    }
+
+    /** Ends all runs as done, and carries out the delayed stop orders after that. */
+    synchronized void endRuns() {
+        advance();
+        for (Map.Entry<String, Execution> entry : Map.copyOf(mRunning).entrySet()) {
+            end(entry.getKey(), entry.getValue(), "done");
+        }
+        mDelaysStops = false;
+        notifyAll();
+    }
+
     private StandInStore.Response handle(
             ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
             throws InterruptedException {
@@ -135,7 +163,10 @@
         return response(200);
     }
 
-    private synchronized StandInStore.Response stop(JsonNode body) {
+    private synchronized StandInStore.Response stop(JsonNode body) throws InterruptedException {
+        while (mDelaysStops) {
+            wait();
+        }
         advance();
         if (isFenced(body)) {
             return conflict("fence");
@@ -155,10 +186,11 @@
         if (isFenced(body)) {
             return conflict("fence");
         }
+        mPolls++;
         advance();
         mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
         long lastSeen = body.path("LastSeen").asLong();
-        mUnseenEnds.removeIf(end -> end.path(0).asLong() <= lastSeen);
+        confirmEnds(lastSeen);
         long untilMillis = clockMillis() + body.path("WaitMs").asLong();
         while (mUnseenEnds.isEmpty() && clockMillis() < untilMillis) {
             wait(20);
@@ -172,6 +204,17 @@
         return response;
     }
 
+    private void confirmEnds(long lastSeen) {
+        for (ArrayNode end : List.copyOf(mUnseenEnds)) {
+            if (end.path(0).asLong() <= lastSeen) {
+                mUnseenEnds.remove(end);
+                if (end.path(3).asText().equals("done")) {
+                    mConfirmedDone.add(end.path(1).asText());
+                }
+            }
+        }
+    }
+
     private boolean isFenced(JsonNode body) {
         long token = body.path("FencingToken").asLong();
         boolean fenced = token < mHighestToken;
@@ -224,6 +267,10 @@
 
     @Override
     public void close() {
+        synchronized (this) {
+            mDelaysStops = false;
+            notifyAll();
+        }
         mHttp.close();
     }
 }
