Model a job that is cancelled before the store knows it

Cause: in the model only a completion kept a task from starting again, so it could not show a target that drops an end because the owner has cancelled the job in memory. RunTracker ignores such an end, and nothing waits for the write of the cancellation. Change: an owner can cancel the job; Commit stores that under the same fence as ends, and a takeover reads it. A target drops an end of a cancelled job only once the store holds the cancellation (ConfirmsStored). NotAgain also counts a start after an end that was dropped. Left out: jobs that fail, and gangs whose members end together. Both have the same shape.

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -19,6 +19,8 @@
     ResolvesWrites,    \* FALSE: a submission is refused while its write may still take effect
     RecordsTargets,    \* FALSE: a new owner knows only the targets that the platform lists
     ConfirmsTerm,      \* FALSE: an owner that was replaced concludes that leases have ended
+    MayCancel,         \* whether the job can be cancelled
+    ConfirmsStored,    \* FALSE: targets may drop ends of a job whose cancellation is not stored
     MaxListChanges     \* how often entries of the platform's list are removed or added
 
 VARIABLES
@@ -39,19 +41,24 @@
     done,       \* tasks whose completion the store holds
     knownDone,  \* tasks that each owner knows to be completed
     started,    \* number of start orders that each daemon has sent in its term
-    lostEnd,    \* a target dropped an end that the store does not hold
-    restarted,  \* a task was started although the store holds its completion
+    cancelling, \* whether each owner knows the job to be cancelled
+    cancelled,  \* whether the store holds the cancellation
+    dropped,    \* tasks with an end that a target dropped while the store did not hold it
+    lostEnd,    \* a target dropped an end, and the store held no reason not to start the task again
+    restarted,  \* a task was started although the store holds its completion or its end was dropped
     mayRerun,   \* tasks that may run again: they had ended at a target whose lease then expired
     job,        \* whether the job's record is in the store
     writes,     \* terms of the writes of the submitted job that are in flight
     response    \* response to the client: "none", "accepted" or "refused"
 
 vars == <<term, owner, listed, changes, recorded, aware, confirmed, known, possible, token, runs,
-          ended, refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
-          writes, response>>
+          ended, refused, orders, done, knownDone, started, cancelling, cancelled, dropped,
+          lostEnd, restarted, mayRerun, job, writes, response>>
 
 targetLists == <<listed, changes, recorded, aware, confirmed>>
 
+cancellations == <<cancelling, cancelled, dropped>>
+
 Run == [target : Targets, task : Tasks, number : Nat]
 
 Init ==
@@ -72,6 +79,9 @@
     /\ done = {}
     /\ knownDone = [d \in Daemons |-> {}]
     /\ started = [d \in Daemons |-> 0]
+    /\ cancelling = [d \in Daemons |-> FALSE]
+    /\ cancelled = FALSE
+    /\ dropped = {}
     /\ lostEnd = FALSE
     /\ restarted = FALSE
     /\ mayRerun = {}
@@ -91,14 +101,16 @@
     /\ possible' = [possible EXCEPT ![d] = {}]
     /\ knownDone' = [knownDone EXCEPT ![d] = done]
     /\ started' = [started EXCEPT ![d] = 0]
-    /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ cancelling' = [cancelling EXCEPT ![d] = cancelled]
+    /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done,
+                   cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response>>
 
 StepDown(d) ==
     /\ owner[d] # 0 /\ owner[d] < term
     /\ owner' = [owner EXCEPT ![d] = 0]
     /\ UNCHANGED <<targetLists, term, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
+                   knownDone, started, cancellations, lostEnd, restarted, mayRerun, job, writes,
+                   response>>
 
 \* The platform's list can lack a target that executes runs, for instance one that is cut off from
 \* the store, and can list it again.
@@ -107,16 +119,16 @@
     /\ changes' = changes + 1
     /\ listed' = IF t \in listed THEN listed \ {t} ELSE listed \cup {t}
     /\ UNCHANGED <<term, owner, recorded, aware, confirmed, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
-                   writes, response>>
+                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
+                   mayRerun, job, writes, response>>
 
 \* The owner finds a target that was not listed before.
 FindTarget(d, t) ==
     /\ owner[d] # 0 /\ t \in listed \ aware[d]
     /\ aware' = [aware EXCEPT ![d] = @ \cup {t}]
     /\ UNCHANGED <<term, owner, listed, changes, recorded, confirmed, known, possible, token, runs,
-                   ended, refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun,
-                   job, writes, response>>
+                   ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 \* The owner records a target before it starts anything there.
 RecordTarget(d, t) ==
@@ -125,8 +137,8 @@
     /\ recorded' = recorded \cup {t}
     /\ confirmed' = [confirmed EXCEPT ![d] = @ \cup {t}]
     /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
-                   writes, response>>
+                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
+                   mayRerun, job, writes, response>>
 
 \* The owner deletes the record of an unlisted target once nothing can run there as far as it knows
 \* and the store holds all ends that it knows of.
@@ -134,50 +146,69 @@
     /\ owner[d] # 0 /\ owner[d] = term
     /\ t \in (known[d] \cap confirmed[d]) \ listed
     /\ \A r \in possible[d] : r.target # t
-    /\ knownDone[d] \subseteq done
+    /\ knownDone[d] \subseteq done /\ (cancelling[d] => cancelled)
     /\ recorded' = recorded \ {t}
     /\ confirmed' = [confirmed EXCEPT ![d] = @ \ {t}]
     /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, lostEnd, restarted, mayRerun, job,
-                   writes, response>>
+                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
+                   mayRerun, job, writes, response>>
 
 AcceptsTerm(t, n) == ChecksToken => n >= token[t]
 
 \* A poll raises the token of the target and returns what runs there and what has ended. A run that
-\* is not listed is certain not to exist only if its order can no longer arrive.
+\* is not listed is certain not to exist only if its order can no longer arrive. An owner that has
+\* cancelled the job does not record the ends of its runs.
 Poll(d, t) ==
     /\ owner[d] # 0 /\ t \in aware[d] /\ AcceptsTerm(t, owner[d])
     /\ token' = [token EXCEPT ![t] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ known' = [known EXCEPT ![d] = @ \cup {t}]
     /\ possible' = [possible EXCEPT ![d] =
         {r \in @ : r.target # t \/ (r \in orders /\ r \notin refused[t])} \cup runs[t]]
-    /\ knownDone' = [knownDone EXCEPT ![d] = @ \cup {r.task : r \in ended[t]}]
-    /\ UNCHANGED <<targetLists, term, owner, runs, ended, refused, orders, done, started, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ knownDone' = [knownDone EXCEPT ![d] =
+        IF cancelling[d] THEN @ ELSE @ \cup {r.task : r \in ended[t]}]
+    /\ UNCHANGED <<targetLists, term, owner, runs, ended, refused, orders, done, started,
+                   cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
+
+\* The owner cancels the job on a client's request. It stops runs and starts none from then on, and
+\* the store learns of the cancellation later.
+Cancel(d) ==
+    /\ MayCancel /\ owner[d] # 0 /\ job /\ ~cancelling[d]
+    /\ cancelling' = [cancelling EXCEPT ![d] = TRUE]
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, cancelled, dropped, lostEnd, restarted, mayRerun,
+                   job, writes, response>>
 
-\* The store accepts the ends that the owner knows of if no newer owner has written its term.
+\* The store accepts the ends and the cancellation that the owner knows of if no newer owner has
+\* written its term.
 Commit(d) ==
     /\ owner[d] # 0 /\ (FencedWrites => owner[d] = term)
-    /\ knownDone[d] \ done # {}
+    /\ knownDone[d] \ done # {} \/ (cancelling[d] /\ ~cancelled)
     /\ done' = done \cup knownDone[d]
+    /\ cancelled' = (cancelled \/ cancelling[d])
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
+                   knownDone, started, cancelling, dropped, lostEnd, restarted, mayRerun, job,
+                   writes, response>>
 
 \* The owner tells the target (LastSeen in a poll) that it knows of an end, so the target drops it.
+\* The store then holds the completion of the task or the cancellation of its job.
 DropEnd(d, t, r) ==
-    /\ owner[d] # 0 /\ AcceptsTerm(t, owner[d]) /\ r \in ended[t] /\ r.task \in knownDone[d]
-    /\ RecordsEndsFirst => r.task \in done
+    /\ owner[d] # 0 /\ AcceptsTerm(t, owner[d]) /\ r \in ended[t]
+    /\ r.task \in knownDone[d] \/ cancelling[d]
+    /\ RecordsEndsFirst =>
+        r.task \in done \/ (cancelling[d] /\ (ConfirmsStored => cancelled))
     /\ token' = [token EXCEPT ![t] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ ended' = [ended EXCEPT ![t] = @ \ {r}]
-    /\ lostEnd' = (lostEnd \/ r.task \notin done)
+    /\ dropped' = dropped \cup ({r.task} \ done)
+    /\ lostEnd' = (lostEnd \/ (r.task \notin done /\ ~cancelled))
     /\ UNCHANGED <<targetLists, term, owner, known, possible, runs, refused, orders, done,
-                   knownDone, started, restarted, mayRerun, job, writes, response>>
+                   knownDone, started, cancelling, cancelled, restarted, mayRerun, job, writes,
+                   response>>
 
 Start(d, t, task) ==
     /\ owner[d] # 0 /\ job /\ started[d] < MaxRuns
     /\ t \in aware[d] /\ (RecordsTargets => t \in confirmed[d])
     /\ KnowsAllFirst => aware[d] \subseteq known[d]
-    /\ task \notin knownDone[d]
+    /\ task \notin knownDone[d] /\ ~cancelling[d]
     /\ \A r \in possible[d] : r.task # task
     /\ Cardinality({r \in possible[d] : r.target = t}) < Capacity
     /\ LET r == [target |-> t, task |-> task, number |-> owner[d] * 100 + started[d]] IN
@@ -185,7 +216,7 @@
         /\ possible' = [possible EXCEPT ![d] = @ \cup {r}]
     /\ started' = [started EXCEPT ![d] = @ + 1]
     /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, done, knownDone,
-                   lostEnd, restarted, mayRerun, job, writes, response>>
+                   cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
 
 TermOf(r) == r.number \div 100
 
@@ -195,10 +226,10 @@
     /\ IF AcceptsTerm(r.target, TermOf(r)) /\ r \notin refused[r.target]
        THEN /\ runs' = [runs EXCEPT ![r.target] = @ \cup {r}]
             /\ token' = [token EXCEPT ![r.target] = IF TermOf(r) > @ THEN TermOf(r) ELSE @]
-            /\ restarted' = (restarted \/ (r.task \in done /\ r.task \notin mayRerun))
+            /\ restarted' = (restarted \/ (r.task \in (done \cup dropped) \ mayRerun))
        ELSE UNCHANGED <<runs, token, restarted>>
     /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, refused, done, knownDone,
-                   started, lostEnd, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, mayRerun, job, writes, response>>
 
 \* A stop that the target responds to: the target ends the run, or will not start it. Its outcome is
 \* known only from the next poll, since the run may have completed before the stop.
@@ -208,14 +239,15 @@
     /\ runs' = [runs EXCEPT ![r.target] = @ \ {r}]
     /\ refused' = [refused EXCEPT ![r.target] = @ \cup {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, orders, done, knownDone,
-                   started, lostEnd, restarted, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* Enabled only in the broken variant: a missing response is taken as a refusal.
 AssumeNotStarted(d, r) ==
     /\ ~ResolvesStarts /\ owner[d] # 0 /\ r \in possible[d]
     /\ possible' = [possible EXCEPT ![d] = @ \ {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, orders, done,
-                   knownDone, started, lostEnd, restarted, mayRerun, job, writes, response>>
+                   knownDone, started, cancellations, lostEnd, restarted, mayRerun, job, writes,
+                   response>>
 
 Finish(t, r) ==
     /\ r \in runs[t]
@@ -223,7 +255,7 @@
     /\ ended' = [ended EXCEPT ![t] = @ \cup {r}]
     /\ refused' = [refused EXCEPT ![t] = @ \cup {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, orders, done, knownDone,
-                   started, lostEnd, restarted, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* The lease of a target expires: its runs are killed, and orders in flight under it are refused.
 LeaseExpires(t) ==
@@ -232,7 +264,7 @@
     /\ orders' = {r \in orders : r.target # t}
     /\ mayRerun' = mayRerun \cup {r.task : r \in ended[t]}
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, ended, refused, done,
-                   knownDone, started, lostEnd, restarted, job, writes, response>>
+                   knownDone, started, cancellations, lostEnd, restarted, job, writes, response>>
 
 \* No lease of the given owner or an earlier one holds at a target, or it is not that owner's any more.
 LeaseIsOver(d, t) ==
@@ -253,27 +285,30 @@
     /\ mayRerun' = IF token[t] > owner[d] THEN mayRerun
                    ELSE mayRerun \cup {r.task : r \in ended[t]}
     /\ UNCHANGED <<targetLists, term, owner, token, runs, ended, refused, orders, done, knownDone,
-                   started, lostEnd, restarted, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, job, writes, response>>
 
 \* On a submission the owner writes the job's record, which may take effect at any later time.
 Submit(d) ==
     /\ owner[d] # 0 /\ ~job /\ response = "none" /\ owner[d] \notin writes
     /\ writes' = writes \cup {owner[d]}
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, lostEnd, restarted, mayRerun, job, response>>
+                   done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
+                   response>>
 
 WriteArrives(n) ==
     /\ n \in writes /\ ~job
     /\ writes' = writes \ {n}
     /\ job' = (FencedWrites => n = term)
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, lostEnd, restarted, response, mayRerun>>
+                   done, knownDone, started, cancellations, lostEnd, restarted, response,
+                   mayRerun>>
 
 Accept(d) ==
     /\ owner[d] # 0 /\ job /\ response = "none"
     /\ response' = "accepted"
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
+                   done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
+                   writes>>
 
 \* Only the owner whose term is the one in the store refuses and, with ResolvesWrites, only if no
 \* write of its own is in flight. It compares its term with the store first, since a refusal is not
@@ -283,10 +318,11 @@
     /\ ResolvesWrites => owner[d] \notin writes
     /\ response' = "refused"
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, lostEnd, restarted, mayRerun, job, writes>>
+                   done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
+                   writes>>
 
 Next ==
-    \/ \E d \in Daemons : TakeOver(d) \/ StepDown(d) \/ Commit(d)
+    \/ \E d \in Daemons : TakeOver(d) \/ StepDown(d) \/ Cancel(d) \/ Commit(d)
     \/ \E d \in Daemons : Submit(d) \/ Accept(d) \/ Refuse(d)
     \/ \E t \in Targets : ChangeList(t)
     \/ \E d \in Daemons, t \in Targets :
@@ -303,7 +339,8 @@
 
 AllRuns == UNION {runs[t] : t \in Targets}
 
-\* TWICE, with NotAgain: no two runs of a task at the same time, and none after its end is recorded.
+\* TWICE, with NotAgain: no two runs of a task at the same time, and none after its end is recorded
+\* or dropped.
 NotTwice == \A task \in Tasks : Cardinality({r \in AllRuns : r.task = task}) <= 1
 
 \* An end that is not recorded before the lease of its target expires counts as not having happened,
@@ -313,7 +350,8 @@
 \* LIMIT: no target runs more than its capacity.
 WithinCapacity == \A t \in Targets : Cardinality(runs[t]) <= Capacity
 
-\* LOST: an accepted job is in the store, and no end is dropped before the store holds it.
+\* LOST: an accepted job is in the store, and no end is dropped before the store holds it or the
+\* cancellation of its job.
 NothingLost == ~lostEnd /\ (response = "accepted" => job)
 
 \* REFUSED: a refused job is never in the store, so it never runs.
