Confirm an end to its target once the store holds why it needs no new run

Callers: a task that must run once runs a second time under a later owner.

Cause: a target forgets an end that the owner confirms (LastSeen), and the owner confirmed it once the writes that the report itself had caused were stored. An end that causes no write was confirmed at once: of a job that is cancelled or failed, or of a task that is done, in the owner's memory. The write that holds that reason could still be pending. If the owner was replaced before it was carried out, the store knew neither the end nor the reason.

Change: ProgressRecords, split from OwnerRole, tells when the ends of a report may be confirmed: when no write of the progress of their jobs is pending, whoever caused it. An end of a job without a pending write is confirmed as before.

Weighed: (a) this; (b) waiting for all pending writes (GroupCommit.flush), which also delays ends of other jobs behind a long queue of writes; (c) recording the end of a cancelled job as done, which helps only for cancellations and writes more.

The histories had stored all changes at once, so they could not see it.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -1,11 +1,7 @@
 package org.marigoldturn.coordination;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.marigoldturn.jobs.JobRecords;
-import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
@@ -48,6 +44,7 @@
     private HostWork mHostWork;
     private long mHostWorkFromMillis;
     private JobScheduler mScheduler;
+    private ProgressRecords mProgress;
     private OwnerCalls mCalls;
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
@@ -156,6 +153,7 @@
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
         mHostWorkFromMillis = now + EarlierOwners.certainMillis(mContext.earlierOwnersActMillis());
+        mProgress = new ProgressRecords(mScheduler, mCommits);
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
         mOrders = new OrderSender(mContext, mScheduler, mSessions, this);
         mAdvice = new AdviceRunner(mContext, mScheduler, this::requestScheduling);
@@ -244,25 +242,10 @@
             mContext.metrics().counter("runs.ended." + end.kind()).inc();
             RunLog.logEnd(target, end);
         }
-        CompletableFuture<Void> stored = storeChanges();
+        mProgress.storeChanges();
         serveOnceTargetsAreUsable();
         requestScheduling();
-        return stored;
-    }
-
-    private CompletableFuture<Void> storeChanges() {
-        List<CompletableFuture<Void>> writes = new ArrayList<>();
-        for (String jobId : mScheduler.takeChangedJobIds()) {
-            mScheduler
-                    .state(jobId)
-                    .filter(JobState::isFinal)
-                    .ifPresent(end -> Logger.info("job: event=ended id={} state={}", jobId, end));
-            writes.add(
-                    mCommits.put(
-                            StoreLayout.progress(jobId),
-                            JobRecords.encode(mScheduler.progress(jobId))));
-        }
-        return CompletableFuture.allOf(writes.toArray(CompletableFuture[]::new));
+        return mProgress.whenConfirmable(response.report());
     }
 
     @Override
@@ -362,7 +345,7 @@
         if (mClosed || !mServing) {
             return;
         }
-        var unused = storeChanges();
+        mProgress.storeChanges();
         if (!mayAct()) {
             return;
         }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -52,7 +52,7 @@
         /**
          * Processes a report.
          *
-         * @return a future that completes when the store holds the report's changes
+         * @return a future that completes when the report's ends may be confirmed to the target
          */
         CompletableFuture<Void> onReport(
                 TargetState target, TargetClient.PollResponse response, long pollSentMillis);
@@ -199,7 +199,7 @@
             poll();
             return;
         }
-        // A report that repeats ends causes no new write, so it also waits for the earlier writes.
+        // A later report may lack ends of an earlier one, so it also waits for the earlier writes.
         mStored = mStored.thenCombine(stored, (earlier, later) -> null);
         long cycle = ++mPollCycle;
         mStored.whenComplete(
--- a/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MemoryStore.java
@@ -46,6 +46,12 @@
         mBeforeGrant = action;
     }
 
+    /** Writes a record of the owner's term and returns its revision. */
+    synchronized long writeTerm() {
+        put(StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("term"), Operation.NO_LEASE);
+        return mRevision;
+    }
+
     synchronized Optional<StoredValue> value(String key) {
         return Optional.ofNullable(mValues.get(key));
     }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -18,8 +18,6 @@
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
-import org.marigoldturn.store.Compare;
-import org.marigoldturn.store.Operation;
 import org.marigoldturn.store.StoredValue;
 
 /** Guards against a target on which tasks may run and that a next owner does not find. */
@@ -33,7 +31,7 @@
     private final MemoryStore mStore = new MemoryStore();
     private final JobScheduler mScheduler = scheduler();
     private final GroupCommit mCommits =
-            new GroupCommit(mStore, mControl, Clocks.system(), writeTerm(), () -> {});
+            new GroupCommit(mStore, mControl, Clocks.system(), mStore.writeTerm(), () -> {});
     private final TargetRecords mRecords = new TargetRecords(mScheduler, mCommits, () -> {});
     private long mNowMillis = 1_000;
 
@@ -202,17 +200,6 @@
         return mStore.read(StoreLayout.target(id)).join().map(TargetRecordCodec::decode);
     }
 
-    private long writeTerm() {
-        return mStore.commit(
-                        List.of(new Compare(StoreLayout.OWNER_TERM, Compare.ABSENT)),
-                        List.of(
-                                new Operation.Put(
-                                        StoreLayout.OWNER_TERM, ByteString.copyFromUtf8("term"))),
-                        List.of())
-                .join()
-                .revision();
-    }
-
     private static JobScheduler scheduler() {
         return new JobScheduler(
                 new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -39,6 +39,12 @@
         simulate(seed, Set.of(ScheduleSimulation.Trouble.QUEUE_IS_REMOVED));
     }
 
+    /** Guards against ends that are confirmed before the store holds why they need no new run. */
+    @Property(tries = 1_000, seed = "20261209")
+    void tasksWithConfirmedEndsDoNotStartAgainWhileWritesArePending(@ForAll long seed) {
+        simulate(seed, Set.of(ScheduleSimulation.Trouble.STORE_IS_SLOW));
+    }
+
     /**
      * Guards against a new owner that starts a task again while a living owner, which it has
      * replaced before the end of its lease in the store, renews the lease of the task's target.
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -42,6 +42,8 @@
     private static final QueueCatalog CATALOG_WITHOUT_QUEUE =
             new QueueCatalog(2, List.of(), Set.of(), Set.of(), List.of(SchedulerFixture.ACCOUNT));
 
+    private static final int MAX_WRITE_MILLIS = 3_000;
+
     /** The platform carries out an order without a response at most this much later. */
     private static final int MAX_LATE_MILLIS = 12_000;
 
@@ -62,7 +64,9 @@
         /** Owners are replaced before their lease in the store has ended. */
         LIVING_OWNERS_ARE_REPLACED,
         /** Versions of the configuration lack the queue of all jobs. */
-        QUEUE_IS_REMOVED
+        QUEUE_IS_REMOVED,
+        /** Writes of progress take effect later, unless a newer owner is elected meanwhile. */
+        STORE_IS_SLOW
     }
 
     private final PriorityQueue<Event> mEvents =
@@ -79,6 +83,7 @@
     private boolean mQueueConfigured = true;
     private long mNowMillis = 1_000;
     private long mNextEventOrder;
+    private long mLastWriteMillis;
     private long mTerm;
     private int mIncarnations;
 
@@ -177,16 +182,23 @@
         return mStoredProgress.getOrDefault(jobId, JobProgress.NONE).state();
     }
 
-    /**
-     * Stores the progress of a job, unless a newer owner has been elected. Returns whether it was
-     * stored.
-     */
-    boolean store(long term, String jobId, JobProgress progress) {
+    /** Stores the progress of a job, unless a newer owner has been elected by then. */
+    void store(long term, String jobId, JobProgress progress, Runnable onStored) {
+        if (!mTroubles.contains(Trouble.STORE_IS_SLOW)) {
+            putProgress(term, jobId, progress, onStored);
+            return;
+        }
+        long millis = mFaults ? mListRandom.nextInt(MAX_WRITE_MILLIS) : 0;
+        mLastWriteMillis = Math.max(mLastWriteMillis, mNowMillis + millis);
+        at(mLastWriteMillis, () -> putProgress(term, jobId, progress, onStored));
+    }
+
+    private void putProgress(long term, String jobId, JobProgress progress, Runnable onStored) {
         if (term == mTerm) {
             mStoredProgress.put(jobId, progress);
             mRules.checkFailedJob(jobId, progress.state());
+            onStored.run();
         }
-        return term == mTerm;
     }
 
     void submit(Job job) {
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +28,7 @@
     private final long mTerm;
     private final JobScheduler mScheduler;
     private final Map<TargetState, Link> mLinks = new HashMap<>();
+    private final Map<String, Integer> mPendingWrites = new HashMap<>();
     private long mConfirmedMillis;
     private boolean mClosed;
 
@@ -36,6 +38,7 @@
         private long mReadMillis;
         private boolean mKnown;
         private long mRecordedEnd;
+        private final Set<String> mJobsOfEnds = new HashSet<>();
     }
 
     SimulatedOwner(ScheduleSimulation simulation) {
@@ -216,13 +219,21 @@
                 mSimulation.onListedDone(end.task());
             }
         }
-        if (storeChanges()) {
-            link.mRecordedEnd = state.lastProcessedEnd();
-        }
+        storeChanges();
+        response.report().ends().forEach(end -> link.mJobsOfEnds.add(end.task().jobId()));
+        confirmEnds(state, link);
         decide();
         mSimulation.after(50, () -> poll(state));
     }
 
+    /** Confirms ends once no write of their jobs is pending. */
+    private void confirmEnds(TargetState state, Link link) {
+        if (link.mJobsOfEnds.stream().noneMatch(mPendingWrites::containsKey)) {
+            link.mRecordedEnd = state.lastProcessedEnd();
+            link.mJobsOfEnds.clear();
+        }
+    }
+
     private long grantLease(TargetState state, Link link) {
         if (!link.mKnown) {
             return 0;
@@ -250,13 +261,15 @@
                 });
     }
 
-    /** Stores the changed progress; returns false if a newer owner has been elected. */
-    private boolean storeChanges() {
-        boolean stored = true;
+    private void storeChanges() {
         for (String jobId : new ArrayList<>(mScheduler.takeChangedJobIds())) {
-            stored &= mSimulation.store(mTerm, jobId, mScheduler.progress(jobId));
+            mPendingWrites.merge(jobId, 1, Integer::sum);
+            mSimulation.store(mTerm, jobId, mScheduler.progress(jobId), () -> onStored(jobId));
         }
-        return stored && mSimulation.term() == mTerm;
+    }
+
+    private void onStored(String jobId) {
+        mPendingWrites.computeIfPresent(jobId, (id, writes) -> writes == 1 ? null : writes - 1);
     }
 
     private void decide() {
