Name the task in one word in all lines about a run

Lines had id=JOB task=K.S.I, or no task at all for start-answer. All lines about a run now have task=JOB.K.STEP.INDEX beside id=JOB, from one method, TaskId.name. TaskNames stays the format of the wire, which may change independently. Submission and cancel lines have the id already. RunLogTest checks the words of a line.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -6,7 +6,6 @@
 import org.marigoldturn.scheduling.Run;
 import org.marigoldturn.scheduling.StartOutcome;
 import org.marigoldturn.scheduling.TargetState;
-import org.tinylog.Logger;
 
 /**
  * Sends the scheduler's orders to targets and passes their responses back to it. Confined to the
@@ -61,12 +60,7 @@
     private void onStartResponse(Run run, StartOutcome outcome, Throwable failure) {
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
         if (known != StartOutcome.ACCEPTED) {
-            Logger.warn(
-                    "run: event=start-answer id={} run={} target={} outcome={}",
-                    run.task().jobId(),
-                    run.number(),
-                    run.target().entry().id(),
-                    known);
+            RunLog.logStartResponse(run, known);
         }
         if (known == StartOutcome.FENCED) {
             mListener.onFenced(run.target());
--- a/core/src/main/java/org/marigoldturn/jobs/TaskId.java
+++ b/core/src/main/java/org/marigoldturn/jobs/TaskId.java
@@ -8,4 +8,9 @@
  * @param step number of the step, from 0
  * @param index number of the task in its step, from 0
  */
-public record TaskId(String jobId, int occurrence, int step, int index) {}
+public record TaskId(String jobId, int occurrence, int step, int index) {
+    /** Returns the task's full name in log lines: all parts, separated by dots. */
+    public String name() {
+        return jobId + "." + occurrence + "." + step + "." + index;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/coordination/RunLogTest.java
@@ -0,0 +1,31 @@
+package org.marigoldturn.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.ResourceAmounts;
+import org.marigoldturn.jobs.TaskId;
+import org.marigoldturn.scheduling.JobScheduler;
+import org.marigoldturn.scheduling.TargetEntry;
+import org.marigoldturn.scheduling.TargetState;
+
+/** Guards against lines about a run that a search for its task or its job does not find. */
+class RunLogTest {
+    private static final TargetEntry ENTRY =
+            new TargetEntry(
+                    "t1", 7, "h1", "s", "a:1", "z", "r", Set.of(), ResourceAmounts.NONE, false);
+
+    private final JobScheduler mScheduler =
+            new JobScheduler(
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+    private final TargetState mTarget = mScheduler.onTargetListed(ENTRY, 0);
+
+    @Example
+    void lineNamesTheTaskInOneWord() {
+        assertThat(RunLog.describe(new TaskId("a9b279c", 4, 1, 12), 65_537, mTarget).split(" "))
+                .containsExactly("id=a9b279c", "task=a9b279c.4.1.12", "run=65537", "target=t1");
+    }
+}
