Log what an owner knew when it started a task

The start line now has the term, whether the job was restored, the highest earlier run known, the time since the ownership was confirmed and the number of unread targets of the service. The end line tells what the owner concluded (EndEffect); an end that is reported again has no second line. New lines tell when ends are confirmed to a target, that a run is missing from a complete report, that a target was read for the first time, and which targets were unread when the owner began to serve. The line of the takeover has the number of tasks restored as done. Lines about runs are limited to 1,000 a second, four times the load that docs/OPERATIONS.md works out; what is left out is counted. No decision changes: RunTracker and JobScheduler only return what they concluded.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -15,6 +15,7 @@
     private final OwnerContext mContext;
     private final JobScheduler mScheduler;
     private final TargetSessions mSessions;
+    private final RunLog mRunLog;
     private final Listener mListener;
 
     /** Is notified of what the targets' responses imply for the owner. */
@@ -30,10 +31,12 @@
             OwnerContext context,
             JobScheduler scheduler,
             TargetSessions sessions,
+            RunLog runLog,
             Listener listener) {
         mContext = context;
         mScheduler = scheduler;
         mSessions = sessions;
+        mRunLog = runLog;
         mListener = listener;
     }
 
@@ -41,14 +44,18 @@
         if (order instanceof Order.Start start) {
             send(start, nowMillis);
         } else if (order instanceof Order.Stop stop) {
-            send(stop);
+            send(stop, nowMillis);
         }
     }
 
     private void send(Order.Start start, long now) {
         Run run = start.run();
         long lease = mSessions.grantLease(run.target(), now);
-        RunLog.logOrder("start", run);
+        mRunLog.logStart(
+                start,
+                now - mContext.ownershipLease().confirmedMillis(),
+                mScheduler.countUnreadTargets(run.target().entry().service()),
+                now);
         mContext.targets()
                 .start(run.target().entry(), start, mContext.term(), lease)
                 .whenComplete(
@@ -60,7 +67,7 @@
     private void onStartResponse(Run run, StartOutcome outcome, Throwable failure) {
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
         if (known != StartOutcome.ACCEPTED) {
-            RunLog.logStartResponse(run, known);
+            mRunLog.logStartResponse(run, known, mContext.clocks().now());
         }
         if (known == StartOutcome.FENCED) {
             mListener.onFenced(run.target());
@@ -73,9 +80,9 @@
         }
     }
 
-    private void send(Order.Stop stop) {
+    private void send(Order.Stop stop, long now) {
         Run run = stop.run();
-        RunLog.logOrder("stop", run);
+        mRunLog.logStop(run, now);
         mContext.targets()
                 .stop(run.target().entry(), run, mContext.term())
                 .whenComplete(
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -49,20 +49,26 @@
                                         targets.join()));
     }
 
-    /** Restores the jobs in a scheduler and passes their records' revisions to the writer. */
-    void restoreInto(JobScheduler scheduler, GroupCommit commits, long nowMillis) {
+    /**
+     * Restores the jobs in a scheduler and passes their records' revisions to the writer.
+     *
+     * @return how many tasks of active jobs were restored as done
+     */
+    int restoreInto(JobScheduler scheduler, GroupCommit commits, long nowMillis) {
         Map<String, StoredValue> progressByKey = new HashMap<>();
         for (StoredValue value : progress) {
             commits.recordRevision(value.key(), value.modRevision());
             progressByKey.put(value.key(), value);
         }
+        int doneTasks = 0;
         for (StoredValue value : jobs) {
             commits.recordRevision(value.key(), value.modRevision());
-            restore(value, progressByKey, scheduler, nowMillis);
+            doneTasks += restore(value, progressByKey, scheduler, nowMillis);
         }
+        return doneTasks;
     }
 
-    private static void restore(
+    private static int restore(
             StoredValue value,
             Map<String, StoredValue> progress,
             JobScheduler scheduler,
@@ -78,9 +84,11 @@
                             ? JobProgress.NONE
                             : JobRecords.decodeProgress(job.id(), recorded.value());
             scheduler.restore(job, known, nowMillis);
+            return (int) known.tasks().stream().filter(JobProgress.TaskProgress::done).count();
         } catch (RuntimeException e) {
             // Another writer's record must not keep the other jobs from being restored.
             Logger.error(e, "owner: event=unreadable-job key={}", value.key());
+            return 0;
         }
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -5,6 +5,7 @@
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.ReportEffects;
 import org.marigoldturn.scheduling.SchedulingPace;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
@@ -39,6 +40,7 @@
     private final OperatorView mOperator;
     private final GroupCommit mCommits;
     private final TargetSessions mSessions;
+    private final RunLog mRunLog;
     private final SchedulingPace mPace = new SchedulingPace();
     private TargetList mTargetList;
     private HostWork mHostWork;
@@ -48,6 +50,7 @@
     private OwnerCalls mCalls;
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
+    private UnreadTargets mUnread;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -65,6 +68,7 @@
                         context.termRevision(),
                         context.onFenced());
         mSessions = new TargetSessions(context, this::mayAct, this);
+        mRunLog = new RunLog(context.term());
     }
 
     /**
@@ -84,6 +88,7 @@
         }
         mCommits.close();
         mSessions.closeAll();
+        mRunLog.close(mContext.clocks().now());
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -155,7 +160,7 @@
         mHostWorkFromMillis = now + EarlierOwners.certainMillis(mContext.earlierOwnersActMillis());
         mProgress = new ProgressRecords(mScheduler, mCommits);
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
-        mOrders = new OrderSender(mContext, mScheduler, mSessions, this);
+        mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this);
         mAdvice = new AdviceRunner(mContext, mScheduler, this::requestScheduling);
         mCalls =
                 new OwnerCalls(
@@ -165,13 +170,16 @@
                         mContext.clocks(),
                         mContext.metrics(),
                         this::requestScheduling);
-        records.restoreInto(mScheduler, mCommits, now);
+        int doneTasks = records.restoreInto(mScheduler, mCommits, now);
         mHostWork.load(records.hosts());
         Logger.info(
-                "owner: event=records-read term={} jobs={} active={}",
+                "owner: event=records-read term={} jobs={} active={} doneTasks={} targets={}",
                 mContext.term(),
                 records.jobs().size(),
-                mScheduler.activeJobs());
+                mScheduler.activeJobs(),
+                doneTasks,
+                records.targets().size());
+        mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
         mTargetList.start(records.targets());
     }
@@ -196,15 +204,10 @@
      * on their free capacity.
      */
     private void serveOnceTargetsAreUsable() {
-        if (!mServing && mTargetListComplete && countUnusableTargets() == 0) {
+        if (!mServing && mTargetListComplete && mUnread.isEmpty()) {
             serve();
         }
-    }
-
-    private long countUnusableTargets() {
-        return mScheduler.targets().stream()
-                .filter(target -> !target.hasReported() || !target.isRecorded())
-                .count();
+        mUnread.logIfAllRead();
     }
 
     @Override
@@ -218,11 +221,7 @@
             return;
         }
         mServing = true;
-        Logger.info(
-                "owner: event=serving term={} targets={} unread={}",
-                mContext.term(),
-                mScheduler.targets().size(),
-                countUnusableTargets());
+        mUnread.logServing();
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         requestScheduling();
     }
@@ -231,23 +230,26 @@
     public CompletableFuture<Void> onReport(
             TargetState target, TargetClient.PollResponse response, long pollSentMillis) {
         updateOwnership();
-        mScheduler.onReport(
-                target,
-                response.report(),
-                pollSentMillis,
-                mContext.clocks().now(),
-                mContext.clocks().epoch());
+        long now = mContext.clocks().now();
+        ReportEffects effects =
+                mScheduler.onReport(
+                        target, response.report(), pollSentMillis, now, mContext.clocks().epoch());
         mTargetList.onReport(target);
         for (TargetReport.RunEnd end : response.report().ends()) {
             mContext.metrics().counter("runs.ended." + end.kind()).inc();
-            RunLog.logEnd(target, end);
         }
+        mRunLog.logReport(target, effects, now);
         mProgress.storeChanges();
         serveOnceTargetsAreUsable();
         requestScheduling();
         return mProgress.whenConfirmable(response.report());
     }
 
+    @Override
+    public void onEndsConfirmed(TargetState target, long upTo) {
+        mRunLog.logEndsConfirmed(target, upTo, mContext.clocks().now());
+    }
+
     @Override
     public void onEnded(TargetState target) {
         Logger.info("target: event=ended target={}", target.entry().id());
@@ -275,6 +277,7 @@
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
+        mRunLog.reportLeftOut(now);
         mTargetList.dropUnused();
         forgetOldJobs();
         logMayActChange();
--- a/core/src/main/java/org/marigoldturn/coordination/RunLog.java
+++ b/core/src/main/java/org/marigoldturn/coordination/RunLog.java
@@ -1,33 +1,113 @@
 package org.marigoldturn.coordination;
 
 import org.marigoldturn.jobs.TaskId;
+import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.ReportEffects;
 import org.marigoldturn.scheduling.Run;
 import org.marigoldturn.scheduling.StartOutcome;
-import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
 import org.tinylog.Logger;
 
-/** Writes the log lines about the runs of tasks, from order to end. Stateless. */
+/**
+ * Writes the log lines of one owner about the runs of tasks, from order to end, within a budget.
+ * Confined to the control thread.
+ */
 final class RunLog {
-    private RunLog() {}
+    /** Most lines in a second; further ones are left out and counted. */
+    static final int LINES_PER_SECOND = 1_000;
 
-    /** Logs an order, {@code start} or {@code stop}. */
-    static void logOrder(String event, Run run) {
-        Logger.info("run: event={} {}", event, describe(run));
+    private final long mTerm;
+    private final LogBudget mBudget = new LogBudget(LINES_PER_SECOND);
+
+    RunLog(long term) {
+        mTerm = term;
+    }
+
+    /**
+     * Logs a start order and what the owner knew when it decided to send it.
+     *
+     * @param confirmedMillisAgo time since the ownership was last confirmed
+     * @param unreadTargets number of targets of the service that have not reported to this owner
+     */
+    void logStart(Order.Start start, long confirmedMillisAgo, int unreadTargets, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info(
+                    "run: event=start {} term={} restored={} earlierRun={} confirmedMillisAgo={}"
+                            + " unreadTargets={}",
+                    describe(start.run()),
+                    mTerm,
+                    start.history().restored(),
+                    start.history().earlierRun(),
+                    confirmedMillisAgo,
+                    unreadTargets);
+        }
+    }
+
+    void logStop(Run run, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info("run: event=stop {} term={}", describe(run), mTerm);
+        }
     }
 
     /** Logs a response to a start order that does not accept it, or that there was none. */
-    static void logStartResponse(Run run, StartOutcome outcome) {
-        Logger.warn("run: event=start-answer {} outcome={}", describe(run), outcome);
+    void logStartResponse(Run run, StartOutcome outcome, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.warn(
+                    "run: event=start-answer {} term={} outcome={}", describe(run), mTerm, outcome);
+        }
+    }
+
+    /** Logs what the owner concluded from a target's report. */
+    void logReport(TargetState target, ReportEffects effects, long nowMillis) {
+        effects.ends().forEach(end -> logEnd(target, end, nowMillis));
+        effects.unlistedRuns().forEach(run -> logUnlisted(run, nowMillis));
+    }
+
+    private void logEnd(TargetState target, ReportEffects.ProcessedEnd processed, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info(
+                    "run: event=ended {} term={} how={} end={} applied={}",
+                    describe(processed.end().task(), processed.end().run(), target),
+                    mTerm,
+                    processed.end().kind(),
+                    processed.end().number(),
+                    processed.effect());
+        }
+    }
+
+    private void logUnlisted(Run run, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info("run: event=unlisted {} term={}", describe(run), mTerm);
+        }
+    }
+
+    /** Logs that a target is told that its ends up to the given number are stored. */
+    void logEndsConfirmed(TargetState target, long upTo, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info(
+                    "target: event=ends-confirmed target={} term={} upTo={}",
+                    target.entry().id(),
+                    mTerm,
+                    upTo);
+        }
+    }
+
+    /** Logs how many lines were left out, once the second in which they were is over. */
+    void reportLeftOut(long nowMillis) {
+        long leftOut = mBudget.takeLeftOut(nowMillis);
+        if (leftOut > 0) {
+            Logger.warn("run: event=lines-left-out kind=run term={} count={}", mTerm, leftOut);
+        }
+    }
+
+    /** Logs how many lines were left out since the last report. */
+    void close(long nowMillis) {
+        reportLeftOut(nowMillis + LogBudget.INTERVAL_MILLIS);
     }
 
-    /** Logs an end that a target has reported. */
-    static void logEnd(TargetState target, TargetReport.RunEnd end) {
-        Logger.info(
-                "run: event=ended {} how={} end={}",
-                describe(end.task(), end.run(), target),
-                end.kind(),
-                end.number());
+    private boolean mayWrite(long nowMillis) {
+        reportLeftOut(nowMillis);
+        return mBudget.admit(nowMillis);
     }
 
     private static String describe(Run run) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.scheduling.Run;
+import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
 import org.tinylog.Logger;
 
@@ -41,6 +42,7 @@
     private long mClockReadMillis;
     private boolean mClockKnown;
     private long mRecordedEnd;
+    private long mConfirmedEnd;
     private boolean mPollOpen;
     private Runnable mOnFirstPoll = () -> {};
     private long mPollCycle;
@@ -57,6 +59,9 @@
         CompletableFuture<Void> onReport(
                 TargetState target, TargetClient.PollResponse response, long pollSentMillis);
 
+        /** A poll is about to tell the target that the store holds its ends up to this number. */
+        void onEndsConfirmed(TargetState target, long upTo);
+
         /** The target's process has ended, or another one has its address. */
         void onEnded(TargetState target);
 
@@ -130,6 +135,10 @@
         long lease = renews ? grantLease(now) : 0;
         // The first poll must not wait, since it reads the target's clock and runs.
         long wait = mTarget.hasReported() && mTarget.isReachable() ? POLL_WAIT_MILLIS : 0;
+        if (mRecordedEnd > mConfirmedEnd) {
+            mConfirmedEnd = mRecordedEnd;
+            mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
+        }
         mPollOpen = true;
         mClient.poll(
                         mTarget.entry(),
@@ -193,6 +202,9 @@
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
         }
+        if (first) {
+            logFirstReport(response.report());
+        }
         CompletableFuture<Void> stored = mCallbacks.onReport(mTarget, response, pollSentMillis);
         long processed = mTarget.lastProcessedEnd();
         if (mRecordedEnd == processed) {
@@ -212,6 +224,16 @@
         mControl.after("poll", COMMIT_WAIT_MILLIS, () -> pollAfterCommit(cycle));
     }
 
+    private void logFirstReport(TargetReport report) {
+        Logger.info(
+                "target: event=read target={} term={} running={} ends={} complete={}",
+                mTarget.entry().id(),
+                mTerm,
+                report.running().size(),
+                report.ends().size(),
+                report.complete());
+    }
+
     private void pollAfterCommit(long cycle) {
         if (cycle == mPollCycle) {
             mPollCycle++;
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -130,6 +130,11 @@
         return mTargets.all();
     }
 
+    /** Counts the targets of a service that have not reported to this owner. */
+    public int countUnreadTargets(String service) {
+        return mTargets.countUnread(service);
+    }
+
     /** Returns the listed target on a host; empty if none is known. */
     public Optional<TargetState> targetOn(String hostId) {
         return mTargets.listedOn(hostId);
@@ -230,16 +235,17 @@
      *
      * @param pollSentMillis monotonic time at which the poll was sent
      */
-    public void onReport(
+    public ReportEffects onReport(
             TargetState target,
             TargetReport report,
             long pollSentMillis,
             long nowMillis,
             long epochMillis) {
-        if (mTargets.contains(target)) {
-            target.recordReport(mTargets.isOwnerCertain());
-            mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
+        if (!mTargets.contains(target)) {
+            return ReportEffects.ignored(report);
         }
+        target.recordReport(mTargets.isOwnerCertain());
+        return mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
     }
 
     /** Records a target's response to a start order. */
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -52,30 +52,35 @@
      *
      * @param pollSentMillis monotonic time at which the poll was sent
      */
-    void onReport(
+    ReportEffects onReport(
             TargetState target,
             TargetReport report,
             long pollSentMillis,
             long nowMillis,
             long epochMillis) {
+        List<ReportEffects.ProcessedEnd> ends = new ArrayList<>(report.ends().size());
         for (TargetReport.RunEnd end : report.ends()) {
             if (end.number() > target.lastProcessedEnd()) {
                 target.setLastProcessedEnd(end.number());
-                onEnd(target, end, nowMillis, epochMillis);
+                EndEffect effect = onEnd(target, end, nowMillis, epochMillis);
+                ends.add(new ReportEffects.ProcessedEnd(end, effect));
             }
         }
         Set<Run> listed = new HashSet<>();
         for (TargetReport.RunReport running : report.running()) {
             listed.add(onRunning(target, running, nowMillis));
         }
+        List<Run> unlisted = new ArrayList<>();
         for (Run run : target.runs()) {
             // The end of an unlisted run may be missing from an incomplete report.
             if (!listed.contains(run)
                     && report.complete()
                     && run.mustBeListedByPollSentAt(pollSentMillis)) {
                 removeRun(run);
+                unlisted.add(run);
             }
         }
+        return new ReportEffects(ends, unlisted);
     }
 
     private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
@@ -115,7 +120,7 @@
         return run;
     }
 
-    private void onEnd(
+    private EndEffect onEnd(
             TargetState target, TargetReport.RunEnd end, long nowMillis, long epochMillis) {
         Run run = target.find(end.task(), end.run());
         if (run != null) {
@@ -124,25 +129,33 @@
         target.onEnd(end.kind(), end.task().jobId(), nowMillis);
         JobEntry job = mJobs.job(end.task().jobId());
         TaskState task = mJobs.task(end.task());
-        if (task == null || !job.isActive()) {
-            return;
+        if (task == null) {
+            return EndEffect.IGNORED_UNKNOWN_JOB;
+        }
+        if (!job.isActive()) {
+            return EndEffect.IGNORED_JOB_ENDED;
         }
         task.recordRunNumber(end.run());
         StepState step = job.step(end.task());
         List<TaskState> members = step.spec().traits().gang() ? step.tasks() : List.of(task);
         members.forEach(member -> member.setCheckpoint(end.checkpoint()));
-        if (step.spec().traits().longRunning() || task.isDone()) {
-            return;
+        if (step.spec().traits().longRunning()) {
+            return EndEffect.NOT_DONE;
+        }
+        if (task.isDone()) {
+            return EndEffect.IGNORED_TASK_DONE;
         }
         if (end.kind() == EndKind.DONE) {
             members.forEach(TaskState::markDone);
             onTaskDone(job, members, epochMillis);
-        } else {
-            if (end.kind().countsAsAttempt()) {
-                onTaskFailed(job, step, task, end.run(), epochMillis);
-            }
-            stopRuns(step.spec().traits().gang() ? members : List.of());
+            return EndEffect.DONE;
         }
+        EndEffect effect =
+                end.kind().countsAsAttempt()
+                        ? onTaskFailed(job, step, task, end.run(), epochMillis)
+                        : EndEffect.NOT_DONE;
+        stopRuns(step.spec().traits().gang() ? members : List.of());
+        return effect;
     }
 
     private void onTaskDone(JobEntry job, List<TaskState> tasks, long epochMillis) {
@@ -153,14 +166,15 @@
         }
     }
 
-    private void onTaskFailed(
+    private EndEffect onTaskFailed(
             JobEntry job, StepState step, TaskState task, long runNumber, long epochMillis) {
         if (!task.addFailure(runNumber)) {
             // An earlier owner stored this end and was replaced before the target learned that.
-            return;
+            return EndEffect.IGNORED_KNOWN_FAILURE;
         }
         mChanged.add(job.job().id());
         finishIfOutOfAttempts(step, List.of(task), epochMillis);
+        return EndEffect.FAILED_ATTEMPT;
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -182,6 +182,17 @@
         return true;
     }
 
+    /** Counts the targets of a service that have not reported to this owner. */
+    int countUnread(String service) {
+        int count = 0;
+        for (TargetState target : mTargets.values()) {
+            if (target.entry().service().equals(service) && !target.hasReported()) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Returns the listed target on a host; empty if none is known. */
     Optional<TargetState> listedOn(String hostId) {
         for (TargetState target : mTargets.values()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -105,6 +105,7 @@
                         step.spec().reservedResources(),
                         step.spec().traits().longRunning(),
                         nowMillis);
+        Order.History history = new Order.History(step.job().isRestored(), task.highestKnownRun());
         task.recordRunNumber(number);
         step.job().markStarted();
         mRuns.addRun(run, task, step.job());
@@ -112,7 +113,8 @@
                 run,
                 step.job().job().spec().payload(),
                 task.checkpoint(),
-                step.advice().ticket(target, nowMillis));
+                step.advice().ticket(target, nowMillis),
+                history);
     }
 
     private boolean mayHoldBackCapacity(StepState step, long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -88,4 +88,13 @@
     long lastRunNumber() {
         return mLastRunNumber;
     }
+
+    /** Returns the highest number of the runs that are known, or 0 if none is. */
+    long highestKnownRun() {
+        long highest = mLastRunNumber;
+        for (long failed : mFailedRuns) {
+            highest = Math.max(highest, failed);
+        }
+        return highest;
+    }
 }
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
@@ -9,11 +9,14 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobRecords;
 import org.marigoldturn.jobs.JobSpec;
+import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
+import org.marigoldturn.jobs.TaskId;
 import org.marigoldturn.jobs.wire.ProgressRecord;
 import org.marigoldturn.jobs.wire.TaskRecord;
 import org.marigoldturn.scheduling.JobScheduler;
@@ -72,6 +75,22 @@
         assertThat(mScheduler.state("z")).isEmpty();
     }
 
+    @Example
+    void doneTasksOfActiveJobsAreCounted() {
+        JobProgress.TaskProgress done =
+                new JobProgress.TaskProgress(new TaskId("a", 0, 0, 0), true, Set.of(), "");
+        JobProgress progress = new JobProgress(JobState.RUNNING, 0, List.of(done));
+        OwnerRecords records =
+                new OwnerRecords(
+                        List.of(
+                                value(StoreLayout.job("a"), encoded("a")),
+                                value(StoreLayout.job("b"), encoded("b"))),
+                        List.of(value(StoreLayout.progress("a"), JobRecords.encode(progress))),
+                        List.of(),
+                        List.of());
+        assertThat(records.restoreInto(mScheduler, mCommits, 0)).isEqualTo(1);
+    }
+
     private static ByteString encoded(String id) {
         JobSpec spec = new JobSpec("text", List.of(STEP), 1, false, 0, 0);
         return JobRecords.encode(new Job(id, "queue", "account", spec, 0));
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
@@ -59,6 +60,7 @@
     private final ScriptedTarget mClient = new ScriptedTarget();
     private volatile boolean mMayRenew = true;
     private final List<CompletableFuture<Void>> mWrites = new ArrayList<>();
+    private final List<Long> mConfirmedEnds = new CopyOnWriteArrayList<>();
 
     @AfterTry
     void stop() {
@@ -80,6 +82,22 @@
         assertThat(recorded).isEqualTo(1);
     }
 
+    @Example
+    void confirmationOfEndsIsNotifiedOnceWithThePollThatCarriesIt() throws InterruptedException {
+        startSession();
+
+        assertThat(nextRecordedEnd()).isZero();
+        assertThat(nextRecordedEnd()).isZero();
+        assertThat(mConfirmedEnds).isEmpty();
+        mControl.execute(() -> mWrites.forEach(write -> write.complete(null)));
+        long recorded = nextRecordedEnd();
+        for (int i = 0; i < 3 && recorded == 0; i++) {
+            recorded = nextRecordedEnd();
+        }
+        assertThat(recorded).isEqualTo(1);
+        assertThat(mConfirmedEnds).containsExactly(1L);
+    }
+
     @Example
     void leasesAreNotRenewedByAnOwnerThatMayNotAct() throws InterruptedException {
         startSession();
@@ -132,6 +150,11 @@
         return write;
     }
 
+    @Override
+    public void onEndsConfirmed(TargetState target, long upTo) {
+        mConfirmedEnds.add(upTo);
+    }
+
     @Override
     public void onEnded(TargetState target) {
         throw new IllegalStateException("the target has not ended");
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -157,6 +157,11 @@
         throw new IllegalStateException("no target responds");
     }
 
+    @Override
+    public void onEndsConfirmed(TargetState target, long upTo) {
+        throw new IllegalStateException("no target responds");
+    }
+
     @Override
     public void onEnded(TargetState target) {
         throw new IllegalStateException("no target ends");
