Move the faults of simulations to a file of their own

Change: its enum of faults is a class of its own, ScheduleTrouble; no behaviour and no seed differs.

--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -30,19 +30,19 @@
      */
     @Property(tries = 1_000, seed = "20261205")
     void noRuleIsBrokenWhileTheListLosesTargets(@ForAll long seed) {
-        simulate(seed, Set.of(ScheduleSimulation.Trouble.LIST_LOSES_TARGETS));
+        simulate(seed, Set.of(ScheduleTrouble.LIST_LOSES_TARGETS));
     }
 
     /** Guards against a job that fails too early because its queue is not configured meanwhile. */
     @Property(tries = 500, seed = "20261207")
     void noRuleIsBrokenWhileTheQueueIsRemovedAndRestored(@ForAll long seed) {
-        simulate(seed, Set.of(ScheduleSimulation.Trouble.QUEUE_IS_REMOVED));
+        simulate(seed, Set.of(ScheduleTrouble.QUEUE_IS_REMOVED));
     }
 
     /** Guards against ends that are confirmed before the store holds why they need no new run. */
     @Property(tries = 1_000, seed = "20261209")
     void tasksWithConfirmedEndsDoNotStartAgainWhileWritesArePending(@ForAll long seed) {
-        simulate(seed, Set.of(ScheduleSimulation.Trouble.STORE_IS_SLOW));
+        simulate(seed, Set.of(ScheduleTrouble.STORE_IS_SLOW));
     }
 
     /**
@@ -79,8 +79,7 @@
 
     private static ScheduleSimulation simulationWithLivingOwners(long seed, Random random) {
         ScheduleSimulation simulation =
-                new ScheduleSimulation(
-                        seed, 4, Set.of(ScheduleSimulation.Trouble.LIVING_OWNERS_ARE_REPLACED));
+                new ScheduleSimulation(seed, 4, Set.of(ScheduleTrouble.LIVING_OWNERS_ARE_REPLACED));
         for (int i = 0; i < 2 * JOBS; i++) {
             simulation.submit(job("job" + i, random));
         }
@@ -97,7 +96,7 @@
         simulate(67_715, Set.of());
     }
 
-    private static void simulate(long seed, Set<ScheduleSimulation.Trouble> troubles) {
+    private static void simulate(long seed, Set<ScheduleTrouble> troubles) {
         ScheduleSimulation simulation = new ScheduleSimulation(seed, 4, troubles);
         Random random = new Random(seed);
         for (int i = 0; i < JOBS; i++) {
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -52,22 +52,7 @@
     /** Kept apart, so that a seed's other faults stay the same. */
     private final Random mListRandom;
 
-    private final Set<Trouble> mTroubles;
-
-    /** Faults that only some simulations have. */
-    enum Trouble {
-        /**
-         * The platform's list loses entries of targets that are up, so owners restore the targets
-         * that earlier ones have recorded.
-         */
-        LIST_LOSES_TARGETS,
-        /** Owners are replaced before their lease in the store has ended. */
-        LIVING_OWNERS_ARE_REPLACED,
-        /** Versions of the configuration lack the queue of all jobs. */
-        QUEUE_IS_REMOVED,
-        /** Writes of progress take effect later, unless a newer owner is elected meanwhile. */
-        STORE_IS_SLOW
-    }
+    private final Set<ScheduleTrouble> mTroubles;
 
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(Comparator.comparing(Event::atMillis).thenComparing(Event::order));
@@ -89,7 +74,7 @@
 
     private record Event(long atMillis, long order, Runnable action) {}
 
-    ScheduleSimulation(long seed, int targets, Set<Trouble> troubles) {
+    ScheduleSimulation(long seed, int targets, Set<ScheduleTrouble> troubles) {
         mRandom = new Random(seed);
         mListRandom = new Random(~seed);
         mTroubles = Set.copyOf(troubles);
@@ -114,13 +99,13 @@
 
     /** Returns for how long an owner stays active after it was replaced. */
     private int activeMillis() {
-        return mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED)
+        return mTroubles.contains(ScheduleTrouble.LIVING_OWNERS_ARE_REPLACED)
                 ? OWNER_LEASE_MILLIS + ACTIVE_WITHOUT_STORE_MILLIS
                 : ACTIVE_WITHOUT_STORE_MILLIS;
     }
 
     boolean replacesLivingOwners() {
-        return mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED);
+        return mTroubles.contains(ScheduleTrouble.LIVING_OWNERS_ARE_REPLACED);
     }
 
     Map<String, Job> storedJobs() {
@@ -145,7 +130,7 @@
 
     /** Returns the recorded targets; none if the list loses no entries. */
     List<TargetEntry> storedTargets() {
-        return mTroubles.contains(Trouble.LIST_LOSES_TARGETS)
+        return mTroubles.contains(ScheduleTrouble.LIST_LOSES_TARGETS)
                 ? List.copyOf(mStoredTargets.values())
                 : List.of();
     }
@@ -184,7 +169,7 @@
 
     /** Stores the progress of a job, unless a newer owner has been elected by then. */
     void store(long term, String jobId, JobProgress progress, Runnable onStored) {
-        if (!mTroubles.contains(Trouble.STORE_IS_SLOW)) {
+        if (!mTroubles.contains(ScheduleTrouble.STORE_IS_SLOW)) {
             putProgress(term, jobId, progress, onStored);
             return;
         }
@@ -225,10 +210,11 @@
         if (faults) {
             for (long at = mNowMillis; at < endMillis; at += 700) {
                 at(at + mRandom.nextInt(700), this::injectFault);
-                if (mTroubles.contains(Trouble.LIST_LOSES_TARGETS) && mListRandom.nextInt(4) == 0) {
+                if (mTroubles.contains(ScheduleTrouble.LIST_LOSES_TARGETS)
+                        && mListRandom.nextInt(4) == 0) {
                     at(at + mListRandom.nextInt(700), this::unlistTarget);
                 }
-                if (mTroubles.contains(Trouble.QUEUE_IS_REMOVED)) {
+                if (mTroubles.contains(ScheduleTrouble.QUEUE_IS_REMOVED)) {
                     at(at + mListRandom.nextInt(700), this::toggleQueue);
                 }
             }
@@ -373,7 +359,7 @@
         Set<String> far = new HashSet<>();
         mTargets.keySet().stream().filter(id -> mRandom.nextBoolean()).forEach(far::add);
         far.forEach(id -> mUnreachable.add(oldTerm + "/" + id));
-        boolean replacedAtOnce = mTroubles.contains(Trouble.LIVING_OWNERS_ARE_REPLACED);
+        boolean replacedAtOnce = mTroubles.contains(ScheduleTrouble.LIVING_OWNERS_ARE_REPLACED);
         after(
                 replacedAtOnce ? 0 : OWNER_LEASE_MILLIS,
                 () -> {
