Wait at a takeover only for targets that an earlier owner has used

Cause: a new owner held all restored tasks of a service until each listed target had reported, or the longest lease was over. The list keeps a target that maintenance or a move has ended for up to 4.5 s. No task can run on a target without a record, since an owner records it before its first start. Change: the store tells that the records of targets are complete (mt/targets-complete, written once); only recorded targets are waited for then. If a target with unknown runs ends, tasks wait for a confirmation sent later, since a newer owner may have recorded their ends. Ruled out: trusting the records at once, since versions that wrote none may have run before, and a record may be unreadable.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
@@ -19,12 +20,14 @@
  * @param progress their progress
  * @param hosts records of maintenance waves and loans of spare hosts
  * @param targets targets on which tasks may have been started
+ * @param targetsComplete the record that {@code targets} has all of them; empty if it may lack some
  */
 record OwnerRecords(
         List<StoredValue> jobs,
         List<StoredValue> progress,
         List<StoredValue> hosts,
-        List<StoredValue> targets) {
+        List<StoredValue> targets,
+        Optional<StoredValue> targetsComplete) {
     OwnerRecords {
         jobs = List.copyOf(jobs);
         progress = List.copyOf(progress);
@@ -39,14 +42,17 @@
         CompletableFuture<List<StoredValue>> progress = reader.listAll(StoreLayout.PROGRESS_PREFIX);
         CompletableFuture<List<StoredValue>> hosts = reader.listAll(StoreLayout.HOST_PREFIX);
         CompletableFuture<List<StoredValue>> targets = reader.listAll(StoreLayout.TARGET_PREFIX);
-        return CompletableFuture.allOf(jobs, progress, hosts, targets)
+        CompletableFuture<Optional<StoredValue>> targetsComplete =
+                store.read(StoreLayout.TARGETS_COMPLETE);
+        return CompletableFuture.allOf(jobs, progress, hosts, targets, targetsComplete)
                 .thenApply(
                         done ->
                                 new OwnerRecords(
                                         jobs.join(),
                                         progress.join(),
                                         hosts.join(),
-                                        targets.join()));
+                                        targets.join(),
+                                        targetsComplete.join()));
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -181,7 +181,7 @@
                 records.targets().size());
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
-        mTargetList.start(records.targets());
+        mTargetList.start(records);
     }
 
     @Override
@@ -279,6 +279,7 @@
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
         mTargetList.dropUnused();
+        mTargetList.markRecordsComplete(now);
         forgetOldJobs();
         logMayActChange();
         requestScheduling();
--- a/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -26,6 +26,12 @@
      */
     static final String TARGET_PREFIX = "mt/tgt/";
 
+    /**
+     * Exists once each target on which a task may run has a record. Versions that recorded no
+     * targets did not write it.
+     */
+    static final String TARGETS_COMPLETE = "mt/targets-complete";
+
     private StoreLayout() {}
 
     static String job(String id) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -1,7 +1,6 @@
 package org.marigoldturn.coordination;
 
 import io.vavr.control.Either;
-import java.util.List;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetState;
@@ -68,7 +67,7 @@
     }
 
     /** Restores the recorded targets and starts to follow the platform's list. */
-    void start(List<StoredValue> records) {
+    void start(OwnerRecords records) {
         mRecords.restore(records, mContext.clocks().now()).forEach(mSessions::open);
         mMirror.start();
     }
@@ -83,6 +82,13 @@
         mRecords.add(target);
     }
 
+    /** Tells later owners that all targets that may be in use are recorded, once that is so. */
+    void markRecordsComplete(long nowMillis) {
+        if (mScheduler.knowsAllRuns(nowMillis)) {
+            mRecords.markComplete();
+        }
+    }
+
     /** Ends the sessions of targets that the scheduler has dropped, and the unused records. */
     void dropUnused() {
         mSessions.retain(mScheduler.targets());
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.coordination;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,13 +21,18 @@
  * leases that the owner renews. A later owner finds such a target by its record. Invariant: while a
  * run can exist on a target, or an end that it has reported is not stored, the store holds its
  * record. A target that has not reported is not recorded, since a later owner would wait for its
- * response although nothing was started there. Confined to the control thread.
+ * response although nothing was started there. A later owner relies on this once the store holds
+ * {@link StoreLayout#TARGETS_COMPLETE}; versions that recorded no targets may have run before.
+ * Confined to the control thread.
  */
 final class TargetRecords {
+    private static final ByteString COMPLETE = ByteString.copyFromUtf8("complete");
+
     private final JobScheduler mScheduler;
     private final GroupCommit mCommits;
     private final Runnable mOnRecorded;
     private final Map<String, Recorded> mRecords = new HashMap<>();
+    private boolean mComplete;
 
     /** An incarnation whose record was written, and a future that completes once it is stored. */
     private record Recorded(TargetEntry entry, CompletableFuture<Void> stored) {}
@@ -44,25 +50,45 @@
 
     /**
      * Adds the targets that earlier owners have recorded to the scheduler and returns them. Records
-     * that cannot be read are logged and left.
+     * that cannot be read are logged and left; this owner then also waits for targets that are only
+     * listed, as it does while the store does not tell that the records are complete.
      */
-    List<TargetState> restore(List<StoredValue> records, long nowMillis) {
-        List<TargetState> restored = new ArrayList<>();
-        for (StoredValue record : records) {
+    List<TargetState> restore(OwnerRecords records, long nowMillis) {
+        records.targetsComplete()
+                .ifPresent(value -> mCommits.recordRevision(value.key(), value.modRevision()));
+        mComplete = records.targetsComplete().filter(v -> v.value().equals(COMPLETE)).isPresent();
+        List<TargetEntry> entries = new ArrayList<>();
+        boolean allReadable = true;
+        for (StoredValue record : records.targets()) {
             mCommits.recordRevision(record.key(), record.modRevision());
             try {
-                TargetEntry entry = TargetRecordCodec.decode(record);
-                mRecords.put(
-                        entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
-                restored.add(mScheduler.restoreTarget(entry, nowMillis));
+                entries.add(TargetRecordCodec.decode(record));
             } catch (IllegalArgumentException e) {
                 // Another writer's record must not keep the other targets from being restored.
                 Logger.error(e, "owner: event=unreadable-target key={}", record.key());
+                allReadable = false;
             }
         }
+        mScheduler.setTargetRecordsComplete(mComplete && allReadable);
+        List<TargetState> restored = new ArrayList<>();
+        for (TargetEntry entry : entries) {
+            mRecords.put(entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
+            restored.add(mScheduler.restoreTarget(entry, nowMillis));
+        }
         return restored;
     }
 
+    /**
+     * Tells later owners that each target on which a task may run has a record. To be called once
+     * all runs of earlier owners are known.
+     */
+    void markComplete() {
+        if (!mComplete) {
+            mComplete = true;
+            var unused = mCommits.put(StoreLayout.TARGETS_COMPLETE, COMPLETE);
+        }
+    }
+
     /** Writes the record of a target that has reported, unless there is one of this incarnation. */
     void add(TargetState target) {
         if (target.isRecorded() || !target.hasReported() || !target.isListed()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -65,6 +65,20 @@
         mJobs.add(entry);
     }
 
+    /**
+     * Sets whether {@link #restoreTarget} is called for each target on which earlier owners may
+     * have started tasks; a target that is only listed is not waited for then. To be called before
+     * any target is added.
+     */
+    public void setTargetRecordsComplete(boolean complete) {
+        mTargets.setRecordsComplete(complete);
+    }
+
+    /** Returns whether all runs of earlier owners that can exist on a known target are known. */
+    public boolean knowsAllRuns(long nowMillis) {
+        return mTargets.all().stream().allMatch(target -> mTargets.knowsRuns(target, nowMillis));
+    }
+
     /** Starts no task of a restored job before the given monotonic time. */
     public void holdRestoredJobsUntil(long untilMillis) {
         mRestoredHeldUntilMillis = untilMillis;
@@ -112,6 +126,7 @@
         TargetState target = mTargets.addOrUpdate(entry, nowMillis);
         target.setListed(false);
         target.setRecorded(true);
+        target.markUsedByEarlierOwners();
         return target;
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -39,6 +39,7 @@
     private ResourceAmounts mHeldBack = ResourceAmounts.NONE;
     private boolean mListed = true;
     private boolean mRecorded;
+    private boolean mUsedByEarlierOwners;
     private boolean mReported;
     private boolean mReportedToCertainOwner;
     private boolean mReachable;
@@ -51,8 +52,14 @@
     private int mConsecutiveFailures;
     private long mLastProcessedEnd;
 
-    TargetState(TargetEntry entry) {
+    /**
+     * Creates the state of an incarnation that has not reported.
+     *
+     * @param usedByEarlierOwners whether earlier owners may have started tasks there
+     */
+    TargetState(TargetEntry entry, boolean usedByEarlierOwners) {
         mEntry = entry;
+        mUsedByEarlierOwners = usedByEarlierOwners;
     }
 
     /** Returns the newest entry of the platform's list. */
@@ -77,6 +84,11 @@
         return mReported;
     }
 
+    /** Returns whether runs of earlier owners that are not known here may exist there. */
+    public boolean mayHaveUnknownRuns() {
+        return mUsedByEarlierOwners && !mReported;
+    }
+
     /** Returns whether it responded to the last call. */
     public boolean isReachable() {
         return mReachable;
@@ -172,6 +184,11 @@
         }
     }
 
+    /** Records that an earlier owner has used it, so that its runs are unknown until it reports. */
+    void markUsedByEarlierOwners() {
+        mUsedByEarlierOwners = true;
+    }
+
     void update(TargetEntry entry) {
         mEntry = entry;
         mListed = true;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,9 +12,11 @@
 /**
  * Holds the state of all known targets.
  *
- * <p>Invariant: a lease counts as ended, and the tasks of a target that has ended start again, only
- * once it is known that no other daemon was the owner at that time, since a newer owner may have
- * renewed the lease or recorded the tasks as done. Confined to the control thread.
+ * <p>Invariants: restored tasks of a service start only once the runs of all its targets that an
+ * earlier owner may have used are known; a lease counts as ended, and the tasks of a target that
+ * has ended start again, only once it is known that no other daemon was the owner at that time,
+ * since a newer owner may have renewed the lease or recorded the tasks as done. Confined to the
+ * control thread.
  */
 final class TargetTable {
     /**
@@ -29,6 +32,10 @@
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
     private long mConfirmedMillis;
+    private boolean mRecordsComplete;
+
+    /** By service, when a target with unknown runs ended last. */
+    private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
     TargetTable(RunTracker runs, long takeoverMillis, long longestLeaseMillis) {
         mRuns = runs;
@@ -65,6 +72,7 @@
             }
         }
         return mRuns.hasHeldTasks()
+                || mUnreadEndMillis.values().stream().anyMatch(ended -> ended > mConfirmedMillis)
                 || leasesOfEarlierOwnersAreOver(nowMillis)
                         && !leasesOfEarlierOwnersAreOver(provenMillis);
     }
@@ -94,11 +102,19 @@
         if (known != null) {
             endRuns(known, nowMillis);
         }
-        TargetState state = new TargetState(entry);
+        TargetState state = new TargetState(entry, !mRecordsComplete);
         mTargets.put(entry.id(), state);
         return state;
     }
 
+    /**
+     * Sets whether each target on which an earlier owner may have started tasks is known from the
+     * store, so that no other target is waited for.
+     */
+    void setRecordsComplete(boolean complete) {
+        mRecordsComplete = complete;
+    }
+
     /** Records that the platform's list has no entry for a target. */
     void markUnlisted(String id) {
         TargetState target = mTargets.get(id);
@@ -114,6 +130,9 @@
     }
 
     private void endRuns(TargetState target, long nowMillis) {
+        if (target.mayHaveUnknownRuns()) {
+            mUnreadEndMillis.merge(target.entry().service(), nowMillis, Math::max);
+        }
         List<TaskState> tasks = mRuns.endAllRuns(target);
         if (nowMillis > mConfirmedMillis) {
             mRuns.hold(tasks, nowMillis);
@@ -165,15 +184,22 @@
     }
 
     /**
-     * Returns whether all runs that can exist on a target are known: it has reported, or every
-     * lease of an earlier owner has expired.
+     * Returns whether all runs that can exist on a target are known: it has reported, no earlier
+     * owner has used it, or every lease of an earlier owner has expired.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
-        return target.hasReported() || leasesOfEarlierOwnersAreOver(provenMillis(nowMillis));
+        return !target.mayHaveUnknownRuns()
+                || leasesOfEarlierOwnersAreOver(provenMillis(nowMillis));
     }
 
-    /** Returns whether {@link #knowsRuns} holds for all targets of a service. */
+    /**
+     * Returns whether {@link #knowsRuns} holds for all targets of a service, and no other daemon
+     * was the owner when one of them ended unread.
+     */
     boolean knowsAllRuns(String service, long nowMillis) {
+        if (mUnreadEndMillis.getOrDefault(service, Long.MIN_VALUE) > mConfirmedMillis) {
+            return false;
+        }
         for (TargetState target : mTargets.values()) {
             if (target.entry().service().equals(service) && !knowsRuns(target, nowMillis)) {
                 return false;
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
@@ -4,6 +4,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -66,7 +67,8 @@
                                 value(StoreLayout.progress("w"), GARBAGE),
                                 value(StoreLayout.progress("a"), oddTask)),
                         List.of(),
-                        List.of())
+                        List.of(),
+                        Optional.empty())
                 .restoreInto(mScheduler, mCommits, 0);
         assertThat(mScheduler.state("a")).isPresent();
         assertThat(mScheduler.state("b")).isPresent();
@@ -87,7 +89,8 @@
                                 value(StoreLayout.job("b"), encoded("b"))),
                         List.of(value(StoreLayout.progress("a"), JobRecords.encode(progress))),
                         List.of(),
-                        List.of());
+                        List.of(),
+                        Optional.empty());
         assertThat(records.restoreInto(mScheduler, mCommits, 0)).isEqualTo(1);
     }
 
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -54,7 +54,8 @@
         List<TargetState> restored =
                 new TargetRecords(next, mCommits, () -> {})
                         .restore(
-                                List.of(
+                                records(
+                                        Optional.empty(),
                                         mStore.read(StoreLayout.target("t1")).join().orElseThrow(),
                                         value("t2", GARBAGE),
                                         value("t3", TargetRecordCodec.encode(entry("t4", 7))),
@@ -136,6 +137,37 @@
         assertThat(target.isRecorded()).isFalse();
     }
 
+    /** Guards against a wait for targets on which no earlier owner can have started a task. */
+    @Example
+    void aNextOwnerWaitsForRecordedTargetsOnlyOnceTheRecordsAreComplete() throws Exception {
+        add(entry("t1", 7));
+        assertThat(isWaitedForIfOnlyListed(Optional.empty())).isTrue();
+        onControl(mRecords::markComplete);
+        flush();
+        Optional<StoredValue> complete = mStore.read(StoreLayout.TARGETS_COMPLETE).join();
+        assertThat(complete).isPresent();
+        assertThat(isWaitedForIfOnlyListed(complete)).isFalse();
+        assertThat(isWaitedForIfOnlyListed(complete, value("t2", GARBAGE))).isTrue();
+        assertThat(
+                        isWaitedForIfOnlyListed(
+                                Optional.of(
+                                        new StoredValue(
+                                                StoreLayout.TARGETS_COMPLETE, GARBAGE, 1, 1))))
+                .isTrue();
+    }
+
+    private boolean isWaitedForIfOnlyListed(
+            Optional<StoredValue> complete, StoredValue... targets) {
+        JobScheduler next = scheduler();
+        new TargetRecords(next, mCommits, () -> {}).restore(records(complete, targets), 0);
+        return next.onTargetListed(entry("listed", 7), 0).mayHaveUnknownRuns();
+    }
+
+    private static OwnerRecords records(
+            Optional<StoredValue> targetsComplete, StoredValue... targets) {
+        return new OwnerRecords(List.of(), List.of(), List.of(), List.of(targets), targetsComplete);
+    }
+
     private TargetState add(TargetEntry entry, TargetReport.RunReport... runs) throws Exception {
         CompletableFuture<TargetState> added = new CompletableFuture<>();
         onControl(
