Delete the record of an ended target whose entry changes once more

Change: a record is kept only while its target is recorded or has reported. Ruled out: leaving out entries of ended targets, which needs a list that grows. Result: the new example of TargetRecordsTest failed on the old rule by reading of dropUnused; not run against it.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -117,14 +117,15 @@
 
     /**
      * Deletes the records of targets on which nothing can run and nothing will start: those that
-     * the scheduler has dropped, and idle ones that the platform does not list.
+     * the scheduler has dropped, and idle ones that the platform does not list. A target that ended
+     * may be known again from a late change of its entry; it has not reported then.
      */
     void dropUnused() {
         Set<String> inUse = new HashSet<>();
         for (TargetState target : mScheduler.targets()) {
             if (isUnused(target)) {
                 target.setRecorded(false);
-            } else {
+            } else if (target.isRecorded() || target.hasReported()) {
                 inUse.add(target.entry().id());
             }
         }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -117,6 +117,21 @@
         assertThat(mScheduler.targets()).allMatch(TargetState::isRecorded);
     }
 
+    /** Guards against a next owner that waits for a target that has ended. */
+    @Example
+    void theRecordOfAnEndedTargetIsDeletedAlsoIfItsEntryChangesOnceMore() throws Exception {
+        add(entry("t1", 7));
+        onControl(
+                () -> {
+                    mScheduler
+                            .targets()
+                            .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
+                    mRecords.add(mScheduler.onTargetListed(entry("t1", 7), mNowMillis));
+                });
+        dropUnused();
+        assertThat(stored("t1")).isEmpty();
+    }
+
     @Example
     void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
         onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0)));
