Find out from the host list which unread targets have ended

Cause: the platform ends a host's target when it accepts an order for maintenance or a move; the owner that gave the order can be replaced before it has deleted the target's record. Change: while an owner awaits targets that it cannot read, it reads the host list each second. A host in planned work, or one on which another target runs, shows that its former target has ended (UnreadTargetCheck).

--- a/core/src/main/java/org/marigoldturn/coordination/HostClient.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostClient.java
@@ -33,13 +33,43 @@
      *
      * @param hostId identifies the host
      * @param pool service to whose pool the host belongs
-     * @param up whether the host is in use, that is neither moving nor in maintenance nor down
-     * @param down whether the host is down
+     * @param state what the host service says of the host
      * @param zone its availability zone
      * @param targetId target that runs on the host; empty if there is none
      */
-    record HostStatus(
-            String hostId, String pool, boolean up, boolean down, String zone, String targetId) {}
+    record HostStatus(String hostId, String pool, HostState state, String zone, String targetId) {
+        /** Returns whether the host is in use. */
+        boolean up() {
+            return state == HostState.UP;
+        }
+
+        /** Returns whether the host is down. */
+        boolean down() {
+            return state == HostState.DOWN;
+        }
+
+        /**
+         * Returns whether a target that ran on the host before the list was requested has ended:
+         * planned work, which ends all runs, is under way there, or another target runs there.
+         */
+        boolean showsEndOf(String formerTargetId) {
+            return switch (state) {
+                case IN_PLANNED_WORK -> true;
+                case UP -> !targetId.isEmpty() && !targetId.equals(formerTargetId);
+                case DOWN, UNKNOWN -> false;
+            };
+        }
+    }
+
+    /** State of a host in the host list. */
+    enum HostState {
+        UP,
+        /** The host is moving to another pool or in maintenance. */
+        IN_PLANNED_WORK,
+        DOWN,
+        /** The host service reports a state that this version does not know. */
+        UNKNOWN
+    }
 
     /** Outcome of an order for a host. */
     enum HostOrderOutcome {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -51,6 +51,7 @@
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
     private UnreadTargets mUnread;
+    private UnreadTargetCheck mUnreadCheck;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -179,6 +180,9 @@
                 mScheduler.activeJobs(),
                 doneTasks,
                 records.targets().size());
+        mUnreadCheck =
+                new UnreadTargetCheck(
+                        mScheduler, mContext.hosts(), mContext.control(), this::onEnded);
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
         mTargetList.start(records);
@@ -222,8 +226,7 @@
         }
         mServing = true;
         mUnread.logServing();
-        mContext.control().after("tick", TICK_MILLIS, this::tick);
-        requestScheduling();
+        tick();
     }
 
     @Override
@@ -252,6 +255,9 @@
 
     @Override
     public void onEnded(TargetState target) {
+        if (mClosed) {
+            return;
+        }
         Logger.info("target: event=ended target={}", target.entry().id());
         mSessions.close(target);
         updateOwnership();
@@ -278,6 +284,7 @@
         }
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
+        mUnreadCheck.tick(now);
         mTargetList.dropUnused();
         mTargetList.markRecordsComplete(now);
         forgetOldJobs();
--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -189,7 +189,11 @@
                 mListed.put(
                         move.hostId(),
                         new HostClient.HostStatus(
-                                move.hostId(), move.toPool(), true, false, listed.zone(), ""));
+                                move.hostId(),
+                                move.toPool(),
+                                HostClient.HostState.UP,
+                                listed.zone(),
+                                ""));
             }
             return;
         }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -84,7 +84,7 @@
 
     /** Tells later owners that all targets that may be in use are recorded, once that is so. */
     void markRecordsComplete(long nowMillis) {
-        if (mScheduler.knowsAllRuns(nowMillis)) {
+        if (mScheduler.targetsWithUnknownRuns(nowMillis).isEmpty()) {
             mRecords.markComplete();
         }
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -74,9 +74,11 @@
         mTargets.setRecordsComplete(complete);
     }
 
-    /** Returns whether all runs of earlier owners that can exist on a known target are known. */
-    public boolean knowsAllRuns(long nowMillis) {
-        return mTargets.all().stream().allMatch(target -> mTargets.knowsRuns(target, nowMillis));
+    /** Returns the known targets on which runs of earlier owners can exist that are not known. */
+    public List<TargetState> targetsWithUnknownRuns(long nowMillis) {
+        return mTargets.all().stream()
+                .filter(target -> !mTargets.knowsRuns(target, nowMillis))
+                .toList();
     }
 
     /** Starts no task of a restored job before the given monotonic time. */
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -51,7 +51,7 @@
 
     @Example
     void newOwnerOrdersNoMaintenanceOfATargetThatItHasNotRead() {
-        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
         TargetState target = mScheduler.onTargetListed(entry(), 0);
         MaintenanceRunner runner = runner();
         tick(runner, TAKEOVER_MILLIS);
@@ -71,7 +71,7 @@
 
     @Example
     void targetStaysInUseWhenTheMaintenanceHadBeenCarriedOutBefore() {
-        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
         TargetState target = readTarget();
         MaintenanceRunner runner = runner();
         for (int i = 0; i < 4; i++) {
@@ -83,11 +83,11 @@
 
     @Example
     void targetOfAHostThatIsNotUpHasEnded() {
-        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
         readTarget();
         MaintenanceRunner runner = runner();
         tick(runner, mNowMillis += 100);
-        mHosts.set(0, new HostStatus("h1", "service", false, false, "z", ""));
+        mHosts.set(0, new HostStatus("h1", "service", HostState.IN_PLANNED_WORK, "z", ""));
         tick(runner, mNowMillis += 100);
         tick(runner, mNowMillis += 100);
         assertThat(mScheduler.targets()).isEmpty();
@@ -95,8 +95,8 @@
 
     @Example
     void secondMaintenanceWaitsForTheBudgetWhileTheListHasNotConfirmedTheFirst() {
-        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
-        mHosts.add(new HostStatus("h2", "service", true, false, "z", "t2"));
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
+        mHosts.add(new HostStatus("h2", "service", HostState.UP, "z", "t2"));
         acceptLongRunningJobOnTwoTargets();
         MaintenanceRunner runner = runner(Set.of("h1", "h2"), 2);
         tick(runner, mNowMillis += 100);
@@ -133,7 +133,7 @@
 
     @Example
     void hostWhoseTargetEntryIsMissingWaits() {
-        mHosts.add(new HostStatus("h1", "service", true, false, "z", "t1"));
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
         MaintenanceRunner runner = runner();
         tick(runner, TAKEOVER_MILLIS);
         tick(runner, TAKEOVER_MILLIS + 100);
@@ -142,7 +142,7 @@
 
     @Example
     void hostOnStandbyIsOrderedWithoutATarget() {
-        mHosts.add(new HostStatus("h1", "standby", true, false, "z", ""));
+        mHosts.add(new HostStatus("h1", "standby", HostState.UP, "z", ""));
         MaintenanceRunner runner = runner();
         tick(runner, TAKEOVER_MILLIS);
         tick(runner, TAKEOVER_MILLIS + 100);
