Tell the next owner that a stopped owner acts no more

Callers saw: after a planned restart of the owner, tasks that may run on a target that cannot be read wait for 8.2 s. Cause: the wait includes the 4 s for which an owner may act after its lease has ended; an owner that gives up the ownership by itself acts no more, but nothing told that. Ruled out: taking the absence of the live record as proof, since it is absent too after a lease that ended. Result: OwnerElectionTest and EarlierOwnersTest pass.

--- a/core/src/main/java/org/marigoldturn/coordination/EarlierOwners.java
+++ b/core/src/main/java/org/marigoldturn/coordination/EarlierOwners.java
@@ -13,11 +13,16 @@
  * @see OwnershipLease
  */
 final class EarlierOwners {
+    /** Least time that a record tells; 0 would mean that it does not tell any. */
+    private static final long LEAST_MILLIS = 1;
+
     private EarlierOwners() {}
 
     /**
      * Returns the time from the takeover on, in milliseconds.
      *
+     * <p>An owner that has left by itself acts no more.
+     *
      * @param last record of the last owner; empty if it is unreadable
      * @param knownForMillis for how long the new owner has known that record, at least
      * @param leaseEnded whether the last owner's lease or process has certainly ended
@@ -25,6 +30,9 @@
     static long actMillis(Optional<OwnerRecord> last, long knownForMillis, boolean leaseEnded) {
         long lastOwnerMillis =
                 leaseEnded ? OwnershipLease.GRACE_MILLIS : OwnershipLease.LONGEST_ACT_MILLIS;
+        if (last.isPresent() && last.get().getLeft()) {
+            lastOwnerMillis = LEAST_MILLIS;
+        }
         long earlierOwnersMillis =
                 last.map(EarlierOwners::recordedMillis).orElse(OwnershipLease.LONGEST_ACT_MILLIS)
                         - knownForMillis;
@@ -39,11 +47,21 @@
                 : OwnershipLease.LONGEST_ACT_MILLIS;
     }
 
+    /**
+     * Returns what is left of the time for which earlier owners may act.
+     *
+     * @param actMillis that time at the takeover
+     * @param sinceMillis time since the takeover
+     */
+    static long remainingMillis(long actMillis, long sinceMillis) {
+        return Math.max(LEAST_MILLIS, actMillis - sinceMillis);
+    }
+
     /**
      * Returns for how long after a takeover an earlier owner may be certain of its ownership, and
      * therefore order work on hosts.
      */
     static long certainMillis(long actMillis) {
-        return actMillis - OwnershipLease.GRACE_MILLIS;
+        return Math.max(0, actMillis - OwnershipLease.GRACE_MILLIS);
     }
 }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -51,7 +51,9 @@
     private long mLeaseId;
     private long mOwnTerm;
     private long mOwnTermRevision;
-    private long mTermKnownSinceMillis;
+    private long mElectedMillis;
+    private long mEarlierOwnersActMillis;
+    private long mTermRecordKnownSinceMillis;
     private long mStartedMillis;
     private boolean mInterrupted;
     private long mStoreRegainedMillis = Long.MIN_VALUE / 2;
@@ -113,9 +115,29 @@
     CompletableFuture<Void> leave() {
         mLeaving = true;
         long lease = mLeaseId;
+        long term = mOwnTerm;
         mLeaseId = 0;
         depose("this daemon is stopping");
-        return lease == 0 ? CompletableFuture.completedFuture(null) : mStore.revokeLease(lease);
+        if (lease == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        if (term == 0) {
+            return mStore.revokeLease(lease);
+        }
+        long actMillis =
+                EarlierOwners.remainingMillis(
+                        mEarlierOwnersActMillis, mClocks.now() - mElectedMillis);
+        return mTakeover
+                .leave(term, mOwnTermRevision, actMillis)
+                .handle((result, failure) -> failure)
+                .thenCompose(failure -> revoke(lease, failure));
+    }
+
+    private CompletableFuture<Void> revoke(long lease, Throwable failureToLeave) {
+        if (failureToLeave != null) {
+            Logger.info("owner: event=leave-untold cause={}", failureToLeave.getMessage());
+        }
+        return mStore.revokeLease(lease);
     }
 
     /** Returns the state of this daemon's ownership lease. */
@@ -167,7 +189,7 @@
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
             mTermRecord = value;
-            mTermKnownSinceMillis = mClocks.now();
+            mTermRecordKnownSinceMillis = mClocks.now();
             onTerm(OwnerRecordCodec.parse(value));
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
@@ -311,7 +333,8 @@
                 mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
                 mLiveRecord == null ? Compare.ABSENT : mLiveRecord.modRevision(),
                 mOwnTerm != 0 && mOwnTerm == heldTerm,
-                EarlierOwners.actMillis(last, mClocks.now() - mTermKnownSinceMillis, leaseEnded));
+                EarlierOwners.actMillis(
+                        last, mClocks.now() - mTermRecordKnownSinceMillis, leaseEnded));
     }
 
     private void onAttempt(Takeover.Attempt attempt, Throwable failure) {
@@ -336,6 +359,8 @@
         mOwnTerm = attempt.term();
         mOwnTermRevision = attempt.result().revision();
         long earlierOwnersActMillis = attempt.vacancy().earlierOwnersActMillis();
+        mEarlierOwnersActMillis = earlierOwnersActMillis;
+        mElectedMillis = mClocks.now();
         Logger.info(
                 "owner: event=elected term={} earlierOwnersActMillis={}",
                 mOwnTerm,
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecordCodec.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecordCodec.java
@@ -21,14 +21,27 @@
      * @param earlierOwnersActMillis for how long after the takeover earlier owners may act
      */
     static OwnerRecord create(DaemonIdentity owner, long term, long earlierOwnersActMillis) {
+        return builder(owner, term, earlierOwnersActMillis).build();
+    }
+
+    /**
+     * Returns the record of a term whose owner has given up the ownership by itself.
+     *
+     * @param earlierOwnersActMillis for how long after that earlier owners may act
+     */
+    static OwnerRecord createLeft(DaemonIdentity owner, long term, long earlierOwnersActMillis) {
+        return builder(owner, term, earlierOwnersActMillis).setLeft(true).build();
+    }
+
+    private static OwnerRecord.Builder builder(
+            DaemonIdentity owner, long term, long earlierOwnersActMillis) {
         return OwnerRecord.newBuilder()
                 .setTerm(term)
                 .setOwnerId(owner.id())
                 .setZone(owner.zone())
                 .setAddress(owner.address())
                 .setPeerPort(owner.peerPort())
-                .setEarlierOwnersActMillis(earlierOwnersActMillis)
-                .build();
+                .setEarlierOwnersActMillis(earlierOwnersActMillis);
     }
 
     /** Returns the record; empty if no daemon can have written it. */
--- a/core/src/main/java/org/marigoldturn/coordination/Takeover.java
+++ b/core/src/main/java/org/marigoldturn/coordination/Takeover.java
@@ -48,6 +48,24 @@
                 .thenCompose(lease -> commit(vacancy, lease));
     }
 
+    /**
+     * Tells the next owner that this daemon has given up the ownership by itself and acts no more,
+     * and removes the live record; does nothing if there is a newer term.
+     *
+     * @param earlierOwnersActMillis for how long from now on earlier owners may act
+     */
+    CompletableFuture<MetadataStore.CommitResult> leave(
+            long term, long termRevision, long earlierOwnersActMillis) {
+        return mStore.commit(
+                List.of(new Compare(StoreLayout.OWNER_TERM, termRevision)),
+                List.of(
+                        new Operation.Put(
+                                StoreLayout.OWNER_TERM,
+                                OwnerRecordCodec.createLeft(mSelf, term, earlierOwnersActMillis)
+                                        .toByteString())),
+                List.of(new Operation.Delete(StoreLayout.OWNER_LIVE)));
+    }
+
     private CompletableFuture<Attempt> commit(Vacancy vacancy, long lease) {
         List<Operation.Put> puts = new ArrayList<>();
         puts.add(
--- a/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
@@ -51,6 +51,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_marigoldturn_jobs_OwnerRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_jobs_UnreadTargetsRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_Target_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_marigoldturn_jobs_UnreadTargetsRecord_Target_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_marigoldturn_jobs_TargetRecord_descriptor;
   static final 
@@ -98,10 +108,15 @@
       "\nTaskRecord\022\022\n\noccurrence\030\001 \001(\r\022\014\n\004step\030" +
       "\002 \001(\r\022\r\n\005index\030\003 \001(\r\022\014\n\004done\030\004 \001(\010\022\023\n\013fa" +
       "iled_runs\030\005 \001(\r\022\022\n\ncheckpoint\030\006 \001(\t\022\032\n\022f" +
-      "ailed_run_numbers\030\007 \003(\022\"\202\001\n\013OwnerRecord\022" +
+      "ailed_run_numbers\030\007 \003(\022\"\220\001\n\013OwnerRecord\022" +
       "\014\n\004term\030\001 \001(\003\022\020\n\010owner_id\030\002 \001(\t\022\014\n\004zone\030" +
       "\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\021\n\tpeer_port\030\005 \001(" +
-      "\r\022!\n\031earlier_owners_act_millis\030\006 \001(\003\"\337\001\n" +
+      "\r\022!\n\031earlier_owners_act_millis\030\006 \001(\003\022\014\n\004" +
+      "left\030\007 \001(\010\"\267\001\n\023UnreadTargetsRecord\022\014\n\004te" +
+      "rm\030\001 \001(\003\022>\n\007targets\030\002 \003(\0132-.marigoldturn" +
+      ".jobs.UnreadTargetsRecord.Target\032R\n\006Targ" +
+      "et\022\n\n\002id\030\001 \001(\t\022\034\n\024started_epoch_millis\030\002" +
+      " \001(\003\022\036\n\026runs_end_within_millis\030\003 \001(\003\"\337\001\n" +
       "\014TargetRecord\022\n\n\002id\030\001 \001(\t\022\034\n\024started_epo" +
       "ch_millis\030\002 \001(\003\022\017\n\007host_id\030\003 \001(\t\022\017\n\007serv" +
       "ice\030\004 \001(\t\022\017\n\007address\030\005 \001(\t\022\014\n\004zone\030\006 \001(\t" +
@@ -155,21 +170,33 @@
     internal_static_marigoldturn_jobs_OwnerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_OwnerRecord_descriptor,
-        new java.lang.String[] { "Term", "OwnerId", "Zone", "Address", "PeerPort", "EarlierOwnersActMillis", });
-    internal_static_marigoldturn_jobs_TargetRecord_descriptor =
+        new java.lang.String[] { "Term", "OwnerId", "Zone", "Address", "PeerPort", "EarlierOwnersActMillis", "Left", });
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_jobs_UnreadTargetsRecord_descriptor,
+        new java.lang.String[] { "Term", "Targets", });
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_Target_descriptor =
+      internal_static_marigoldturn_jobs_UnreadTargetsRecord_descriptor.getNestedTypes().get(0);
+    internal_static_marigoldturn_jobs_UnreadTargetsRecord_Target_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_marigoldturn_jobs_UnreadTargetsRecord_Target_descriptor,
+        new java.lang.String[] { "Id", "StartedEpochMillis", "RunsEndWithinMillis", });
+    internal_static_marigoldturn_jobs_TargetRecord_descriptor =
+      getDescriptor().getMessageTypes().get(6);
     internal_static_marigoldturn_jobs_TargetRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_TargetRecord_descriptor,
         new java.lang.String[] { "Id", "StartedEpochMillis", "HostId", "Service", "Address", "Zone", "Rack", "Labels", "CpuMillicores", "MemoryMegabytes", "Accelerators", });
     internal_static_marigoldturn_jobs_JobCall_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_marigoldturn_jobs_JobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_JobCall_descriptor,
         new java.lang.String[] { "Kind", "Job", "CatalogVersion", });
     internal_static_marigoldturn_jobs_JobReply_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_marigoldturn_jobs_JobReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_JobReply_descriptor,
--- a/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecord.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecord.java
@@ -205,6 +205,21 @@
     return earlierOwnersActMillis_;
   }
 
+  public static final int LEFT_FIELD_NUMBER = 7;
+  private boolean left_ = false;
+  /**
+   * <pre>
+   * Set when the owner has given up the ownership by itself; it acts no more.
+   * </pre>
+   *
+   * <code>bool left = 7;</code>
+   * @return The left.
+   */
+  @java.lang.Override
+  public boolean getLeft() {
+    return left_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -237,6 +252,9 @@
     if (earlierOwnersActMillis_ != 0L) {
       output.writeInt64(6, earlierOwnersActMillis_);
     }
+    if (left_ != false) {
+      output.writeBool(7, left_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -267,6 +285,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, earlierOwnersActMillis_);
     }
+    if (left_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, left_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -294,6 +316,8 @@
         != other.getPeerPort()) return false;
     if (getEarlierOwnersActMillis()
         != other.getEarlierOwnersActMillis()) return false;
+    if (getLeft()
+        != other.getLeft()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -319,6 +343,9 @@
     hash = (37 * hash) + EARLIER_OWNERS_ACT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEarlierOwnersActMillis());
+    hash = (37 * hash) + LEFT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLeft());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -460,6 +487,7 @@
       address_ = "";
       peerPort_ = 0;
       earlierOwnersActMillis_ = 0L;
+      left_ = false;
       return this;
     }
 
@@ -511,6 +539,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.earlierOwnersActMillis_ = earlierOwnersActMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.left_ = left_;
+      }
     }
 
     @java.lang.Override
@@ -549,6 +580,9 @@
       if (other.getEarlierOwnersActMillis() != 0L) {
         setEarlierOwnersActMillis(other.getEarlierOwnersActMillis());
       }
+      if (other.getLeft() != false) {
+        setLeft(other.getLeft());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -605,6 +639,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              left_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -949,6 +988,50 @@
       return this;
     }
 
+    private boolean left_ ;
+    /**
+     * <pre>
+     * Set when the owner has given up the ownership by itself; it acts no more.
+     * </pre>
+     *
+     * <code>bool left = 7;</code>
+     * @return The left.
+     */
+    @java.lang.Override
+    public boolean getLeft() {
+      return left_;
+    }
+    /**
+     * <pre>
+     * Set when the owner has given up the ownership by itself; it acts no more.
+     * </pre>
+     *
+     * <code>bool left = 7;</code>
+     * @param value The left to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeft(boolean value) {
+
+      left_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when the owner has given up the ownership by itself; it acts no more.
+     * </pre>
+     *
+     * <code>bool left = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeft() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      left_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.jobs.OwnerRecord)
   }
 
--- a/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecordOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/OwnerRecordOrBuilder.java
@@ -68,4 +68,14 @@
    * @return The earlierOwnersActMillis.
    */
   long getEarlierOwnersActMillis();
+
+  /**
+   * <pre>
+   * Set when the owner has given up the ownership by itself; it acts no more.
+   * </pre>
+   *
+   * <code>bool left = 7;</code>
+   * @return The left.
+   */
+  boolean getLeft();
 }
--- a/core/src/test/java/org/marigoldturn/coordination/EarlierOwnersTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/EarlierOwnersTest.java
@@ -40,6 +40,19 @@
         assertThat(EarlierOwners.actMillis(Optional.empty(), 0, true)).isEqualTo(LONGEST);
     }
 
+    /** Guards against a wait for an owner that has told that it acts no more. */
+    @Example
+    void anOwnerThatHasLeftActsNoMore() {
+        OwnerRecord left =
+                OwnerRecord.newBuilder().setEarlierOwnersActMillis(1_500).setLeft(true).build();
+        assertThat(EarlierOwners.actMillis(Optional.of(left), 0, true)).isEqualTo(1_500);
+        assertThat(EarlierOwners.actMillis(Optional.of(left), 1_000, true)).isEqualTo(500);
+        assertThat(EarlierOwners.actMillis(Optional.of(left), 60_000, true)).isEqualTo(1);
+        assertThat(EarlierOwners.certainMillis(1)).isZero();
+        assertThat(EarlierOwners.remainingMillis(GRACE, 1_000)).isEqualTo(GRACE - 1_000);
+        assertThat(EarlierOwners.remainingMillis(GRACE, 60_000)).isEqualTo(1);
+    }
+
     private static Optional<OwnerRecord> record(long actMillis) {
         return Optional.of(OwnerRecord.newBuilder().setEarlierOwnersActMillis(actMillis).build());
     }
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
@@ -175,6 +176,39 @@
         assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(-1);
     }
 
+    /** Guards against a wait for the grace of an owner that was stopped as planned. */
+    @Example
+    void anOwnerThatLeavesTellsThatItActsNoMore() throws Exception {
+        mStore.put(StoreLayout.OWNER_TERM, record(4, OwnershipLease.LONGEST_ACT_MILLIS), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        mControl.execute(() -> mElection.leave().thenRun(() -> left.complete(null)));
+        left.get(20, TimeUnit.SECONDS);
+        assertThat(mStore.value(StoreLayout.OWNER_LIVE)).isEmpty();
+        assertThat(storedTerm().getLeft()).isTrue();
+        assertThat(storedTerm().getTerm()).isEqualTo(5);
+        // What is left of the time of the owners before it still counts.
+        assertThat(storedTerm().getEarlierOwnersActMillis())
+                .isPositive()
+                .isLessThanOrEqualTo(mEarlierOwnersActMillis);
+    }
+
+    @Example
+    void theNextOwnerWaitsOnlyForTheOwnersBeforeTheOneThatHasLeft() throws Exception {
+        OwnerRecord left =
+                OwnerRecord.newBuilder()
+                        .setTerm(4)
+                        .setOwnerId("host-2/b")
+                        .setEarlierOwnersActMillis(700)
+                        .setLeft(true)
+                        .build();
+        mStore.put(StoreLayout.OWNER_TERM, left.toByteString(), 0);
+        mControl.execute(mElection::start);
+        assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
+        assertThat(mEarlierOwnersActMillis).isBetween(1L, 700L);
+    }
+
     private OwnerRecord storedTerm() {
         return OwnerRecordCodec.parse(mStore.value(StoreLayout.OWNER_TERM).orElseThrow())
                 .orElseThrow();
