Pass on the wait for unread targets to the next owner

Cause: each owner waits for the longest lease of a target that it cannot read, counted from its own takeover. Owners that have not read the target have granted it no lease, so the wait began anew for nothing. Change: when an owner begins to serve, it notes in the store the recorded targets that it has not read and until when runs may exist there, relative to its takeover. The next owner subtracts the time for which it has known that owner's term. Before the first report of a noted target is processed, its note is removed in the store, so no noted target has a lease of that owner. Only the last term's note counts. Ruled out: the term of the last reader in each target's record, which needs a write for each target at each takeover; wall-clock times, since clocks jump.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -213,7 +213,7 @@
     }
 
     @Override
-    public void onElected(long term, long termRevision, long earlierOwnersActMillis) {
+    public void onElected(long term, long termRevision, TakeoverTimes times) {
         mRole =
                 new OwnerRole(
                         new OwnerContext(
@@ -229,7 +229,7 @@
                                 mClocks,
                                 mLimits,
                                 mMetrics,
-                                earlierOwnersActMillis,
+                                times,
                                 mElection.ownershipLease(),
                                 mElection.storeRegainedMillis(),
                                 mElection::onFenced,
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerContext.java
@@ -8,7 +8,7 @@
  * The dependencies that the parts of one term of ownership share. Immutable.
  *
  * @param termRevision revision of the term's record, which every write requires
- * @param earlierOwnersActMillis for how long after the takeover earlier owners may act
+ * @param times what is known of the time of earlier owners
  * @param ownershipLease tracks whether the ownership is still certain
  * @param storeRegainedMillis monotonic time at which the store last became readable again after an
  *     interruption
@@ -28,7 +28,7 @@
         Clocks clocks,
         JobLimits limits,
         MetricRegistry metrics,
-        long earlierOwnersActMillis,
+        TakeoverTimes times,
         OwnershipLease ownershipLease,
         long storeRegainedMillis,
         Runnable onFenced,
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -42,8 +42,8 @@
     private final Listener mListener;
     private final Takeover mTakeover;
     private final PrefixMirror mMirror;
+    private final KnownTerm mKnownTerm = new KnownTerm();
     private final OwnershipLease mOwnershipLease = new OwnershipLease();
-    private StoredValue mTermRecord;
     private StoredValue mLiveRecord;
     private long mForeignLiveSinceMillis = Long.MAX_VALUE;
     private String mEndedOwnerId = "";
@@ -51,9 +51,7 @@
     private long mLeaseId;
     private long mOwnTerm;
     private long mOwnTermRevision;
-    private long mElectedMillis;
-    private long mEarlierOwnersActMillis;
-    private long mTermRecordKnownSinceMillis;
+    private TakeoverTimes mTimes;
     private long mStartedMillis;
     private boolean mInterrupted;
     private long mStoreRegainedMillis = Long.MIN_VALUE / 2;
@@ -68,9 +66,9 @@
         /**
          * This daemon is the owner from now on.
          *
-         * @param earlierOwnersActMillis for how long earlier owners may still act
+         * @param times what is known of the time of earlier owners
          */
-        void onElected(long term, long termRevision, long earlierOwnersActMillis);
+        void onElected(long term, long termRevision, TakeoverTimes times);
 
         /** The store has confirmed that this daemon is the owner. */
         void onConfirmed();
@@ -126,18 +124,8 @@
         }
         long actMillis =
                 EarlierOwners.remainingMillis(
-                        mEarlierOwnersActMillis, mClocks.now() - mElectedMillis);
-        return mTakeover
-                .leave(term, mOwnTermRevision, actMillis)
-                .handle((result, failure) -> failure)
-                .thenCompose(failure -> revoke(lease, failure));
-    }
-
-    private CompletableFuture<Void> revoke(long lease, Throwable failureToLeave) {
-        if (failureToLeave != null) {
-            Logger.info("owner: event=leave-untold cause={}", failureToLeave.getMessage());
-        }
-        return mStore.revokeLease(lease);
+                        mTimes.earlierOwnersActMillis(), mTimes.sinceTakeoverMillis(mClocks.now()));
+        return mTakeover.leave(term, mOwnTermRevision, lease, actMillis);
     }
 
     /** Returns the state of this daemon's ownership lease. */
@@ -188,9 +176,7 @@
     @Override
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
-            mTermRecord = value;
-            mTermRecordKnownSinceMillis = mClocks.now();
-            onTerm(OwnerRecordCodec.parse(value));
+            onTerm(mKnownTerm.update(value, mClocks.now()));
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
         }
@@ -210,12 +196,7 @@
      * in one transaction, so such a record is not the owner's.
      */
     private void checkLiveRecord() {
-        String owner =
-                mTermRecord == null
-                        ? ""
-                        : OwnerRecordCodec.parse(mTermRecord)
-                                .map(OwnerRecord::getOwnerId)
-                                .orElse("");
+        String owner = mKnownTerm.owner().map(OwnerRecord::getOwnerId).orElse("");
         boolean foreign = mLiveRecord != null && !mLiveRecord.value().toStringUtf8().equals(owner);
         if (!foreign) {
             mForeignLiveSinceMillis = Long.MAX_VALUE;
@@ -245,7 +226,7 @@
             Logger.error(
                     "owner: event=unreadable-record key={} rev={}",
                     StoreLayout.OWNER_TERM,
-                    mTermRecord.modRevision());
+                    mKnownTerm.revision());
             return;
         }
         if (mOwnTerm != 0 && record.get().getTerm() > mOwnTerm) {
@@ -305,9 +286,10 @@
         }
         long sentMillis = mClocks.now();
         long sentEpochMillis = mClocks.epoch();
+        Takeover.Vacancy vacancy = vacancy(sentMillis);
         // The takeover requires the records as they are now; later watch events don't change that.
         mTakeover
-                .attempt(vacancy())
+                .attempt(vacancy)
                 .whenComplete(
                         (result, failure) ->
                                 mControl.execute(
@@ -320,21 +302,14 @@
                                         }));
     }
 
-    private Takeover.Vacancy vacancy() {
-        // Each term took at least one revision, so the revision of a damaged record is no lower
-        // than the term that it replaced.
-        Optional<OwnerRecord> last =
-                mTermRecord == null ? Optional.empty() : OwnerRecordCodec.parse(mTermRecord);
-        long unreadableTerm = mTermRecord == null ? 0 : mTermRecord.modRevision();
-        long heldTerm = last.map(OwnerRecord::getTerm).orElse(unreadableTerm);
+    private Takeover.Vacancy vacancy(long nowMillis) {
         boolean leaseEnded = mLiveRecord == null || isOfEarlierIncarnation(mLiveRecord);
         return new Takeover.Vacancy(
-                heldTerm,
-                mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
+                mKnownTerm.heldTerm(),
+                mKnownTerm.revision(),
                 mLiveRecord == null ? Compare.ABSENT : mLiveRecord.modRevision(),
-                mOwnTerm != 0 && mOwnTerm == heldTerm,
-                EarlierOwners.actMillis(
-                        last, mClocks.now() - mTermRecordKnownSinceMillis, leaseEnded));
+                mOwnTerm != 0 && mOwnTerm == mKnownTerm.heldTerm(),
+                mKnownTerm.times(leaseEnded, nowMillis));
     }
 
     private void onAttempt(Takeover.Attempt attempt, Throwable failure) {
@@ -358,15 +333,14 @@
         depose("this daemon took over again");
         mOwnTerm = attempt.term();
         mOwnTermRevision = attempt.result().revision();
-        long earlierOwnersActMillis = attempt.vacancy().earlierOwnersActMillis();
-        mEarlierOwnersActMillis = earlierOwnersActMillis;
-        mElectedMillis = mClocks.now();
+        mTimes = attempt.vacancy().times();
+        long earlierOwnersActMillis = mTimes.earlierOwnersActMillis();
         Logger.info(
                 "owner: event=elected term={} earlierOwnersActMillis={}",
                 mOwnTerm,
                 earlierOwnersActMillis);
         mListener.onOwner(OwnerRecordCodec.create(mSelf, mOwnTerm, earlierOwnersActMillis));
-        mListener.onElected(mOwnTerm, mOwnTermRevision, earlierOwnersActMillis);
+        mListener.onElected(mOwnTerm, mOwnTermRevision, mTimes);
     }
 
     private static void logRevocation(Throwable problem) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRecords.java
@@ -21,13 +21,15 @@
  * @param hosts records of maintenance waves and loans of spare hosts
  * @param targets targets on which tasks may have been started
  * @param targetsComplete the record that {@code targets} has all of them; empty if it may lack some
+ * @param unreadTargets the note of the targets that an owner had not read
  */
 record OwnerRecords(
         List<StoredValue> jobs,
         List<StoredValue> progress,
         List<StoredValue> hosts,
         List<StoredValue> targets,
-        Optional<StoredValue> targetsComplete) {
+        Optional<StoredValue> targetsComplete,
+        Optional<StoredValue> unreadTargets) {
     OwnerRecords {
         jobs = List.copyOf(jobs);
         progress = List.copyOf(progress);
@@ -44,7 +46,10 @@
         CompletableFuture<List<StoredValue>> targets = reader.listAll(StoreLayout.TARGET_PREFIX);
         CompletableFuture<Optional<StoredValue>> targetsComplete =
                 store.read(StoreLayout.TARGETS_COMPLETE);
-        return CompletableFuture.allOf(jobs, progress, hosts, targets, targetsComplete)
+        CompletableFuture<Optional<StoredValue>> unreadTargets =
+                store.read(StoreLayout.UNREAD_TARGETS);
+        return CompletableFuture.allOf(
+                        jobs, progress, hosts, targets, targetsComplete, unreadTargets)
                 .thenApply(
                         done ->
                                 new OwnerRecords(
@@ -52,7 +57,8 @@
                                         progress.join(),
                                         hosts.join(),
                                         targets.join(),
-                                        targetsComplete.join()));
+                                        targetsComplete.join(),
+                                        unreadTargets.join()));
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -52,6 +52,7 @@
     private AdviceRunner mAdvice;
     private UnreadTargets mUnread;
     private UnreadTargetCheck mUnreadCheck;
+    private final UnreadTargetNote mUnreadNote;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -68,6 +69,7 @@
                         context.clocks(),
                         context.termRevision(),
                         context.onFenced());
+        mUnreadNote = new UnreadTargetNote(context.term(), context.times(), mCommits);
         mSessions = new TargetSessions(context, this::mayAct, this);
         mRunLog = new RunLog(context.term());
     }
@@ -149,7 +151,8 @@
         long now = mContext.clocks().now();
         // 4%: a target's clock may be 2% slow, the rest is a margin.
         long longestLeaseMillis =
-                mContext.limits().leaseMillis() * 52 / 50 + mContext.earlierOwnersActMillis();
+                mContext.limits().leaseMillis() * 52 / 50
+                        + mContext.times().earlierOwnersActMillis();
         mScheduler =
                 new JobScheduler(
                         mOperator.catalog().orElseThrow(),
@@ -158,7 +161,8 @@
                         longestLeaseMillis);
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
-        mHostWorkFromMillis = now + EarlierOwners.certainMillis(mContext.earlierOwnersActMillis());
+        mHostWorkFromMillis =
+                now + EarlierOwners.certainMillis(mContext.times().earlierOwnersActMillis());
         mProgress = new ProgressRecords(mScheduler, mCommits);
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
         mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this);
@@ -185,7 +189,7 @@
                         mScheduler, mContext.hosts(), mContext.control(), this::onEnded);
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
-        mTargetList.start(records);
+        mTargetList.start(records, mUnreadNote.restore(records.unreadTargets()));
     }
 
     @Override
@@ -226,9 +230,18 @@
         }
         mServing = true;
         mUnread.logServing();
+        mUnreadNote.write(
+                mScheduler.targetsWithUnknownRuns(mContext.clocks().now()).stream()
+                        .filter(TargetState::isRecorded)
+                        .toList());
         tick();
     }
 
+    @Override
+    public CompletableFuture<Void> onFirstResponse(TargetState target) {
+        return mUnreadNote.remove(target.entry());
+    }
+
     @Override
     public CompletableFuture<Void> onReport(
             TargetState target, TargetClient.PollResponse response, long pollSentMillis) {
--- a/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -32,6 +32,9 @@
      */
     static final String TARGETS_COMPLETE = "mt/targets-complete";
 
+    /** Targets that the owner could not read when it began to serve. */
+    static final String UNREAD_TARGETS = "mt/unread-targets";
+
     private StoreLayout() {}
 
     static String job(String id) {
--- a/core/src/main/java/org/marigoldturn/coordination/Takeover.java
+++ b/core/src/main/java/org/marigoldturn/coordination/Takeover.java
@@ -7,6 +7,7 @@
 import org.marigoldturn.store.Compare;
 import org.marigoldturn.store.MetadataStore;
 import org.marigoldturn.store.Operation;
+import org.tinylog.Logger;
 
 /**
  * Takes over the ownership in one transaction, which fails if the owner's records have changed
@@ -22,15 +23,15 @@
     }
 
     /**
-     * The record revisions that a takeover requires, whether it keeps this daemon's term, and for
-     * how long earlier owners may act after it.
+     * The record revisions that a takeover requires, whether it keeps this daemon's term, and what
+     * is known of the time of earlier owners.
      */
     record Vacancy(
             long heldTerm,
             long termRevision,
             long liveRevision,
             boolean keepsTerm,
-            long earlierOwnersActMillis) {
+            TakeoverTimes times) {
         /** Returns the term after the takeover. */
         long nextTerm() {
             return keepsTerm ? heldTerm : heldTerm + 1;
@@ -50,20 +51,31 @@
 
     /**
      * Tells the next owner that this daemon has given up the ownership by itself and acts no more,
-     * and removes the live record; does nothing if there is a newer term.
+     * removes the live record and ends its lease; with a newer term in the store, only the lease
+     * ends.
      *
      * @param earlierOwnersActMillis for how long from now on earlier owners may act
      */
-    CompletableFuture<MetadataStore.CommitResult> leave(
-            long term, long termRevision, long earlierOwnersActMillis) {
+    CompletableFuture<Void> leave(
+            long term, long termRevision, long lease, long earlierOwnersActMillis) {
         return mStore.commit(
-                List.of(new Compare(StoreLayout.OWNER_TERM, termRevision)),
-                List.of(
-                        new Operation.Put(
-                                StoreLayout.OWNER_TERM,
-                                OwnerRecordCodec.createLeft(mSelf, term, earlierOwnersActMillis)
-                                        .toByteString())),
-                List.of(new Operation.Delete(StoreLayout.OWNER_LIVE)));
+                        List.of(new Compare(StoreLayout.OWNER_TERM, termRevision)),
+                        List.of(
+                                new Operation.Put(
+                                        StoreLayout.OWNER_TERM,
+                                        OwnerRecordCodec.createLeft(
+                                                        mSelf, term, earlierOwnersActMillis)
+                                                .toByteString())),
+                        List.of(new Operation.Delete(StoreLayout.OWNER_LIVE)))
+                .handle((result, failure) -> failure)
+                .thenCompose(failure -> revokeLease(lease, failure));
+    }
+
+    private CompletableFuture<Void> revokeLease(long lease, Throwable failureToLeave) {
+        if (failureToLeave != null) {
+            Logger.info("owner: event=leave-untold cause={}", failureToLeave.getMessage());
+        }
+        return mStore.revokeLease(lease);
     }
 
     private CompletableFuture<Attempt> commit(Vacancy vacancy, long lease) {
@@ -78,7 +90,7 @@
                             OwnerRecordCodec.create(
                                             mSelf,
                                             vacancy.nextTerm(),
-                                            vacancy.earlierOwnersActMillis())
+                                            vacancy.times().earlierOwnersActMillis())
                                     .toByteString()));
         }
         return mStore.commit(
--- /dev/null
+++ b/core/src/main/java/org/marigoldturn/coordination/TakeoverTimes.java
@@ -0,0 +1,23 @@
+package org.marigoldturn.coordination;
+
+/**
+ * What a takeover knows of the time of earlier owners. Immutable.
+ *
+ * @param takeoverMillis monotonic time at which the takeover was sent to the store
+ * @param lastTermKnownMillis for how long this daemon had known the last term at that time
+ * @param earlierOwnersActMillis for how long after the takeover earlier owners may act
+ */
+record TakeoverTimes(long takeoverMillis, long lastTermKnownMillis, long earlierOwnersActMillis) {
+    /** Returns for how long after the takeover a time is; negative if it was before. */
+    long sinceTakeoverMillis(long timeMillis) {
+        return timeMillis - takeoverMillis;
+    }
+
+    /**
+     * Returns the latest monotonic time of this daemon that is meant by a time after the last
+     * owner's takeover. The last takeover was carried out before its term was known here.
+     */
+    long endMillis(long sinceLastTakeoverMillis) {
+        return takeoverMillis + Math.max(0, sinceLastTakeoverMillis - lastTermKnownMillis);
+    }
+}
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -67,8 +67,8 @@
     }
 
     /** Restores the recorded targets and starts to follow the platform's list. */
-    void start(OwnerRecords records) {
-        mRecords.restore(records, mContext.clocks().now()).forEach(mSessions::open);
+    void start(OwnerRecords records, UnreadTargetNote.RunsEnds runsEnds) {
+        mRecords.restore(records, runsEnds, mContext.clocks().now()).forEach(mSessions::open);
         mMirror.start();
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -52,8 +52,12 @@
      * Adds the targets that earlier owners have recorded to the scheduler and returns them. Records
      * that cannot be read are logged and left; this owner then also waits for targets that are only
      * listed, as it does while the store does not tell that the records are complete.
+     *
+     * @param runsEnds when the runs of earlier owners have ended on targets that the last owner has
+     *     not used
      */
-    List<TargetState> restore(OwnerRecords records, long nowMillis) {
+    List<TargetState> restore(
+            OwnerRecords records, UnreadTargetNote.RunsEnds runsEnds, long nowMillis) {
         records.targetsComplete()
                 .ifPresent(value -> mCommits.recordRevision(value.key(), value.modRevision()));
         mComplete = records.targetsComplete().filter(v -> v.value().equals(COMPLETE)).isPresent();
@@ -73,7 +77,7 @@
         List<TargetState> restored = new ArrayList<>();
         for (TargetEntry entry : entries) {
             mRecords.put(entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
-            restored.add(mScheduler.restoreTarget(entry, nowMillis));
+            restored.add(mScheduler.restoreTarget(entry, runsEnds.millis(entry), nowMillis));
         }
         return restored;
     }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -51,6 +51,13 @@
 
     /** Is notified of a session's events. */
     interface Callbacks {
+        /**
+         * The target has responded for the first time.
+         *
+         * @return a future that completes when its reports may be processed
+         */
+        CompletableFuture<Void> onFirstResponse(TargetState target);
+
         /**
          * Processes a report.
          *
@@ -194,6 +201,14 @@
             return;
         }
         boolean first = !mTarget.hasReported();
+        if (first) {
+            CompletableFuture<Void> mayReport = mCallbacks.onFirstResponse(mTarget);
+            if (!mayReport.isDone()) {
+                // The report would be out of date by then.
+                var unused = mayReport.thenRun(this::poll);
+                return;
+            }
+        }
         boolean wasReachable = mTarget.isReachable();
         mTargetClockMillis = response.targetMillis();
         mClockReadMillis = mClocks.now();
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -125,10 +125,20 @@
      * list contains it.
      */
     public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
+        return restoreTarget(entry, mTargets.longestLeaseEndMillis(), nowMillis);
+    }
+
+    /**
+     * Adds a target that an earlier owner has recorded, with an earlier end of the runs that may
+     * exist there.
+     *
+     * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there
+     */
+    public TargetState restoreTarget(TargetEntry entry, long runsEndMillis, long nowMillis) {
         TargetState target = mTargets.addOrUpdate(entry, nowMillis);
         target.setListed(false);
         target.setRecorded(true);
-        target.markUsedByEarlierOwners();
+        target.markUsedByEarlierOwners(Math.min(runsEndMillis, mTargets.longestLeaseEndMillis()));
         return target;
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -27,6 +27,9 @@
      */
     private static final int JOBS_BEFORE_PAUSE = 2;
 
+    /** Time of the end of earlier owners' runs on a target that they have not used. */
+    static final long NEVER_USED = Long.MIN_VALUE;
+
     private static final long FIRST_PAUSE_MILLIS = 2_000;
     private static final long LONGEST_PAUSE_MILLIS = 16_000;
 
@@ -39,7 +42,7 @@
     private ResourceAmounts mHeldBack = ResourceAmounts.NONE;
     private boolean mListed = true;
     private boolean mRecorded;
-    private boolean mUsedByEarlierOwners;
+    private long mUnknownRunsEndMillis;
     private boolean mReported;
     private boolean mReportedToCertainOwner;
     private boolean mReachable;
@@ -55,11 +58,12 @@
     /**
      * Creates the state of an incarnation that has not reported.
      *
-     * @param usedByEarlierOwners whether earlier owners may have started tasks there
+     * @param unknownRunsEndMillis monotonic time by which all runs of earlier owners have ended
+     *     there; {@link #NEVER_USED} if there can be none
      */
-    TargetState(TargetEntry entry, boolean usedByEarlierOwners) {
+    TargetState(TargetEntry entry, long unknownRunsEndMillis) {
         mEntry = entry;
-        mUsedByEarlierOwners = usedByEarlierOwners;
+        mUnknownRunsEndMillis = unknownRunsEndMillis;
     }
 
     /** Returns the newest entry of the platform's list. */
@@ -86,7 +90,15 @@
 
     /** Returns whether runs of earlier owners that are not known here may exist there. */
     public boolean mayHaveUnknownRuns() {
-        return mUsedByEarlierOwners && !mReported;
+        return mUnknownRunsEndMillis != NEVER_USED && !mReported;
+    }
+
+    /**
+     * Returns the monotonic time by which all runs of earlier owners have ended there; {@link
+     * #NEVER_USED} if there can be none.
+     */
+    public long unknownRunsEndMillis() {
+        return mUnknownRunsEndMillis;
     }
 
     /** Returns whether it responded to the last call. */
@@ -184,9 +196,13 @@
         }
     }
 
-    /** Records that an earlier owner has used it, so that its runs are unknown until it reports. */
-    void markUsedByEarlierOwners() {
-        mUsedByEarlierOwners = true;
+    /**
+     * Records that an earlier owner has used it, so that its runs are unknown until it reports.
+     *
+     * @param unknownRunsEndMillis monotonic time by which all these runs have ended
+     */
+    void markUsedByEarlierOwners(long unknownRunsEndMillis) {
+        mUnknownRunsEndMillis = unknownRunsEndMillis;
     }
 
     void update(TargetEntry entry) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -65,16 +65,18 @@
     boolean lacksConfirmation(long nowMillis) {
         long provenMillis = provenMillis(nowMillis);
         for (TargetState target : mTargets.values()) {
-            if (!target.isReachable()
-                    && isLeaseOver(target, nowMillis)
-                    && !isLeaseOver(target, provenMillis)) {
+            boolean leaseIsOver =
+                    !target.isReachable()
+                            && isLeaseOver(target, nowMillis)
+                            && !isLeaseOver(target, provenMillis);
+            boolean unknownRunsAreOver =
+                    knowsRunsAt(target, nowMillis) && !knowsRunsAt(target, provenMillis);
+            if (leaseIsOver || unknownRunsAreOver) {
                 return true;
             }
         }
         return mRuns.hasHeldTasks()
-                || mUnreadEndMillis.values().stream().anyMatch(ended -> ended > mConfirmedMillis)
-                || leasesOfEarlierOwnersAreOver(nowMillis)
-                        && !leasesOfEarlierOwnersAreOver(provenMillis);
+                || mUnreadEndMillis.values().stream().anyMatch(ended -> ended > mConfirmedMillis);
     }
 
     boolean isOwnerCertain() {
@@ -102,7 +104,9 @@
         if (known != null) {
             endRuns(known, nowMillis);
         }
-        TargetState state = new TargetState(entry, !mRecordsComplete);
+        TargetState state =
+                new TargetState(
+                        entry, mRecordsComplete ? TargetState.NEVER_USED : longestLeaseEndMillis());
         mTargets.put(entry.id(), state);
         return state;
     }
@@ -115,6 +119,11 @@
         mRecordsComplete = complete;
     }
 
+    /** Returns the monotonic time by which every lease of an earlier owner has expired. */
+    long longestLeaseEndMillis() {
+        return mTakeoverMillis + mLongestLeaseMillis;
+    }
+
     /** Records that the platform's list has no entry for a target. */
     void markUnlisted(String id) {
         TargetState target = mTargets.get(id);
@@ -162,11 +171,7 @@
     private boolean isLeaseOver(TargetState target, long timeMillis) {
         return target.leaseEndMillis() > 0
                 ? timeMillis > target.leaseEndMillis()
-                : leasesOfEarlierOwnersAreOver(timeMillis);
-    }
-
-    private boolean leasesOfEarlierOwnersAreOver(long timeMillis) {
-        return timeMillis - mTakeoverMillis >= mLongestLeaseMillis;
+                : timeMillis >= target.unknownRunsEndMillis();
     }
 
     /** Returns the stop orders that are due, and marks them as sent. */
@@ -188,8 +193,11 @@
      * owner has used it, or every lease of an earlier owner has expired.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
-        return !target.mayHaveUnknownRuns()
-                || leasesOfEarlierOwnersAreOver(provenMillis(nowMillis));
+        return knowsRunsAt(target, provenMillis(nowMillis));
+    }
+
+    private static boolean knowsRunsAt(TargetState target, long timeMillis) {
+        return !target.mayHaveUnknownRuns() || timeMillis >= target.unknownRunsEndMillis();
     }
 
     /**
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -257,8 +257,8 @@
     }
 
     @Override
-    public void onElected(long term, long termRevision, long earlierOwnersActMillis) {
-        mEarlierOwnersActMillis = earlierOwnersActMillis;
+    public void onElected(long term, long termRevision, TakeoverTimes times) {
+        mEarlierOwnersActMillis = times.earlierOwnersActMillis();
         assertThat(List.of(StoreLayout.OWNER_LIVE)).allMatch(key -> mStore.value(key).isPresent());
         mElected.add(term);
     }
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
@@ -68,6 +68,7 @@
                                 value(StoreLayout.progress("a"), oddTask)),
                         List.of(),
                         List.of(),
+                        Optional.empty(),
                         Optional.empty())
                 .restoreInto(mScheduler, mCommits, 0);
         assertThat(mScheduler.state("a")).isPresent();
@@ -90,6 +91,7 @@
                         List.of(value(StoreLayout.progress("a"), JobRecords.encode(progress))),
                         List.of(),
                         List.of(),
+                        Optional.empty(),
                         Optional.empty());
         assertThat(records.restoreInto(mScheduler, mCommits, 0)).isEqualTo(1);
     }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -24,6 +24,8 @@
 class TargetRecordsTest {
     private static final ByteString GARBAGE = ByteString.copyFrom(new byte[] {-1, 8, 127, 0});
 
+    private static final UnreadTargetNote.RunsEnds NO_NOTE = new UnreadTargetNote.RunsEnds();
+
     private static final TargetReport.RunReport RUN =
             new TargetReport.RunReport(new TaskId("job", 0, 0, 0), 1, "", 100);
 
@@ -60,6 +62,7 @@
                                         value("t2", GARBAGE),
                                         value("t3", TargetRecordCodec.encode(entry("t4", 7))),
                                         value("t5", TargetRecordCodec.encode(entry("t5", 7)))),
+                                NO_NOTE,
                                 0);
         assertThat(restored).extracting(target -> target.entry().id()).containsExactly("t1", "t5");
         assertThat(restored).allMatch(target -> target.isRecorded() && !target.isListed());
@@ -174,13 +177,19 @@
     private boolean isWaitedForIfOnlyListed(
             Optional<StoredValue> complete, StoredValue... targets) {
         JobScheduler next = scheduler();
-        new TargetRecords(next, mCommits, () -> {}).restore(records(complete, targets), 0);
+        new TargetRecords(next, mCommits, () -> {}).restore(records(complete, targets), NO_NOTE, 0);
         return next.onTargetListed(entry("listed", 7), 0).mayHaveUnknownRuns();
     }
 
     private static OwnerRecords records(
             Optional<StoredValue> targetsComplete, StoredValue... targets) {
-        return new OwnerRecords(List.of(), List.of(), List.of(), List.of(targets), targetsComplete);
+        return new OwnerRecords(
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(targets),
+                targetsComplete,
+                Optional.empty());
     }
 
     private TargetState add(TargetEntry entry, TargetReport.RunReport... runs) throws Exception {
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -137,6 +137,11 @@
         return request;
     }
 
+    @Override
+    public CompletableFuture<Void> onFirstResponse(TargetState target) {
+        return CompletableFuture.completedFuture(null);
+    }
+
     @Override
     public CompletableFuture<Void> onReport(
             TargetState target, TargetClient.PollResponse response, long askedMillis) {
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -47,7 +47,7 @@
                             Clocks.system(),
                             new JobLimits(6_000, 1_000),
                             new MetricRegistry(),
-                            OwnershipLease.GRACE_MILLIS,
+                            new TakeoverTimes(0, 0, OwnershipLease.GRACE_MILLIS),
                             new OwnershipLease(),
                             0,
                             () -> {},
@@ -151,6 +151,11 @@
         throw new IllegalStateException("nothing is stopped");
     }
 
+    @Override
+    public CompletableFuture<Void> onFirstResponse(TargetState target) {
+        return CompletableFuture.completedFuture(null);
+    }
+
     @Override
     public CompletableFuture<Void> onReport(
             TargetState target, PollResponse response, long pollSentMillis) {
