Show that long-running tasks never use free hosts on loan

Placer.preferTargetsNotOnLoan leaves out hosts on loan while another target is eligible by its total capacity, whatever is free there. If long-running tasks fill the others, or their short runs do not end, the task waits without a bound, while ServiceLoad.lacksHost has more spare hosts moved to the service that stay unused.

Both examples fail on: no start after 6,100 ms, the rule allows 6,000 ms.

--- /dev/null
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -0,0 +1,81 @@
+package org.marigoldturn.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marigoldturn.scheduling.SchedulerFixture.job;
+import static org.marigoldturn.scheduling.SchedulerFixture.longRunning;
+import static org.marigoldturn.scheduling.SchedulerFixture.step;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.marigoldturn.jobs.Job;
+
+/**
+ * Checks that a long-running task that is not running starts within the platform's bound while a
+ * target of its service has room for it.
+ */
+class LongRunningWaitTest {
+    /** Time after its last run within which a long-running task has to run again. */
+    private static final long LONGEST_WAIT_MILLIS = 6_000;
+
+    private static final long PASS_INTERVAL_MILLIS = 100;
+
+    private final SchedulerFixture mFixture = new SchedulerFixture();
+
+    /** Guards against long-running tasks that never use the free hosts on loan. */
+    @Example
+    void aTaskStartsOnAHostOnLoanWhileLongRunningTasksFillTheOtherTargets() {
+        TargetState full = mFixture.addTarget("full", 8_000);
+        accept(job("first", "", longRunning(1, 7_000, 1)));
+        startAll();
+        addLoanedTarget();
+
+        accept(job("waiting", "", longRunning(1, 3_000, 1)));
+        assertThat(full.isIdle()).isFalse();
+        assertStartsInTime("waiting");
+    }
+
+    /** Guards against long-running tasks that wait for short runs beside free hosts on loan. */
+    @Example
+    void aTaskStartsOnAHostOnLoanWhileTheRunsOfTheOtherTargetsDoNotEnd() {
+        mFixture.addTarget("busy", 8_000);
+        accept(job("first", "", step(1, 7_000)));
+        startAll();
+        addLoanedTarget();
+
+        accept(job("waiting", "", longRunning(1, 3_000, 1)));
+        assertStartsInTime("waiting");
+    }
+
+    private void addLoanedTarget() {
+        mFixture.addTarget("loaned", 8_000).setLoaned(true);
+    }
+
+    private void startAll() {
+        List<Run> runs = mFixture.starts();
+        assertThat(runs).isNotEmpty();
+        mFixture.started(runs);
+    }
+
+    private void accept(Job job) {
+        assertThat(mFixture.accept(job).accepted()).isTrue();
+    }
+
+    private List<String> startedJobs() {
+        List<String> jobs = new ArrayList<>();
+        List<Run> runs = mFixture.starts();
+        mFixture.started(runs);
+        runs.forEach(run -> jobs.add(run.task().jobId()));
+        return jobs;
+    }
+
+    private void assertStartsInTime(String jobId) {
+        long sinceMillis = mFixture.mNowMillis;
+        while (!startedJobs().contains(jobId)) {
+            mFixture.mNowMillis += PASS_INTERVAL_MILLIS;
+            assertThat(mFixture.mNowMillis - sinceMillis)
+                    .as("time for which the task of job %s has not run", jobId)
+                    .isLessThanOrEqualTo(LONGEST_WAIT_MILLIS);
+        }
+    }
+}
