Show that a long-running task keeps smaller ones from free capacity

HeldBackCapacity bounds the hold for short tasks only. What a large long-running task holds back until the short runs of a target have ended is withheld from other long-running tasks too, which fit twice over.

Fails on: no start after 6,100 ms beside a short run that does not end; the rule allows 6,000 ms.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -47,6 +47,19 @@
         assertStartsInTime("waiting");
     }
 
+    /** Guards against a large long-running task that keeps smaller ones from free capacity. */
+    @Example
+    void aTaskThatFitsStartsWhileALargerLongRunningOneWaitsForRuns() {
+        mFixture.addTarget("t", 32_000);
+        accept(job("short", "", step(1, 17_000)));
+        startAll();
+        accept(job("large", "", longRunning(1, 28_000, 1)));
+        assertThat(startedJobs()).isEmpty();
+
+        accept(job("waiting", "", longRunning(1, 3_000, 1)));
+        assertStartsInTime("waiting");
+    }
+
     private void addLoanedTarget() {
         mFixture.addTarget("loaned", 8_000).setLoaned(true);
     }
