Show that a target without other faults stays paused after failures

Long-running tasks never end as done, so TargetState counts their failures as consecutive however far apart they are: from the fourth one on each pauses the target for 2, 4, 8 and 16 s, also if no other target has room.

Fails on: with one failure a minute no start after 6,100 ms; the rule allows 6,000 ms.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -60,6 +60,29 @@
         assertStartsInTime("waiting");
     }
 
+    /** Guards against failures of tasks that keep a target without other faults unused. */
+    @Example
+    void aTaskStartsAgainAfterLongRunningTasksHaveFailedNowAndThen() {
+        TargetState target = mFixture.addTarget("t", 16_000);
+        accept(job("first", "", longRunning(1, 3_000, 1)));
+        accept(job("second", "", longRunning(1, 3_000, 1)));
+        startAll();
+        for (int i = 0; i < 4; i++) {
+            failAndStartAgain(target, "first");
+            failAndStartAgain(target, "second");
+        }
+    }
+
+    private void failAndStartAgain(TargetState target, String jobId) {
+        mFixture.mNowMillis += 60_000;
+        for (Run run : target.runs()) {
+            if (run.task().jobId().equals(jobId)) {
+                mFixture.end(run, EndKind.FAILED);
+            }
+        }
+        assertStartsInTime(jobId);
+    }
+
     private void addLoanedTarget() {
         mFixture.addTarget("loaned", 8_000).setLoaned(true);
     }
