Show that a task is stopped for maintenance without a place to run

InterruptionRules.relocateOne stops a task that shares a cordoned target with another of its step and does not look for room elsewhere. The only room is then on the cordoned target, and the budget that the stop has used up blocks the maintenance, so that neither goes on.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.marigoldturn.scheduling.SchedulerFixture.job;
 import static org.marigoldturn.scheduling.SchedulerFixture.longRunning;
+import static org.marigoldturn.scheduling.SchedulerFixture.longRunningWithoutSpread;
 import static org.marigoldturn.scheduling.SchedulerFixture.step;
 
 import java.util.ArrayList;
@@ -83,6 +84,30 @@
         assertStartsInTime(jobId);
     }
 
+    /** Guards against a task that is stopped for maintenance and then has no place to run. */
+    @Example
+    void aTaskThatIsStoppedForMaintenanceStartsAgain() {
+        TargetState target = mFixture.addTarget("t0", 16_000);
+        accept(job("waiting", "", longRunningWithoutSpread(2, 5_000, 1)));
+        startAll();
+        TargetState other = mFixture.addTarget("t1", 8_000);
+        accept(job("other", "", longRunning(1, 7_000, 1)));
+        startAll();
+        mFixture.report(target);
+        assertThat(other.isIdle()).isFalse();
+
+        target.setCordoned(true);
+        assertThat(mFixture.mScheduler.interruptions().mayInterrupt(target)).isFalse();
+        mFixture.mScheduler
+                .interruptions()
+                .relocateOne(target)
+                .ifPresent(
+                        run -> {
+                            mFixture.end(run, EndKind.STOPPED);
+                            assertStartsInTime("waiting");
+                        });
+    }
+
     private void addLoanedTarget() {
         mFixture.addTarget("loaned", 8_000).setLoaned(true);
     }
