Show that restored tasks wait for targets that have no record

A target has a record in the store while a run can exist on it (TargetRecords), and no earlier owner can write one after the takeover. TargetTable.knowsRuns does not use that: a target that the platform lists, but that was never recorded or whose record was deleted when its maintenance began, is waited for like one with unknown runs. An entry stays listed for up to three heartbeats after its target has ended.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -8,8 +8,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import net.jqwik.api.Example;
 import org.marigoldturn.jobs.Job;
+import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.ResourceAmounts;
 
 /**
  * Checks that a long-running task that is not running starts within the platform's bound while a
@@ -21,6 +24,9 @@
 
     private static final long PASS_INTERVAL_MILLIS = 100;
 
+    /** Longest lease of a target, and how long an owner that was replaced may act. */
+    private static final long EARLIER_OWNER_MILLIS = 8_160;
+
     private final SchedulerFixture mFixture = new SchedulerFixture();
 
     /** Guards against long-running tasks that never use the free hosts on loan. */
@@ -108,6 +114,64 @@
                         });
     }
 
+    /** Guards against restored tasks that wait for a target on which none can have been started. */
+    @Example
+    void aRestoredTaskStartsBesideAListedTargetWithoutARecord() {
+        RestoredFixture restored = new RestoredFixture();
+        restored.mScheduler.onTargetListed(entry("unread", 1, "host-unread"), 0);
+        assertThat(restored.millisUntilStart()).isLessThanOrEqualTo(LONGEST_WAIT_MILLIS);
+    }
+
+    /** A new owner that has restored a job with one long-running task and has read one target. */
+    private static final class RestoredFixture {
+        private final JobScheduler mScheduler =
+                new JobScheduler(
+                        SchedulerFixture.catalog(SchedulerFixture.ACCOUNT),
+                        2,
+                        0,
+                        EARLIER_OWNER_MILLIS);
+
+        RestoredFixture() {
+            mScheduler.setOwnership(true, Long.MAX_VALUE);
+            mScheduler.restore(job("restored", "", longRunning(1, 3_000, 1)), JobProgress.NONE, 0);
+            addTarget(entry("read", 1, "host-read"));
+        }
+
+        void addTarget(TargetEntry entry) {
+            mScheduler.restoreTarget(entry, 0);
+            TargetState target = mScheduler.onTargetListed(entry, 0);
+            target.setRecorded(true);
+            target.setReachable(true);
+            TargetReport report =
+                    new TargetReport(entry.startedEpochMillis(), List.of(), List.of(), true);
+            mScheduler.onReport(target, report, 0, 0, 0);
+        }
+
+        long millisUntilStart() {
+            for (long now = 0; now < 10 * LONGEST_WAIT_MILLIS; now += PASS_INTERVAL_MILLIS) {
+                mScheduler.expireLeases(now);
+                if (!mScheduler.decide(now, now).isEmpty()) {
+                    return now;
+                }
+            }
+            return Long.MAX_VALUE;
+        }
+    }
+
+    private static TargetEntry entry(String id, long startedMillis, String hostId) {
+        return new TargetEntry(
+                id,
+                startedMillis,
+                hostId,
+                "service",
+                "address-" + id,
+                "zone",
+                "rack",
+                Set.of(),
+                new ResourceAmounts(8_000, 10_000, 0),
+                false);
+    }
+
     private void addLoanedTarget() {
         mFixture.addTarget("loaned", 8_000).setLoaned(true);
     }
