Show that restored tasks wait for a target whose host runs a later one

A target is one life of its host, so a later target on the same host proves that the earlier one has ended. TargetTable.addOrUpdate compares ids only, and a host that returns from maintenance or from a move has a target with another id: an owner that has only the record of the earlier one waits for all leases.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -122,6 +122,15 @@
         assertThat(restored.millisUntilStart()).isLessThanOrEqualTo(LONGEST_WAIT_MILLIS);
     }
 
+    /** Guards against restored tasks that wait for a target whose host runs a later one. */
+    @Example
+    void aRestoredTaskStartsOnceTheHostOfAnUnreadTargetRunsALaterOne() {
+        RestoredFixture restored = new RestoredFixture();
+        restored.mScheduler.restoreTarget(entry("unread", 1, "host"), 0);
+        restored.addTarget(entry("later", 2, "host"));
+        assertThat(restored.millisUntilStart()).isLessThanOrEqualTo(LONGEST_WAIT_MILLIS);
+    }
+
     /** A new owner that has restored a job with one long-running task and has read one target. */
     private static final class RestoredFixture {
         private final JobScheduler mScheduler =
