Show that a lost order to move a host leaves its target unused

SpareHosts.orderMove cordons the target. Without a response, or with a refusal because of too many calls, the transfer ends after 4 s, but not the cordon. While the pool needs hosts, as it does for the waiting task itself, no other move is ordered.

Fails on: no start after 6,100 ms; the rule allows 6,000 ms.

--- a/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
@@ -84,6 +84,27 @@
         assertStartsInTime("waiting");
     }
 
+    /** Guards against a target that stays unused after the order to move its host was lost. */
+    @Example
+    void aTaskStartsOnATargetWhoseHostWasNotMovedSinceTheOrderGotNoResponse() {
+        mHostWork.load(
+                List.of(
+                        new StoredValue(
+                                StoreLayout.SPARE_HOSTS,
+                                ByteString.copyFromUtf8("host-t1"),
+                                1,
+                                1)));
+        addTargetWithLongRunningTask();
+        addTarget("t1", 32_000);
+        for (int i = 0; i < 60 && mMoves.isEmpty(); i++) {
+            tick();
+        }
+        assertThat(mMoves).containsExactly("host-t1");
+
+        accept("waiting", step(1, 3_000, true));
+        assertStartsInTime("waiting");
+    }
+
     /** Adds a target that lacks the label and the capacity for the tasks of the other jobs. */
     private void addTargetWithLongRunningTask() {
         TargetState target = addTarget("full", 8_000, Set.of());
