Show that a withdrawn wave leaves targets unused

HostWork ticks the runners of the waves that the operator lists; the targets that the runner of a withdrawn wave has cordoned stay so.

Fails on: no start after 6,100 ms; the rule allows 6,000 ms.

--- a/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
@@ -105,6 +105,22 @@
         assertStartsInTime("waiting");
     }
 
+    /** Guards against targets that stay unused after the operator has withdrawn a wave. */
+    @Example
+    void aTaskStartsOnATargetOfAWaveThatWasWithdrawn() {
+        addTargetWithLongRunningTask();
+        TargetState target = addTarget("t1", 32_000);
+        accept("short", step(1, 9_000, false));
+        start();
+        assertThat(target.runs()).hasSize(1);
+        set(WAVE_KEY, new PlatformFormats.OperatorItem.Wave(1, Set.of("host-t1"), 20_000, 1));
+        tick();
+        mOperator.onRemoved(WAVE_KEY);
+
+        accept("waiting", step(1, 3_000, true));
+        assertStartsInTime("waiting");
+    }
+
     /** Adds a target that lacks the label and the capacity for the tasks of the other jobs. */
     private void addTargetWithLongRunningTask() {
         TargetState target = addTarget("full", 8_000, Set.of());
