Take a target as ended once a later one of its host responds

Callers saw: a long-running task waits for up to 8.2 s after a change of the owner. Cause: a recorded target that maintenance or a move has ended was waited for although the host runs its next target, which the new owner has read. Change: the first response of a target ends the recorded ones of the same host that have not responded; a target is one life of its host, and these were there before the poll was sent. Ruled out: comparing the times at which targets started, since clocks jump. The host list tells the same and more, but the host service may be away.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -272,6 +272,7 @@
             return ReportEffects.ignored(report);
         }
         target.recordReport(mTargets.isOwnerCertain());
+        mTargets.onResponse(target, nowMillis);
         return mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -138,6 +138,24 @@
         mTargets.remove(target.entry().id(), target);
     }
 
+    /**
+     * Records that a target has responded. A target is one life of its host, so the recorded ones
+     * of the same host that have not responded have ended.
+     */
+    void onResponse(TargetState target, long nowMillis) {
+        if (target.hasReported()) {
+            return;
+        }
+        for (TargetState other : all()) {
+            boolean sameHost =
+                    !other.entry().hostId().isEmpty()
+                            && other.entry().hostId().equals(target.entry().hostId());
+            if (other != target && sameHost && other.isRecorded() && other.mayHaveUnknownRuns()) {
+                endIncarnation(other, nowMillis);
+            }
+        }
+    }
+
     private void endRuns(TargetState target, long nowMillis) {
         if (target.mayHaveUnknownRuns()) {
             mUnreadEndMillis.merge(target.entry().service(), nowMillis, Math::max);
