Stop a task for maintenance only if another target has room for it

Callers saw: a long-running task is stopped for the maintenance of its host and does not run again though there is room. Cause: InterruptionRules.relocateOne stopped one of two tasks of a step on a cordoned target and did not look for room elsewhere. The only room was then on the cordoned target, and the budget that the stop had used up blocked the maintenance. Change: it asks whether a usable target other than this one has room. Ruled out: leaving the budget out of account while a task is being moved.

--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -206,7 +206,7 @@
         if (blockingStep.isPresent()) {
             mScheduler
                     .interruptions()
-                    .relocateOne(target)
+                    .relocateOne(target, nowMillis)
                     .ifPresent(
                             run ->
                                     Logger.info(
--- a/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/InterruptionRules.java
@@ -13,9 +13,16 @@
  */
 public final class InterruptionRules {
     private final JobTable mJobs;
+    private final RoomElsewhere mRoomElsewhere;
 
-    InterruptionRules(JobTable jobs) {
+    /** Tells whether a task of a step would find room on another target than the given one. */
+    interface RoomElsewhere {
+        boolean exists(StepState step, TargetState target, long nowMillis);
+    }
+
+    InterruptionRules(JobTable jobs, RoomElsewhere roomElsewhere) {
         mJobs = jobs;
+        mRoomElsewhere = roomElsewhere;
     }
 
     /** Returns whether planned work may end all runs on a target now. */
@@ -54,10 +61,10 @@
 
     /**
      * Requests the stop of one long-running task that shares the target with another task of its
-     * step, if the budget of the step allows it now. Once it has restarted on another target, the
-     * budget may allow the end of the remaining tasks together.
+     * step, if the budget of the step allows it now and another target has room for it. Once it has
+     * restarted there, the budget may allow the end of the remaining tasks together.
      */
-    public Optional<Run> relocateOne(TargetState target) {
+    public Optional<Run> relocateOne(TargetState target, long nowMillis) {
         Set<StepState> seen = new HashSet<>();
         for (Run run : target.runs()) {
             StepState step = mJobs.step(run.task());
@@ -67,7 +74,8 @@
             boolean shared = !seen.add(step);
             if (shared
                     && run.isAvailable()
-                    && step.countUnavailable() < step.spec().maxUnavailable()) {
+                    && step.countUnavailable() < step.spec().maxUnavailable()
+                    && mRoomElsewhere.exists(step, target, nowMillis)) {
                 run.requestStop();
                 return Optional.of(run);
             }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -32,7 +32,8 @@
     private static final int LEAST_URGENT_PRIORITY = Integer.MAX_VALUE;
 
     private final JobTable mJobs = new JobTable();
-    private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
+    private final InterruptionRules mInterruptions =
+            new InterruptionRules(mJobs, this::hasRoomElsewhere);
     private final AccountUsage mUsage = new AccountUsage();
     private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
     private final TargetTable mTargets;
@@ -359,6 +360,13 @@
 
     private boolean needsTicket(JobEntry job) {
         return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
+    /** Returns whether a task of a step would find room on another target than the given one. */
+    private boolean hasRoomElsewhere(StepState step, TargetState target, long nowMillis) {
+        return serviceOf(step.job()).stream()
+                .flatMap(service -> mTargets.usable(service, nowMillis).stream())
+                .anyMatch(other -> other != target && Placer.isFeasible(step, other));
+    }
+
     }
 
     private Optional<String> serviceOf(JobEntry job) {
--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerTest.java
@@ -342,8 +342,13 @@
 
         TargetState t2 = mFixture.addTarget("t2", 8_000);
         t1.setCordoned(true);
-        Run moved = mFixture.mScheduler.interruptions().relocateOne(t1).orElseThrow();
-        assertThat(mFixture.mScheduler.interruptions().relocateOne(t1)).isEmpty();
+        Run moved =
+                mFixture.mScheduler
+                        .interruptions()
+                        .relocateOne(t1, mFixture.mNowMillis)
+                        .orElseThrow();
+        assertThat(mFixture.mScheduler.interruptions().relocateOne(t1, mFixture.mNowMillis))
+                .isEmpty();
         assertThat(mFixture.stops()).containsExactly(moved);
         mFixture.end(moved, EndKind.STOPPED);
         List<Run> again = mFixture.starts();
--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -106,7 +106,7 @@
         assertThat(mFixture.mScheduler.interruptions().mayInterrupt(target)).isFalse();
         mFixture.mScheduler
                 .interruptions()
-                .relocateOne(target)
+                .relocateOne(target, mFixture.mNowMillis)
                 .ifPresent(
                         run -> {
                             mFixture.end(run, EndKind.STOPPED);
