Use a target again after the order to move its host was lost

Callers saw: a long-running task does not run though a host on loan has room. Cause: SpareHosts cordoned the target of a host when it ordered its move. Without a response, or after a refusal because of too many calls, the transfer ended after 4 s, but not the cordon. Change: the end of a transfer lets tasks start on the target that is still there. A target whose move is ordered counts as interrupted, as one in maintenance does. Ruled out: repeating the order, since the reason for it may be gone.

--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -99,6 +99,15 @@
         boolean overdue = nowMillis - transfer.orderedMillis() >= ARRIVAL_TIMEOUT_MILLIS;
         if (arrived || overdue) {
             mTransfers.remove(host);
+            setInUse(target, true);
+        }
+    }
+
+    /** Lets tasks start on a target, or none any more since the move of its host is ordered. */
+    private static void setInUse(TargetState target, boolean inUse) {
+        if (target != null) {
+            target.setCordoned(!inUse);
+            target.setInterrupted(!inUse);
         }
     }
 
@@ -151,9 +160,7 @@
 
     private void orderMove(LoanPolicy.Move move, long nowMillis) {
         TargetState target = targetOn(move.hostId());
-        if (target != null) {
-            target.setCordoned(true);
-        }
+        setInUse(target, false);
         mTransfers.put(move.hostId(), new Transfer(move.toPool(), nowMillis));
         mIdleSinceMillis.remove(move.hostId());
         mContext.hosts()
@@ -206,9 +213,7 @@
         mListedMillis = Long.MIN_VALUE / 2;
         if (failure == null && outcome != HostClient.HostOrderOutcome.UNKNOWN) {
             mTransfers.remove(move.hostId());
-            if (target != null) {
-                target.setCordoned(false);
-            }
+            setInUse(target, true);
         }
     }
 
