Use the targets of a withdrawn wave again

Callers saw: a long-running task does not run though a host has room whose maintenance the operator has withdrawn. Cause: HostWork ticked the runners of listed waves only, so the cordons of a withdrawn one stayed. Change: a runner whose wave is not listed any more ends its cordons; orders that were sent are not taken back. Ruled out: reporting the wave as completed, since maintenance has not begun on all hosts.

--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -48,6 +48,7 @@
     }
 
     private void tickWaves(long now) {
+        withdrawWaves();
         for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
             MaintenanceRunner runner =
                     mWaves.computeIfAbsent(
@@ -64,6 +65,18 @@
         }
     }
 
+    /** Lets tasks start on the hosts of waves that the operator has removed. */
+    private void withdrawWaves() {
+        Set<Long> numbers = new HashSet<>();
+        mOperator.waves().forEach(wave -> numbers.add(wave.number()));
+        for (Map.Entry<Long, MaintenanceRunner> wave : Map.copyOf(mWaves).entrySet()) {
+            if (!numbers.contains(wave.getKey())) {
+                wave.getValue().withdraw();
+                mWaves.remove(wave.getKey());
+            }
+        }
+    }
+
     private void tickSpareHosts(long now) {
         if (mSpareHosts == null) {
             mSpareHosts =
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -131,6 +131,15 @@
         }
     }
 
+    /** Ends the preparation of hosts whose maintenance has not been ordered. */
+    void withdraw() {
+        for (String host : Set.copyOf(mRemainingHosts)) {
+            if (!mOrderedHosts.contains(host)) {
+                drop(host);
+            }
+        }
+    }
+
     private boolean isBack(String host, Down down) {
         TargetState target = targetOn(host);
         return target != null
