Bound the time for which a long-running task avoids targets with room

Callers saw: a long-running task does not run though there is room (LOST). Change: hosts on loan are left out only if another target can take the task once its short runs have ended. A long-running task that has fitted nowhere for 2 s starts wherever it would run: on hosts on loan, in held-back capacity, then on targets with failed runs, last on hosts that drain for maintenance that is not ordered yet (Candidates, Placer.chooseAnywhere). Short tasks are placed as before. Ruled out: no preference at all, which keeps hosts on loan from being returned and interrupts tasks soon after their start; a bound on the hold itself, by which small tasks would keep large long-running ones from ever starting.

--- a/core/src/main/java/org/marigoldturn/scheduling/AdvicePlanner.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdvicePlanner.java
@@ -114,15 +114,8 @@
                         settings));
     }
 
-    /** Returns the targets with a valid ticket for a step. */
-    static List<TargetState> allowed(StepState step, List<TargetState> targets, long nowMillis) {
-        return targets.stream()
-                .filter(target -> !step.advice().ticket(target, nowMillis).isEmpty())
-                .toList();
-    }
-
     private static boolean canStartNow(StepState step, TargetState target, long nowMillis) {
-        return !step.advice().ticket(target, nowMillis).isEmpty()
+        return step.advice().hasTicket(target, nowMillis)
                 && step.spec().reservedResources().fitsInto(target.free());
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -272,8 +272,8 @@
         if (!mTargets.contains(target)) {
             return ReportEffects.ignored(report);
         }
-        target.recordReport(mTargets.isOwnerCertain());
         mTargets.onResponse(target, nowMillis);
+        target.recordReport(mTargets.isOwnerCertain());
         return mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
     }
 
@@ -310,7 +310,7 @@
     /** Returns all orders that are due: first stops, then starts in scheduling order. */
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
-        Map<String, List<TargetState>> targets = new HashMap<>();
+        Map<String, Candidates> targets = new HashMap<>();
         RestoredJobsCheck restored =
                 new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
@@ -322,12 +322,14 @@
             if (service.isEmpty() || job.isRestored() && !restored.mayStart(service.get())) {
                 continue;
             }
-            List<TargetState> candidates =
-                    targets.computeIfAbsent(service.get(), s -> mTargets.usable(s, nowMillis));
+            Candidates candidates =
+                    targets.computeIfAbsent(service.get(), s -> mTargets.candidates(s, nowMillis));
             boolean advised = needsTicket(job);
             for (StepState step : job.startableSteps(dueEpochMillis)) {
-                List<TargetState> allowed =
-                        advised ? AdvicePlanner.allowed(step, candidates, nowMillis) : candidates;
+                Candidates allowed =
+                        advised
+                                ? candidates.filter(t -> step.advice().hasTicket(t, nowMillis))
+                                : candidates;
                 // The limit may have been unknown or higher when a task failed last.
                 if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), epochMillis)) {
                     break;
@@ -358,8 +360,6 @@
         mAdvice.record(request, tickets, sentMillis);
     }
 
-    private boolean needsTicket(JobEntry job) {
-        return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
     /** Returns whether a task of a step would find room on another target than the given one. */
     private boolean hasRoomElsewhere(StepState step, TargetState target, long nowMillis) {
         return serviceOf(step.job()).stream()
@@ -367,6 +367,8 @@
                 .anyMatch(other -> other != target && Placer.isFeasible(step, other));
     }
 
+    private boolean needsTicket(JobEntry job) {
+        return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
     }
 
     private Optional<String> serviceOf(JobEntry job) {
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -1,11 +1,13 @@
 package org.marigoldturn.scheduling;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
@@ -39,14 +41,47 @@
         return best(step, preferTargetsNotOnLoan(step, candidates), Map.of(), "");
     }
 
-    /** Keeps long-running tasks off hosts on loan, unless no other target is eligible. */
+    /**
+     * Chooses a target for one task of a long-running step wherever it would run, or null if it
+     * fits nowhere. Hosts on loan and capacity that is held back for other tasks come first, then
+     * targets that are avoided; among these, the ones that are about to be interrupted come last.
+     */
+    TargetState chooseAnywhere(StepState step, Candidates candidates) {
+        List<List<TargetState>> inOrder =
+                List.of(
+                        candidates.usable(),
+                        candidates.avoided().stream().filter(t -> !t.isCordoned()).toList(),
+                        candidates.avoided());
+        for (List<TargetState> targets : inOrder) {
+            Optional<TargetState> best =
+                    targets.stream()
+                            .filter(target -> isFeasible(step, target, target.free(), 0))
+                            .max(Comparator.comparingLong(target -> score(step, target)));
+            if (best.isPresent()) {
+                return best.get();
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Keeps long-running tasks off hosts on loan, unless there is no other target into which one
+     * fits once the short runs there have ended.
+     */
     private static List<TargetState> preferTargetsNotOnLoan(
             StepState step, List<TargetState> candidates) {
         if (!step.spec().traits().longRunning()) {
             return candidates;
         }
         List<TargetState> notLoaned = candidates.stream().filter(t -> !t.isLoaned()).toList();
-        return notLoaned.stream().anyMatch(t -> isEligible(step, t)) ? notLoaned : candidates;
+        boolean fits =
+                notLoaned.stream().anyMatch(t -> isFeasible(step, t, t.freeAfterShortRuns(), 0));
+        return fits ? notLoaned : candidates;
+    }
+
+    /** Returns whether one task of a step could start on a target now. */
+    static boolean isFeasible(StepState step, TargetState target) {
+        return isFeasible(step, target, target.freeExceptHeldBack(), 0);
     }
 
     /**
@@ -121,7 +156,7 @@
         for (TargetState target : candidates) {
             int planned = plannedCounts.getOrDefault(target, 0);
             boolean rackFits = rack.isEmpty() || rack.equals(target.entry().rack());
-            if (!rackFits || !isFeasible(step, target, planned)) {
+            if (!rackFits || !isFeasible(step, target, target.freeExceptHeldBack(), planned)) {
                 continue;
             }
             long score = score(step, target);
@@ -133,9 +168,10 @@
         return best;
     }
 
-    private boolean isFeasible(StepState step, TargetState target, int planned) {
+    private static boolean isFeasible(
+            StepState step, TargetState target, ResourceAmounts free, int planned) {
         ResourceAmounts reservedResources = step.spec().reservedResources();
-        return reservedResources.times(planned + 1L).fitsInto(target.freeExceptHeldBack())
+        return reservedResources.times(planned + 1L).fitsInto(free)
                 && hasLabel(step, target)
                 && isWithinMaxPerTarget(step, target, planned);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/StepAdvice.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepAdvice.java
@@ -33,6 +33,11 @@
         return valid ? ticket.text() : "";
     }
 
+    /** Returns whether there is a ticket for a target that is valid long enough. */
+    boolean hasTicket(TargetState target, long nowMillis) {
+        return !ticket(target, nowMillis).isEmpty();
+    }
+
     /** Returns whether the policy service must be asked before the target can run the step. */
     boolean mustAsk(TargetState target, long nowMillis) {
         return !mForbidden.containsKey(target) && ticket(target, nowMillis).isEmpty();
--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -14,6 +14,7 @@
     private final List<TaskState> mTasks = new ArrayList<>();
     private final StepAdvice mAdvice = new StepAdvice();
     private int mDoneTasks;
+    private long mUnplacedSinceMillis = Long.MAX_VALUE;
 
     StepState(JobEntry job, int occurrence, int number) {
         mJob = job;
@@ -82,6 +83,17 @@
         return mTasks.stream().allMatch(TaskState::isWaiting);
     }
 
+    /** Returns since when a waiting task has fitted into no usable target; now if it did before. */
+    long unplacedSinceMillis(long nowMillis) {
+        mUnplacedSinceMillis = Math.min(mUnplacedSinceMillis, nowMillis);
+        return mUnplacedSinceMillis;
+    }
+
+    /** Records that each waiting task was given a target. */
+    void onAllPlaced() {
+        mUnplacedSinceMillis = Long.MAX_VALUE;
+    }
+
     /** Counts the tasks that have no available run now. */
     int countUnavailable() {
         int unavailable = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -51,6 +51,7 @@
     private boolean mLoaned;
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
+    private long mAvoidedUntilMillis;
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
     private int mConsecutiveFailures;
     private long mLastProcessedEnd;
@@ -156,6 +157,10 @@
         mLoaned = loaned;
     }
 
+    boolean isCordoned() {
+        return mCordoned;
+    }
+
     boolean isLoaned() {
         return mLoaned;
     }
@@ -254,17 +259,23 @@
         return mEntry.capacity().minus(mUsedByLongRunning);
     }
 
-    boolean accepts(Set<String> closedZones, long nowMillis) {
+    /** Returns whether a task that started there now would run. */
+    boolean canRun(Set<String> closedZones, long nowMillis) {
         return mListed
                 && mRecorded
                 && mReported
                 && mReachable
-                && !mCordoned
+                && !mInterrupted
                 && !mEntry.draining()
                 && nowMillis >= mPausedUntilMillis
                 && !closedZones.contains(mEntry.zone());
     }
 
+    /** Returns whether tasks start elsewhere if they can, although they would run there. */
+    boolean isAvoided(long nowMillis) {
+        return mCordoned || nowMillis < mAvoidedUntilMillis;
+    }
+
     void pause(long untilMillis) {
         mPausedUntilMillis = Math.max(mPausedUntilMillis, untilMillis);
     }
@@ -314,8 +325,8 @@
     }
 
     /**
-     * Updates the count of consecutive failures after the end of a run, and pauses the target after
-     * several failures of several jobs.
+     * Updates the count of consecutive failures after the end of a run; after several failures of
+     * several jobs, tasks avoid the target for some time.
      */
     void onEnd(EndKind kind, String jobId, long nowMillis) {
         if (kind == EndKind.DONE) {
@@ -331,7 +342,7 @@
         mFailedJobs.add(jobId);
         if (mConsecutiveFailures >= FAILURES_BEFORE_PAUSE
                 && mFailedJobs.size() >= JOBS_BEFORE_PAUSE) {
-            pause(nowMillis + mPauseMillis);
+            mAvoidedUntilMillis = nowMillis + mPauseMillis;
             mPauseMillis = Math.min(2 * mPauseMillis, LONGEST_PAUSE_MILLIS);
             mConsecutiveFailures = FAILURES_BEFORE_PAUSE - 1;
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -257,14 +257,25 @@
 
     /** Returns the targets of a service on which new tasks may start. */
     List<TargetState> usable(String service, long nowMillis) {
+        return candidates(service, nowMillis).usable();
+    }
+
+    /** Returns the targets of a service on which new tasks may start, or could if need be. */
+    Candidates candidates(String service, long nowMillis) {
         List<TargetState> usable = new ArrayList<>();
+        List<TargetState> avoided = new ArrayList<>();
         for (TargetState target : mTargets.values()) {
-            if (target.entry().service().equals(service)
-                    && (mOwnerCertain || target.hasReportedToCertainOwner())
-                    && target.accepts(mClosedZones, nowMillis)) {
+            if (!target.entry().service().equals(service)
+                    || !mOwnerCertain && !target.hasReportedToCertainOwner()
+                    || !target.canRun(mClosedZones, nowMillis)) {
+                continue;
+            }
+            if (target.isAvoided(nowMillis)) {
+                avoided.add(target);
+            } else {
                 usable.add(target);
             }
         }
-        return usable;
+        return new Candidates(usable, avoided);
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -17,6 +17,12 @@
     /** Run numbers per term; assumes that no task starts more often under one owner. */
     private static final long RUNS_PER_TERM = 65_536;
 
+    /**
+     * A long-running task keeps off hosts on loan, capacity held back for others and avoided
+     * targets for at most this time, since it serves users only while it runs.
+     */
+    private static final long LONGEST_AVOIDANCE_MILLIS = 2_000;
+
     /** Age of a job from which capacity is held back, so that smaller tasks cannot starve it. */
     private static final long HOLD_BACK_AFTER_MILLIS = 500;
 
@@ -44,13 +50,13 @@
     }
 
     /** Decides on the waiting tasks of a step and returns the orders that start them. */
-    List<Order> start(StepState step, List<TargetState> candidates, long nowMillis) {
+    List<Order> start(StepState step, Candidates candidates, long nowMillis) {
         List<TaskState> waiting = step.waitingTasks();
         if (waiting.isEmpty() || !isWithinLimit(step)) {
             return List.of();
         }
         return step.spec().traits().gang()
-                ? startGang(step, candidates, nowMillis)
+                ? startGang(step, candidates.usable(), nowMillis)
                 : startTasks(step, waiting, candidates, nowMillis);
     }
 
@@ -60,24 +66,36 @@
     }
 
     private List<Order> startTasks(
-            StepState step, List<TaskState> waiting, List<TargetState> candidates, long nowMillis) {
+            StepState step, List<TaskState> waiting, Candidates candidates, long nowMillis) {
         List<Order> orders = new ArrayList<>();
         for (TaskState task : waiting) {
             if (!isWithinLimit(step)) {
                 return orders;
             }
-            TargetState target = mPlacer.choose(step, candidates);
+            TargetState target = choose(step, candidates, nowMillis);
             if (target == null) {
                 if (mayHoldBackCapacity(step, nowMillis)) {
-                    mPlacer.holdBack(step, candidates, nowMillis);
+                    mPlacer.holdBack(step, candidates.usable(), nowMillis);
                 }
                 return orders;
             }
             orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
         }
+        step.onAllPlaced();
         return orders;
     }
 
+    private TargetState choose(StepState step, Candidates candidates, long nowMillis) {
+        TargetState target = mPlacer.choose(step, candidates.usable());
+        if (target != null || !step.spec().traits().longRunning()) {
+            return target;
+        }
+        long unplacedMillis = nowMillis - step.unplacedSinceMillis(nowMillis);
+        return unplacedMillis >= LONGEST_AVOIDANCE_MILLIS
+                ? mPlacer.chooseAnywhere(step, candidates)
+                : null;
+    }
+
     private List<Order> startGang(StepState step, List<TargetState> candidates, long nowMillis) {
         List<TargetState> chosen =
                 step.isGangIdle() ? mPlacer.chooseForGang(step, candidates) : List.of();
--- a/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
@@ -157,7 +157,7 @@
                         mClocks,
                         new JobLimits(6_000, 1_000),
                         new MetricRegistry(),
-                        OwnershipLease.GRACE_MILLIS,
+                        new TakeoverTimes(0, 0, OwnershipLease.GRACE_MILLIS),
                         new OwnershipLease(),
                         0,
                         () -> {},
@@ -192,7 +192,7 @@
                         labels,
                         new ResourceAmounts(millicores, 8_000, 0),
                         false);
-        mHosts.add(new HostStatus("host-" + id, "service", true, false, "z", id));
+        mHosts.add(new HostStatus("host-" + id, "service", HostState.UP, "z", id));
         TargetState target = mScheduler.onTargetListed(entry, mNowMillis);
         target.setRecorded(true);
         target.setReachable(true);
--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -142,6 +142,7 @@
 
         RestoredFixture() {
             mScheduler.setOwnership(true, Long.MAX_VALUE);
+            mScheduler.setTargetRecordsComplete(true);
             mScheduler.restore(job("restored", "", longRunning(1, 3_000, 1)), JobProgress.NONE, 0);
             addTarget(entry("read", 1, "host-read"));
         }
