Show that failures at one time pause the only target with room for 16 s

From the fourth consecutive failed run on, TargetState.onEnd doubles the pause with each end, also if the runs fail together: the seventh of them pauses the target for 16 s. The pause applies to long-running tasks without regard to room elsewhere, and lasts long after what made the runs fail is over.

Fails on: nine runs of nine jobs fail together, no start after 6,100 ms; the rule allows 6,000 ms.

--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -90,6 +90,22 @@
         assertStartsInTime(jobId);
     }
 
+    /** Guards against the only target with room that stays paused long after its last failure. */
+    @Example
+    void aTaskStartsSoonAfterShortTasksHaveFailedOnTheOnlyTargetWithRoom() {
+        mFixture.addTarget("t", 16_000);
+        accept(job("waiting", "", longRunning(1, 3_000, 1)));
+        for (int i = 0; i < 8; i++) {
+            accept(job("failing" + i, "", step(1, 1_000)));
+        }
+        List<Run> runs = mFixture.starts();
+        assertThat(runs).hasSize(9);
+        mFixture.started(runs);
+        runs.forEach(run -> mFixture.end(run, EndKind.FAILED));
+
+        assertStartsInTime("waiting");
+    }
+
     /** Guards against a task that is stopped for maintenance and then has no place to run. */
     @Example
     void aTaskThatIsStoppedForMaintenanceStartsAgain() {
