Resolve a start without a response by the end of its order

Cause: the run counted as possible until a stop was answered or the target's lease ended. Polls that are answered renew the lease, so without answers to stops nothing ended that state. Change: a start carries the end of a lease; a target rejects the order from then on. Once the target's clock has passed it, a complete report to a later poll that lacks the run shows that it does not exist. Meanwhile polls of the target return after 200 ms. Ruled out: ending the lease of a target that answers no stops, which kills its sound runs; shorter leases in start orders, which lapse if the next poll is lost.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -68,6 +68,7 @@
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
         if (known != StartOutcome.ACCEPTED) {
             mRunLog.logStartResponse(run, known, mContext.clocks().now());
+        run.onOrderSent(lease);
         }
         if (known == StartOutcome.FENCED) {
             mListener.onFenced(run.target());
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -20,6 +20,9 @@
     /** A poll returns after this time if no run ends; two polls fit into the preferred lease. */
     private static final long POLL_WAIT_MILLIS = 1_500;
 
+    /** Wait of a poll that is to tell whether a start without a response was carried out. */
+    private static final long UNCERTAIN_POLL_WAIT_MILLIS = 200;
+
     private static final long RETRY_MILLIS = 200;
 
     /**
@@ -140,8 +143,7 @@
         // An unresponsive target's lease is not renewed, so that its tasks can run elsewhere.
         boolean renews = mTarget.isReachable() && mMayRenew.getAsBoolean();
         long lease = renews ? grantLease(now) : 0;
-        // The first poll must not wait, since it reads the target's clock and runs.
-        long wait = mTarget.hasReported() && mTarget.isReachable() ? POLL_WAIT_MILLIS : 0;
+        long wait = pollWaitMillis();
         if (mRecordedEnd > mConfirmedEnd) {
             mConfirmedEnd = mRecordedEnd;
             mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
@@ -168,6 +170,14 @@
     }
 
     private void onFirstPollEnded() {
+    private long pollWaitMillis() {
+        if (!mTarget.hasReported() || !mTarget.isReachable()) {
+            // The first poll must not wait, since it reads the target's clock and runs.
+            return 0;
+        }
+        return mTarget.hasUncertainRun() ? UNCERTAIN_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
+    }
+
         Runnable onFirstPoll = mOnFirstPoll;
         mOnFirstPoll = () -> {};
         onFirstPoll.run();
@@ -214,6 +224,7 @@
         mClockReadMillis = mClocks.now();
         mClockKnown = true;
         mTarget.setReachable(true);
+        mTarget.onClock(mTargetClockMillis, mClockReadMillis);
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -15,8 +15,9 @@
         /** The start order was issued; no response is known yet. */
         STARTING,
         /**
-         * The target has listed or accepted the run, or has confirmed a stop order and refuses to
-         * start it from now on; later reports decide whether the run exists.
+         * The target has listed or accepted the run, or refuses to start it from now on, after a
+         * stop order or since the start order is out of date; later reports decide whether the run
+         * exists.
          */
         RUNNING,
         /** The start order got no response; the run may exist now or later. */
@@ -36,6 +37,7 @@
     private long mStopSentMillis;
     private long mConfirmedMillis;
     private int mPercent;
+    private long mOrderEndTargetMillis = Long.MAX_VALUE;
 
     Run(
             TaskId task,
@@ -138,6 +140,34 @@
         }
     }
 
+    /**
+     * Records that the start order is sent.
+     *
+     * @param leaseEndTargetMillis time of the target's clock from which on the target rejects the
+     *     order, the end of the lease sent with it; 0 if there is none
+     */
+    public void onOrderSent(long leaseEndTargetMillis) {
+        if (leaseEndTargetMillis > 0) {
+            mOrderEndTargetMillis = leaseEndTargetMillis;
+        }
+    }
+
+    /** Returns whether it is not known if the start order has been or will be carried out. */
+    boolean isUncertain() {
+        return mPhase == Phase.UNCERTAIN;
+    }
+
+    /**
+     * Records a time that the target's clock has passed. From the end of the lease sent with it,
+     * the target rejects the start order; later reports decide whether the run exists.
+     */
+    void onTargetClock(long targetMillis, long nowMillis) {
+        if (mPhase == Phase.UNCERTAIN && targetMillis > mOrderEndTargetMillis) {
+            mPhase = Phase.RUNNING;
+            mConfirmedMillis = nowMillis;
+        }
+    }
+
     void onUncertain() {
         if (mPhase == Phase.STARTING) {
             mPhase = Phase.UNCERTAIN;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -127,6 +127,19 @@
         return all;
     }
 
+    /** Returns whether it is not known of a run if it has started or will start there. */
+    public boolean hasUncertainRun() {
+        return mRuns.values().stream().flatMap(List::stream).anyMatch(Run::isUncertain);
+    }
+
+    /**
+     * Records a time that its clock has passed; start orders without a response whose lease ended
+     * before cannot be carried out any more.
+     */
+    public void onClock(long targetMillis, long nowMillis) {
+        forEachRun(run -> run.onTargetClock(targetMillis, nowMillis));
+    }
+
     /** Passes all runs that may exist there; the action must not add or remove runs. */
     void forEachRun(Consumer<Run> action) {
         for (List<Run> runs : mRuns.values()) {
