Play owners that wait for recorded targets only

Cause: the simulated owners did not tell their scheduler that the records are complete, so no history showed the new rule. Change: histories in which owners restore recorded targets wait for these only; a new property also replaces living owners.

--- a/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/JobSchedulerProperties.java
@@ -33,6 +33,19 @@
         simulate(seed, Set.of(ScheduleTrouble.LIST_LOSES_TARGETS));
     }
 
+    /**
+     * Guards against an owner that was replaced without knowing it and takes a target that it has
+     * not read as ended, although the newer owner has recorded the ends of its runs.
+     */
+    @Property(tries = 500, seed = "20261210")
+    void noRuleIsBrokenWhileTheListLosesTargetsAndLivingOwnersAreReplaced(@ForAll long seed) {
+        simulate(
+                seed,
+                Set.of(
+                        ScheduleTrouble.LIST_LOSES_TARGETS,
+                        ScheduleTrouble.LIVING_OWNERS_ARE_REPLACED));
+    }
+
     /** Guards against a job that fails too early because its queue is not configured meanwhile. */
     @Property(tries = 500, seed = "20261207")
     void noRuleIsBrokenWhileTheQueueIsRemovedAndRestored(@ForAll long seed) {
--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleSimulation.java
@@ -130,9 +130,12 @@
 
     /** Returns the recorded targets; none if the list loses no entries. */
     List<TargetEntry> storedTargets() {
-        return mTroubles.contains(ScheduleTrouble.LIST_LOSES_TARGETS)
-                ? List.copyOf(mStoredTargets.values())
-                : List.of();
+        return restoresTargets() ? List.copyOf(mStoredTargets.values()) : List.of();
+    }
+
+    /** Returns whether new owners restore the recorded targets, and wait for no others. */
+    boolean restoresTargets() {
+        return mTroubles.contains(ScheduleTrouble.LIST_LOSES_TARGETS);
     }
 
     /** Records a target, unless a newer owner has been elected. Returns whether it was stored. */
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -59,6 +59,7 @@
                     mSimulation.storedProgress().getOrDefault(job.id(), JobProgress.NONE),
                     mSimulation.nowMillis());
         }
+        mScheduler.setTargetRecordsComplete(mSimulation.restoresTargets());
         for (TargetEntry recorded : mSimulation.storedTargets()) {
             addLink(mScheduler.restoreTarget(recorded, mSimulation.nowMillis()));
         }
