Keep few orders open at a target at a time

Callers saw: starts at a sound target are refused, and after several hosts of owners have lost power no owner can read that target any more. Cause: each open call takes a connection of its own, and a target takes a limited number. A scheduling pass sent up to 20 orders to one target at once. Change: at most two orders are open at a target, stops first (TargetOrders). If a start gets no response, the ones behind it are not sent and their tasks go elsewhere. A first poll that fails is logged (event=unread). Ruled out: closing connections after each call, which costs new ones; more than two, since a response takes a round trip. Result: TargetOrdersTest; the count of connections itself is not shown by any log.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -17,6 +17,8 @@
     private final TargetSessions mSessions;
     private final RunLog mRunLog;
     private final Listener mListener;
+    private final TargetOrders mOrders = new TargetOrders();
+    private boolean mClosed;
 
     /** Is notified of what the targets' responses imply for the owner. */
     interface Listener {
@@ -40,17 +42,33 @@
         mListener = listener;
     }
 
-    void send(Order order, long nowMillis) {
-        if (order instanceof Order.Start start) {
-            send(start, nowMillis);
-        } else if (order instanceof Order.Stop stop) {
-            send(stop, nowMillis);
+    /** Sends an order, once few others are open at its target. */
+    void send(Order order) {
+        mOrders.add(order);
+        sendNext(order.run().target());
+    }
+
+    /** Ends all sending; orders that wait are dropped. */
+    void close() {
+        mClosed = true;
+        mOrders.clear();
+    }
+
+    private void sendNext(TargetState target) {
+        for (Order order : mOrders.takeSendable(target)) {
+            long now = mContext.clocks().now();
+            if (order instanceof Order.Start start) {
+                send(start, now);
+            } else if (order instanceof Order.Stop stop) {
+                send(stop, now);
+            }
         }
     }
 
     private void send(Order.Start start, long now) {
         Run run = start.run();
         long lease = mSessions.grantLease(run.target(), now);
+        run.onOrderSent(lease);
         mRunLog.logStart(
                 start,
                 now - mContext.ownershipLease().confirmedMillis(),
@@ -65,18 +83,32 @@
     }
 
     private void onStartResponse(Run run, StartOutcome outcome, Throwable failure) {
+        if (mClosed) {
+            return;
+        }
+        mOrders.onEnded(run.target());
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
-        if (known != StartOutcome.ACCEPTED) {
-            mRunLog.logStartResponse(run, known, mContext.clocks().now());
-        run.onOrderSent(lease);
+        if (known == StartOutcome.UNKNOWN) {
+            // They would wait for as long as this one did.
+            for (Order.Start waiting : mOrders.takeStarts(run.target())) {
+                apply(waiting.run(), StartOutcome.NOT_SENT);
+            }
         }
-        if (known == StartOutcome.FENCED) {
+        apply(run, known);
+        sendNext(run.target());
+    }
+
+    private void apply(Run run, StartOutcome outcome) {
+        if (outcome != StartOutcome.ACCEPTED) {
+            mRunLog.logStartResponse(run, outcome, mContext.clocks().now());
+        }
+        if (outcome == StartOutcome.FENCED) {
             mListener.onFenced(run.target());
             return;
         }
-        count("runs.started." + known);
-        mScheduler.onStartResponse(run, known, mContext.clocks().now());
-        if (known != StartOutcome.ACCEPTED) {
+        count("runs.started." + outcome);
+        mScheduler.onStartResponse(run, outcome, mContext.clocks().now());
+        if (outcome != StartOutcome.ACCEPTED) {
             mListener.requestScheduling();
         }
     }
@@ -88,13 +120,16 @@
                 .stop(run.target().entry(), run, mContext.term())
                 .whenComplete(
                         (done, failure) ->
-                                mContext.control()
-                                        .execute(
-                                                () ->
-                                                        mScheduler.onStopResponse(
-                                                                run,
-                                                                failure == null,
-                                                                mContext.clocks().now())));
+                                mContext.control().execute(() -> onStopResponse(run, failure)));
+    }
+
+    private void onStopResponse(Run run, Throwable failure) {
+        if (mClosed) {
+            return;
+        }
+        mOrders.onEnded(run.target());
+        mScheduler.onStopResponse(run, failure == null, mContext.clocks().now());
+        sendNext(run.target());
     }
 
     private void count(String name) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -91,6 +91,9 @@
         }
         mCommits.close();
         mSessions.closeAll();
+        if (mOrders != null) {
+            mOrders.close();
+        }
         mRunLog.close(mContext.clocks().now());
     }
 
@@ -379,7 +382,7 @@
             mContext.confirmOwnership().run();
         }
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
-            mOrders.send(order, now);
+            mOrders.send(order);
         }
         mAdvice.run(now);
         mPace.onPass(now, mContext.clocks().now());
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -50,6 +50,7 @@
     private Runnable mOnFirstPoll = () -> {};
     private long mPollCycle;
     private CompletableFuture<Void> mStored = CompletableFuture.completedFuture(null);
+    private boolean mLoggedUnread;
     private boolean mClosed;
 
     /** Is notified of a session's events. */
@@ -169,7 +170,6 @@
                                         }));
     }
 
-    private void onFirstPollEnded() {
     private long pollWaitMillis() {
         if (!mTarget.hasReported() || !mTarget.isReachable()) {
             // The first poll must not wait, since it reads the target's clock and runs.
@@ -178,6 +178,7 @@
         return mTarget.hasUncertainRun() ? UNCERTAIN_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
     }
 
+    private void onFirstPollEnded() {
         Runnable onFirstPoll = mOnFirstPoll;
         mOnFirstPoll = () -> {};
         onFirstPoll.run();
@@ -223,8 +224,8 @@
         mTargetClockMillis = response.targetMillis();
         mClockReadMillis = mClocks.now();
         mClockKnown = true;
-        mTarget.setReachable(true);
         mTarget.onClock(mTargetClockMillis, mClockReadMillis);
+        mTarget.setReachable(true);
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
         }
@@ -280,9 +281,12 @@
             mCallbacks.onFenced(mTarget);
             return;
         }
-        if (mTarget.isReachable()) {
+        boolean firstFailure = !mTarget.hasReported() && !mLoggedUnread;
+        if (mTarget.isReachable() || firstFailure) {
+            mLoggedUnread = true;
             Logger.warn(
-                    "target: event=lost target={} kind={} cause=\"{}\"",
+                    "target: event={} target={} kind={} cause=\"{}\"",
+                    firstFailure ? "unread" : "lost",
                     mTarget.entry().id(),
                     kind,
                     cause);
--- a/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
@@ -17,6 +17,8 @@
     UNHEALTHY(Effect.NOT_RUN, 1_000),
     /** Another incarnation responded at the address. */
     OTHER_INSTANCE(Effect.NOT_RUN, 1_000),
+    /** An earlier order to the target has got no response; this one was not sent. */
+    NOT_SENT(Effect.NOT_RUN, 500),
     /** There was no response; the run may have started or may start later. */
     UNKNOWN(Effect.UNKNOWN, 500);
 
