Log pauses and cordons of targets

Cause: the log did not tell that no task starts on a target because starts are paused or planned work is about to begin. TargetState keeps the cause of its last pause. Ruled out: lines at the places that pause or cordon, since the package scheduling writes no log and two classes cordon.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -51,6 +51,7 @@
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
     private UnreadTargets mUnread;
+    private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -88,7 +89,11 @@
         }
         mCommits.close();
         mSessions.closeAll();
-        mRunLog.close(mContext.clocks().now());
+        long now = mContext.clocks().now();
+        mRunLog.close(now);
+        if (mScheduler != null) {
+            mTargetLog.close(now);
+        }
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -180,6 +185,7 @@
                 doneTasks,
                 records.targets().size());
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
+        mTargetLog = new TargetLog(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
         mTargetList.start(records.targets());
     }
@@ -278,6 +284,7 @@
         }
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
+        mTargetLog.tick(now);
         mTargetList.dropUnused();
         forgetOldJobs();
         logMayActChange();
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -259,7 +259,7 @@
             case UNKNOWN -> run.onUncertain();
         }
         if (outcome.pauseMillis() > 0) {
-            run.target().pause(nowMillis + outcome.pauseMillis());
+            run.target().pause(nowMillis + outcome.pauseMillis(), outcome.name());
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -27,6 +27,9 @@
      */
     private static final int JOBS_BEFORE_PAUSE = 2;
 
+    /** Cause of a pause after failed runs. */
+    private static final String FAILED_RUNS = "FAILED_RUNS";
+
     private static final long FIRST_PAUSE_MILLIS = 2_000;
     private static final long LONGEST_PAUSE_MILLIS = 16_000;
 
@@ -47,6 +50,7 @@
     private boolean mLoaned;
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
+    private String mPauseCause = "";
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
     private int mConsecutiveFailures;
     private long mLastProcessedEnd;
@@ -232,8 +236,31 @@
                 && !closedZones.contains(mEntry.zone());
     }
 
-    void pause(long untilMillis) {
-        mPausedUntilMillis = Math.max(mPausedUntilMillis, untilMillis);
+    /**
+     * Starts no task there until the given monotonic time.
+     *
+     * @param cause word for the log
+     */
+    void pause(long untilMillis, String cause) {
+        if (untilMillis > mPausedUntilMillis) {
+            mPausedUntilMillis = untilMillis;
+            mPauseCause = cause;
+        }
+    }
+
+    /** Returns the monotonic time before which no task starts there. */
+    public long pausedUntilMillis() {
+        return mPausedUntilMillis;
+    }
+
+    /** Returns a word for the cause of the last pause; empty if there was none. */
+    public String pauseCause() {
+        return mPauseCause;
+    }
+
+    /** Returns whether no new task starts there because planned work is about to begin. */
+    public boolean isCordoned() {
+        return mCordoned;
     }
 
     void add(Run run) {
@@ -298,7 +325,7 @@
         mFailedJobs.add(jobId);
         if (mConsecutiveFailures >= FAILURES_BEFORE_PAUSE
                 && mFailedJobs.size() >= JOBS_BEFORE_PAUSE) {
-            pause(nowMillis + mPauseMillis);
+            pause(nowMillis + mPauseMillis, FAILED_RUNS);
             mPauseMillis = Math.min(2 * mPauseMillis, LONGEST_PAUSE_MILLIS);
             mConsecutiveFailures = FAILURES_BEFORE_PAUSE - 1;
         }
