Determine why a long-running task waits

Cause: nothing told why an accepted long-running task does not run although there is room. Change: LongRunningWaits measures since when no run of a task is known to run, for jobs with long-running steps only. WaitDiagnosis returns the reason (WaitReason) and what it refers to, with the checks of a scheduling pass in their order; HeldBackCapacity remembers for which steps the last pass held back capacity. A task that nothing known keeps from starting is reported as startable. Ruled out: recording reasons during a pass, since a pass ends at the first obstacle of a job and is not run at all while the owner may not act.

--- a/core/src/main/java/org/marigoldturn/scheduling/HeldBackCapacity.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/HeldBackCapacity.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.marigoldturn.jobs.ResourceAmounts;
 
@@ -21,6 +22,8 @@
 
     private final Map<TargetState, Long> mSinceMillis = new HashMap<>();
     private final Set<TargetState> mInThisPass = new HashSet<>();
+    private final Map<TargetState, StepState> mHolders = new HashMap<>();
+    private final Map<TargetState, StepState> mLastHolders = new HashMap<>();
 
     /** Returns whether capacity of a target may be held back for one task of a step. */
     boolean isAllowed(StepState step, TargetState target, long nowMillis) {
@@ -34,13 +37,22 @@
     void add(StepState step, TargetState target, long nowMillis) {
         mInThisPass.add(target);
         mSinceMillis.putIfAbsent(target, nowMillis);
+        mHolders.put(target, step);
         target.holdBack(step.spec().reservedResources());
     }
 
+    /** Returns for which step the last pass held back capacity of a target; empty if for none. */
+    Optional<StepState> lastHolder(TargetState target) {
+        return Optional.ofNullable(mLastHolders.get(target));
+    }
+
     /** Ends the pass. */
     void release() {
         mInThisPass.forEach(target -> target.holdBack(ResourceAmounts.NONE));
         mSinceMillis.keySet().retainAll(mInThisPass);
         mInThisPass.clear();
+        mLastHolders.clear();
+        mLastHolders.putAll(mHolders);
+        mHolders.clear();
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -141,9 +141,12 @@
     }
 
     private boolean isStartable(StepState step, long epochMillis) {
-        return step.hasWaitingTask()
-                && mJob.spec().dueEpochMillis(step.occurrence()) <= epochMillis
-                && isReady(step);
+        return step.hasWaitingTask() && isDueAndReady(step, epochMillis);
+    }
+
+    /** Returns whether the due time of a step has come and its earlier steps are all done. */
+    boolean isDueAndReady(StepState step, long epochMillis) {
+        return mJob.spec().dueEpochMillis(step.occurrence()) <= epochMillis && isReady(step);
     }
 
     private boolean isReady(StepState step) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -39,6 +39,7 @@
     private final ServiceLoads mLoads;
     private final AdvicePlanner mAdvice;
     private final TaskStarter mStarter;
+    private final LongRunningWaits mWaits;
     private QueueCatalog mCatalog;
     private long mRestoredHeldUntilMillis = Long.MIN_VALUE;
 
@@ -55,6 +56,15 @@
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
+        mWaits =
+                new LongRunningWaits(
+                        mJobs,
+                        new WaitDiagnosis(
+                                mTargets,
+                                mUsage,
+                                mStarter.heldBack(),
+                                () -> mCatalog,
+                                () -> mRestoredHeldUntilMillis));
     }
 
     /** Restores a job from the records of an earlier owner. */
@@ -145,6 +155,11 @@
         return mInterruptions;
     }
 
+    /** Returns the waits of long-running tasks. */
+    public LongRunningWaits longRunningWaits() {
+        return mWaits;
+    }
+
     /** Decides on a submission; tasks of an accepted job start only after {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
         List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.marigoldturn.jobs.Job;
@@ -83,6 +84,17 @@
         return Collections.unmodifiableCollection(mActive);
     }
 
+    /** Passes the active jobs with long-running steps. */
+    void forEachActiveLongRunning(Consumer<JobEntry> action) {
+        // They come first.
+        for (JobEntry entry : mActive) {
+            if (!entry.job().spec().isLongRunning()) {
+                return;
+            }
+            action.accept(entry);
+        }
+    }
+
     /**
      * Returns the active jobs that match a filter and whose priority is at least as urgent as the
      * given one (0 is the most urgent).
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -59,6 +59,16 @@
                 && step.spec().reservedResources().fitsInto(target.entry().capacity());
     }
 
+    /**
+     * Returns whether one task fits into what is free of a target, including what is held back, and
+     * the rules for the step's label and maximum per target are met.
+     */
+    static boolean hasRoom(StepState step, TargetState target) {
+        return step.spec().reservedResources().fitsInto(target.free())
+                && hasLabel(step, target)
+                && isWithinMaxPerTarget(step, target, 0);
+    }
+
     /**
      * Chooses targets for all members of a gang, or returns an empty list.
      *
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -100,6 +100,14 @@
                 && !mTarget.isInterrupted();
     }
 
+    /**
+     * Returns whether it is known to run: it was listed or accepted, no stop was confirmed since,
+     * and its target responded to the last call.
+     */
+    boolean isKnownToRun() {
+        return mPhase == Phase.RUNNING && !mStopConfirmed && mTarget.isReachable();
+    }
+
     void requestStop() {
         mStopRequested = true;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.marigoldturn.jobs.ResourceAmounts;
@@ -236,6 +237,29 @@
                 && !closedZones.contains(mEntry.zone());
     }
 
+    /** Returns why {@link #accepts} is false; empty if it is true. */
+    Optional<WaitReason> exclusion(Set<String> closedZones, long nowMillis) {
+        WaitReason reason = null;
+        if (!mListed) {
+            reason = WaitReason.UNLISTED;
+        } else if (!mReachable) {
+            reason = WaitReason.UNREACHABLE;
+        } else if (!mReported) {
+            reason = WaitReason.UNREAD;
+        } else if (!mRecorded) {
+            reason = WaitReason.UNRECORDED;
+        } else if (mCordoned) {
+            reason = WaitReason.CORDONED;
+        } else if (mEntry.draining()) {
+            reason = WaitReason.DRAINING;
+        } else if (nowMillis < mPausedUntilMillis) {
+            reason = WaitReason.PAUSED;
+        } else if (closedZones.contains(mEntry.zone())) {
+            reason = WaitReason.CLOSED_ZONE;
+        }
+        return Optional.ofNullable(reason);
+    }
+
     /**
      * Starts no task there until the given monotonic time.
      *
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -182,6 +182,28 @@
         return true;
     }
 
+    /** Returns the targets of a service for which {@link #knowsRuns} does not hold. */
+    List<TargetState> withUnknownRuns(String service, long nowMillis) {
+        return ofService(service).stream().filter(t -> !knowsRuns(t, nowMillis)).toList();
+    }
+
+    /** Returns the targets of a service. */
+    List<TargetState> ofService(String service) {
+        return mTargets.values().stream().filter(t -> t.entry().service().equals(service)).toList();
+    }
+
+    /** Returns why {@link #usable} leaves out a target of the service; empty if it does not. */
+    Optional<WaitReason> exclusion(TargetState target, long nowMillis) {
+        Optional<WaitReason> exclusion = target.exclusion(mClosedZones, nowMillis);
+        boolean unproven = !mOwnerCertain && !target.hasReportedToCertainOwner();
+        return exclusion.isEmpty() && unproven ? Optional.of(WaitReason.OWNERSHIP) : exclusion;
+    }
+
+    /** Returns the latest time at which the store has shown that no other daemon was the owner. */
+    long confirmedMillis() {
+        return mConfirmedMillis;
+    }
+
     /** Counts the targets of a service that have not reported to this owner. */
     int countUnread(String service) {
         int count = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -59,6 +59,10 @@
         mHeldBack.release();
     }
 
+    HeldBackCapacity heldBack() {
+        return mHeldBack;
+    }
+
     private List<Order> startTasks(
             StepState step, List<TaskState> waiting, List<TargetState> candidates, long nowMillis) {
         List<Order> orders = new ArrayList<>();
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -41,6 +41,10 @@
         return !mDone && !mHeld && mRuns.isEmpty();
     }
 
+    boolean isHeld() {
+        return mHeld;
+    }
+
     /** Sets whether the task is held: it does not start again until it is released. */
     void setHeld(boolean held) {
         mHeld = held;
