Log the waits of long-running tasks with their reasons

Cause: from the log of a long-running task that does not run nobody could tell why. Change: WaitLog writes event=waiting with the reason after 2 s, when the reason changes and each 5 s, and event=wait-over once the task runs or its job has ended; at most 20 lines a second, the rest is counted and the tasks take turns. The gauges longrunning.longest_wait_millis and longrunning.waiting tell the longest wait and the number of waits. docs/OPERATIONS.md shows the way from a task to the reason. Ruled out: lines without a budget, and a diagnosis at each tick; it is made once a second.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -51,6 +51,7 @@
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
     private UnreadTargets mUnread;
+    private WaitLog mWaitLog;
     private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
@@ -92,6 +93,7 @@
         long now = mContext.clocks().now();
         mRunLog.close(now);
         if (mScheduler != null) {
+            mWaitLog.close(now);
             mTargetLog.close(now);
         }
     }
@@ -185,6 +187,7 @@
                 doneTasks,
                 records.targets().size());
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
+        mWaitLog = new WaitLog(mContext.term(), mScheduler.longRunningWaits(), mContext.metrics());
         mTargetLog = new TargetLog(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
         mTargetList.start(records.targets());
@@ -284,6 +287,7 @@
         }
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
+        mWaitLog.tick(mayAct(), now, mContext.clocks().epoch());
         mTargetLog.tick(now);
         mTargetList.dropUnused();
         forgetOldJobs();
