Bound the steps whose waits are diagnosed at a time

Cause: in a trial on a scratch test (300 targets, 2,700 waiting steps, busy machine) one diagnosis took 84 to 152 ms, about as long as a scheduling pass. Change: one diagnosis compares at most 100 steps with the targets; further steps take turns. All waits are still measured and counted in the metrics. WaitDiagnosisTest, WaitLogTest and TargetLogTest pass (39 tests).

--- a/core/src/main/java/org/marigoldturn/scheduling/LongRunningWaits.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/LongRunningWaits.java
@@ -6,6 +6,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marigoldturn.jobs.TaskId;
 
 /**
@@ -17,8 +18,12 @@
  * with long-running steps. Confined to the control thread.
  */
 public final class LongRunningWaits {
+    /** Steps that are compared with the targets in one diagnosis; bounds its duration. */
+    static final int MAX_STEPS = 100;
+
     private final JobTable mJobs;
     private final WaitDiagnosis mDiagnosis;
+    private final Map<TaskId, Long> mDiagnosedMillis = new HashMap<>();
     private Map<TaskId, Waiting> mWaiting = Map.of();
     private long mObservedMillis = Long.MIN_VALUE;
 
@@ -90,37 +95,52 @@
     }
 
     /**
-     * Returns the tasks that waited at the last observation for at least the given time, the
-     * longest wait first.
+     * Returns tasks that waited at the last observation for at least the given time, the longest
+     * wait first: all of them, or tasks of {@link #MAX_STEPS} steps that take turns.
      *
      * @param mayAct whether this daemon may start tasks at all
      */
     public List<TaskWait> diagnose(long thresholdMillis, boolean mayAct, long nowMillis) {
+        mDiagnosedMillis.keySet().retainAll(mWaiting.keySet());
+        List<Waiting> candidates = new ArrayList<>();
+        for (Waiting waiting : mWaiting.values()) {
+            if (nowMillis - waiting.sinceMillis() >= thresholdMillis) {
+                candidates.add(waiting);
+            }
+        }
+        candidates.sort(
+                Comparator.<Waiting>comparingLong(
+                                w -> mDiagnosedMillis.getOrDefault(w.task().id(), Long.MIN_VALUE))
+                        .thenComparing(Waiting::sinceMillis));
         List<TaskWait> waits = new ArrayList<>();
         Map<StepState, WaitDiagnosis.Result> ofSteps = new IdentityHashMap<>();
-        for (Map.Entry<TaskId, Waiting> entry : mWaiting.entrySet()) {
-            Waiting waiting = entry.getValue();
-            if (nowMillis - waiting.sinceMillis() < thresholdMillis) {
-                continue;
-            }
-            WaitDiagnosis.Result result =
+        for (Waiting waiting : candidates) {
+            Optional<WaitDiagnosis.Result> result =
                     mDiagnosis
                             .ofTask(waiting.step(), waiting.task(), nowMillis)
-                            .orElseGet(
-                                    () ->
-                                            ofSteps.computeIfAbsent(
-                                                    waiting.step(),
-                                                    s -> mDiagnosis.ofStep(s, mayAct, nowMillis)));
-            waits.add(
-                    new TaskWait(
-                            entry.getKey(),
-                            waiting.sinceMillis(),
-                            result.reason(),
-                            result.detail()));
+                            .or(() -> ofStep(waiting.step(), ofSteps, mayAct, nowMillis));
+            TaskId task = waiting.task().id();
+            result.ifPresent(
+                    r -> {
+                        mDiagnosedMillis.put(task, nowMillis);
+                        waits.add(
+                                new TaskWait(task, waiting.sinceMillis(), r.reason(), r.detail()));
+                    });
         }
         waits.sort(
                 Comparator.comparingLong(TaskWait::sinceMillis)
                         .thenComparing(wait -> wait.task().name()));
         return waits;
     }
+
+    private Optional<WaitDiagnosis.Result> ofStep(
+            StepState step,
+            Map<StepState, WaitDiagnosis.Result> ofSteps,
+            boolean mayAct,
+            long nowMillis) {
+        if (ofSteps.size() < MAX_STEPS && !ofSteps.containsKey(step)) {
+            ofSteps.put(step, mDiagnosis.ofStep(step, mayAct, nowMillis));
+        }
+        return Optional.ofNullable(ofSteps.get(step));
+    }
 }
--- a/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
@@ -7,6 +7,7 @@
 import static org.marigoldturn.scheduling.SchedulerFixture.longRunningWithoutSpread;
 import static org.marigoldturn.scheduling.SchedulerFixture.step;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -336,6 +337,25 @@
         assertThat(mWaits.count()).isZero();
     }
 
+    /** Guards against a diagnosis that takes long, and against waits that never have a reason. */
+    @Example
+    void stepsTakeTurnsIfThereAreMany() {
+        int steps = 2 * LongRunningWaits.MAX_STEPS;
+        for (int i = 0; i < steps; i++) {
+            mScheduler.restore(job("a" + i, "", ONE_TASK), JobProgress.NONE, mFixture.mNowMillis);
+        }
+        observe();
+        Set<TaskId> diagnosed = new HashSet<>();
+        for (int i = 0; i < 2; i++) {
+            mFixture.mNowMillis += 1_000;
+            List<TaskWait> waits = mWaits.diagnose(0, mMayAct, mFixture.mNowMillis);
+            assertThat(waits).hasSize(LongRunningWaits.MAX_STEPS);
+            waits.forEach(wait -> diagnosed.add(wait.task()));
+        }
+        assertThat(diagnosed).hasSize(steps);
+        assertThat(mWaits.count()).isEqualTo(steps);
+    }
+
     /** Guards against a target that is left out of a pass and has no reason for it, or has one. */
     @Property(seed = "20261206", tries = 500)
     void targetHasAnExclusionIfAndOnlyIfItAcceptsNoTask(
