--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -53,6 +53,8 @@
     private UnreadTargets mUnread;
     private UnreadTargetCheck mUnreadCheck;
     private final UnreadTargetNote mUnreadNote;
+    private WaitLog mWaitLog;
+    private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -94,7 +96,12 @@
         if (mOrders != null) {
             mOrders.close();
         }
-        mRunLog.close(mContext.clocks().now());
+        long now = mContext.clocks().now();
+        mRunLog.close(now);
+        if (mScheduler != null) {
+            mWaitLog.close(now);
+            mTargetLog.close(now);
+        }
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -191,6 +198,8 @@
                 new UnreadTargetCheck(
                         mScheduler, mContext.hosts(), mContext.control(), this::onEnded);
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
+        mWaitLog = new WaitLog(mContext.term(), mScheduler.longRunningWaits(), mContext.metrics());
+        mTargetLog = new TargetLog(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
         mTargetList.start(records, mUnreadNote.restore(records.unreadTargets()));
     }
@@ -301,6 +310,8 @@
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
         mUnreadCheck.tick(now);
+        mWaitLog.tick(mayAct(), now, mContext.clocks().epoch());
+        mTargetLog.tick(now);
         mTargetList.dropUnused();
         mTargetList.markRecordsComplete(now);
         forgetOldJobs();
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.marigoldturn.jobs.ResourceAmounts;
@@ -30,6 +31,9 @@
     /** Time of the end of earlier owners' runs on a target that they have not used. */
     static final long NEVER_USED = Long.MIN_VALUE;
 
+    /** Cause of a pause after failed runs. */
+    private static final String FAILED_RUNS = "FAILED_RUNS";
+
     private static final long FIRST_PAUSE_MILLIS = 2_000;
     private static final long LONGEST_PAUSE_MILLIS = 16_000;
 
@@ -52,6 +56,7 @@
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
     private long mAvoidedUntilMillis;
+    private String mPauseCause = "";
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
     private int mConsecutiveFailures;
     private long mLastProcessedEnd;
@@ -170,10 +175,6 @@
         mLoaned = loaned;
     }
 
-    boolean isCordoned() {
-        return mCordoned;
-    }
-
     boolean isLoaned() {
         return mLoaned;
     }
@@ -289,8 +290,54 @@
         return mCordoned || nowMillis < mAvoidedUntilMillis;
     }
 
-    void pause(long untilMillis) {
-        mPausedUntilMillis = Math.max(mPausedUntilMillis, untilMillis);
+    /** Returns why tasks do not start there or avoid it; empty if nothing keeps them from it. */
+    Optional<WaitReason> exclusion(Set<String> closedZones, long nowMillis) {
+        WaitReason reason = null;
+        if (!mListed) {
+            reason = WaitReason.UNLISTED;
+        } else if (!mReachable) {
+            reason = WaitReason.UNREACHABLE;
+        } else if (!mReported) {
+            reason = WaitReason.UNREAD;
+        } else if (!mRecorded) {
+            reason = WaitReason.UNRECORDED;
+        } else if (mCordoned || mInterrupted) {
+            reason = WaitReason.CORDONED;
+        } else if (mEntry.draining()) {
+            reason = WaitReason.DRAINING;
+        } else if (nowMillis < pausedUntilMillis()) {
+            reason = WaitReason.PAUSED;
+        } else if (closedZones.contains(mEntry.zone())) {
+            reason = WaitReason.CLOSED_ZONE;
+        }
+        return Optional.ofNullable(reason);
+    }
+
+    /**
+     * Starts no task there until the given monotonic time.
+     *
+     * @param cause word for the log
+     */
+    void pause(long untilMillis, String cause) {
+        if (untilMillis > mPausedUntilMillis) {
+            mPausedUntilMillis = untilMillis;
+            mPauseCause = cause;
+        }
+    }
+
+    /** Returns the monotonic time before which no task starts there unless need be. */
+    public long pausedUntilMillis() {
+        return Math.max(mPausedUntilMillis, mAvoidedUntilMillis);
+    }
+
+    /** Returns a word for the cause of the last pause; empty if there was none. */
+    public String pauseCause() {
+        return mPauseCause;
+    }
+
+    /** Returns whether no new task starts there because planned work is about to begin. */
+    public boolean isCordoned() {
+        return mCordoned;
     }
 
     void add(Run run) {
@@ -356,6 +403,7 @@
         if (mConsecutiveFailures >= FAILURES_BEFORE_PAUSE
                 && mFailedJobs.size() >= JOBS_BEFORE_PAUSE) {
             mAvoidedUntilMillis = nowMillis + mPauseMillis;
+            mPauseCause = FAILED_RUNS;
             mPauseMillis = Math.min(2 * mPauseMillis, LONGEST_PAUSE_MILLIS);
             mConsecutiveFailures = FAILURES_BEFORE_PAUSE - 1;
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -65,6 +65,10 @@
         mHeldBack.release();
     }
 
+    HeldBackCapacity heldBack() {
+        return mHeldBack;
+    }
+
     private List<Order> startTasks(
             StepState step, List<TaskState> waiting, Candidates candidates, long nowMillis) {
         List<Order> orders = new ArrayList<>();
