Stop the servers of a platform stand-in at the same time

Cause: a stand-in's server takes seconds to stop, and StandInPlatform.close() waited for one after the other: those of the targets, the store, the host service and the policy service.

Change: all of them are told to stop, then awaited. What a closed stand-in does is as before.

Ruled out: not awaiting the stops at all; their threads and ports would overlap with the next test's.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInHttp.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInHttp.java
@@ -76,8 +76,13 @@
         return request.content().isEmpty() ? object() : JSON.readTree(request.content().array());
     }
 
+    /** Stops the server; the future completes once it has stopped, which takes seconds. */
+    CompletableFuture<Void> stop() {
+        return mServer.stop();
+    }
+
     @Override
     public void close() {
-        mServer.stop().join();
+        stop().join();
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -318,9 +319,11 @@
         mTimer.shutdownNow();
         mStoreUnavailable = false;
         mLostPrefixes.clear();
-        mTargets.values().forEach(StandInTarget::close);
-        mStoreHttp.close();
-        mHostsHttp.close();
-        mPolicyService.close();
+        List<CompletableFuture<Void>> stopped = new ArrayList<>();
+        mTargets.values().forEach(target -> stopped.add(target.stop()));
+        stopped.add(mStoreHttp.stop());
+        stopped.add(mHostsHttp.stop());
+        stopped.add(mPolicyService.stop());
+        stopped.forEach(CompletableFuture::join);
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPolicyService.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPolicyService.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -55,8 +56,13 @@
         return new StandInStore.Response(200, response);
     }
 
+    /** Stops the service; the future completes once its server has stopped. */
+    CompletableFuture<Void> stop() {
+        return mHttp.stop();
+    }
+
     @Override
     public void close() {
-        mHttp.close();
+        stop().join();
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Stand-in for one target: runs tasks for a fixed time while its lease lasts, and records every
@@ -265,12 +266,17 @@
                 StandInHttp.object().put("ClockMs", clockMillis()).put("born", mStartedAtMillis));
     }
 
-    @Override
-    public void close() {
+    /** Stops the target; the future completes once its server has stopped. */
+    CompletableFuture<Void> stop() {
         synchronized (this) {
             mDelaysStops = false;
             notifyAll();
         }
-        mHttp.close();
+        return mHttp.stop();
+    }
+
+    @Override
+    public void close() {
+        stop().join();
     }
 }
