Add a failing test of owners that change after a host's maintenance

Cause, as far as the test shows it: the target of a host in maintenance stays in the platform's list for some seconds, and calls to it get no response.

Change: the platform stand-in can leave hosts in maintenance, with their target listed until its entry expires, and withhold the list of hosts; a target can stop responding. The test ends a task's run by maintenance, replaces each owner 3 s after it has read all targets that respond, and counts only these times. Limit: the 6 s of the rule and the 3 s for which it has to be broken.

Ruled out: a limit in wall time, since a slow handover would decide the result. An owner that learns of the end from the list of hosts starts the task at once, so the list is withheld until that owner is replaced.

--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -140,6 +140,11 @@
         }
     }
 
+    /** Sends SIGTERM and does not wait for the process to end. */
+    public void requestTermination() {
+        mProcess.destroy();
+    }
+
     /** Sends SIGTERM and returns the exit code. */
     public int terminate() throws InterruptedException {
         mProcess.destroy();
--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -107,6 +107,17 @@
                 () -> mClient.get(ready).aggregate().join().status().code() == 200);
     }
 
+    /** Returns the number of the daemon that is the owner; -1 if there is none. */
+    public int owner() {
+        String owner = mPlatform.text("mt/owner/live");
+        for (int i = 0; i < mDaemons.size(); i++) {
+            if (owner.startsWith("front-" + i + "/")) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
     /** Returns the client of this fleet. */
     public WebClient client() {
         return mClient;
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -25,6 +25,9 @@
     private static final long ENTRY_INTERVAL_MILLIS = 500;
     private static final long MAINTENANCE_MILLIS = 300;
 
+    /** An entry that is no longer written is removed after this time. */
+    private static final long ENTRY_EXPIRY_MILLIS = 4_000;
+
     private final StandInStore mStore = new StandInStore();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
@@ -36,6 +39,8 @@
     private final StandInHttp mHostsHttp = new StandInHttp(this::handleHosts);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
     private volatile boolean mStoreUnavailable;
+    private volatile boolean mHostListUnavailable;
+    private boolean mHostsStayInMaintenance;
     private int mLastTargetNumber;
 
     /** Starts the services; no target runs yet. */
@@ -131,6 +136,30 @@
         mTargets.remove(id).close();
     }
 
+    /**
+     * Returns the newest term whose owner has read all targets that respond; 0 if there is none.
+     */
+    public long lastTermThatReadAllTargets() {
+        return mTargets.values().stream()
+                .filter(StandInTarget::responds)
+                .mapToLong(StandInTarget::lastReadTerm)
+                .min()
+                .orElse(0);
+    }
+
+    /**
+     * Lets hosts stay in maintenance once it has begun: calls to the address of their target get no
+     * response, and its entry is removed only when it expires.
+     */
+    public synchronized void keepHostsInMaintenance() {
+        mHostsStayInMaintenance = true;
+    }
+
+    /** Sets whether the host service leaves calls for the list of hosts without a response. */
+    public void setHostListUnavailable(boolean unavailable) {
+        mHostListUnavailable = unavailable;
+    }
+
     /** Cuts a target off from the store, and lets its entry expire; it goes on with its tasks. */
     public void cutTargetFromStore(String id) {
         mCutFromStore.add(id);
@@ -198,9 +227,9 @@
         return List.copyOf(mMaintainedHosts);
     }
 
-    private void writeTargetEntries() {
+    private synchronized void writeTargetEntries() {
         for (StandInTarget target : mTargets.values()) {
-            if (!mCutFromStore.contains(target.id())) {
+            if (target.hasPower() && !mCutFromStore.contains(target.id())) {
                 mStore.put("servers/" + target.id(), target.entry("ready"));
             }
         }
@@ -271,23 +300,34 @@
     }
 
     private StandInStore.Response handleHosts(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body) {
+            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
+            throws InterruptedException {
         return context.path().equals("/v1/machines") ? hosts() : startMaintenance(body);
     }
 
-    private StandInStore.Response hosts() {
+    private StandInStore.Response hosts() throws InterruptedException {
+        while (mHostListUnavailable) {
+            Thread.sleep(50);
+        }
         ObjectNode body = StandInHttp.object();
         var rows = body.putArray("Machines");
         for (StandInTarget target : mTargets.values()) {
             rows.addObject()
                     .put("Machine", target.hostId())
                     .put("Pool", "service")
-                    .put("State", "up")
-                    .put("Id", target.id());
+                    .put("State", hostState(target))
+                    .put("Id", target.hasPower() ? target.id() : "");
         }
         return new StandInStore.Response(200, body.putNull("NextToken"));
     }
 
+    private synchronized String hostState(StandInTarget target) {
+        if (target.hasPower()) {
+            return "up";
+        }
+        return mMaintainedHosts.contains(target.hostId()) ? "upkeep" : "down";
+    }
+
     private synchronized StandInStore.Response startMaintenance(JsonNode body) {
         String host = body.path("Machine").asText();
         if (mMaintainedHosts.contains(host)) {
@@ -296,6 +336,14 @@
         for (StandInTarget target : mTargets.values()) {
             if (target.hostId().equals(host)) {
                 mMaintainedHosts.add(host);
+                if (mHostsStayInMaintenance) {
+                    target.losePower();
+                    mTimer.schedule(
+                            () -> mStore.delete("servers/" + target.id()),
+                            ENTRY_EXPIRY_MILLIS,
+                            TimeUnit.MILLISECONDS);
+                    return StandInStore.Response.of(200);
+                }
                 mTargets.remove(target.id());
                 mStore.delete("servers/" + target.id());
                 target.close();
@@ -318,6 +366,7 @@
     public void close() {
         mTimer.shutdownNow();
         mStoreUnavailable = false;
+        mHostListUnavailable = false;
         mLostPrefixes.clear();
         List<CompletableFuture<Void>> stopped = new ArrayList<>();
         mTargets.values().forEach(target -> stopped.add(target.stop()));
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -31,6 +31,7 @@
     private final TreeMap<String, Execution> mRunning = new TreeMap<>();
     private final List<ArrayNode> mUnseenEnds = new ArrayList<>();
     private final Map<String, Long> mHighestEndedRun = new HashMap<>();
+    private final TreeMap<Long, Integer> mPollsByTerm = new TreeMap<>();
     private final List<String> mStarts = new ArrayList<>();
     private final List<String> mConfirmedDone = new ArrayList<>();
     private long mHighestToken;
@@ -39,6 +40,9 @@
     private int mPolls;
     private boolean mHoldsBackResponses;
     private boolean mDelaysStops;
+    private boolean mHasPower = true;
+    private boolean mResponds = true;
+    private boolean mClosed;
 
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
@@ -100,6 +104,39 @@
         return mPolls;
     }
 
+    /**
+     * Returns the newest term under which two polls were accepted, so that its owner has processed
+     * the response to the first one; 0 if there is none.
+     */
+    synchronized long lastReadTerm() {
+        return mPollsByTerm.descendingMap().entrySet().stream()
+                .filter(polls -> polls.getValue() >= 2)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0L);
+    }
+
+    /** Leaves all calls without an effect and a response from now on; connections stay open. */
+    synchronized void stopResponding() {
+        mResponds = false;
+        notifyAll();
+    }
+
+    synchronized boolean responds() {
+        return mResponds;
+    }
+
+    /** Ends all runs as a loss of power does: no end is listed, and no call gets a response. */
+    synchronized void losePower() {
+        mHasPower = false;
+        mRunning.clear();
+        stopResponding();
+    }
+
+    synchronized boolean hasPower() {
+        return mHasPower;
+    }
+
     /** Delays the stop orders until {@link #endRuns} is called. */
     synchronized void delayStops() {
         mDelaysStops = true;
@@ -121,6 +158,11 @@
         if (!mId.equals(request.headers().get("Expect-Instance", mId))) {
             return StandInStore.Response.of(421);
         }
+        synchronized (this) {
+            if (!mResponds) {
+                awaitClose();
+            }
+        }
         StandInStore.Response response =
                 switch (context.path()) {
                     case "/v1/run-start" -> start(body);
@@ -129,6 +171,9 @@
                     default -> StandInStore.Response.of(404);
                 };
         synchronized (this) {
+            if (!mResponds) {
+                awaitClose();
+            }
             if (mHoldsBackResponses) {
                 wait(60_000);
             }
@@ -136,6 +181,12 @@
         return response;
     }
 
+    private synchronized void awaitClose() throws InterruptedException {
+        while (!mClosed) {
+            wait();
+        }
+    }
+
     private synchronized StandInStore.Response start(JsonNode body) {
         advance();
         String task = body.path("Task").asText();
@@ -188,6 +239,7 @@
             return conflict("fence");
         }
         mPolls++;
+        mPollsByTerm.merge(body.path("FencingToken").asLong(), 1, Integer::sum);
         advance();
         mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
         long lastSeen = body.path("LastSeen").asLong();
@@ -269,6 +321,7 @@
     /** Stops the target; the future completes once its server has stopped. */
     CompletableFuture<Void> stop() {
         synchronized (this) {
+            mClosed = true;
             mDelaysStops = false;
             notifyAll();
         }
--- /dev/null
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -0,0 +1,155 @@
+package org.marigoldturn.standins.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.HashMap;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+
+/**
+ * Tests with real daemons and a platform stand-in that a long-running task without a run starts
+ * while there is room.
+ *
+ * <p>Where owners change, only the time counts in which one of them serves and has read all targets
+ * that respond.
+ */
+class LongRunningTaskStartsTest {
+    private static final String ONE_TASK =
+            """
+            {"Spec":"lasting","Steps":[{"Count":1,"Cpu":500,"MemMb":100,"EstimateMs":300,
+            "LongRunning":true,"MaxUnavailable":1}]}
+            """;
+    private static final String ID = "00000000000000a1";
+    private static final String WAVE =
+            """
+            {"Wave":1,"Machines":["%s"],"DurationS":60,"UpperBound":1}
+            """;
+    private static final String WAVE_RECORD = "mt/host/wave/1";
+
+    /** Enough for {@link #CONFIRMED_LOST_MILLIS} with {@link #OWNER_MILLIS} each. */
+    private static final int DAEMONS = 4;
+
+    private static final long OWNER_MILLIS = 3_000;
+
+    /** The platform's rules allow a long-running task this time without a run. */
+    private static final long WITHOUT_RUN_MILLIS = 6_000;
+
+    /** A task that has room for 3 s more counts as lost. */
+    private static final long CONFIRMED_LOST_MILLIS = WITHOUT_RUN_MILLIS + 3_000;
+
+    private PlatformFleet mFleet;
+    private StandInPlatform mPlatform;
+    private long mReplacedTerm;
+    private final Map<String, String> mHosts = new HashMap<>();
+
+    @BeforeTry
+    void start() throws IOException {
+        mFleet = new PlatformFleet(Files.createTempDirectory("long-running-starts"), 81);
+        mPlatform = mFleet.platform();
+    }
+
+    @AfterTry
+    void stop() {
+        mFleet.close();
+    }
+
+    /** Guards against a wait for the target of a host in maintenance that begins anew. */
+    @Example
+    void taskEndedByMaintenanceStartsAgainWhileOwnersChange() throws Exception {
+        String target = startOnOneOfThreeTargets();
+        mPlatform.keepHostsInMaintenance();
+        // The owner must not learn from the list that the maintenance has ended the run.
+        mPlatform.setHostListUnavailable(true);
+        mPlatform.put("op/wave/1", WAVE.formatted(mHosts.get(target)));
+        PlatformFleet.await(
+                "the maintenance has ended the run and is recorded",
+                () -> mPlatform.countRunning() == 0 && !mPlatform.text(WAVE_RECORD).isEmpty());
+        replaceOwner();
+        mPlatform.setHostListUnavailable(false);
+        assertStartsAgainWhileOwnersChange(CONFIRMED_LOST_MILLIS);
+    }
+
+    private String addTarget(String host) {
+        String id = mPlatform.addTarget("service", host, 300);
+        mHosts.put(id, host);
+        return id;
+    }
+
+    private String startOnOneOfThreeTargets() throws IOException, InterruptedException {
+        addTarget("h1");
+        addTarget("h2");
+        addTarget("h3");
+        for (int i = 0; i < DAEMONS; i++) {
+            mFleet.startDaemon();
+        }
+        submit();
+        PlatformFleet.await("the task runs", () -> mPlatform.countRunning() == 1);
+        awaitServingOwner();
+        return mPlatform.targetsInUse().get(0);
+    }
+
+    /** Submissions are refused until the owner has read a target. */
+    private void submit() throws InterruptedException {
+        PlatformFleet.await(
+                "the job is accepted", () -> mFleet.submit(0, ID, ONE_TASK).status().code() == 200);
+    }
+
+    private int awaitOwner() throws InterruptedException {
+        PlatformFleet.await("there is an owner", () -> mFleet.owner() >= 0);
+        return mFleet.owner();
+    }
+
+    /** Terminates the owner and waits until another daemon is the owner. */
+    private void replaceOwner() throws InterruptedException {
+        int owner = awaitOwner();
+        mReplacedTerm = mPlatform.lastTermThatReadAllTargets();
+        mFleet.daemon(owner).requestTermination();
+        PlatformFleet.await(
+                "there is another owner", () -> mFleet.owner() >= 0 && mFleet.owner() != owner);
+    }
+
+    /** Waits until the owner serves and has read all targets that respond. */
+    private void awaitServingOwner() throws InterruptedException {
+        int owner = awaitOwner();
+        PlatformFleet.await(
+                "owner " + owner + " serves",
+                () -> mFleet.queryState(owner, ID).status().code() == 200);
+        PlatformFleet.await(
+                "owner " + owner + " has read the targets",
+                () -> mPlatform.lastTermThatReadAllTargets() > mReplacedTerm);
+    }
+
+    private void assertStartsAgainWhileOwnersChange(long limitMillis) throws InterruptedException {
+        long servedMillis = 0;
+        for (int owners = 1; ; owners++) {
+            awaitServingOwner();
+            long sinceMillis = nowMillis();
+            long ownerMillis = Math.min(OWNER_MILLIS, limitMillis - servedMillis);
+            while (mPlatform.starts().size() == 1 && millisSince(sinceMillis) < ownerMillis) {
+                Thread.sleep(20);
+            }
+            servedMillis += millisSince(sinceMillis);
+            if (mPlatform.starts().size() > 1) {
+                break;
+            }
+            assertThat(servedMillis)
+                    .as("time without a run under %d owners that served", owners)
+                    .isLessThan(limitMillis);
+            replaceOwner();
+        }
+        assertThat(mPlatform.starts()).hasSize(2);
+        assertThat(mPlatform.countRunning()).isEqualTo(1);
+    }
+
+    private static long millisSince(long millis) {
+        return nowMillis() - millis;
+    }
+
+    private static long nowMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
