Add a failing test of a listed target that never responds

What callers see: as in the case of maintenance, a long-running task without a run, although no owner can have started anything on the target that is waited for: an owner records a target in the store before its first start there.

Change: the platform stand-in can list a target that never responds. The test adds one, replaces the owner, ends the task's run as done under the next owner and replaces that one. Limit: the 6 s of the rule, of which a wait for the leases of earlier owners (8.16 s from a takeover on) leaves too few.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -121,9 +121,22 @@
     }
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
-    public synchronized String addTarget(String service, String hostId, long taskMillis) {
+    public String addTarget(String service, String hostId, long taskMillis) {
+        return add(service, hostId, taskMillis, true);
+    }
+
+    /** Starts a target that is listed and never responds to a call, and returns its id. */
+    public String addUnresponsiveTarget(String service, String hostId) {
+        return add(service, hostId, 0, false);
+    }
+
+    private synchronized String add(
+            String service, String hostId, long taskMillis, boolean responds) {
         String id = "i-" + (++mLastTargetNumber);
         StandInTarget target = new StandInTarget(id, service, hostId, taskMillis);
+        if (!responds) {
+            target.stopResponding();
+        }
         mTargets.put(id, target);
         mStore.put("servers/" + id, target.entry("ready"));
         return id;
--- a/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -73,6 +73,18 @@
         assertStartsAgainWhileOwnersChange(CONFIRMED_LOST_MILLIS);
     }
 
+    /** Guards against a wait for a target on which no owner can have started a task. */
+    @Example
+    void taskStartsAgainAlthoughATargetWithoutARecordNeverResponds() throws Exception {
+        String target = startOnOneOfThreeTargets();
+        String unresponsive = mPlatform.addUnresponsiveTarget("service", "h4");
+        replaceOwner();
+        awaitServingOwner();
+        mPlatform.endRuns(target);
+        assertStartsAgainWhileOwnersChange(WITHOUT_RUN_MILLIS);
+        assertThat(mPlatform.text("mt/tgt/" + unresponsive)).isEmpty();
+    }
+
     private String addTarget(String host) {
         String id = mPlatform.addTarget("service", host, 300);
         mHosts.put(id, host);
