Add a failing test of a target that lost power while owners change

What callers see: as in the case of maintenance. Here a wait is needed, since the target may run the task under a lease of an earlier owner, but each owner waits 8.16 s from its own takeover on, although no later one has renewed that lease.

Change: the platform stand-in can end a target with its host's power: its entry is removed, calls to it get no response. The test does that to the target that runs the task and replaces each owner 3 s after it has read all targets that respond. Limit: the 6 s of the rule and the 3 s for which it has to be broken.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -149,6 +149,15 @@
         mTargets.remove(id).close();
     }
 
+    /**
+     * Ends a target at once, as its host's loss of power does: its runs end, calls to its address
+     * get no response, and its entry is removed.
+     */
+    public synchronized void losePower(String id) {
+        mTargets.get(id).losePower();
+        mStore.delete("servers/" + id);
+    }
+
     /**
      * Returns the newest term whose owner has read all targets that respond; 0 if there is none.
      */
--- a/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -85,6 +85,15 @@
         assertThat(mPlatform.text("mt/tgt/" + unresponsive)).isEmpty();
     }
 
+    /** Guards against a wait for the lease of a lost target that begins anew with each owner. */
+    @Example
+    void taskOfATargetThatLostPowerStartsAgainWhileOwnersChange() throws Exception {
+        String target = startOnOneOfThreeTargets();
+        mPlatform.losePower(target);
+        replaceOwner();
+        assertStartsAgainWhileOwnersChange(CONFIRMED_LOST_MILLIS);
+    }
+
     private String addTarget(String host) {
         String id = mPlatform.addTarget("service", host, 300);
         mHosts.put(id, host);
