Add a failing test of orders that are lost while polls are answered

What callers see: a long-running task never starts, though there is room, and its owner stays the same.

Cause, as far as the test shows it: a start order without a response counts as a run that may exist until a stop order gets a response or the target's lease ends. Neither happens while all orders to the target are lost and its polls are answered, since each poll renews the lease. The order itself can be carried out only before its ExpiresMs, 4 s after it was sent.

Change: the platform stand-in can lose the orders to a target but not the polls. Limit: the 6 s of the rule and the 3 s for which it has to be broken, from the arrival of the start order on; the polls have to go on meanwhile.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -158,6 +158,18 @@
         mStore.delete("servers/" + id);
     }
 
+    /**
+     * Leaves all further orders to a target without an effect and a response, but not the polls.
+     */
+    public void loseOrders(String id) {
+        mTargets.get(id).loseOrders();
+    }
+
+    /** Returns the number of start orders to a target that were lost. */
+    public int countLostStarts(String id) {
+        return mTargets.get(id).countLostStarts();
+    }
+
     /**
      * Returns the newest term whose owner has read all targets that respond; 0 if there is none.
      */
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -42,7 +42,9 @@
     private boolean mDelaysStops;
     private boolean mHasPower = true;
     private boolean mResponds = true;
+    private boolean mLosesOrders;
     private boolean mClosed;
+    private int mLostStarts;
 
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
@@ -137,6 +139,16 @@
         return mHasPower;
     }
 
+    /** Leaves all further start and stop orders without an effect and a response. */
+    synchronized void loseOrders() {
+        mLosesOrders = true;
+    }
+
+    /** Returns the number of start orders that were lost. */
+    synchronized int countLostStarts() {
+        return mLostStarts;
+    }
+
     /** Delays the stop orders until {@link #endRuns} is called. */
     synchronized void delayStops() {
         mDelaysStops = true;
@@ -165,8 +177,8 @@
         }
         StandInStore.Response response =
                 switch (context.path()) {
-                    case "/v1/run-start" -> start(body);
-                    case "/v1/run-stop" -> stop(body);
+                    case "/v1/run-start" -> receiveStart(body);
+                    case "/v1/run-stop" -> receiveStop(body);
                     case "/v1/hold" -> poll(body);
                     default -> StandInStore.Response.of(404);
                 };
@@ -181,6 +193,24 @@
         return response;
     }
 
+    private synchronized StandInStore.Response receiveStart(JsonNode body)
+            throws InterruptedException {
+        if (!mLosesOrders) {
+            return start(body);
+        }
+        mLostStarts++;
+        awaitClose();
+        return StandInStore.Response.of(503);
+    }
+
+    private synchronized StandInStore.Response receiveStop(JsonNode body)
+            throws InterruptedException {
+        if (mLosesOrders) {
+            awaitClose();
+        }
+        return stop(body);
+    }
+
     private synchronized void awaitClose() throws InterruptedException {
         while (!mClosed) {
             wait();
--- a/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -94,6 +94,26 @@
         assertStartsAgainWhileOwnersChange(CONFIRMED_LOST_MILLIS);
     }
 
+    /** Guards against a start order without a response that keeps its task from starting again. */
+    @Example
+    void taskStartsElsewhereOnceALostStartOrderIsTooLate() throws Exception {
+        String lost = addTarget("h1");
+        mFleet.startDaemon();
+        mPlatform.loseOrders(lost);
+        submitAndAwaitLostStart(lost);
+        long sinceMillis = nowMillis();
+        int polls = mPlatform.countPolls(lost);
+        addTarget("h2");
+        while (mPlatform.countRunning() == 0 && millisSince(sinceMillis) < CONFIRMED_LOST_MILLIS) {
+            Thread.sleep(20);
+        }
+        assertThat(mPlatform.countPolls(lost)).as("accepted polls").isGreaterThan(polls);
+        assertThat(mPlatform.countRunning())
+                .as("runs %d ms after the lost start order", millisSince(sinceMillis))
+                .isEqualTo(1);
+        assertThat(mPlatform.starts()).hasSize(1);
+    }
+
     private String addTarget(String host) {
         String id = mPlatform.addTarget("service", host, 300);
         mHosts.put(id, host);
@@ -119,6 +139,12 @@
                 "the job is accepted", () -> mFleet.submit(0, ID, ONE_TASK).status().code() == 200);
     }
 
+    private void submitAndAwaitLostStart(String target) throws InterruptedException {
+        submit();
+        PlatformFleet.await(
+                "the start order is lost", () -> mPlatform.countLostStarts(target) == 1);
+    }
+
     private int awaitOwner() throws InterruptedException {
         PlatformFleet.await("there is an owner", () -> mFleet.owner() >= 0);
         return mFleet.owner();
