Guard against a second run beside one that starts late

Cause: the fix of lost start orders has to start the task elsewhere once the order can no longer be carried out, and not before.

Change: the platform stand-in can carry out start orders late and without a response, while stop orders are lost and polls answered. The test lets one start after 2 s, before its ExpiresMs, and checks for 9 s that at most one run exists.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -165,6 +165,14 @@
         mTargets.get(id).loseOrders();
     }
 
+    /**
+     * Leaves all further orders to a target without a response, but not the polls; starts are
+     * carried out after the given time, stops are not.
+     */
+    public void loseOrdersAndStartLate(String id, long delayMillis) {
+        mTargets.get(id).loseOrdersAndStartLate(delayMillis);
+    }
+
     /** Returns the number of start orders to a target that were lost. */
     public int countLostStarts(String id) {
         return mTargets.get(id).countLostStarts();
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -45,6 +45,7 @@
     private boolean mLosesOrders;
     private boolean mClosed;
     private int mLostStarts;
+    private long mStartDelayMillis = Long.MAX_VALUE;
 
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
@@ -144,6 +145,12 @@
         mLosesOrders = true;
     }
 
+    /** Like {@link #loseOrders}, but carries out each start order after the given time. */
+    synchronized void loseOrdersAndStartLate(long delayMillis) {
+        mLosesOrders = true;
+        mStartDelayMillis = delayMillis;
+    }
+
     /** Returns the number of start orders that were lost. */
     synchronized int countLostStarts() {
         return mLostStarts;
@@ -199,6 +206,13 @@
             return start(body);
         }
         mLostStarts++;
+        if (mStartDelayMillis < Long.MAX_VALUE) {
+            long dueMillis = clockMillis() + mStartDelayMillis;
+            while (!mClosed && clockMillis() < dueMillis) {
+                wait(dueMillis - clockMillis() + 1);
+            }
+            start(body);
+        }
         awaitClose();
         return StandInStore.Response.of(503);
     }
--- a/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -114,6 +114,25 @@
         assertThat(mPlatform.starts()).hasSize(1);
     }
 
+    /** Guards against a second run beside one that a delayed start order has begun. */
+    @Example
+    void taskWhoseStartOrderIsCarriedOutLateDoesNotRunTwice() throws Exception {
+        String late = addTarget("h1");
+        mFleet.startDaemon();
+        mPlatform.loseOrdersAndStartLate(late, 2_000);
+        submitAndAwaitLostStart(late);
+        long sinceMillis = nowMillis();
+        addTarget("h2");
+        while (millisSince(sinceMillis) < CONFIRMED_LOST_MILLIS) {
+            assertThat(mPlatform.countRunning())
+                    .as("runs %d ms after the start order", millisSince(sinceMillis))
+                    .isLessThanOrEqualTo(1);
+            Thread.sleep(20);
+        }
+        assertThat(mPlatform.starts(late)).hasSize(1);
+        assertThat(mPlatform.countRunning()).isEqualTo(1);
+    }
+
     private String addTarget(String host) {
         String id = mPlatform.addTarget("service", host, 300);
         mHosts.put(id, host);
