--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,6 +25,9 @@
     private static final long ENTRY_INTERVAL_MILLIS = 500;
     private static final long MAINTENANCE_MILLIS = 300;
 
+    /** An entry that is no longer written is removed after this time. */
+    private static final long ENTRY_EXPIRY_MILLIS = 4_000;
+
     private final StandInStore mStore = new StandInStore();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
@@ -35,6 +39,8 @@
     private final StandInHttp mHostsHttp = new StandInHttp(this::handleHosts);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
     private volatile boolean mStoreUnavailable;
+    private volatile boolean mHostListUnavailable;
+    private boolean mHostsStayInMaintenance;
     private int mLastTargetNumber;
 
     /** Starts the services; no target runs yet. */
@@ -115,9 +121,22 @@
     }
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
-    public synchronized String addTarget(String service, String hostId, long taskMillis) {
+    public String addTarget(String service, String hostId, long taskMillis) {
+        return add(service, hostId, taskMillis, true);
+    }
+
+    /** Starts a target that is listed and never responds to a call, and returns its id. */
+    public String addUnresponsiveTarget(String service, String hostId) {
+        return add(service, hostId, 0, false);
+    }
+
+    private synchronized String add(
+            String service, String hostId, long taskMillis, boolean responds) {
         String id = "i-" + (++mLastTargetNumber);
         StandInTarget target = new StandInTarget(id, service, hostId, taskMillis);
+        if (!responds) {
+            target.stopResponding();
+        }
         mTargets.put(id, target);
         mStore.put("servers/" + id, target.entry("ready"));
         return id;
@@ -130,6 +149,59 @@
         mTargets.remove(id).close();
     }
 
+    /**
+     * Ends a target at once, as its host's loss of power does: its runs end, calls to its address
+     * get no response, and its entry is removed.
+     */
+    public synchronized void losePower(String id) {
+        mTargets.get(id).losePower();
+        mStore.delete("servers/" + id);
+    }
+
+    /**
+     * Leaves all further orders to a target without an effect and a response, but not the polls.
+     */
+    public void loseOrders(String id) {
+        mTargets.get(id).loseOrders();
+    }
+
+    /**
+     * Leaves all further orders to a target without a response, but not the polls; starts are
+     * carried out after the given time, stops are not.
+     */
+    public void loseOrdersAndStartLate(String id, long delayMillis) {
+        mTargets.get(id).loseOrdersAndStartLate(delayMillis);
+    }
+
+    /** Returns the number of start orders to a target that were lost. */
+    public int countLostStarts(String id) {
+        return mTargets.get(id).countLostStarts();
+    }
+
+    /**
+     * Returns the newest term whose owner has read all targets that respond; 0 if there is none.
+     */
+    public long lastTermThatReadAllTargets() {
+        return mTargets.values().stream()
+                .filter(StandInTarget::responds)
+                .mapToLong(StandInTarget::lastReadTerm)
+                .min()
+                .orElse(0);
+    }
+
+    /**
+     * Lets hosts stay in maintenance once it has begun: calls to the address of their target get no
+     * response, and its entry is removed only when it expires.
+     */
+    public synchronized void keepHostsInMaintenance() {
+        mHostsStayInMaintenance = true;
+    }
+
+    /** Sets whether the host service leaves calls for the list of hosts without a response. */
+    public void setHostListUnavailable(boolean unavailable) {
+        mHostListUnavailable = unavailable;
+    }
+
     /** Cuts a target off from the store, and lets its entry expire; it goes on with its tasks. */
     public void cutTargetFromStore(String id) {
         mCutFromStore.add(id);
@@ -197,9 +269,9 @@
         return List.copyOf(mMaintainedHosts);
     }
 
-    private void writeTargetEntries() {
+    private synchronized void writeTargetEntries() {
         for (StandInTarget target : mTargets.values()) {
-            if (!mCutFromStore.contains(target.id())) {
+            if (target.hasPower() && !mCutFromStore.contains(target.id())) {
                 mStore.put("servers/" + target.id(), target.entry("ready"));
             }
         }
@@ -270,23 +342,34 @@
     }
 
     private StandInStore.Response handleHosts(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body) {
+            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
+            throws InterruptedException {
         return context.path().equals("/v1/machines") ? hosts() : startMaintenance(body);
     }
 
-    private StandInStore.Response hosts() {
+    private StandInStore.Response hosts() throws InterruptedException {
+        while (mHostListUnavailable) {
+            Thread.sleep(50);
+        }
         ObjectNode body = StandInHttp.object();
         var rows = body.putArray("Machines");
         for (StandInTarget target : mTargets.values()) {
             rows.addObject()
                     .put("Machine", target.hostId())
                     .put("Pool", "service")
-                    .put("State", "up")
-                    .put("Id", target.id());
+                    .put("State", hostState(target))
+                    .put("Id", target.hasPower() ? target.id() : "");
         }
         return new StandInStore.Response(200, body.putNull("NextToken"));
     }
 
+    private synchronized String hostState(StandInTarget target) {
+        if (target.hasPower()) {
+            return "up";
+        }
+        return mMaintainedHosts.contains(target.hostId()) ? "upkeep" : "down";
+    }
+
     private synchronized StandInStore.Response startMaintenance(JsonNode body) {
         String host = body.path("Machine").asText();
         if (mMaintainedHosts.contains(host)) {
@@ -295,6 +378,14 @@
         for (StandInTarget target : mTargets.values()) {
             if (target.hostId().equals(host)) {
                 mMaintainedHosts.add(host);
+                if (mHostsStayInMaintenance) {
+                    target.losePower();
+                    mTimer.schedule(
+                            () -> mStore.delete("servers/" + target.id()),
+                            ENTRY_EXPIRY_MILLIS,
+                            TimeUnit.MILLISECONDS);
+                    return StandInStore.Response.of(200);
+                }
                 mTargets.remove(target.id());
                 mStore.delete("servers/" + target.id());
                 target.close();
@@ -317,10 +408,13 @@
     public void close() {
         mTimer.shutdownNow();
         mStoreUnavailable = false;
+        mHostListUnavailable = false;
         mLostPrefixes.clear();
-        mTargets.values().forEach(StandInTarget::close);
-        mStoreHttp.close();
-        mHostsHttp.close();
-        mPolicyService.close();
+        List<CompletableFuture<Void>> stopped = new ArrayList<>();
+        mTargets.values().forEach(target -> stopped.add(target.stop()));
+        stopped.add(mStoreHttp.stop());
+        stopped.add(mHostsHttp.stop());
+        stopped.add(mPolicyService.stop());
+        stopped.forEach(CompletableFuture::join);
     }
 }
