Avoid a target that responds to no order

Callers saw: as before: a task is started again on the target that has not responded to its last start, and does not run although another target has room. Cause: after a start without a response its target was paused for 0.5 s; once the order was out of date the task was started there again. Change: tasks avoid a target for 5 s after an order without a response, unless it responds to another one. Ruled out: a longer pause, which also holds where the stop is responded to.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -297,6 +297,10 @@
         if (outcome == StartOutcome.INVALID_TICKET) {
             mAdvice.reject(run);
         }
+        if (outcome != StartOutcome.NOT_SENT) {
+            boolean responded = outcome.effect() != StartOutcome.Effect.UNKNOWN;
+            run.target().onOrderEnded(responded, nowMillis);
+        }
         switch (outcome.effect()) {
             case RUNS -> run.onStarted(nowMillis);
             case NOT_RUN -> mRuns.removeRun(run);
@@ -310,6 +314,7 @@
     /** Records a target's response to a stop order, or that there was none. */
     public void onStopResponse(Run run, boolean responded, long nowMillis) {
         run.onStopResponse(responded, nowMillis);
+        run.target().onOrderEnded(responded, nowMillis);
     }
 
     /** Ends the runs of targets whose lease has certainly expired. */
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -34,9 +34,18 @@
     /** Cause of a pause after failed runs. */
     private static final String FAILED_RUNS = "FAILED_RUNS";
 
+    /** Cause of a pause after an order without a response. */
+    private static final String UNANSWERED_ORDER = "UNANSWERED_ORDER";
+
     private static final long FIRST_PAUSE_MILLIS = 2_000;
     private static final long LONGEST_PAUSE_MILLIS = 16_000;
 
+    /**
+     * For this long after an order without a response, unless it responds to another one, tasks
+     * avoid the target: the next order would most likely get none either.
+     */
+    private static final long UNANSWERED_AVOIDANCE_MILLIS = 5_000;
+
     private final Map<TaskId, List<Run>> mRuns = new HashMap<>();
     private final Set<String> mFailedJobs = new HashSet<>();
     private final List<Run> mAbandoned = new ArrayList<>();
@@ -56,6 +65,7 @@
     private long mLeaseEndMillis;
     private long mPausedUntilMillis;
     private long mAvoidedUntilMillis;
+    private long mUnansweredUntilMillis;
     private String mPauseCause = "";
     private long mPauseMillis = FIRST_PAUSE_MILLIS;
     private int mConsecutiveFailures;
@@ -287,7 +297,15 @@
 
     /** Returns whether tasks start elsewhere if they can, although they would run there. */
     boolean isAvoided(long nowMillis) {
-        return mCordoned || nowMillis < mAvoidedUntilMillis;
+        return mCordoned || nowMillis < Math.max(mAvoidedUntilMillis, mUnansweredUntilMillis);
+    }
+
+    /** Records that a target has responded to an order, or that it has not. */
+    void onOrderEnded(boolean responded, long nowMillis) {
+        mUnansweredUntilMillis = responded ? 0 : nowMillis + UNANSWERED_AVOIDANCE_MILLIS;
+        if (!responded) {
+            mPauseCause = UNANSWERED_ORDER;
+        }
     }
 
     /** Returns why tasks do not start there or avoid it; empty if nothing keeps them from it. */
@@ -327,7 +345,7 @@
 
     /** Returns the monotonic time before which no task starts there unless need be. */
     public long pausedUntilMillis() {
-        return Math.max(mPausedUntilMillis, mAvoidedUntilMillis);
+        return Math.max(mPausedUntilMillis, Math.max(mAvoidedUntilMillis, mUnansweredUntilMillis));
     }
 
     /** Returns a word for the cause of the last pause; empty if there was none. */
--- a/core/src/test/java/org/marigoldturn/scheduling/UnansweredStartTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/UnansweredStartTest.java
@@ -25,11 +25,26 @@
         mTarget.onClock(ORDER_END_TARGET_MILLIS + 1, mFixture.mNowMillis);
         mFixture.report(mTarget, List.of());
         assertThat(mTarget.runs()).isEmpty();
+        assertThat(mFixture.starts()).isEmpty();
+        // There is no other target.
+        mFixture.mNowMillis += 2_000;
         assertThat(mFixture.starts())
                 .singleElement()
                 .matches(again -> again.number() > run.number());
     }
 
+    /** Guards against a task that is started again and again where no order is responded to. */
+    @Example
+    void taskStartsElsewhereWhileItsFirstTargetRespondsToNoOrder() {
+        startWithoutResponse();
+        TargetState other = mFixture.addTarget("t2", 4_000);
+        mFixture.mScheduler.onStopResponse(
+                mTarget.runs().iterator().next(), false, mFixture.mNowMillis);
+        mTarget.onClock(ORDER_END_TARGET_MILLIS + 1, mFixture.mNowMillis);
+        mFixture.report(mTarget, List.of());
+        assertThat(mFixture.starts()).singleElement().extracting(Run::target).isEqualTo(other);
+    }
+
     /** Guards against a second run beside one that was started without a response. */
     @Example
     void runThatIsListedAfterTheOrderIsOutOfDateIsKept() {
