End the orders for hosts before the ownership is given up

Cause: a stopping owner went on ordering maintenance while its writes were flushed, and the response to an order that came after that was recorded nowhere. The next owner did not know of that host. Change: an owner that leaves orders no more work on hosts and waits for the open orders before it flushes; the next owner is told that it acts no more only if none is open. An order is repeated only while no other daemon can be the owner, and not after the role has ended. The runner of a withdrawn wave stays and follows what it has ordered.

--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -42,39 +42,41 @@
         }
     }
 
+    /** Repeats no order for maintenance any more. */
+    void close() {
+        mWaves.values().forEach(MaintenanceRunner::close);
+    }
+
+    /** Returns whether maintenance was ordered without a response, so that it may still begin. */
+    boolean hasOpenOrders() {
+        return mWaves.values().stream().anyMatch(MaintenanceRunner::hasOpenOrders);
+    }
+
     void tick(long nowMillis) {
         tickWaves(nowMillis);
         tickSpareHosts(nowMillis);
     }
 
     private void tickWaves(long now) {
-        withdrawWaves();
+        Set<Long> listed = new HashSet<>();
         for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
-            MaintenanceRunner runner =
-                    mWaves.computeIfAbsent(
-                            wave.number(),
-                            number ->
-                                    new MaintenanceRunner(
-                                            wave,
-                                            mContext,
-                                            mScheduler,
-                                            mCommits,
-                                            Optional.ofNullable(
-                                                    mHostRecords.get(StoreLayout.wave(number)))));
-            runner.tick(now);
-        }
-    }
-
-    /** Lets tasks start on the hosts of waves that the operator has removed. */
-    private void withdrawWaves() {
-        Set<Long> numbers = new HashSet<>();
-        mOperator.waves().forEach(wave -> numbers.add(wave.number()));
-        for (Map.Entry<Long, MaintenanceRunner> wave : Map.copyOf(mWaves).entrySet()) {
-            if (!numbers.contains(wave.getKey())) {
-                wave.getValue().withdraw();
-                mWaves.remove(wave.getKey());
-            }
+            listed.add(wave.number());
+            mWaves.computeIfAbsent(
+                    wave.number(),
+                    number ->
+                            new MaintenanceRunner(
+                                    wave,
+                                    mContext,
+                                    mScheduler,
+                                    mCommits,
+                                    Optional.ofNullable(
+                                            mHostRecords.get(StoreLayout.wave(number)))));
         }
+        mWaves.forEach(
+                (number, runner) -> {
+                    runner.setWithdrawn(!listed.contains(number));
+                    runner.tick(now);
+                });
     }
 
     private void tickSpareHosts(long now) {
--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -126,7 +126,9 @@
         mControl.execute(
                 () -> {
                     CompletableFuture<Void> flushed =
-                            mRole == null ? CompletableFuture.completedFuture(null) : mRole.flush();
+                            mRole == null
+                                    ? CompletableFuture.completedFuture(null)
+                                    : mRole.prepareToLeave();
                     flushed.orTimeout(FLUSH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                             .whenComplete((done, failure) -> mControl.execute(() -> leave(left)));
                 });
@@ -140,8 +142,9 @@
     }
 
     private void leave(CompletableFuture<Void> left) {
+        boolean actsNoMore = mRole == null || !mRole.hasOpenHostOrders();
         mElection
-                .leave()
+                .leave(actsNoMore)
                 .whenComplete(
                         (done, failure) -> {
                             if (failure == null) {
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -45,6 +45,7 @@
     private final PlatformFormats mFormats;
     private final ControlLoop mControl;
     private final Clocks mClocks;
+    private final OwnershipLease mOwnershipLease;
     private final String mHolder;
     private final long mTerm;
     private final Runnable mOnFenced;
@@ -58,6 +59,8 @@
     private long mBlockLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mReportedRunning;
     private boolean mCompleted;
+    private boolean mWithdrawn;
+    private boolean mClosed;
 
     /**
      * A host on which maintenance has begun.
@@ -81,6 +84,7 @@
         mFormats = context.formats();
         mControl = context.control();
         mClocks = context.clocks();
+        mOwnershipLease = context.ownershipLease();
         mHolder = context.self().host();
         mTerm = context.term();
         mOnFenced = context.onFenced();
@@ -103,6 +107,16 @@
         return mCompleted;
     }
 
+    /** Repeats no order any more. */
+    void close() {
+        mClosed = true;
+    }
+
+    /** Returns whether an order has got no response, so that the maintenance may still begin. */
+    boolean hasOpenOrders() {
+        return !mOrderedHosts.isEmpty();
+    }
+
     /** Returns the hosts that are being prepared for maintenance or are down for it. */
     Set<String> affectedHosts() {
         Set<String> affected = new HashSet<>(mCordonedSinceMillis.keySet());
@@ -120,7 +134,9 @@
             readHosts(nowMillis);
         }
         mDownHosts.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
-        if (!mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty()) {
+        if (mWithdrawn) {
+            // Hosts that are down are still followed.
+        } else if (!mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty()) {
             cordonHosts(nowMillis);
             orderMaintenance(nowMillis);
         } else if (!mCompleted) {
@@ -131,11 +147,18 @@
         }
     }
 
-    /** Ends the preparation of hosts whose maintenance has not been ordered. */
-    void withdraw() {
-        for (String host : Set.copyOf(mRemainingHosts)) {
-            if (!mOrderedHosts.contains(host)) {
-                drop(host);
+    /**
+     * Sets whether the operator has removed the wave. No further maintenance is ordered then; what
+     * has been ordered is followed to its end.
+     */
+    void setWithdrawn(boolean withdrawn) {
+        mWithdrawn = withdrawn;
+        if (withdrawn) {
+            for (String host : Set.copyOf(mCordonedSinceMillis.keySet())) {
+                if (!mOrderedHosts.contains(host)) {
+                    mCordonedSinceMillis.remove(host);
+                    setCordoned(host, false);
+                }
             }
         }
     }
@@ -245,8 +268,18 @@
         send(host, target);
     }
 
-    /** Repeats an order that got no response, once the budgets allow it again. */
+    /**
+     * Repeats an order that got no response, once no other daemon can be the owner and the budgets
+     * allow it again.
+     */
     private void retry(String host, TargetState target) {
+        if (mClosed) {
+            return;
+        }
+        if (!mOwnershipLease.isCertain(mClocks.now(), mClocks.epoch())) {
+            mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
+            return;
+        }
         if (target != null) {
             target.setInterrupted(false);
             boolean blocked = isBlocked(host, target, mClocks.now());
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -109,8 +109,13 @@
         mControl.every("owner lease", RENEW_INTERVAL_MILLIS, this::renew);
     }
 
-    /** Gives up ownership and does not compete for it again. */
-    CompletableFuture<Void> leave() {
+    /**
+     * Gives up ownership and does not compete for it again.
+     *
+     * @param actsNoMore whether nothing that this daemon has ordered can begin later, apart from
+     *     starts, which end with the lease sent with them
+     */
+    CompletableFuture<Void> leave(boolean actsNoMore) {
         mLeaving = true;
         long lease = mLeaseId;
         long term = mOwnTerm;
@@ -119,7 +124,7 @@
         if (lease == 0) {
             return CompletableFuture.completedFuture(null);
         }
-        if (term == 0) {
+        if (term == 0 || !actsNoMore) {
             return mStore.revokeLease(lease);
         }
         long actMillis =
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -33,6 +33,8 @@
 
     private static final long LOAD_RETRY_MILLIS = 200;
 
+    private static final long HOST_ORDER_CHECK_MILLIS = 20;
+
     /** All targets but unresponsive ones respond to their first poll within this time. */
     private static final long FIRST_POLLS_MILLIS = 250;
 
@@ -57,6 +59,7 @@
     private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
+    private boolean mLeaving;
     private boolean mLoggedMayAct = true;
     private boolean mSchedulingRequested;
     private boolean mClosed;
@@ -95,6 +98,7 @@
         mSessions.closeAll();
         if (mOrders != null) {
             mOrders.close();
+            mHostWork.close();
         }
         long now = mContext.clocks().now();
         mRunLog.close(now);
@@ -109,9 +113,34 @@
         return mServing ? Optional.of(mCalls) : Optional.empty();
     }
 
-    /** Completes when all writes enqueued so far are stored. */
-    CompletableFuture<Void> flush() {
-        return mCommits.flush();
+    /**
+     * Begins no more work on hosts; completes once the orders for it have ended and all writes
+     * enqueued by then are stored.
+     */
+    CompletableFuture<Void> prepareToLeave() {
+        mLeaving = true;
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        flushOnceHostOrdersHaveEnded(ready);
+        return ready;
+    }
+
+    private void flushOnceHostOrdersHaveEnded(CompletableFuture<Void> ready) {
+        if (hasOpenHostOrders() && !mClosed) {
+            mContext.control()
+                    .after(
+                            "host orders",
+                            HOST_ORDER_CHECK_MILLIS,
+                            () -> flushOnceHostOrdersHaveEnded(ready));
+        } else {
+            var unused = mCommits.flush().thenRun(() -> ready.complete(null));
+        }
+    }
+
+    /**
+     * Returns whether work on a host was ordered without a response, so that it may still begin.
+     */
+    boolean hasOpenHostOrders() {
+        return mHostWork != null && mHostWork.hasOpenOrders();
     }
 
     /** Applies the operator's newest settings. */
@@ -304,7 +333,7 @@
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         long now = mContext.clocks().now();
         // Until then an earlier owner may order work on the same hosts.
-        if (updateOwnership() && now >= mHostWorkFromMillis) {
+        if (updateOwnership() && now >= mHostWorkFromMillis && !mLeaving) {
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerElectionTest.java
@@ -183,7 +183,7 @@
         mControl.execute(mElection::start);
         assertThat(mElected.poll(20, TimeUnit.SECONDS)).isEqualTo(5);
         CompletableFuture<Void> left = new CompletableFuture<>();
-        mControl.execute(() -> mElection.leave().thenRun(() -> left.complete(null)));
+        mControl.execute(() -> mElection.leave(true).thenRun(() -> left.complete(null)));
         left.get(20, TimeUnit.SECONDS);
         assertThat(mStore.value(StoreLayout.OWNER_LIVE)).isEmpty();
         assertThat(storedTerm().getLeft()).isTrue();
