Enqueue the end of a job in the pass that decides it

Callers saw: a job is shown as failed up to 100 ms before its write is enqueued; an owner that is replaced in between has told a state that the store does not hold. Cause: a pass stored the changes before it decided, and a job that has used up its attempts ends in the decision. Change: the changes are stored after the decision too. Ruled out: showing the state only once it is stored, which delays each answer. Result: existing tests pass; no test shows the window.

--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -424,6 +424,8 @@
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
             mOrders.send(order);
         }
+        // A job that ran out of attempts must not be shown as failed before its write is enqueued.
+        mProgress.storeChanges();
         mAdvice.run(now);
         mPace.onPass(now, mContext.clocks().now());
     }
