Tell a run whose order is out of date from one that runs

Callers saw: after a lost start order the task runs again only after up to 7.4 s, and the log says meanwhile that it runs. Cause: such a run was given the phase RUNNING, and the poll that was sent in the same millisecond as the response with the clock did not count; the next ones waited 1.5 s. Change: a phase of its own, in which polls stay short; polls count from the one that read the clock. Ruled out: counting that poll's own report, which may be older than the clock.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -224,7 +224,7 @@
         mTargetClockMillis = response.targetMillis();
         mClockReadMillis = mClocks.now();
         mClockKnown = true;
-        mTarget.onClock(mTargetClockMillis, mClockReadMillis);
+        mTarget.onClock(mTargetClockMillis, pollSentMillis);
         mTarget.setReachable(true);
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -15,13 +15,17 @@
         /** The start order was issued; no response is known yet. */
         STARTING,
         /**
-         * The target has listed or accepted the run, or refuses to start it from now on, after a
-         * stop order or since the start order is out of date; later reports decide whether the run
-         * exists.
+         * The target has listed or accepted the run, or has confirmed a stop order and refuses to
+         * start it from now on; later reports decide whether the run exists.
          */
         RUNNING,
         /** The start order got no response; the run may exist now or later. */
-        UNCERTAIN
+        UNCERTAIN,
+        /**
+         * The start order got no response and is out of date at the target; later reports decide
+         * whether the run exists.
+         */
+        OUT_OF_DATE
     }
 
     private final TaskId mTask;
@@ -162,17 +166,24 @@
 
     /** Returns whether it is not known if the start order has been or will be carried out. */
     boolean isUncertain() {
-        return mPhase == Phase.UNCERTAIN;
+        return mPhase == Phase.UNCERTAIN || mPhase == Phase.OUT_OF_DATE;
+    }
+
+    /** Returns whether the start order has no response and may still be carried out. */
+    boolean mayStartLater() {
+        return mPhase == Phase.STARTING || mPhase == Phase.UNCERTAIN;
     }
 
     /**
      * Records a time that the target's clock has passed. From the end of the lease sent with it,
      * the target rejects the start order; later reports decide whether the run exists.
+     *
+     * @param pollSentMillis monotonic time at which the poll that read the clock was sent
      */
-    void onTargetClock(long targetMillis, long nowMillis) {
+    void onTargetClock(long targetMillis, long pollSentMillis) {
         if (mPhase == Phase.UNCERTAIN && targetMillis > mOrderEndTargetMillis) {
-            mPhase = Phase.RUNNING;
-            mConfirmedMillis = nowMillis;
+            mPhase = Phase.OUT_OF_DATE;
+            mConfirmedMillis = pollSentMillis;
         }
     }
 
@@ -193,6 +204,7 @@
      * it exists.
      */
     boolean mustBeListedByPollSentAt(long pollSentMillis) {
-        return mPhase == Phase.RUNNING && pollSentMillis > mConfirmedMillis;
+        return (mPhase == Phase.RUNNING || mPhase == Phase.OUT_OF_DATE)
+                && pollSentMillis > mConfirmedMillis;
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -150,9 +150,11 @@
     /**
      * Records a time that its clock has passed; start orders without a response whose lease ended
      * before cannot be carried out any more.
+     *
+     * @param pollSentMillis monotonic time at which the poll that read the clock was sent
      */
-    public void onClock(long targetMillis, long nowMillis) {
-        forEachRun(run -> run.onTargetClock(targetMillis, nowMillis));
+    public void onClock(long targetMillis, long pollSentMillis) {
+        forEachRun(run -> run.onTargetClock(targetMillis, pollSentMillis));
     }
 
     /** Passes all runs that may exist there; the action must not add or remove runs. */
@@ -219,7 +221,7 @@
 
     void abandonUnconfirmedRuns() {
         for (Run run : runs()) {
-            if (run.phase() != Run.Phase.RUNNING) {
+            if (run.mayStartLater()) {
                 mAbandoned.add(run);
             }
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/WaitDiagnosis.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/WaitDiagnosis.java
@@ -87,7 +87,7 @@
                         ? "stopping"
                         : switch (run.phase()) {
                             case STARTING -> "starting";
-                            case UNCERTAIN -> "unanswered";
+                            case UNCERTAIN, OUT_OF_DATE -> "unanswered";
                             case RUNNING -> "running";
                         };
         return "run="
