Order maintenance only of hosts whose present target is known

Callers would see: the runs of a host's target end by maintenance although a budget forbids it. Cause (by review): a target without a record counted as known before it responded, and the host of a former target that is still listed was judged by that one. Change: work on hosts requires that the target has reported, or that all leases of earlier owners are over, as before; of several listed targets of a host the one that responds counts. Ruled out: ending all other targets of a host once one responds, since entries may be old.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -324,7 +324,7 @@
 
     /** Returns whether all runs that can exist on a target are known. */
     public boolean knowsRuns(TargetState target, long nowMillis) {
-        return mTargets.knowsRuns(target, nowMillis);
+        return mTargets.hasReportedOrHasNoLease(target, nowMillis);
     }
 
     /** Returns all orders that are due: first stops, then starts in scheduling order. */
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -269,12 +270,29 @@
 
     /** Returns the listed target on a host; empty if none is known. */
     Optional<TargetState> listedOn(String hostId) {
-        for (TargetState target : mTargets.values()) {
-            if (target.isListed() && target.entry().hostId().equals(hostId)) {
-                return Optional.of(target);
-            }
-        }
-        return Optional.empty();
+        return mTargets.values().stream()
+                .filter(target -> target.isListed() && target.entry().hostId().equals(hostId))
+                .max(
+                        Comparator.comparing(TargetState::isReachable)
+                                .thenComparing(TargetState::hasReported));
+    }
+
+    /**
+     * Returns whether all runs on a target are known, also those that this owner may still start:
+     * it has reported, or every lease of an earlier owner has expired.
+     */
+    boolean hasReportedOrHasNoLease(TargetState target, long nowMillis) {
+        return target.hasReported() || provenMillis(nowMillis) >= longestLeaseEndMillis();
+    }
+
+    /** Returns whether a start that was decided before may be sent now. */
+    boolean mayStart(Run run) {
+        TargetState target = run.target();
+        return contains(target)
+                && target.find(run.task(), run.number()) == run
+                && !run.isStopRequested()
+                && (mOwnerCertain || target.hasReportedToCertainOwner())
+                && target.mayStart(mClosedZones);
     }
 
     /** Returns the targets of a service on which new tasks may start. */
