Use a target again after a lost move only if the host list shows it

Cause (by review): the end of a transfer cleared the flags that maintenance of the same host may hold, and a move may still be carried out late. Change: a host list that was requested after the order has to show the target on its host; a host in a wave is left to the wave. Ruled out: waiting for longer. Result: HostWorkWaitTest passes.

--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -32,6 +32,9 @@
     /** A moved host's target is expected within this time; afterwards the host list decides. */
     private static final long ARRIVAL_TIMEOUT_MILLIS = 4_000;
 
+    /** Interval of reading the host list while it is to settle an overdue move. */
+    private static final long LIST_RETRY_MILLIS = 1_000;
+
     private final OwnerContext mContext;
     private final JobScheduler mScheduler;
     private final GroupCommit mCommits;
@@ -40,6 +43,7 @@
     private final Map<String, Transfer> mTransfers = new HashMap<>();
     private final Map<String, Long> mIdleSinceMillis = new HashMap<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
+    private long mListRequestedMillis = Long.MIN_VALUE / 2;
     private long mAssumedCpuMillicores;
     private boolean mListing;
 
@@ -67,7 +71,7 @@
         mAssumedCpuMillicores = leastCpuMillicores();
         List<LoanPolicy.SpareHost> movable = new ArrayList<>();
         for (String host : mSpare) {
-            followTransfer(host, nowMillis);
+            followTransfer(host, busyHosts.contains(host), nowMillis);
             boolean closed =
                     mListed.containsKey(host) && closedZones.contains(mListed.get(host).zone());
             if (!mTransfers.containsKey(host) && !busyHosts.contains(host) && !closed) {
@@ -85,7 +89,7 @@
         }
     }
 
-    private void followTransfer(String host, long nowMillis) {
+    private void followTransfer(String host, boolean inMaintenance, long nowMillis) {
         Transfer transfer = mTransfers.get(host);
         TargetState target = targetOn(host);
         if (target != null) {
@@ -97,12 +101,32 @@
         }
         boolean arrived = target != null && target.entry().service().equals(transfer.toPool());
         boolean overdue = nowMillis - transfer.orderedMillis() >= ARRIVAL_TIMEOUT_MILLIS;
-        if (arrived || overdue) {
+        if (arrived) {
             mTransfers.remove(host);
-            setInUse(target, true);
+        } else if (overdue && (target == null || !isListedSince(target, transfer))) {
+            // The next list tells where the host is.
+            mListedMillis =
+                    Math.min(mListedMillis, nowMillis - LIST_INTERVAL_MILLIS + LIST_RETRY_MILLIS);
+            if (target == null) {
+                mTransfers.remove(host);
+            }
+        } else if (overdue) {
+            mTransfers.remove(host);
+            if (!inMaintenance) {
+                setInUse(target, true);
+            }
         }
     }
 
+    /** Returns whether a list that was requested after the order shows the target on its host. */
+    private boolean isListedSince(TargetState target, Transfer transfer) {
+        HostClient.HostStatus status = mListed.get(target.entry().hostId());
+        return mListRequestedMillis > transfer.orderedMillis()
+                && status != null
+                && status.up()
+                && status.targetId().equals(target.entry().id());
+    }
+
     /** Lets tasks start on a target, or none any more since the move of its host is ordered. */
     private static void setInUse(TargetState target, boolean inUse) {
         if (target != null) {
@@ -232,7 +256,7 @@
                                                 () -> {
                                                     mListing = false;
                                                     if (failure == null) {
-                                                        onHosts(hosts, catalog);
+                                                        onHosts(hosts, catalog, nowMillis);
                                                     } else {
                                                         Logger.warn(
                                                                 "loan: event=list-failed cause={}",
@@ -241,7 +265,9 @@
                                                 }));
     }
 
-    private void onHosts(List<HostClient.HostStatus> hosts, QueueCatalog catalog) {
+    private void onHosts(
+            List<HostClient.HostStatus> hosts, QueueCatalog catalog, long requestedMillis) {
+        mListRequestedMillis = requestedMillis;
         mListed.clear();
         boolean changed = false;
         for (HostClient.HostStatus host : hosts) {
