Measure from the first failure to place a task for how long it avoids targets

Cause (by review): the time was reset only when all tasks of a step had a target, so that a later task avoided nothing. Change: a gap between passes that find a waiting task begins the time anew. Ruled out: a time for each task, since a pass ends with the first that fits nowhere.

--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -7,6 +7,9 @@
 
 /** State of one step in one occurrence of a job, with its tasks. Confined to the control thread. */
 final class StepState {
+    /** Scheduling passes that find a waiting task are not further apart than this. */
+    private static final long UNPLACED_GAP_MILLIS = 1_000;
+
     private final JobEntry mJob;
     private final StepSpec mSpec;
     private final int mOccurrence;
@@ -14,7 +17,8 @@
     private final List<TaskState> mTasks = new ArrayList<>();
     private final StepAdvice mAdvice = new StepAdvice();
     private int mDoneTasks;
-    private long mUnplacedSinceMillis = Long.MAX_VALUE;
+    private long mUnplacedSinceMillis;
+    private long mLastUnplacedMillis = Long.MIN_VALUE / 2;
 
     StepState(JobEntry job, int occurrence, int number) {
         mJob = job;
@@ -85,15 +89,13 @@
 
     /** Returns since when a waiting task has fitted into no usable target; now if it did before. */
     long unplacedSinceMillis(long nowMillis) {
-        mUnplacedSinceMillis = Math.min(mUnplacedSinceMillis, nowMillis);
+        if (nowMillis - mLastUnplacedMillis > UNPLACED_GAP_MILLIS) {
+            mUnplacedSinceMillis = nowMillis;
+        }
+        mLastUnplacedMillis = nowMillis;
         return mUnplacedSinceMillis;
     }
 
-    /** Records that each waiting task was given a target. */
-    void onAllPlaced() {
-        mUnplacedSinceMillis = Long.MAX_VALUE;
-    }
-
     /** Counts the tasks that have no available run now. */
     int countUnavailable() {
         int unavailable = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -85,7 +85,6 @@
             }
             orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
         }
-        step.onAllPlaced();
         return orders;
     }
 
