Send a start that has waited only while it may still be decided

Callers would see: a task runs twice, or runs for a cancelled job, or does not start though there is room. Cause (by review): a start that waited behind other orders of its target was sent whatever had happened meanwhile: its run given up, its job cancelled, its target draining, the owner without a right to act. Stops without a response, which come first, kept it waiting. Change: at sending, the run must be wanted and its target usable, and the owner must be allowed to act; a stop of a run whose start waits takes the start back; an order without a response takes back all starts that wait there. A refused connection counts as no response. Ruled out: sending starts first, which delays cancellations. Result: TargetOrdersTest has three more examples.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.coordination;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.BooleanSupplier;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.Run;
@@ -16,6 +17,7 @@
     private final JobScheduler mScheduler;
     private final TargetSessions mSessions;
     private final RunLog mRunLog;
+    private final BooleanSupplier mMayAct;
     private final Listener mListener;
     private final TargetOrders mOrders = new TargetOrders();
     private boolean mClosed;
@@ -34,16 +36,22 @@
             JobScheduler scheduler,
             TargetSessions sessions,
             RunLog runLog,
+            BooleanSupplier mayAct,
             Listener listener) {
         mContext = context;
         mScheduler = scheduler;
         mSessions = sessions;
         mRunLog = runLog;
+        mMayAct = mayAct;
         mListener = listener;
     }
 
     /** Sends an order, once few others are open at its target. */
     void send(Order order) {
+        if (order instanceof Order.Stop && mOrders.takeStart(order.run()).isPresent()) {
+            apply(order.run(), StartOutcome.NOT_SENT);
+            return;
+        }
         mOrders.add(order);
         sendNext(order.run().target());
     }
@@ -58,13 +66,24 @@
         for (Order order : mOrders.takeSendable(target)) {
             long now = mContext.clocks().now();
             if (order instanceof Order.Start start) {
-                send(start, now);
+                sendIfAllowed(start, now);
             } else if (order instanceof Order.Stop stop) {
                 send(stop, now);
             }
         }
     }
 
+    /** What was decided for a start that has waited may not hold any more. */
+    private void sendIfAllowed(Order.Start start, long now) {
+        if (mMayAct.getAsBoolean() && mScheduler.mayStart(start.run())) {
+            send(start, now);
+            return;
+        }
+        mOrders.onEnded(start.run().target());
+        apply(start.run(), StartOutcome.NOT_SENT);
+        sendNext(start.run().target());
+    }
+
     private void send(Order.Start start, long now) {
         Run run = start.run();
         long lease = mSessions.grantLease(run.target(), now);
@@ -88,16 +107,20 @@
         }
         mOrders.onEnded(run.target());
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
+        apply(run, known);
         if (known == StartOutcome.UNKNOWN) {
-            // They would wait for as long as this one did.
-            for (Order.Start waiting : mOrders.takeStarts(run.target())) {
-                apply(waiting.run(), StartOutcome.NOT_SENT);
-            }
+            takeBackStarts(run.target());
         }
-        apply(run, known);
         sendNext(run.target());
     }
 
+    /** The starts that wait at a target without a response would wait for as long again. */
+    private void takeBackStarts(TargetState target) {
+        for (Order.Start waiting : mOrders.takeStarts(target)) {
+            apply(waiting.run(), StartOutcome.NOT_SENT);
+        }
+    }
+
     private void apply(Run run, StartOutcome outcome) {
         if (outcome != StartOutcome.ACCEPTED) {
             mRunLog.logStartResponse(run, outcome, mContext.clocks().now());
@@ -129,6 +152,9 @@
         }
         mOrders.onEnded(run.target());
         mScheduler.onStopResponse(run, failure == null, mContext.clocks().now());
+        if (failure != null) {
+            takeBackStarts(run.target());
+        }
         sendNext(run.target());
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -204,7 +204,7 @@
                 now + EarlierOwners.certainMillis(mContext.times().earlierOwnersActMillis());
         mProgress = new ProgressRecords(mScheduler, mCommits);
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
-        mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this);
+        mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this::mayAct, this);
         mAdvice = new AdviceRunner(mContext, mScheduler, this::requestScheduling);
         mCalls =
                 new OwnerCalls(
--- a/core/src/main/java/org/marigoldturn/coordination/TargetOrders.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetOrders.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marigoldturn.scheduling.Order;
+import org.marigoldturn.scheduling.Run;
 import org.marigoldturn.scheduling.TargetState;
 
 /**
@@ -37,6 +39,18 @@
         }
     }
 
+    /** Removes the start order of a run if it waits; it needs no stop order then. */
+    Optional<Order.Start> takeStart(Run run) {
+        Queue queue = mQueues.get(run.target());
+        if (queue == null) {
+            return Optional.empty();
+        }
+        Optional<Order.Start> waiting =
+                queue.mStarts.stream().filter(start -> start.run() == run).findFirst();
+        waiting.ifPresent(queue.mStarts::remove);
+        return waiting;
+    }
+
     /** Adds an order to the ones that wait for its target. */
     void add(Order order) {
         Queue queue = mQueues.computeIfAbsent(order.run().target(), target -> new Queue());
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -292,13 +292,22 @@
         return mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
     }
 
+    /**
+     * Returns whether a start order that has waited may be sent: the run is still wanted, and
+     * nothing has changed that would keep it from being decided now.
+     */
+    public boolean mayStart(Run run) {
+        return mTargets.mayStart(run);
+    }
+
     /** Records a target's response to a start order. */
     public void onStartResponse(Run run, StartOutcome outcome, long nowMillis) {
         if (outcome == StartOutcome.INVALID_TICKET) {
             mAdvice.reject(run);
         }
         if (outcome != StartOutcome.NOT_SENT) {
-            boolean responded = outcome.effect() != StartOutcome.Effect.UNKNOWN;
+            boolean responded =
+                    outcome != StartOutcome.UNKNOWN && outcome != StartOutcome.UNHEALTHY;
             run.target().onOrderEnded(responded, nowMillis);
         }
         switch (outcome.effect()) {
@@ -322,7 +331,7 @@
         mTargets.expireLeases(nowMillis);
     }
 
-    /** Returns whether all runs that can exist on a target are known. */
+    /** Returns whether it is known what planned work on a target's host would end. */
     public boolean knowsRuns(TargetState target, long nowMillis) {
         return mTargets.hasReportedOrHasNoLease(target, nowMillis);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
@@ -17,7 +17,7 @@
     UNHEALTHY(Effect.NOT_RUN, 1_000),
     /** Another incarnation responded at the address. */
     OTHER_INSTANCE(Effect.NOT_RUN, 1_000),
-    /** An earlier order to the target has got no response; this one was not sent. */
+    /** The order waited behind others and was not sent, since it may not be any more. */
     NOT_SENT(Effect.NOT_RUN, 500),
     /** There was no response; the run may have started or may start later. */
     UNKNOWN(Effect.UNKNOWN, 500);
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -44,7 +44,7 @@
      * For this long after an order without a response, unless it responds to another one, tasks
      * avoid the target: the next order would most likely get none either.
      */
-    private static final long UNANSWERED_AVOIDANCE_MILLIS = 5_000;
+    private static final long UNANSWERED_AVOIDANCE_MILLIS = 2_000;
 
     private final Map<TaskId, List<Run>> mRuns = new HashMap<>();
     private final Set<String> mFailedJobs = new HashSet<>();
@@ -287,13 +287,17 @@
 
     /** Returns whether a task that started there now would run. */
     boolean canRun(Set<String> closedZones, long nowMillis) {
+        return mayStart(closedZones) && nowMillis >= mPausedUntilMillis;
+    }
+
+    /** Returns whether a start that was decided before may be sent. */
+    boolean mayStart(Set<String> closedZones) {
         return mListed
                 && mRecorded
                 && mReported
                 && mReachable
                 && !mInterrupted
                 && !mEntry.draining()
-                && nowMillis >= mPausedUntilMillis
                 && !closedZones.contains(mEntry.zone());
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -268,7 +268,10 @@
         return count;
     }
 
-    /** Returns the listed target on a host; empty if none is known. */
+    /**
+     * Returns the listed target on a host; empty if none is known. The list can still contain an
+     * earlier target of the host, which does not respond.
+     */
     Optional<TargetState> listedOn(String hostId) {
         return mTargets.values().stream()
                 .filter(target -> target.isListed() && target.entry().hostId().equals(hostId))
--- a/core/src/test/java/org/marigoldturn/coordination/TargetOrdersTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetOrdersTest.java
@@ -60,6 +60,48 @@
         assertThat(mOrders.takeSendable(mTarget)).first().isEqualTo(stop);
     }
 
+    /** Guards against a run that is stopped and whose start is sent after that. */
+    @Example
+    void aStartThatWaitsIsTakenBackInsteadOfAStop() {
+        List<Order.Start> starts = starts();
+        starts.forEach(mOrders::add);
+        mOrders.takeSendable(mTarget);
+        assertThat(mOrders.takeStart(starts.get(0).run())).isEmpty();
+        Order.Start waiting = starts.get(TASKS - 1);
+        assertThat(mOrders.takeStart(waiting.run())).contains(waiting);
+        assertThat(mOrders.takeStarts(mTarget)).doesNotContain(waiting);
+    }
+
+    /**
+     * Guards against a start that is sent after its run was given up, or is not wanted any more.
+     */
+    @Example
+    void aStartThatHasWaitedIsSentOnlyWhileItsRunIsWanted() {
+        List<Order.Start> starts = starts();
+        assertThat(starts).allMatch(start -> mScheduler.mayStart(start.run()));
+        mTarget.setInterrupted(true);
+        assertThat(starts).noneMatch(start -> mScheduler.mayStart(start.run()));
+        mTarget.setInterrupted(false);
+        mScheduler.setClosedZones(Set.of("z"));
+        assertThat(starts).noneMatch(start -> mScheduler.mayStart(start.run()));
+        mScheduler.setClosedZones(Set.of());
+
+        mTarget.setReachable(false);
+        assertThat(starts).noneMatch(start -> mScheduler.mayStart(start.run()));
+        mTarget.extendLease(2_000);
+        mScheduler.setOwnership(true, 3_000);
+        mScheduler.expireLeases(3_000);
+        mTarget.setReachable(true);
+        assertThat(starts).noneMatch(start -> mScheduler.mayStart(start.run()));
+    }
+
+    @Example
+    void aStartOfACancelledJobIsNotSent() {
+        List<Order.Start> starts = starts();
+        mScheduler.cancel("a", 0);
+        assertThat(starts).noneMatch(start -> mScheduler.mayStart(start.run()));
+    }
+
     @Example
     void startsThatWaitForATargetCanBeTakenBack() {
         List<Order.Start> starts = starts();
