Model owners that await recorded targets only

Cause: a new owner starts no restored task before it knows the runs of all targets that are listed or recorded. An owner records a target before its first start there, so a target without a record at the takeover has no runs of earlier owners. Change: a takeover sets the awaited targets to the recorded ones, and a start requires that the runs on these are known. Targets that are listed or found later are not awaited. Where no targets are recorded (RecordsTargets = FALSE), the listed ones are awaited, so that variant remains what it was. Two new guards, each with a variant that lacks it: RecordsFirst (the record is stored before the first start) and ReadsAfterTerm (the records are read after the term is written). A start does not require that the runs on its own target are known, which the code does require.

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -11,17 +11,20 @@
 EXTENDS Naturals, FiniteSets, TLC
 
 CONSTANTS Daemons, Targets, Tasks, MaxTerm, MaxRuns, Capacity,
-    KnowsAllFirst,     \* FALSE: an owner starts tasks before it knows the runs of all targets
+    KnowsAllFirst,     \* FALSE: an owner starts tasks before it knows the runs of awaited targets
     ChecksToken,       \* FALSE: targets accept orders with an old token
     RecordsEndsFirst,  \* FALSE: targets may drop ends before the store holds them
     ResolvesStarts,    \* FALSE: a start without a response counts as not carried out
     FencedWrites,      \* FALSE: writes take effect whatever the term in the store
     ResolvesWrites,    \* FALSE: a submission is refused while its write may still take effect
     RecordsTargets,    \* FALSE: a new owner knows only the targets that the platform lists
+    RecordsFirst,      \* FALSE: an owner starts tasks on a target before its record is stored
+    ReadsAfterTerm,    \* FALSE: a new owner may read the records before it writes its term
     ConfirmsTerm,      \* FALSE: an owner that was replaced concludes that leases have ended
     MayCancel,         \* whether the job can be cancelled
     ConfirmsStored,    \* FALSE: targets may drop ends of a job whose cancellation is not stored
-    MaxListChanges     \* how often entries of the platform's list are removed or added
+    MaxListChanges,    \* how often entries of the platform's list are removed or added
+    AcceptedBefore     \* whether the job has been accepted before the first takeover
 
 VARIABLES
     term,       \* term of the newest owner, in the store
@@ -31,6 +34,7 @@
     recorded,   \* targets that have a record in the store
     aware,      \* targets that each owner has found in the list or in the records
     confirmed,  \* targets that each owner knows to be recorded
+    awaited,    \* targets on which each owner must know the runs before it starts a task
     known,      \* targets whose runs each owner knows, by a poll or by waiting out the leases
     possible,   \* runs that may exist as far as each owner knows
     token,      \* highest token that each target has seen
@@ -51,11 +55,11 @@
     writes,     \* terms of the writes of the submitted job that are in flight
     response    \* response to the client: "none", "accepted" or "refused"
 
-vars == <<term, owner, listed, changes, recorded, aware, confirmed, known, possible, token, runs,
-          ended, refused, orders, done, knownDone, started, cancelling, cancelled, dropped,
+vars == <<term, owner, listed, changes, recorded, aware, confirmed, awaited, known, possible, token,
+          runs, ended, refused, orders, done, knownDone, started, cancelling, cancelled, dropped,
           lostEnd, restarted, mayRerun, job, writes, response>>
 
-targetLists == <<listed, changes, recorded, aware, confirmed>>
+targetLists == <<listed, changes, recorded, aware, confirmed, awaited>>
 
 cancellations == <<cancelling, cancelled, dropped>>
 
@@ -69,6 +73,7 @@
     /\ recorded = {}
     /\ aware = [d \in Daemons |-> {}]
     /\ confirmed = [d \in Daemons |-> {}]
+    /\ awaited = [d \in Daemons |-> {}]
     /\ known = [d \in Daemons |-> {}]
     /\ possible = [d \in Daemons |-> {}]
     /\ token = [t \in Targets |-> 0]
@@ -85,18 +90,24 @@
     /\ lostEnd = FALSE
     /\ restarted = FALSE
     /\ mayRerun = {}
-    /\ job = FALSE
+    /\ job = AcceptedBefore
     /\ writes = {}
-    /\ response = "none"
+    /\ response = IF AcceptedBefore THEN "accepted" ELSE "none"
 
-\* The lease of the last owner has expired, which that owner may not know.
+\* What a new owner can have read of the records. An earlier read may have found none.
+ReadableRecords == IF ReadsAfterTerm THEN {recorded} ELSE {recorded, {}}
+
+\* The lease of the last owner has expired, which that owner may not know. Earlier owners have started
+\* tasks only on targets that were recorded before, so other targets are not awaited.
 TakeOver(d) ==
     /\ term < MaxTerm
     /\ owner[d] = 0
     /\ term' = term + 1
     /\ owner' = [owner EXCEPT ![d] = term + 1]
-    /\ aware' = [aware EXCEPT ![d] = listed \cup recorded]
-    /\ confirmed' = [confirmed EXCEPT ![d] = recorded]
+    /\ \E records \in ReadableRecords :
+        /\ aware' = [aware EXCEPT ![d] = listed \cup records]
+        /\ confirmed' = [confirmed EXCEPT ![d] = records]
+        /\ awaited' = [awaited EXCEPT ![d] = IF RecordsTargets THEN records ELSE listed]
     /\ known' = [known EXCEPT ![d] = {}]
     /\ possible' = [possible EXCEPT ![d] = {}]
     /\ knownDone' = [knownDone EXCEPT ![d] = done]
@@ -105,12 +116,21 @@
     /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done,
                    cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response>>
 
+\* A daemon that is not the owner uses nothing of what it knew, which TakeOver replaces. It is reset, so
+\* that such states are equal.
 StepDown(d) ==
     /\ owner[d] # 0 /\ owner[d] < term
     /\ owner' = [owner EXCEPT ![d] = 0]
-    /\ UNCHANGED <<targetLists, term, known, possible, token, runs, ended, refused, orders, done,
-                   knownDone, started, cancellations, lostEnd, restarted, mayRerun, job, writes,
-                   response>>
+    /\ aware' = [aware EXCEPT ![d] = {}]
+    /\ confirmed' = [confirmed EXCEPT ![d] = {}]
+    /\ awaited' = [awaited EXCEPT ![d] = {}]
+    /\ known' = [known EXCEPT ![d] = {}]
+    /\ possible' = [possible EXCEPT ![d] = {}]
+    /\ knownDone' = [knownDone EXCEPT ![d] = {}]
+    /\ started' = [started EXCEPT ![d] = 0]
+    /\ cancelling' = [cancelling EXCEPT ![d] = FALSE]
+    /\ UNCHANGED <<listed, changes, recorded, term, token, runs, ended, refused, orders, done,
+                   cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* The platform's list can lack a target that executes runs, for instance one that is cut off from
 \* the store, and can list it again.
@@ -118,17 +138,17 @@
     /\ changes < MaxListChanges
     /\ changes' = changes + 1
     /\ listed' = IF t \in listed THEN listed \ {t} ELSE listed \cup {t}
-    /\ UNCHANGED <<term, owner, recorded, aware, confirmed, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
-                   mayRerun, job, writes, response>>
+    /\ UNCHANGED <<term, owner, recorded, aware, confirmed, awaited, known, possible, token, runs,
+                   ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 \* The owner finds a target that was not listed before.
 FindTarget(d, t) ==
     /\ owner[d] # 0 /\ t \in listed \ aware[d]
     /\ aware' = [aware EXCEPT ![d] = @ \cup {t}]
-    /\ UNCHANGED <<term, owner, listed, changes, recorded, confirmed, known, possible, token, runs,
-                   ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<term, owner, listed, changes, recorded, confirmed, awaited, known, possible,
+                   token, runs, ended, refused, orders, done, knownDone, started, cancellations,
+                   lostEnd, restarted, mayRerun, job, writes, response>>
 
 \* The owner records a target before it starts anything there.
 RecordTarget(d, t) ==
@@ -136,9 +156,9 @@
     /\ t \in aware[d] \ confirmed[d]
     /\ recorded' = recorded \cup {t}
     /\ confirmed' = [confirmed EXCEPT ![d] = @ \cup {t}]
-    /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
-                   mayRerun, job, writes, response>>
+    /\ UNCHANGED <<term, owner, listed, changes, aware, awaited, known, possible, token, runs,
+                   ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 \* The owner deletes the record of an unlisted target once nothing can run there as far as it knows
 \* and the store holds all ends that it knows of.
@@ -149,9 +169,9 @@
     /\ knownDone[d] \subseteq done /\ (cancelling[d] => cancelled)
     /\ recorded' = recorded \ {t}
     /\ confirmed' = [confirmed EXCEPT ![d] = @ \ {t}]
-    /\ UNCHANGED <<term, owner, listed, changes, aware, known, possible, token, runs, ended,
-                   refused, orders, done, knownDone, started, cancellations, lostEnd, restarted,
-                   mayRerun, job, writes, response>>
+    /\ UNCHANGED <<term, owner, listed, changes, aware, awaited, known, possible, token, runs,
+                   ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
+                   restarted, mayRerun, job, writes, response>>
 
 AcceptsTerm(t, n) == ChecksToken => n >= token[t]
 
@@ -206,8 +226,8 @@
 
 Start(d, t, task) ==
     /\ owner[d] # 0 /\ job /\ started[d] < MaxRuns
-    /\ t \in aware[d] /\ (RecordsTargets => t \in confirmed[d])
-    /\ KnowsAllFirst => aware[d] \subseteq known[d]
+    /\ t \in aware[d] /\ (RecordsTargets /\ RecordsFirst => t \in confirmed[d])
+    /\ KnowsAllFirst => awaited[d] \subseteq known[d]
     /\ task \notin knownDone[d] /\ ~cancelling[d]
     /\ \A r \in possible[d] : r.task # task
     /\ Cardinality({r \in possible[d] : r.target = t}) < Capacity
