Model targets that end

Cause: a new owner waits for the lease of a recorded target that does not respond, also when the target has ended, which the platform's list of hosts shows. Ends of targets were not in the model. Change: a target can end (EndTarget): its runs end, unconfirmed ends are lost, and it refuses all further orders. With OneHost the targets run on one host one after the other, so that a host list can be older than a target; with OneId they share the id, so that an entry or a record replaces that of an earlier incarnation. The owner reads the host list (ReadHosts) and concludes that a target has ended (LearnEnded), which releases its runs and the awaited target. The record of such a target may be deleted. An end that the store holds stays final, also if the target ends before it has dropped it, which is stricter than for leases that expire. Not run: the other modules, which do not change, and ModelCheckTest, which runs all of them.

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -24,7 +24,12 @@
     MayCancel,         \* whether the job can be cancelled
     ConfirmsStored,    \* FALSE: targets may drop ends of a job whose cancellation is not stored
     MaxListChanges,    \* how often entries of the platform's list are removed or added
-    AcceptedBefore     \* whether the job has been accepted before the first takeover
+    AcceptedBefore,    \* whether the job has been accepted before the first takeover
+    MayEnd,            \* whether targets can end; a target is one incarnation
+    OneHost,           \* whether the targets run on one host, one after the other
+    OneId,             \* whether these also have one id, under which they are listed and recorded
+    ConfirmsEnded,     \* FALSE: an owner that was replaced concludes that a target has ended
+    ReadsHostsAfter    \* FALSE: an owner relies on a host list read before it knew the target
 
 VARIABLES
     term,       \* term of the newest owner, in the store
@@ -53,22 +58,30 @@
     mayRerun,   \* tasks that may run again: they had ended at a target whose lease then expired
     job,        \* whether the job's record is in the store
     writes,     \* terms of the writes of the submitted job that are in flight
-    response    \* response to the client: "none", "accepted" or "refused"
+    response,   \* response to the client: "none", "accepted" or "refused"
+    alive,      \* targets that have started and not ended
+    over,       \* targets that have ended
+    gone        \* targets that were not alive when each owner read the host list
 
 vars == <<term, owner, listed, changes, recorded, aware, confirmed, awaited, known, possible, token,
           runs, ended, refused, orders, done, knownDone, started, cancelling, cancelled, dropped,
-          lostEnd, restarted, mayRerun, job, writes, response>>
+          lostEnd, restarted, mayRerun, job, writes, response, alive, over, gone>>
 
 targetLists == <<listed, changes, recorded, aware, confirmed, awaited>>
 
 cancellations == <<cancelling, cancelled, dropped>>
 
+lives == <<alive, over, gone>>
+
 Run == [target : Targets, task : Tasks, number : Nat]
 
 Init ==
     /\ term = 0
     /\ owner = [d \in Daemons |-> 0]
-    /\ listed = Targets
+    /\ alive \in IF OneHost THEN {{t} : t \in Targets} ELSE {Targets}
+    /\ over = {}
+    /\ gone = [d \in Daemons |-> {}]
+    /\ listed = alive
     /\ changes = 0
     /\ recorded = {}
     /\ aware = [d \in Daemons |-> {}]
@@ -97,15 +110,16 @@
 \* What a new owner can have read of the records. An earlier read may have found none.
 ReadableRecords == IF ReadsAfterTerm THEN {recorded} ELSE {recorded, {}}
 
-\* The lease of the last owner has expired, which that owner may not know. Earlier owners have started
-\* tasks only on targets that were recorded before, so other targets are not awaited.
+\* The lease of the last owner has expired, which that owner may not know. Earlier owners have
+\* started tasks only on targets that were recorded before, so other targets are not awaited.
 TakeOver(d) ==
     /\ term < MaxTerm
     /\ owner[d] = 0
     /\ term' = term + 1
     /\ owner' = [owner EXCEPT ![d] = term + 1]
     /\ \E records \in ReadableRecords :
-        /\ aware' = [aware EXCEPT ![d] = listed \cup records]
+        /\ aware' = [aware EXCEPT ![d] =
+            IF OneId /\ listed # {} THEN listed ELSE listed \cup records]
         /\ confirmed' = [confirmed EXCEPT ![d] = records]
         /\ awaited' = [awaited EXCEPT ![d] = IF RecordsTargets THEN records ELSE listed]
     /\ known' = [known EXCEPT ![d] = {}]
@@ -113,11 +127,11 @@
     /\ knownDone' = [knownDone EXCEPT ![d] = done]
     /\ started' = [started EXCEPT ![d] = 0]
     /\ cancelling' = [cancelling EXCEPT ![d] = cancelled]
-    /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done,
-                   cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response>>
+    /\ UNCHANGED <<listed, changes, recorded, token, runs, ended, refused, orders, done, cancelled,
+                   dropped, lostEnd, restarted, mayRerun, job, writes, response, lives>>
 
-\* A daemon that is not the owner uses nothing of what it knew, which TakeOver replaces. It is reset, so
-\* that such states are equal.
+\* A daemon that is not the owner uses nothing of what it knew, which TakeOver replaces. It is reset,
+\* so that such states are equal.
 StepDown(d) ==
     /\ owner[d] # 0 /\ owner[d] < term
     /\ owner' = [owner EXCEPT ![d] = 0]
@@ -129,49 +143,54 @@
     /\ knownDone' = [knownDone EXCEPT ![d] = {}]
     /\ started' = [started EXCEPT ![d] = 0]
     /\ cancelling' = [cancelling EXCEPT ![d] = FALSE]
+    /\ gone' = [gone EXCEPT ![d] = {}]
     /\ UNCHANGED <<listed, changes, recorded, term, token, runs, ended, refused, orders, done,
-                   cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response>>
+                   cancelled, dropped, lostEnd, restarted, mayRerun, job, writes, response, alive,
+                   over>>
 
 \* The platform's list can lack a target that executes runs, for instance one that is cut off from
-\* the store, and can list it again.
+\* the store, and can list it again, but does not list an incarnation after a later one.
 ChangeList(t) ==
     /\ changes < MaxListChanges
+    /\ t \in listed \/ t \in alive
     /\ changes' = changes + 1
     /\ listed' = IF t \in listed THEN listed \ {t} ELSE listed \cup {t}
     /\ UNCHANGED <<term, owner, recorded, aware, confirmed, awaited, known, possible, token, runs,
                    ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+                   restarted, mayRerun, job, writes, response, lives>>
 
-\* The owner finds a target that was not listed before.
+\* The owner finds a target that was not listed before. The entry replaces that of an earlier
+\* incarnation under the same id.
 FindTarget(d, t) ==
     /\ owner[d] # 0 /\ t \in listed \ aware[d]
-    /\ aware' = [aware EXCEPT ![d] = @ \cup {t}]
+    /\ aware' = [aware EXCEPT ![d] = IF OneId THEN {t} ELSE @ \cup {t}]
     /\ UNCHANGED <<term, owner, listed, changes, recorded, confirmed, awaited, known, possible,
                    token, runs, ended, refused, orders, done, knownDone, started, cancellations,
-                   lostEnd, restarted, mayRerun, job, writes, response>>
+                   lostEnd, restarted, mayRerun, job, writes, response, lives>>
 
-\* The owner records a target before it starts anything there.
+\* The owner records a target before it starts anything there. The record replaces that of an earlier
+\* incarnation under the same id.
 RecordTarget(d, t) ==
     /\ RecordsTargets /\ owner[d] # 0 /\ owner[d] = term
     /\ t \in aware[d] \ confirmed[d]
-    /\ recorded' = recorded \cup {t}
-    /\ confirmed' = [confirmed EXCEPT ![d] = @ \cup {t}]
+    /\ recorded' = IF OneId THEN {t} ELSE recorded \cup {t}
+    /\ confirmed' = [confirmed EXCEPT ![d] = IF OneId THEN {t} ELSE @ \cup {t}]
     /\ UNCHANGED <<term, owner, listed, changes, aware, awaited, known, possible, token, runs,
                    ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+                   restarted, mayRerun, job, writes, response, lives>>
 
-\* The owner deletes the record of an unlisted target once nothing can run there as far as it knows
-\* and the store holds all ends that it knows of.
+\* The owner deletes the record of a target that is not listed or has ended once nothing can run there
+\* as far as it knows and the store holds all ends that it knows of.
 ForgetTarget(d, t) ==
     /\ owner[d] # 0 /\ owner[d] = term
-    /\ t \in (known[d] \cap confirmed[d]) \ listed
+    /\ t \in known[d] \cap confirmed[d] /\ (t \notin listed \/ t \in gone[d])
     /\ \A r \in possible[d] : r.target # t
     /\ knownDone[d] \subseteq done /\ (cancelling[d] => cancelled)
     /\ recorded' = recorded \ {t}
     /\ confirmed' = [confirmed EXCEPT ![d] = @ \ {t}]
     /\ UNCHANGED <<term, owner, listed, changes, aware, awaited, known, possible, token, runs,
                    ended, refused, orders, done, knownDone, started, cancellations, lostEnd,
-                   restarted, mayRerun, job, writes, response>>
+                   restarted, mayRerun, job, writes, response, lives>>
 
 AcceptsTerm(t, n) == ChecksToken => n >= token[t]
 
@@ -179,7 +198,7 @@
 \* is not listed is certain not to exist only if its order can no longer arrive. An owner that has
 \* cancelled the job does not record the ends of its runs.
 Poll(d, t) ==
-    /\ owner[d] # 0 /\ t \in aware[d] /\ AcceptsTerm(t, owner[d])
+    /\ owner[d] # 0 /\ t \in aware[d] \cap alive /\ AcceptsTerm(t, owner[d])
     /\ token' = [token EXCEPT ![t] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ known' = [known EXCEPT ![d] = @ \cup {t}]
     /\ possible' = [possible EXCEPT ![d] =
@@ -187,7 +206,7 @@
     /\ knownDone' = [knownDone EXCEPT ![d] =
         IF cancelling[d] THEN @ ELSE @ \cup {r.task : r \in ended[t]}]
     /\ UNCHANGED <<targetLists, term, owner, runs, ended, refused, orders, done, started,
-                   cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
+                   cancellations, lostEnd, restarted, mayRerun, job, writes, response, lives>>
 
 \* The owner cancels the job on a client's request. It stops runs and starts none from then on, and
 \* the store learns of the cancellation later.
@@ -195,8 +214,8 @@
     /\ MayCancel /\ owner[d] # 0 /\ job /\ ~cancelling[d]
     /\ cancelling' = [cancelling EXCEPT ![d] = TRUE]
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, cancelled, dropped, lostEnd, restarted, mayRerun,
-                   job, writes, response>>
+                   done, knownDone, started, cancelled, dropped, lostEnd, restarted, mayRerun, job,
+                   writes, response, lives>>
 
 \* The store accepts the ends and the cancellation that the owner knows of if no newer owner has
 \* written its term.
@@ -207,12 +226,12 @@
     /\ cancelled' = (cancelled \/ cancelling[d])
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
                    knownDone, started, cancelling, dropped, lostEnd, restarted, mayRerun, job,
-                   writes, response>>
+                   writes, response, lives>>
 
 \* The owner tells the target (LastSeen in a poll) that it knows of an end, so the target drops it.
 \* The store then holds the completion of the task or the cancellation of its job.
 DropEnd(d, t, r) ==
-    /\ owner[d] # 0 /\ AcceptsTerm(t, owner[d]) /\ r \in ended[t]
+    /\ owner[d] # 0 /\ t \in alive /\ AcceptsTerm(t, owner[d]) /\ r \in ended[t]
     /\ r.task \in knownDone[d] \/ cancelling[d]
     /\ RecordsEndsFirst =>
         r.task \in done \/ (cancelling[d] /\ (ConfirmsStored => cancelled))
@@ -222,7 +241,7 @@
     /\ lostEnd' = (lostEnd \/ (r.task \notin done /\ ~cancelled))
     /\ UNCHANGED <<targetLists, term, owner, known, possible, runs, refused, orders, done,
                    knownDone, started, cancelling, cancelled, restarted, mayRerun, job, writes,
-                   response>>
+                   response, lives>>
 
 Start(d, t, task) ==
     /\ owner[d] # 0 /\ job /\ started[d] < MaxRuns
@@ -236,30 +255,31 @@
         /\ possible' = [possible EXCEPT ![d] = @ \cup {r}]
     /\ started' = [started EXCEPT ![d] = @ + 1]
     /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, done, knownDone,
-                   cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
+                   cancellations, lostEnd, restarted, mayRerun, job, writes, response, lives>>
 
 TermOf(r) == r.number \div 100
 
 OrderArrives(r) ==
     /\ r \in orders
     /\ orders' = orders \ {r}
-    /\ IF AcceptsTerm(r.target, TermOf(r)) /\ r \notin refused[r.target]
+    /\ IF r.target \in alive /\ AcceptsTerm(r.target, TermOf(r)) /\ r \notin refused[r.target]
        THEN /\ runs' = [runs EXCEPT ![r.target] = @ \cup {r}]
             /\ token' = [token EXCEPT ![r.target] = IF TermOf(r) > @ THEN TermOf(r) ELSE @]
             /\ restarted' = (restarted \/ (r.task \in (done \cup dropped) \ mayRerun))
        ELSE UNCHANGED <<runs, token, restarted>>
     /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, refused, done, knownDone,
-                   started, cancellations, lostEnd, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, mayRerun, job, writes, response, lives>>
 
 \* A stop that the target responds to: the target ends the run, or will not start it. Its outcome is
 \* known only from the next poll, since the run may have completed before the stop.
 StopRun(d, r) ==
-    /\ owner[d] # 0 /\ r \in possible[d] /\ AcceptsTerm(r.target, owner[d])
+    /\ owner[d] # 0 /\ r \in possible[d] /\ r.target \in alive /\ AcceptsTerm(r.target, owner[d])
     /\ token' = [token EXCEPT ![r.target] = IF owner[d] > @ THEN owner[d] ELSE @]
     /\ runs' = [runs EXCEPT ![r.target] = @ \ {r}]
     /\ refused' = [refused EXCEPT ![r.target] = @ \cup {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, possible, ended, orders, done, knownDone,
-                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response,
+                   lives>>
 
 \* Enabled only in the broken variant: a missing response is taken as a refusal.
 AssumeNotStarted(d, r) ==
@@ -267,7 +287,7 @@
     /\ possible' = [possible EXCEPT ![d] = @ \ {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, token, runs, ended, refused, orders, done,
                    knownDone, started, cancellations, lostEnd, restarted, mayRerun, job, writes,
-                   response>>
+                   response, lives>>
 
 Finish(t, r) ==
     /\ r \in runs[t]
@@ -275,7 +295,8 @@
     /\ ended' = [ended EXCEPT ![t] = @ \cup {r}]
     /\ refused' = [refused EXCEPT ![t] = @ \cup {r}]
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, orders, done, knownDone,
-                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response,
+                   lives>>
 
 \* The lease of a target expires: its runs are killed, and orders in flight under it are refused.
 LeaseExpires(t) ==
@@ -284,7 +305,8 @@
     /\ orders' = {r \in orders : r.target # t}
     /\ mayRerun' = mayRerun \cup {r.task : r \in ended[t]}
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, ended, refused, done,
-                   knownDone, started, cancellations, lostEnd, restarted, job, writes, response>>
+                   knownDone, started, cancellations, lostEnd, restarted, job, writes, response,
+                   lives>>
 
 \* No lease of the given owner or an earlier one holds at a target, or it is not that owner's any more.
 LeaseIsOver(d, t) ==
@@ -305,7 +327,59 @@
     /\ mayRerun' = IF token[t] > owner[d] THEN mayRerun
                    ELSE mayRerun \cup {r.task : r \in ended[t]}
     /\ UNCHANGED <<targetLists, term, owner, token, runs, ended, refused, orders, done, knownDone,
-                   started, cancellations, lostEnd, restarted, job, writes, response>>
+                   started, cancellations, lostEnd, restarted, job, writes, response, lives>>
+
+\* A target ends, for instance since maintenance of its host was ordered. Its runs end, the ends that
+\* it has listed are lost, and it accepts no further order.
+EndTarget(t) ==
+    /\ MayEnd /\ t \in alive
+    /\ alive' = alive \ {t}
+    /\ over' = over \cup {t}
+    /\ token' = [token EXCEPT ![t] = 0]
+    /\ runs' = [runs EXCEPT ![t] = {}]
+    /\ ended' = [ended EXCEPT ![t] = {}]
+    /\ refused' = [refused EXCEPT ![t] = {}]
+    /\ orders' = {r \in orders : r.target # t}
+    /\ mayRerun' = mayRerun \cup ({r.task : r \in ended[t]} \ done)
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, done, knownDone, started,
+                   cancellations, lostEnd, restarted, job, writes, response, gone>>
+
+\* The next target starts on the host once the last one has ended.
+StartTarget(t) ==
+    /\ OneHost /\ alive = {} /\ t \notin over
+    /\ alive' = {t}
+    /\ listed' = IF OneId THEN {t} ELSE listed \cup {t}
+    /\ UNCHANGED <<term, owner, changes, recorded, aware, confirmed, awaited, known, possible,
+                   token, runs, ended, refused, orders, done, knownDone, started, cancellations,
+                   lostEnd, restarted, mayRerun, job, writes, response, over, gone>>
+
+\* The owner reads the platform's list of hosts. A target that it knew before and that is not shown
+\* has ended; one that it did not know may not have started yet.
+ReadHosts(d) ==
+    /\ MayEnd /\ owner[d] # 0
+    /\ LET absent == (IF ReadsHostsAfter THEN aware[d] ELSE Targets) \ alive IN
+        /\ ~(absent \subseteq gone[d])
+        /\ gone' = [gone EXCEPT ![d] = @ \cup absent]
+    /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
+                   done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
+                   writes, response, alive, over>>
+
+\* The host list does not show the target, or the platform lists a later incarnation under its id.
+ShowsEnd(d, t) ==
+    \/ t \in aware[d] \cap gone[d]
+    \/ OneId /\ aware[d] # {} /\ t \in (awaited[d] \cup confirmed[d]) \ aware[d]
+
+\* The owner concludes that a target has ended, and does not wait for its lease. With ConfirmsEnded
+\* it requires that the store still held its term afterwards, since a newer owner may have recorded
+\* ends of that target.
+LearnEnded(d, t) ==
+    /\ owner[d] # 0 /\ ShowsEnd(d, t)
+    /\ ConfirmsEnded => owner[d] = term
+    /\ known' = [known EXCEPT ![d] = @ \cup {t}]
+    /\ possible' = [possible EXCEPT ![d] = {r \in @ : r.target # t}]
+    /\ UNCHANGED <<targetLists, term, owner, token, runs, ended, refused, orders, done, knownDone,
+                   started, cancellations, lostEnd, restarted, mayRerun, job, writes, response,
+                   lives>>
 
 \* On a submission the owner writes the job's record, which may take effect at any later time.
 Submit(d) ==
@@ -313,22 +387,22 @@
     /\ writes' = writes \cup {owner[d]}
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
                    done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
-                   response>>
+                   response, lives>>
 
 WriteArrives(n) ==
     /\ n \in writes /\ ~job
     /\ writes' = writes \ {n}
     /\ job' = (FencedWrites => n = term)
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
-                   done, knownDone, started, cancellations, lostEnd, restarted, response,
-                   mayRerun>>
+                   done, knownDone, started, cancellations, lostEnd, restarted, response, mayRerun,
+                   lives>>
 
 Accept(d) ==
     /\ owner[d] # 0 /\ job /\ response = "none"
     /\ response' = "accepted"
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
                    done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
-                   writes>>
+                   writes, lives>>
 
 \* Only the owner whose term is the one in the store refuses and, with ResolvesWrites, only if no
 \* write of its own is in flight. It compares its term with the store first, since a refusal is not
@@ -339,12 +413,13 @@
     /\ response' = "refused"
     /\ UNCHANGED <<targetLists, term, owner, known, possible, token, runs, ended, refused, orders,
                    done, knownDone, started, cancellations, lostEnd, restarted, mayRerun, job,
-                   writes>>
+                   writes, lives>>
 
 Next ==
     \/ \E d \in Daemons : TakeOver(d) \/ StepDown(d) \/ Cancel(d) \/ Commit(d)
     \/ \E d \in Daemons : Submit(d) \/ Accept(d) \/ Refuse(d)
-    \/ \E t \in Targets : ChangeList(t)
+    \/ \E t \in Targets : ChangeList(t) \/ EndTarget(t) \/ StartTarget(t)
+    \/ \E d \in Daemons : ReadHosts(d) \/ \E t \in Targets : LearnEnded(d, t)
     \/ \E d \in Daemons, t \in Targets :
         FindTarget(d, t) \/ RecordTarget(d, t) \/ ForgetTarget(d, t)
     \/ \E d \in Daemons, t \in Targets : Poll(d, t) \/ WaitOutLeases(d, t)
