Model planned stops and notes of unread targets in TakeoverWait

Cause: an owner that follows another one soon waits anew for a target that neither has read, and also for the time that an owner could act after it has stopped as planned. Change: the record of the term tells that its owner has stopped as planned (left), which it writes under its term once it does not act any more; the next owner waits only for the earlier owners' remaining time and the target's lease. An owner that has not read the target may leave a note of its wait at its takeover, and drops the note under its term before it grants a lease. The next owner waits for what the note says less the time for which it has known the record of the newest term. Now every owner may read the target and renew its lease, not only the first one; the invariant is about owners that have not read it, which in the former model were all owners but the first. Ruled out: a note that is counted from its own write, which may be later than the takeover; the next owner would wait longer. Known times are counted up to the longest wait, so that a wait can be used up before the takeover. Not run: the other modules, which do not change, and ModelCheckTest, which runs all of them.

--- a/models/TakeoverWait.tla
+++ b/models/TakeoverWait.tla
@@ -3,10 +3,11 @@
    that it cannot read (docs/platform.md, "Ownership and takeover"). Times are numbers of steps that
    are left, so the model is not bounded in time.
 
-   One daemon, the first owner, reaches the target and renews its lease; the others do not. A daemon
-   takes over when the owner's lease in the store has ended, or earlier because the owner's address
-   refuses connections, which a network fault can cause while the owner is alive. JobOwnership models
-   orders and fencing without time. *)
+   An owner that reads the target renews its lease from then on. A daemon takes over when the owner's
+   lease in the store has ended, or earlier because the owner's address refuses connections, which a
+   network fault can cause while the owner is alive. An owner that has not read the target may leave a
+   note in the store of how long it still had to wait at its takeover. JobOwnership models orders and
+   fencing without time. *)
 EXTENDS Naturals, TLC
 
 CONSTANTS First, Others,
@@ -16,10 +17,15 @@
     MaxTerm,
     CoversLiveOwners,  \* FALSE: the wait assumes that the lease of the last owner has ended
     ChecksTerm,        \* FALSE: a renewal confirms the ownership of an owner that was replaced
-    RecordsWait        \* FALSE: an owner does not pass on how long earlier owners may act
+    RecordsWait,       \* FALSE: an owner does not pass on how long earlier owners may act
+    StopsFirst,        \* FALSE: an owner that has recorded its planned stop acts on
+    DropsNoteFirst,    \* FALSE: an owner may grant a lease before its note is out of the store
+    CountsFromRecord   \* FALSE: an earlier record counts as the newest one that a daemon knows
 
 Daemons == {First} \cup Others
 LongestAct == Lease + Grace
+LongestWait == LongestAct + TargetLease
+NoNote == LongestWait + 1
 Min(a, b) == IF a < b THEN a ELSE b
 Max(a, b) == IF a > b THEN a ELSE b
 Less(a, b) == IF a > b THEN a - b ELSE 0
@@ -33,9 +39,17 @@
     actLeft,     \* time for which each owner acts unless it is confirmed again
     waitLeft,    \* time for which each owner still waits
     known,       \* for how long each daemon has known the record of the newest term
-    targetLeft   \* time left of the lease of the target
+    targetLeft,  \* time left of the lease of the target
+    left,        \* in the record of the newest term: whether its owner has stopped as planned
+    note,        \* in the store: how long an owner had to wait at its takeover, or NoNote
+    waitAtStart, \* how long each owner had to wait at its takeover
+    noted,       \* whether the note may be in the store as far as each owner knows
+    read         \* whether each owner has read the target
 
-vars == <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known, targetLeft>>
+vars == <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known, targetLeft, left, note,
+          waitAtStart, noted, read>>
+
+notes == <<left, note, waitAtStart, noted, read>>
 
 Init ==
     /\ term = 1
@@ -47,72 +61,123 @@
     /\ waitLeft = [d \in Daemons |-> 0]
     /\ known = [d \in Daemons |-> 0]
     /\ targetLeft = 0
+    /\ left = FALSE
+    /\ note = NoNote
+    /\ waitAtStart = [d \in Daemons |-> 0]
+    /\ noted = [d \in Daemons |-> FALSE]
+    /\ read = [d \in Daemons |-> d = First]
 
 Tick ==
     /\ leaseLeft' = [d \in Daemons |-> Less(leaseLeft[d], 1)]
     /\ actLeft' = [d \in Daemons |-> Less(actLeft[d], 1)]
     /\ waitLeft' = [d \in Daemons |-> Less(waitLeft[d], 1)]
-    /\ known' = [d \in Daemons |-> Min(known[d] + 1, LongestAct)]
+    /\ known' = [d \in Daemons |-> Min(known[d] + 1, LongestWait)]
     /\ targetLeft' = Less(targetLeft, 1)
     /\ live' = IF live # "none" /\ leaseLeft[live] <= 1 THEN "none" ELSE live
-    /\ UNCHANGED <<term, actsFor, own>>
+    /\ UNCHANGED <<notes, term, actsFor, own>>
 
 Renew(d) ==
     /\ own[d] # 0 /\ leaseLeft[d] > 0
     /\ ChecksTerm => own[d] = term
     /\ leaseLeft' = [leaseLeft EXCEPT ![d] = Lease]
     /\ actLeft' = [actLeft EXCEPT ![d] = LongestAct]
-    /\ UNCHANGED <<term, actsFor, live, own, waitLeft, known, targetLeft>>
+    /\ UNCHANGED <<notes, term, actsFor, live, own, waitLeft, known, targetLeft>>
 
-RenewTarget ==
-    /\ own[First] = 1 /\ actLeft[First] > 0
+RenewTarget(d) ==
+    /\ own[d] # 0 /\ actLeft[d] > 0 /\ read[d]
     /\ targetLeft' = TargetLease
-    /\ UNCHANGED <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known>>
-
-\* A daemon that has known the newest record for some time knows that it was written before.
+    /\ UNCHANGED <<notes, term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known>>
+
+\* The owner has not granted the target a lease, so that its wait at its takeover covers all leases.
+WriteNote(d) ==
+    /\ own[d] # 0 /\ own[d] = term /\ ~read[d]
+    /\ note' = waitAtStart[d]
+    /\ noted' = [noted EXCEPT ![d] = TRUE]
+    /\ UNCHANGED <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known, targetLeft, left,
+                   waitAtStart, read>>
+
+\* The note is out of the store before the owner counts the target as read and grants it a lease.
+DropNote(d) ==
+    /\ own[d] # 0 /\ own[d] = term /\ noted[d]
+    /\ note' = NoNote
+    /\ noted' = [noted EXCEPT ![d] = FALSE]
+    /\ UNCHANGED <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known, targetLeft, left,
+                   waitAtStart, read>>
+
+ReadTarget(d) ==
+    /\ own[d] # 0 /\ ~read[d]
+    /\ DropsNoteFirst => ~noted[d]
+    /\ read' = [read EXCEPT ![d] = TRUE]
+    /\ UNCHANGED <<term, actsFor, live, leaseLeft, own, actLeft, waitLeft, known, targetLeft, left,
+                   note, waitAtStart, noted>>
+
+\* For how long owners before the new one act after its takeover. A daemon that has known the newest
+\* record for some time knows that it was written before.
+EarlierOwnersAct(d) ==
+    LET last == CASE left -> 0
+                  [] ~left /\ live # "none" /\ CoversLiveOwners -> LongestAct
+                  [] OTHER -> Grace
+        earlier == IF RecordsWait THEN Less(actsFor, known[d]) ELSE 0
+    IN Max(last, earlier)
+
+\* The note is read after the new term was written, and each owner drops it under its own term. So no
+\* owner since the one that wrote it has granted a lease, and none of them will.
 TakeOver(d) ==
     /\ term < MaxTerm /\ own[d] = 0
-    /\ LET last == IF live # "none" /\ CoversLiveOwners THEN LongestAct ELSE Grace
-           earlier == IF RecordsWait THEN Less(actsFor, known[d]) ELSE 0
-       IN actsFor' = Max(last, earlier)
+    /\ actsFor' = EarlierOwnersAct(d)
+    /\ LET wait == IF note # NoNote THEN Less(note, known[d]) ELSE actsFor' + TargetLease IN
+        /\ waitLeft' = [waitLeft EXCEPT ![d] = wait]
+        /\ waitAtStart' = [waitAtStart EXCEPT ![d] = wait]
     /\ term' = term + 1
     /\ live' = d
+    /\ left' = FALSE
     /\ leaseLeft' = [leaseLeft EXCEPT ![d] = Lease]
     /\ own' = [own EXCEPT ![d] = term + 1]
     /\ actLeft' = [actLeft EXCEPT ![d] = LongestAct]
-    /\ waitLeft' = [waitLeft EXCEPT ![d] = actsFor' + TargetLease]
+    /\ noted' = [noted EXCEPT ![d] = note # NoNote]
+    /\ read' = [read EXCEPT ![d] = FALSE]
     \* A daemon that reads the new record later knows it for a shorter time and waits longer.
-    /\ known' = [e \in Daemons |-> 0]
-    /\ UNCHANGED targetLeft
+    /\ known' = IF CountsFromRecord THEN [e \in Daemons |-> 0] ELSE known
+    /\ UNCHANGED <<targetLeft, note>>
+
+\* An owner that is not the owner any more uses nothing of what it knew. It is reset, so that such
+\* states are equal.
+Forget(d) ==
+    /\ own' = [own EXCEPT ![d] = 0]
+    /\ actLeft' = [actLeft EXCEPT ![d] = 0]
+    /\ waitLeft' = [waitLeft EXCEPT ![d] = 0]
+    /\ waitAtStart' = [waitAtStart EXCEPT ![d] = 0]
+    /\ noted' = [noted EXCEPT ![d] = FALSE]
+    /\ read' = [read EXCEPT ![d] = FALSE]
 
-\* A planned stop ends the lease of the owner.
+\* A planned stop ends the lease of the owner. The store accepts its record only under its term.
 Leave(d) ==
     /\ own[d] # 0
-    /\ own' = [own EXCEPT ![d] = 0]
+    /\ IF StopsFirst THEN Forget(d)
+       ELSE UNCHANGED <<own, actLeft, waitLeft, waitAtStart, noted, read>>
+    /\ left' = (left \/ own[d] = term)
     /\ live' = IF live = d THEN "none" ELSE live
     /\ leaseLeft' = [leaseLeft EXCEPT ![d] = 0]
-    /\ actLeft' = [actLeft EXCEPT ![d] = 0]
-    /\ waitLeft' = [waitLeft EXCEPT ![d] = 0]
-    /\ UNCHANGED <<term, actsFor, known, targetLeft>>
+    /\ UNCHANGED <<term, actsFor, known, targetLeft, note>>
 
 \* The process of a daemon is killed and starts again: it knows the record only from now on.
 Restart(d) ==
-    /\ own' = [own EXCEPT ![d] = 0]
-    /\ actLeft' = [actLeft EXCEPT ![d] = 0]
-    /\ waitLeft' = [waitLeft EXCEPT ![d] = 0]
+    /\ Forget(d)
     /\ known' = [known EXCEPT ![d] = 0]
-    /\ UNCHANGED <<term, actsFor, live, leaseLeft, targetLeft>>
+    /\ UNCHANGED <<term, actsFor, live, leaseLeft, targetLeft, left, note>>
 
 Next ==
-    \/ Tick \/ RenewTarget
+    \/ Tick
+    \/ \E d \in Daemons : RenewTarget(d) \/ WriteNote(d) \/ DropNote(d) \/ ReadTarget(d)
     \/ \E d \in Daemons : Renew(d) \/ Leave(d) \/ Restart(d)
     \/ \E d \in Others : TakeOver(d)
 
 Spec == Init /\ [][Next]_vars
 
-\* TWICE: once the newest owner has waited, no run of an earlier owner is left at the target.
+\* TWICE: once the newest owner has waited, no run of an earlier owner is left at a target that it has
+\* not read.
 NoRunAfterTheWait ==
-    \A d \in Others : own[d] = term /\ waitLeft[d] = 0 => targetLeft = 0
+    \A d \in Others : own[d] = term /\ ~read[d] /\ waitLeft[d] = 0 => targetLeft = 0
 
 Symmetry == Permutations(Others)
 =============================================================================
