--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.store.StoredValue;
 
@@ -15,6 +16,8 @@
  * the control thread.
  */
 final class HostWork {
+    private static final long ORDER_CHECK_MILLIS = 20;
+
     private final OwnerContext mContext;
     private final OperatorView mOperator;
     private final JobScheduler mScheduler;
@@ -22,6 +25,8 @@
     private final Map<Long, MaintenanceRunner> mWaves = new HashMap<>();
     private final Map<String, ByteString> mHostRecords = new HashMap<>();
     private SpareHosts mSpareHosts;
+    private boolean mFinishing;
+    private boolean mClosed;
 
     HostWork(
             OwnerContext context,
@@ -42,8 +47,27 @@
         }
     }
 
+    /**
+     * Orders no more work; completes once the orders for maintenance have ended, or the role has.
+     */
+    CompletableFuture<Void> finish() {
+        mFinishing = true;
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        awaitOrders(ended);
+        return ended;
+    }
+
+    private void awaitOrders(CompletableFuture<Void> ended) {
+        if (mClosed || !hasOpenOrders()) {
+            ended.complete(null);
+            return;
+        }
+        mContext.control().after("host orders", ORDER_CHECK_MILLIS, () -> awaitOrders(ended));
+    }
+
     /** Repeats no order for maintenance any more. */
     void close() {
+        mClosed = true;
         mWaves.values().forEach(MaintenanceRunner::close);
     }
 
@@ -53,6 +77,9 @@
     }
 
     void tick(long nowMillis) {
+        if (mFinishing) {
+            return;
+        }
         tickWaves(nowMillis);
         tickSpareHosts(nowMillis);
     }
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -33,8 +33,6 @@
 
     private static final long LOAD_RETRY_MILLIS = 200;
 
-    private static final long HOST_ORDER_CHECK_MILLIS = 20;
-
     /** All targets but unresponsive ones respond to their first poll within this time. */
     private static final long FIRST_POLLS_MILLIS = 250;
 
@@ -59,7 +57,6 @@
     private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
-    private boolean mLeaving;
     private boolean mLoggedMayAct = true;
     private boolean mSchedulingRequested;
     private boolean mClosed;
@@ -118,22 +115,9 @@
      * enqueued by then are stored.
      */
     CompletableFuture<Void> prepareToLeave() {
-        mLeaving = true;
-        CompletableFuture<Void> ready = new CompletableFuture<>();
-        flushOnceHostOrdersHaveEnded(ready);
-        return ready;
-    }
-
-    private void flushOnceHostOrdersHaveEnded(CompletableFuture<Void> ready) {
-        if (hasOpenHostOrders() && !mClosed) {
-            mContext.control()
-                    .after(
-                            "host orders",
-                            HOST_ORDER_CHECK_MILLIS,
-                            () -> flushOnceHostOrdersHaveEnded(ready));
-        } else {
-            var unused = mCommits.flush().thenRun(() -> ready.complete(null));
-        }
+        CompletableFuture<Void> ordersEnded =
+                mHostWork == null ? CompletableFuture.completedFuture(null) : mHostWork.finish();
+        return ordersEnded.thenCompose(done -> mCommits.flush());
     }
 
     /**
@@ -271,10 +255,7 @@
         }
         mServing = true;
         mUnread.logServing();
-        mUnreadNote.write(
-                mScheduler.targetsWithUnknownRuns(mContext.clocks().now()).stream()
-                        .filter(TargetState::isRecorded)
-                        .toList());
+        mUnreadNote.write(mScheduler.targetsWithUnknownRuns(mContext.clocks().now()));
         tick();
     }
 
@@ -333,7 +314,7 @@
         mContext.control().after("tick", TICK_MILLIS, this::tick);
         long now = mContext.clocks().now();
         // Until then an earlier owner may order work on the same hosts.
-        if (updateOwnership() && now >= mHostWorkFromMillis && !mLeaving) {
+        if (updateOwnership() && now >= mHostWorkFromMillis) {
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
--- a/core/src/main/java/org/marigoldturn/coordination/UnreadTargetNote.java
+++ b/core/src/main/java/org/marigoldturn/coordination/UnreadTargetNote.java
@@ -78,12 +78,13 @@
                 mTimes.endMillis(target.getRunsEndWithinMillis()));
     }
 
-    /** Notes the targets that this owner has not read; to be called once. */
+    /** Notes the recorded ones of the targets that this owner has not read; to be called once. */
     void write(List<TargetState> unread) {
-        for (TargetState target : unread) {
+        List<TargetState> recorded = unread.stream().filter(TargetState::isRecorded).toList();
+        for (TargetState target : recorded) {
             mNotedRunsEndMillis.put(Incarnation.of(target.entry()), target.unknownRunsEndMillis());
         }
-        if (!unread.isEmpty()) {
+        if (!recorded.isEmpty()) {
             put();
         }
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -32,8 +32,7 @@
     private static final int LEAST_URGENT_PRIORITY = Integer.MAX_VALUE;
 
     private final JobTable mJobs = new JobTable();
-    private final InterruptionRules mInterruptions =
-            new InterruptionRules(mJobs, this::hasRoomElsewhere);
+    private final InterruptionRules mInterruptions;
     private final AccountUsage mUsage = new AccountUsage();
     private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
     private final TargetTable mTargets;
@@ -56,6 +55,7 @@
         mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
+        mInterruptions = new InterruptionRules(mJobs, mTargets::hasRoomBeside);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
         mWaits =
                 new LongRunningWaits(
@@ -308,7 +308,7 @@
         if (outcome != StartOutcome.NOT_SENT) {
             boolean responded =
                     outcome != StartOutcome.UNKNOWN && outcome != StartOutcome.UNHEALTHY;
-            run.target().onOrderEnded(responded, nowMillis);
+            run.target().startPause().onOrderEnded(responded, nowMillis);
         }
         switch (outcome.effect()) {
             case RUNS -> run.onStarted(nowMillis);
@@ -316,14 +316,14 @@
             case UNKNOWN -> run.onUncertain();
         }
         if (outcome.pauseMillis() > 0) {
-            run.target().pause(nowMillis + outcome.pauseMillis(), outcome.name());
+            run.target().startPause().pause(nowMillis + outcome.pauseMillis(), outcome.name());
         }
     }
 
     /** Records a target's response to a stop order, or that there was none. */
     public void onStopResponse(Run run, boolean responded, long nowMillis) {
         run.onStopResponse(responded, nowMillis);
-        run.target().onOrderEnded(responded, nowMillis);
+        run.target().startPause().onOrderEnded(responded, nowMillis);
     }
 
     /** Ends the runs of targets whose lease has certainly expired. */
@@ -389,13 +389,6 @@
         mAdvice.record(request, tickets, sentMillis);
     }
 
-    /** Returns whether a task of a step would find room on another target than the given one. */
-    private boolean hasRoomElsewhere(StepState step, TargetState target, long nowMillis) {
-        return serviceOf(step.job()).stream()
-                .flatMap(service -> mTargets.usable(service, nowMillis).stream())
-                .anyMatch(other -> other != target && Placer.isFeasible(step, other));
-    }
-
     private boolean needsTicket(JobEntry job) {
         return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -126,7 +126,7 @@
         if (run != null) {
             removeRun(run);
         }
-        target.onEnd(end.kind(), end.task().jobId(), nowMillis);
+        target.startPause().onEnd(end.kind(), end.task().jobId(), nowMillis);
         JobEntry job = mJobs.job(end.task().jobId());
         TaskState task = mJobs.task(end.task());
         if (task == null) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,36 +18,15 @@
  * there, {@code mUsedByLongRunning} of those by long-running ones. Confined to the control thread.
  */
 public final class TargetState {
-    /** Consecutive failed runs after which a target is paused. */
-    private static final int FAILURES_BEFORE_PAUSE = 4;
-
     /**
-     * Number of jobs to which these runs must belong, so that one job that always fails does not
-     * pause targets.
+     * Time of the end of earlier owners' runs on a target that they have not used; before all
+     * times.
      */
-    private static final int JOBS_BEFORE_PAUSE = 2;
-
-    /** Time of the end of earlier owners' runs on a target that they have not used. */
     static final long NEVER_USED = Long.MIN_VALUE;
 
-    /** Cause of a pause after failed runs. */
-    private static final String FAILED_RUNS = "FAILED_RUNS";
-
-    /** Cause of a pause after an order without a response. */
-    private static final String UNANSWERED_ORDER = "UNANSWERED_ORDER";
-
-    private static final long FIRST_PAUSE_MILLIS = 2_000;
-    private static final long LONGEST_PAUSE_MILLIS = 16_000;
-
-    /**
-     * For this long after an order without a response, unless it responds to another one, tasks
-     * avoid the target: the next order would most likely get none either.
-     */
-    private static final long UNANSWERED_AVOIDANCE_MILLIS = 2_000;
-
     private final Map<TaskId, List<Run>> mRuns = new HashMap<>();
-    private final Set<String> mFailedJobs = new HashSet<>();
     private final List<Run> mAbandoned = new ArrayList<>();
+    private final StartPause mPause = new StartPause();
     private TargetEntry mEntry;
     private ResourceAmounts mUsed = ResourceAmounts.NONE;
     private ResourceAmounts mUsedByLongRunning = ResourceAmounts.NONE;
@@ -63,12 +41,6 @@
     private boolean mInterrupted;
     private boolean mLoaned;
     private long mLeaseEndMillis;
-    private long mPausedUntilMillis;
-    private long mAvoidedUntilMillis;
-    private long mUnansweredUntilMillis;
-    private String mPauseCause = "";
-    private long mPauseMillis = FIRST_PAUSE_MILLIS;
-    private int mConsecutiveFailures;
     private long mLastProcessedEnd;
 
     /**
@@ -287,7 +259,7 @@
 
     /** Returns whether a task that started there now would run. */
     boolean canRun(Set<String> closedZones, long nowMillis) {
-        return mayStart(closedZones) && nowMillis >= mPausedUntilMillis;
+        return mayStart(closedZones) && !mPause.isPaused(nowMillis);
     }
 
     /** Returns whether a start that was decided before may be sent. */
@@ -303,15 +275,12 @@
 
     /** Returns whether tasks start elsewhere if they can, although they would run there. */
     boolean isAvoided(long nowMillis) {
-        return mCordoned || nowMillis < Math.max(mAvoidedUntilMillis, mUnansweredUntilMillis);
+        return mCordoned || mPause.isAvoided(nowMillis);
     }
 
-    /** Records that a target has responded to an order, or that it has not. */
-    void onOrderEnded(boolean responded, long nowMillis) {
-        mUnansweredUntilMillis = responded ? 0 : nowMillis + UNANSWERED_AVOIDANCE_MILLIS;
-        if (!responded) {
-            mPauseCause = UNANSWERED_ORDER;
-        }
+    /** Tells until when tasks do not start there or avoid it. */
+    StartPause startPause() {
+        return mPause;
     }
 
     /** Returns why tasks do not start there or avoid it; empty if nothing keeps them from it. */
@@ -329,7 +298,7 @@
             reason = WaitReason.CORDONED;
         } else if (mEntry.draining()) {
             reason = WaitReason.DRAINING;
-        } else if (nowMillis < pausedUntilMillis()) {
+        } else if (nowMillis < mPause.untilMillis()) {
             reason = WaitReason.PAUSED;
         } else if (closedZones.contains(mEntry.zone())) {
             reason = WaitReason.CLOSED_ZONE;
@@ -337,26 +306,14 @@
         return Optional.ofNullable(reason);
     }
 
-    /**
-     * Starts no task there until the given monotonic time.
-     *
-     * @param cause word for the log
-     */
-    void pause(long untilMillis, String cause) {
-        if (untilMillis > mPausedUntilMillis) {
-            mPausedUntilMillis = untilMillis;
-            mPauseCause = cause;
-        }
-    }
-
-    /** Returns the monotonic time before which no task starts there unless need be. */
+    /** Returns the monotonic time before which no task starts there, or tasks avoid it. */
     public long pausedUntilMillis() {
-        return Math.max(mPausedUntilMillis, Math.max(mAvoidedUntilMillis, mUnansweredUntilMillis));
+        return mPause.untilMillis();
     }
 
     /** Returns a word for the cause of the last pause; empty if there was none. */
     public String pauseCause() {
-        return mPauseCause;
+        return mPause.cause();
     }
 
     /** Returns whether no new task starts there because planned work is about to begin. */
@@ -407,29 +364,4 @@
         }
         return count;
     }
-
-    /**
-     * Updates the count of consecutive failures after the end of a run; after several failures of
-     * several jobs, tasks avoid the target for some time.
-     */
-    void onEnd(EndKind kind, String jobId, long nowMillis) {
-        if (kind == EndKind.DONE) {
-            mConsecutiveFailures = 0;
-            mFailedJobs.clear();
-            mPauseMillis = FIRST_PAUSE_MILLIS;
-            return;
-        }
-        if (kind != EndKind.FAILED) {
-            return;
-        }
-        mConsecutiveFailures++;
-        mFailedJobs.add(jobId);
-        if (mConsecutiveFailures >= FAILURES_BEFORE_PAUSE
-                && mFailedJobs.size() >= JOBS_BEFORE_PAUSE) {
-            mAvoidedUntilMillis = nowMillis + mPauseMillis;
-            mPauseCause = FAILED_RUNS;
-            mPauseMillis = Math.min(2 * mPauseMillis, LONGEST_PAUSE_MILLIS);
-            mConsecutiveFailures = FAILURES_BEFORE_PAUSE - 1;
-        }
-    }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -303,6 +303,12 @@
         return candidates(service, nowMillis).usable();
     }
 
+    /** Returns whether another usable target of the same service has room for a task of a step. */
+    boolean hasRoomBeside(StepState step, TargetState target, long nowMillis) {
+        return usable(target.entry().service(), nowMillis).stream()
+                .anyMatch(other -> other != target && Placer.isFeasible(step, other));
+    }
+
     /** Returns the targets of a service on which new tasks may start, or could if need be. */
     Candidates candidates(String service, long nowMillis) {
         List<TargetState> usable = new ArrayList<>();
--- a/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
@@ -87,7 +87,7 @@
     void pausedTargetsAreNamed() {
         TargetState target = mFixture.addTarget("t1", 8_000);
         acceptOneTask();
-        target.pause(Long.MAX_VALUE, "test");
+        target.startPause().pause(Long.MAX_VALUE, "test");
         assertReason(WaitReason.PAUSED, "targets=1", "targetIds=t1", "haveRoom=paused:1");
     }
 
@@ -375,7 +375,7 @@
         }
         target.setReachable(reachable);
         target.setCordoned(cordoned);
-        target.pause(paused ? 2 : 1, "test");
+        target.startPause().pause(paused ? 2 : 1, "test");
         Set<String> closedZones = closed ? Set.of("zone") : Set.of();
         assertThat(target.exclusion(closedZones, 1).isEmpty())
                 .isEqualTo(target.canRun(closedZones, 1) && !target.isAvoided(1));
