Guard against a second run beside one of a target that stops responding

Cause: a shorter wait of new owners has to last as long as a run can go on under a lease of an earlier owner.

Change: the platform stand-in can let a target stop responding while its runs go on under their lease.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -158,6 +158,11 @@
         mStore.delete("servers/" + id);
     }
 
+    /** Leaves all further calls to a target without a response; its runs go on under its lease. */
+    public void stopResponding(String id) {
+        mTargets.get(id).stopResponding();
+    }
+
     /**
      * Leaves all further orders to a target without an effect and a response, but not the polls.
      */
--- a/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/LongRunningTaskStartsTest.java
@@ -94,6 +94,18 @@
         assertStartsAgainWhileOwnersChange(CONFIRMED_LOST_MILLIS);
     }
 
+    /** Guards against a second run beside one that goes on under the lease of an earlier owner. */
+    @Example
+    void taskOfATargetThatStopsRespondingDoesNotRunTwiceWhileOwnersChange() throws Exception {
+        String target = startOnOneOfThreeTargets();
+        mPlatform.stopResponding(target);
+        for (int i = 1; i < DAEMONS; i++) {
+            replaceOwner();
+            awaitServingOwner();
+            assertAtMostOneRunUntil(nowMillis() + OWNER_MILLIS);
+        }
+    }
+
     /** Guards against a start order without a response that keeps its task from starting again. */
     @Example
     void taskStartsElsewhereOnceALostStartOrderIsTooLate() throws Exception {
@@ -124,12 +136,7 @@
         submitAndAwaitLostStart(late);
         long sinceMillis = nowMillis();
         addTarget("h2");
-        while (millisSince(sinceMillis) < CONFIRMED_LOST_MILLIS) {
-            assertThat(mPlatform.countRunning())
-                    .as("runs %d ms after the start order", millisSince(sinceMillis))
-                    .isLessThanOrEqualTo(1);
-            Thread.sleep(20);
-        }
+        assertAtMostOneRunUntil(sinceMillis + CONFIRMED_LOST_MILLIS);
         assertThat(mPlatform.starts(late)).hasSize(1);
         assertThat(mPlatform.countRunning()).isEqualTo(1);
     }
@@ -212,6 +219,13 @@
         assertThat(mPlatform.countRunning()).isEqualTo(1);
     }
 
+    private void assertAtMostOneRunUntil(long untilMillis) throws InterruptedException {
+        while (nowMillis() < untilMillis) {
+            assertThat(mPlatform.countRunning()).as("runs").isLessThanOrEqualTo(1);
+            Thread.sleep(20);
+        }
+    }
+
     private static long millisSince(long millis) {
         return nowMillis() - millis;
     }
