Move the stand-in for the host service to a class of its own

Change: StandInHostService lists hosts and begins maintenance; StandInPlatform ends the target. No response differs.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -33,14 +33,12 @@
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
     private final Set<String> mLostPrefixes = ConcurrentHashMap.newKeySet();
     private final Set<String> mLostWrites = ConcurrentHashMap.newKeySet();
-    private final List<String> mMaintainedHosts = new ArrayList<>();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final StandInHttp mStoreHttp = new StandInHttp(this::handleStore);
-    private final StandInHttp mHostsHttp = new StandInHttp(this::handleHosts);
+    private final StandInHostService mHosts =
+            new StandInHostService(mTargets.values(), this::beginMaintenance);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
     private volatile boolean mStoreUnavailable;
-    private volatile boolean mHostListUnavailable;
-    private boolean mHostsStayInMaintenance;
     private int mLastTargetNumber;
 
     /** Starts the services; no target runs yet. */
@@ -58,7 +56,7 @@
 
     /** Returns the address of the host service. */
     public String hostsAddress() {
-        return mHostsHttp.address();
+        return mHosts.address();
     }
 
     /** Returns the policy service. */
@@ -198,13 +196,13 @@
      * Lets hosts stay in maintenance once it has begun: calls to the address of their target get no
      * response, and its entry is removed only when it expires.
      */
-    public synchronized void keepHostsInMaintenance() {
-        mHostsStayInMaintenance = true;
+    public void keepHostsInMaintenance() {
+        mHosts.keepInMaintenance();
     }
 
     /** Sets whether the host service leaves calls for the list of hosts without a response. */
     public void setHostListUnavailable(boolean unavailable) {
-        mHostListUnavailable = unavailable;
+        mHosts.setListUnavailable(unavailable);
     }
 
     /** Cuts a target off from the store, and lets its entry expire; it goes on with its tasks. */
@@ -270,8 +268,8 @@
     }
 
     /** Returns the hosts whose maintenance has begun, also the ended ones, in order. */
-    public synchronized List<String> hostsInMaintenance() {
-        return List.copyOf(mMaintainedHosts);
+    public List<String> hostsInMaintenance() {
+        return mHosts.inMaintenance();
     }
 
     private synchronized void writeTargetEntries() {
@@ -346,63 +344,22 @@
         return after == null ? defaultValue : after;
     }
 
-    private StandInStore.Response handleHosts(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
-            throws InterruptedException {
-        return context.path().equals("/v1/machines") ? hosts() : startMaintenance(body);
-    }
-
-    private StandInStore.Response hosts() throws InterruptedException {
-        while (mHostListUnavailable) {
-            Thread.sleep(50);
-        }
-        ObjectNode body = StandInHttp.object();
-        var rows = body.putArray("Machines");
-        for (StandInTarget target : mTargets.values()) {
-            rows.addObject()
-                    .put("Machine", target.hostId())
-                    .put("Pool", "service")
-                    .put("State", hostState(target))
-                    .put("Id", target.hasPower() ? target.id() : "");
-        }
-        return new StandInStore.Response(200, body.putNull("NextToken"));
-    }
-
-    private synchronized String hostState(StandInTarget target) {
-        if (target.hasPower()) {
-            return "up";
-        }
-        return mMaintainedHosts.contains(target.hostId()) ? "upkeep" : "down";
-    }
-
-    private synchronized StandInStore.Response startMaintenance(JsonNode body) {
-        String host = body.path("Machine").asText();
-        if (mMaintainedHosts.contains(host)) {
-            return StandInStore.Response.of(200);
-        }
-        for (StandInTarget target : mTargets.values()) {
-            if (target.hostId().equals(host)) {
-                mMaintainedHosts.add(host);
-                if (mHostsStayInMaintenance) {
-                    target.losePower();
-                    mTimer.schedule(
-                            () -> mStore.delete("servers/" + target.id()),
-                            ENTRY_EXPIRY_MILLIS,
-                            TimeUnit.MILLISECONDS);
-                    return StandInStore.Response.of(200);
-                }
-                mTargets.remove(target.id());
-                mStore.delete("servers/" + target.id());
-                target.close();
-                mTimer.schedule(
-                        () -> addTarget("service", host, 300),
-                        MAINTENANCE_MILLIS,
-                        TimeUnit.MILLISECONDS);
-                return StandInStore.Response.of(200);
-            }
+    private synchronized void beginMaintenance(StandInTarget target, boolean stays) {
+        if (stays) {
+            target.losePower();
+            mTimer.schedule(
+                    () -> mStore.delete("servers/" + target.id()),
+                    ENTRY_EXPIRY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return;
         }
-        ObjectNode conflict = StandInHttp.object().put("Reason", "busy");
-        return new StandInStore.Response(409, conflict);
+        mTargets.remove(target.id());
+        mStore.delete("servers/" + target.id());
+        target.close();
+        mTimer.schedule(
+                () -> addTarget("service", target.hostId(), 300),
+                MAINTENANCE_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private static long nowMillis() {
@@ -413,12 +370,11 @@
     public void close() {
         mTimer.shutdownNow();
         mStoreUnavailable = false;
-        mHostListUnavailable = false;
         mLostPrefixes.clear();
         List<CompletableFuture<Void>> stopped = new ArrayList<>();
         mTargets.values().forEach(target -> stopped.add(target.stop()));
         stopped.add(mStoreHttp.stop());
-        stopped.add(mHostsHttp.stop());
+        stopped.add(mHosts.stop());
         stopped.add(mPolicyService.stop());
         stopped.forEach(CompletableFuture::join);
     }
