Correct a comment on the time of the largest model

Cause: JobOwnershipThreeOwners and JobOwnershipRestartedTarget take longer than a minute on two cores. Change: the comment of the time limit in ModelCheckTest; the limit itself stays.

--- a/core/src/test/java/org/marigoldturn/ModelCheckTest.java
+++ b/core/src/test/java/org/marigoldturn/ModelCheckTest.java
@@ -29,7 +29,7 @@
     /** Exit value of TLC if an invariant is violated. */
     private static final int INVARIANT_VIOLATED = 12;
 
-    /** Ends a TLC run that hangs; the largest model takes less than a minute on a busy machine. */
+    /** Ends a TLC run that hangs; the largest model takes under two minutes on a busy machine. */
     private static final long RUN_LIMIT_MINUTES = 10;
 
     @Example
