--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.coordination;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.BooleanSupplier;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.Run;
@@ -16,7 +17,10 @@
     private final JobScheduler mScheduler;
     private final TargetSessions mSessions;
     private final RunLog mRunLog;
+    private final BooleanSupplier mMayAct;
     private final Listener mListener;
+    private final TargetOrders mOrders = new TargetOrders();
+    private boolean mClosed;
 
     /** Is notified of what the targets' responses imply for the owner. */
     interface Listener {
@@ -32,25 +36,58 @@
             JobScheduler scheduler,
             TargetSessions sessions,
             RunLog runLog,
+            BooleanSupplier mayAct,
             Listener listener) {
         mContext = context;
         mScheduler = scheduler;
         mSessions = sessions;
         mRunLog = runLog;
+        mMayAct = mayAct;
         mListener = listener;
     }
 
-    void send(Order order, long nowMillis) {
-        if (order instanceof Order.Start start) {
-            send(start, nowMillis);
-        } else if (order instanceof Order.Stop stop) {
-            send(stop, nowMillis);
+    /** Sends an order, once few others are open at its target. */
+    void send(Order order) {
+        if (order instanceof Order.Stop && mOrders.takeStart(order.run()).isPresent()) {
+            apply(order.run(), StartOutcome.NOT_SENT);
+            return;
+        }
+        mOrders.add(order);
+        sendNext(order.run().target());
+    }
+
+    /** Ends all sending; orders that wait are dropped. */
+    void close() {
+        mClosed = true;
+        mOrders.clear();
+    }
+
+    private void sendNext(TargetState target) {
+        for (Order order : mOrders.takeSendable(target)) {
+            long now = mContext.clocks().now();
+            if (order instanceof Order.Start start) {
+                sendIfAllowed(start, now);
+            } else if (order instanceof Order.Stop stop) {
+                send(stop, now);
+            }
         }
     }
 
+    /** What was decided for a start that has waited may not hold any more. */
+    private void sendIfAllowed(Order.Start start, long now) {
+        if (mMayAct.getAsBoolean() && mScheduler.mayStart(start.run())) {
+            send(start, now);
+            return;
+        }
+        mOrders.onEnded(start.run().target());
+        apply(start.run(), StartOutcome.NOT_SENT);
+        sendNext(start.run().target());
+    }
+
     private void send(Order.Start start, long now) {
         Run run = start.run();
         long lease = mSessions.grantLease(run.target(), now);
+        run.onOrderSent(lease);
         mRunLog.logStart(
                 start,
                 now - mContext.ownershipLease().confirmedMillis(),
@@ -65,17 +102,36 @@
     }
 
     private void onStartResponse(Run run, StartOutcome outcome, Throwable failure) {
+        if (mClosed) {
+            return;
+        }
+        mOrders.onEnded(run.target());
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
-        if (known != StartOutcome.ACCEPTED) {
-            mRunLog.logStartResponse(run, known, mContext.clocks().now());
+        apply(run, known);
+        if (known == StartOutcome.UNKNOWN) {
+            takeBackStarts(run.target());
         }
-        if (known == StartOutcome.FENCED) {
+        sendNext(run.target());
+    }
+
+    /** The starts that wait at a target without a response would wait for as long again. */
+    private void takeBackStarts(TargetState target) {
+        for (Order.Start waiting : mOrders.takeStarts(target)) {
+            apply(waiting.run(), StartOutcome.NOT_SENT);
+        }
+    }
+
+    private void apply(Run run, StartOutcome outcome) {
+        if (outcome != StartOutcome.ACCEPTED) {
+            mRunLog.logStartResponse(run, outcome, mContext.clocks().now());
+        }
+        if (outcome == StartOutcome.FENCED) {
             mListener.onFenced(run.target());
             return;
         }
-        count("runs.started." + known);
-        mScheduler.onStartResponse(run, known, mContext.clocks().now());
-        if (known != StartOutcome.ACCEPTED) {
+        count("runs.started." + outcome);
+        mScheduler.onStartResponse(run, outcome, mContext.clocks().now());
+        if (outcome != StartOutcome.ACCEPTED) {
             mListener.requestScheduling();
         }
     }
@@ -87,13 +143,19 @@
                 .stop(run.target().entry(), run, mContext.term())
                 .whenComplete(
                         (done, failure) ->
-                                mContext.control()
-                                        .execute(
-                                                () ->
-                                                        mScheduler.onStopResponse(
-                                                                run,
-                                                                failure == null,
-                                                                mContext.clocks().now())));
+                                mContext.control().execute(() -> onStopResponse(run, failure)));
+    }
+
+    private void onStopResponse(Run run, Throwable failure) {
+        if (mClosed) {
+            return;
+        }
+        mOrders.onEnded(run.target());
+        mScheduler.onStopResponse(run, failure == null, mContext.clocks().now());
+        if (failure != null) {
+            takeBackStarts(run.target());
+        }
+        sendNext(run.target());
     }
 
     private void count(String name) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerElection.java
@@ -42,8 +42,8 @@
     private final Listener mListener;
     private final Takeover mTakeover;
     private final PrefixMirror mMirror;
+    private final KnownTerm mKnownTerm = new KnownTerm();
     private final OwnershipLease mOwnershipLease = new OwnershipLease();
-    private StoredValue mTermRecord;
     private StoredValue mLiveRecord;
     private long mForeignLiveSinceMillis = Long.MAX_VALUE;
     private String mEndedOwnerId = "";
@@ -51,7 +51,7 @@
     private long mLeaseId;
     private long mOwnTerm;
     private long mOwnTermRevision;
-    private long mTermKnownSinceMillis;
+    private TakeoverTimes mTimes;
     private long mStartedMillis;
     private boolean mInterrupted;
     private long mStoreRegainedMillis = Long.MIN_VALUE / 2;
@@ -66,9 +66,9 @@
         /**
          * This daemon is the owner from now on.
          *
-         * @param earlierOwnersActMillis for how long earlier owners may still act
+         * @param times what is known of the time of earlier owners
          */
-        void onElected(long term, long termRevision, long earlierOwnersActMillis);
+        void onElected(long term, long termRevision, TakeoverTimes times);
 
         /** The store has confirmed that this daemon is the owner. */
         void onConfirmed();
@@ -109,13 +109,28 @@
         mControl.every("owner lease", RENEW_INTERVAL_MILLIS, this::renew);
     }
 
-    /** Gives up ownership and does not compete for it again. */
-    CompletableFuture<Void> leave() {
+    /**
+     * Gives up ownership and does not compete for it again.
+     *
+     * @param actsNoMore whether nothing that this daemon has ordered can begin later, apart from
+     *     starts, which end with the lease sent with them
+     */
+    CompletableFuture<Void> leave(boolean actsNoMore) {
         mLeaving = true;
         long lease = mLeaseId;
+        long term = mOwnTerm;
         mLeaseId = 0;
         depose("this daemon is stopping");
-        return lease == 0 ? CompletableFuture.completedFuture(null) : mStore.revokeLease(lease);
+        if (lease == 0) {
+            return CompletableFuture.completedFuture(null);
+        }
+        if (term == 0 || !actsNoMore) {
+            return mStore.revokeLease(lease);
+        }
+        long actMillis =
+                EarlierOwners.remainingMillis(
+                        mTimes.earlierOwnersActMillis(), mTimes.sinceTakeoverMillis(mClocks.now()));
+        return mTakeover.leave(term, mOwnTermRevision, lease, actMillis);
     }
 
     /** Returns the state of this daemon's ownership lease. */
@@ -166,9 +181,7 @@
     @Override
     public void onValue(StoredValue value) {
         if (value.key().equals(StoreLayout.OWNER_TERM)) {
-            mTermRecord = value;
-            mTermKnownSinceMillis = mClocks.now();
-            onTerm(OwnerRecordCodec.parse(value));
+            onTerm(mKnownTerm.update(value, mClocks.now()));
         } else if (value.key().equals(StoreLayout.OWNER_LIVE)) {
             mLiveRecord = value;
         }
@@ -188,12 +201,7 @@
      * in one transaction, so such a record is not the owner's.
      */
     private void checkLiveRecord() {
-        String owner =
-                mTermRecord == null
-                        ? ""
-                        : OwnerRecordCodec.parse(mTermRecord)
-                                .map(OwnerRecord::getOwnerId)
-                                .orElse("");
+        String owner = mKnownTerm.owner().map(OwnerRecord::getOwnerId).orElse("");
         boolean foreign = mLiveRecord != null && !mLiveRecord.value().toStringUtf8().equals(owner);
         if (!foreign) {
             mForeignLiveSinceMillis = Long.MAX_VALUE;
@@ -223,7 +231,7 @@
             Logger.error(
                     "owner: event=unreadable-record key={} rev={}",
                     StoreLayout.OWNER_TERM,
-                    mTermRecord.modRevision());
+                    mKnownTerm.revision());
             return;
         }
         if (mOwnTerm != 0 && record.get().getTerm() > mOwnTerm) {
@@ -283,9 +291,10 @@
         }
         long sentMillis = mClocks.now();
         long sentEpochMillis = mClocks.epoch();
+        Takeover.Vacancy vacancy = vacancy(sentMillis);
         // The takeover requires the records as they are now; later watch events don't change that.
         mTakeover
-                .attempt(vacancy())
+                .attempt(vacancy)
                 .whenComplete(
                         (result, failure) ->
                                 mControl.execute(
@@ -298,20 +307,14 @@
                                         }));
     }
 
-    private Takeover.Vacancy vacancy() {
-        // Each term took at least one revision, so the revision of a damaged record is no lower
-        // than the term that it replaced.
-        Optional<OwnerRecord> last =
-                mTermRecord == null ? Optional.empty() : OwnerRecordCodec.parse(mTermRecord);
-        long unreadableTerm = mTermRecord == null ? 0 : mTermRecord.modRevision();
-        long heldTerm = last.map(OwnerRecord::getTerm).orElse(unreadableTerm);
+    private Takeover.Vacancy vacancy(long nowMillis) {
         boolean leaseEnded = mLiveRecord == null || isOfEarlierIncarnation(mLiveRecord);
         return new Takeover.Vacancy(
-                heldTerm,
-                mTermRecord == null ? Compare.ABSENT : mTermRecord.modRevision(),
+                mKnownTerm.heldTerm(),
+                mKnownTerm.revision(),
                 mLiveRecord == null ? Compare.ABSENT : mLiveRecord.modRevision(),
-                mOwnTerm != 0 && mOwnTerm == heldTerm,
-                EarlierOwners.actMillis(last, mClocks.now() - mTermKnownSinceMillis, leaseEnded));
+                mOwnTerm != 0 && mOwnTerm == mKnownTerm.heldTerm(),
+                mKnownTerm.times(leaseEnded, nowMillis));
     }
 
     private void onAttempt(Takeover.Attempt attempt, Throwable failure) {
@@ -335,13 +338,14 @@
         depose("this daemon took over again");
         mOwnTerm = attempt.term();
         mOwnTermRevision = attempt.result().revision();
-        long earlierOwnersActMillis = attempt.vacancy().earlierOwnersActMillis();
+        mTimes = attempt.vacancy().times();
+        long earlierOwnersActMillis = mTimes.earlierOwnersActMillis();
         Logger.info(
                 "owner: event=elected term={} earlierOwnersActMillis={}",
                 mOwnTerm,
                 earlierOwnersActMillis);
         mListener.onOwner(OwnerRecordCodec.create(mSelf, mOwnTerm, earlierOwnersActMillis));
-        mListener.onElected(mOwnTerm, mOwnTermRevision, earlierOwnersActMillis);
+        mListener.onElected(mOwnTerm, mOwnTermRevision, mTimes);
     }
 
     private static void logRevocation(Throwable problem) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -51,6 +51,10 @@
     private OrderSender mOrders;
     private AdviceRunner mAdvice;
     private UnreadTargets mUnread;
+    private UnreadTargetCheck mUnreadCheck;
+    private final UnreadTargetNote mUnreadNote;
+    private WaitLog mWaitLog;
+    private TargetLog mTargetLog;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -67,6 +71,7 @@
                         context.clocks(),
                         context.termRevision(),
                         context.onFenced());
+        mUnreadNote = new UnreadTargetNote(context.term(), context.times(), mCommits);
         mSessions = new TargetSessions(context, this::mayAct, this);
         mRunLog = new RunLog(context.term());
     }
@@ -88,7 +93,16 @@
         }
         mCommits.close();
         mSessions.closeAll();
-        mRunLog.close(mContext.clocks().now());
+        if (mOrders != null) {
+            mOrders.close();
+            mHostWork.close();
+        }
+        long now = mContext.clocks().now();
+        mRunLog.close(now);
+        if (mScheduler != null) {
+            mWaitLog.close(now);
+            mTargetLog.close(now);
+        }
     }
 
     /** Returns the handler of clients' calls; empty until the role serves. */
@@ -96,9 +110,21 @@
         return mServing ? Optional.of(mCalls) : Optional.empty();
     }
 
-    /** Completes when all writes enqueued so far are stored. */
-    CompletableFuture<Void> flush() {
-        return mCommits.flush();
+    /**
+     * Begins no more work on hosts; completes once the orders for it have ended and all writes
+     * enqueued by then are stored.
+     */
+    CompletableFuture<Void> prepareToLeave() {
+        CompletableFuture<Void> ordersEnded =
+                mHostWork == null ? CompletableFuture.completedFuture(null) : mHostWork.finish();
+        return ordersEnded.thenCompose(done -> mCommits.flush());
+    }
+
+    /**
+     * Returns whether work on a host was ordered without a response, so that it may still begin.
+     */
+    boolean hasOpenHostOrders() {
+        return mHostWork != null && mHostWork.hasOpenOrders();
     }
 
     /** Applies the operator's newest settings. */
@@ -148,7 +174,8 @@
         long now = mContext.clocks().now();
         // 4%: a target's clock may be 2% slow, the rest is a margin.
         long longestLeaseMillis =
-                mContext.limits().leaseMillis() * 52 / 50 + mContext.earlierOwnersActMillis();
+                mContext.limits().leaseMillis() * 52 / 50
+                        + mContext.times().earlierOwnersActMillis();
         mScheduler =
                 new JobScheduler(
                         mOperator.catalog().orElseThrow(),
@@ -157,10 +184,11 @@
                         longestLeaseMillis);
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
-        mHostWorkFromMillis = now + EarlierOwners.certainMillis(mContext.earlierOwnersActMillis());
+        mHostWorkFromMillis =
+                now + EarlierOwners.certainMillis(mContext.times().earlierOwnersActMillis());
         mProgress = new ProgressRecords(mScheduler, mCommits);
         mHostWork = new HostWork(mContext, mOperator, mScheduler, mCommits);
-        mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this);
+        mOrders = new OrderSender(mContext, mScheduler, mSessions, mRunLog, this::mayAct, this);
         mAdvice = new AdviceRunner(mContext, mScheduler, this::requestScheduling);
         mCalls =
                 new OwnerCalls(
@@ -179,9 +207,14 @@
                 mScheduler.activeJobs(),
                 doneTasks,
                 records.targets().size());
+        mUnreadCheck =
+                new UnreadTargetCheck(
+                        mScheduler, mContext.hosts(), mContext.control(), this::onEnded);
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
+        mWaitLog = new WaitLog(mContext.term(), mScheduler.longRunningWaits(), mContext.metrics());
+        mTargetLog = new TargetLog(mContext.term(), mScheduler::targets);
         mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
-        mTargetList.start(records.targets());
+        mTargetList.start(records, mUnreadNote.restore(records.unreadTargets()));
     }
 
     @Override
@@ -222,8 +255,13 @@
         }
         mServing = true;
         mUnread.logServing();
-        mContext.control().after("tick", TICK_MILLIS, this::tick);
-        requestScheduling();
+        mUnreadNote.write(mScheduler.targetsWithUnknownRuns(mContext.clocks().now()));
+        tick();
+    }
+
+    @Override
+    public CompletableFuture<Void> onFirstResponse(TargetState target) {
+        return mUnreadNote.remove(target.entry());
     }
 
     @Override
@@ -252,6 +290,9 @@
 
     @Override
     public void onEnded(TargetState target) {
+        if (mClosed) {
+            return;
+        }
         Logger.info("target: event=ended target={}", target.entry().id());
         mSessions.close(target);
         updateOwnership();
@@ -278,7 +319,11 @@
         }
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
+        mUnreadCheck.tick(now);
+        mWaitLog.tick(mayAct(), now, mContext.clocks().epoch());
+        mTargetLog.tick(now);
         mTargetList.dropUnused();
+        mTargetList.markRecordsComplete(now);
         forgetOldJobs();
         logMayActChange();
         requestScheduling();
@@ -358,8 +403,10 @@
             mContext.confirmOwnership().run();
         }
         for (Order order : mScheduler.decide(now, mContext.clocks().epoch())) {
-            mOrders.send(order, now);
+            mOrders.send(order);
         }
+        // A job that ran out of attempts must not be shown as failed before its write is enqueued.
+        mProgress.storeChanges();
         mAdvice.run(now);
         mPace.onPass(now, mContext.clocks().now());
     }
--- a/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
+++ b/core/src/main/java/org/marigoldturn/coordination/StoreLayout.java
@@ -26,6 +26,15 @@
      */
     static final String TARGET_PREFIX = "mt/tgt/";
 
+    /**
+     * Exists once each target on which a task may run has a record. Versions that recorded no
+     * targets did not write it.
+     */
+    static final String TARGETS_COMPLETE = "mt/targets-complete";
+
+    /** Targets that the owner could not read when it began to serve. */
+    static final String UNREAD_TARGETS = "mt/unread-targets";
+
     private StoreLayout() {}
 
     static String job(String id) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -20,6 +20,9 @@
     /** A poll returns after this time if no run ends; two polls fit into the preferred lease. */
     private static final long POLL_WAIT_MILLIS = 1_500;
 
+    /** Wait of a poll that is to tell whether a start without a response was carried out. */
+    private static final long UNCERTAIN_POLL_WAIT_MILLIS = 200;
+
     private static final long RETRY_MILLIS = 200;
 
     /**
@@ -47,10 +50,18 @@
     private Runnable mOnFirstPoll = () -> {};
     private long mPollCycle;
     private CompletableFuture<Void> mStored = CompletableFuture.completedFuture(null);
+    private boolean mLoggedUnread;
     private boolean mClosed;
 
     /** Is notified of a session's events. */
     interface Callbacks {
+        /**
+         * The target has responded for the first time.
+         *
+         * @return a future that completes when its reports may be processed
+         */
+        CompletableFuture<Void> onFirstResponse(TargetState target);
+
         /**
          * Processes a report.
          *
@@ -133,8 +144,7 @@
         // An unresponsive target's lease is not renewed, so that its tasks can run elsewhere.
         boolean renews = mTarget.isReachable() && mMayRenew.getAsBoolean();
         long lease = renews ? grantLease(now) : 0;
-        // The first poll must not wait, since it reads the target's clock and runs.
-        long wait = mTarget.hasReported() && mTarget.isReachable() ? POLL_WAIT_MILLIS : 0;
+        long wait = pollWaitMillis();
         if (mRecordedEnd > mConfirmedEnd) {
             mConfirmedEnd = mRecordedEnd;
             mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
@@ -160,6 +170,14 @@
                                         }));
     }
 
+    private long pollWaitMillis() {
+        if (!mTarget.hasReported() || !mTarget.isReachable()) {
+            // The first poll must not wait, since it reads the target's clock and runs.
+            return 0;
+        }
+        return mTarget.hasUncertainRun() ? UNCERTAIN_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
+    }
+
     private void onFirstPollEnded() {
         Runnable onFirstPoll = mOnFirstPoll;
         mOnFirstPoll = () -> {};
@@ -194,10 +212,19 @@
             return;
         }
         boolean first = !mTarget.hasReported();
+        if (first) {
+            CompletableFuture<Void> mayReport = mCallbacks.onFirstResponse(mTarget);
+            if (!mayReport.isDone()) {
+                // The report would be out of date by then.
+                var unused = mayReport.thenRun(this::poll);
+                return;
+            }
+        }
         boolean wasReachable = mTarget.isReachable();
         mTargetClockMillis = response.targetMillis();
         mClockReadMillis = mClocks.now();
         mClockKnown = true;
+        mTarget.onClock(mTargetClockMillis, pollSentMillis);
         mTarget.setReachable(true);
         if (!wasReachable && !first) {
             Logger.info("target: event=regained target={}", mTarget.entry().id());
@@ -254,9 +281,12 @@
             mCallbacks.onFenced(mTarget);
             return;
         }
-        if (mTarget.isReachable()) {
+        boolean firstFailure = !mTarget.hasReported() && !mLoggedUnread;
+        if (mTarget.isReachable() || firstFailure) {
+            mLoggedUnread = true;
             Logger.warn(
-                    "target: event=lost target={} kind={} cause=\"{}\"",
+                    "target: event={} target={} kind={} cause=\"{}\"",
+                    firstFailure ? "unread" : "lost",
                     mTarget.entry().id(),
                     kind,
                     cause);
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -32,13 +32,14 @@
     private static final int LEAST_URGENT_PRIORITY = Integer.MAX_VALUE;
 
     private final JobTable mJobs = new JobTable();
-    private final InterruptionRules mInterruptions = new InterruptionRules(mJobs);
+    private final InterruptionRules mInterruptions;
     private final AccountUsage mUsage = new AccountUsage();
     private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final AdvicePlanner mAdvice;
     private final TaskStarter mStarter;
+    private final LongRunningWaits mWaits;
     private QueueCatalog mCatalog;
     private long mRestoredHeldUntilMillis = Long.MIN_VALUE;
 
@@ -54,7 +55,17 @@
         mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
+        mInterruptions = new InterruptionRules(mJobs, mTargets::hasRoomBeside);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
+        mWaits =
+                new LongRunningWaits(
+                        mJobs,
+                        new WaitDiagnosis(
+                                mTargets,
+                                mUsage,
+                                mStarter.heldBack(),
+                                () -> mCatalog,
+                                () -> mRestoredHeldUntilMillis));
     }
 
     /** Restores a job from the records of an earlier owner. */
@@ -65,6 +76,22 @@
         mJobs.add(entry);
     }
 
+    /**
+     * Sets whether {@link #restoreTarget} is called for each target on which earlier owners may
+     * have started tasks; a target that is only listed is not waited for then. To be called before
+     * any target is added.
+     */
+    public void setTargetRecordsComplete(boolean complete) {
+        mTargets.setRecordsComplete(complete);
+    }
+
+    /** Returns the known targets on which runs of earlier owners can exist that are not known. */
+    public List<TargetState> targetsWithUnknownRuns(long nowMillis) {
+        return mTargets.all().stream()
+                .filter(target -> !mTargets.knowsRuns(target, nowMillis))
+                .toList();
+    }
+
     /** Starts no task of a restored job before the given monotonic time. */
     public void holdRestoredJobsUntil(long untilMillis) {
         mRestoredHeldUntilMillis = untilMillis;
@@ -109,9 +136,20 @@
      * list contains it.
      */
     public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
+        return restoreTarget(entry, mTargets.longestLeaseEndMillis(), nowMillis);
+    }
+
+    /**
+     * Adds a target that an earlier owner has recorded, with an earlier end of the runs that may
+     * exist there.
+     *
+     * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there
+     */
+    public TargetState restoreTarget(TargetEntry entry, long runsEndMillis, long nowMillis) {
         TargetState target = mTargets.addOrUpdate(entry, nowMillis);
         target.setListed(false);
         target.setRecorded(true);
+        target.markUsedByEarlierOwners(Math.min(runsEndMillis, mTargets.longestLeaseEndMillis()));
         return target;
     }
 
@@ -145,6 +183,11 @@
         return mInterruptions;
     }
 
+    /** Returns the waits of long-running tasks. */
+    public LongRunningWaits longRunningWaits() {
+        return mWaits;
+    }
+
     /** Decides on a submission; tasks of an accepted job start only after {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
         List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
@@ -244,28 +287,43 @@
         if (!mTargets.contains(target)) {
             return ReportEffects.ignored(report);
         }
+        mTargets.onResponse(target, nowMillis);
         target.recordReport(mTargets.isOwnerCertain());
         return mRuns.onReport(target, report, pollSentMillis, nowMillis, epochMillis);
     }
 
+    /**
+     * Returns whether a start order that has waited may be sent: the run is still wanted, and
+     * nothing has changed that would keep it from being decided now.
+     */
+    public boolean mayStart(Run run) {
+        return mTargets.mayStart(run);
+    }
+
     /** Records a target's response to a start order. */
     public void onStartResponse(Run run, StartOutcome outcome, long nowMillis) {
         if (outcome == StartOutcome.INVALID_TICKET) {
             mAdvice.reject(run);
         }
+        if (outcome != StartOutcome.NOT_SENT) {
+            boolean responded =
+                    outcome != StartOutcome.UNKNOWN && outcome != StartOutcome.UNHEALTHY;
+            run.target().startPause().onOrderEnded(responded, nowMillis);
+        }
         switch (outcome.effect()) {
             case RUNS -> run.onStarted(nowMillis);
             case NOT_RUN -> mRuns.removeRun(run);
             case UNKNOWN -> run.onUncertain();
         }
         if (outcome.pauseMillis() > 0) {
-            run.target().pause(nowMillis + outcome.pauseMillis());
+            run.target().startPause().pause(nowMillis + outcome.pauseMillis(), outcome.name());
         }
     }
 
     /** Records a target's response to a stop order, or that there was none. */
     public void onStopResponse(Run run, boolean responded, long nowMillis) {
         run.onStopResponse(responded, nowMillis);
+        run.target().startPause().onOrderEnded(responded, nowMillis);
     }
 
     /** Ends the runs of targets whose lease has certainly expired. */
@@ -273,15 +331,15 @@
         mTargets.expireLeases(nowMillis);
     }
 
-    /** Returns whether all runs that can exist on a target are known. */
+    /** Returns whether it is known what planned work on a target's host would end. */
     public boolean knowsRuns(TargetState target, long nowMillis) {
-        return mTargets.knowsRuns(target, nowMillis);
+        return mTargets.hasReportedOrHasNoLease(target, nowMillis);
     }
 
     /** Returns all orders that are due: first stops, then starts in scheduling order. */
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
-        Map<String, List<TargetState>> targets = new HashMap<>();
+        Map<String, Candidates> targets = new HashMap<>();
         RestoredJobsCheck restored =
                 new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
         long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
@@ -293,12 +351,14 @@
             if (service.isEmpty() || job.isRestored() && !restored.mayStart(service.get())) {
                 continue;
             }
-            List<TargetState> candidates =
-                    targets.computeIfAbsent(service.get(), s -> mTargets.usable(s, nowMillis));
+            Candidates candidates =
+                    targets.computeIfAbsent(service.get(), s -> mTargets.candidates(s, nowMillis));
             boolean advised = needsTicket(job);
             for (StepState step : job.startableSteps(dueEpochMillis)) {
-                List<TargetState> allowed =
-                        advised ? AdvicePlanner.allowed(step, candidates, nowMillis) : candidates;
+                Candidates allowed =
+                        advised
+                                ? candidates.filter(t -> step.advice().hasTicket(t, nowMillis))
+                                : candidates;
                 // The limit may have been unknown or higher when a task failed last.
                 if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), epochMillis)) {
                     break;
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -20,7 +20,12 @@
          */
         RUNNING,
         /** The start order got no response; the run may exist now or later. */
-        UNCERTAIN
+        UNCERTAIN,
+        /**
+         * The start order got no response and is out of date at the target; later reports decide
+         * whether the run exists.
+         */
+        OUT_OF_DATE
     }
 
     private final TaskId mTask;
@@ -36,6 +41,7 @@
     private long mStopSentMillis;
     private long mConfirmedMillis;
     private int mPercent;
+    private long mOrderEndTargetMillis = Long.MAX_VALUE;
 
     Run(
             TaskId task,
@@ -100,6 +106,14 @@
                 && !mTarget.isInterrupted();
     }
 
+    /**
+     * Returns whether it is known to run: it was listed or accepted, no stop was confirmed since,
+     * and its target responded to the last call.
+     */
+    boolean isKnownToRun() {
+        return mPhase == Phase.RUNNING && !mStopConfirmed && mTarget.isReachable();
+    }
+
     void requestStop() {
         mStopRequested = true;
     }
@@ -138,6 +152,41 @@
         }
     }
 
+    /**
+     * Records that the start order is sent.
+     *
+     * @param leaseEndTargetMillis time of the target's clock from which on the target rejects the
+     *     order, the end of the lease sent with it; 0 if there is none
+     */
+    public void onOrderSent(long leaseEndTargetMillis) {
+        if (leaseEndTargetMillis > 0) {
+            mOrderEndTargetMillis = leaseEndTargetMillis;
+        }
+    }
+
+    /** Returns whether it is not known if the start order has been or will be carried out. */
+    boolean isUncertain() {
+        return mPhase == Phase.UNCERTAIN || mPhase == Phase.OUT_OF_DATE;
+    }
+
+    /** Returns whether the start order has no response and may still be carried out. */
+    boolean mayStartLater() {
+        return mPhase == Phase.STARTING || mPhase == Phase.UNCERTAIN;
+    }
+
+    /**
+     * Records a time that the target's clock has passed. From the end of the lease sent with it,
+     * the target rejects the start order; later reports decide whether the run exists.
+     *
+     * @param pollSentMillis monotonic time at which the poll that read the clock was sent
+     */
+    void onTargetClock(long targetMillis, long pollSentMillis) {
+        if (mPhase == Phase.UNCERTAIN && targetMillis > mOrderEndTargetMillis) {
+            mPhase = Phase.OUT_OF_DATE;
+            mConfirmedMillis = pollSentMillis;
+        }
+    }
+
     void onUncertain() {
         if (mPhase == Phase.STARTING) {
             mPhase = Phase.UNCERTAIN;
@@ -155,6 +204,7 @@
      * it exists.
      */
     boolean mustBeListedByPollSentAt(long pollSentMillis) {
-        return mPhase == Phase.RUNNING && pollSentMillis > mConfirmedMillis;
+        return (mPhase == Phase.RUNNING || mPhase == Phase.OUT_OF_DATE)
+                && pollSentMillis > mConfirmedMillis;
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
@@ -17,6 +17,8 @@
     UNHEALTHY(Effect.NOT_RUN, 1_000),
     /** Another incarnation responded at the address. */
     OTHER_INSTANCE(Effect.NOT_RUN, 1_000),
+    /** The order waited behind others and was not sent, since it may not be any more. */
+    NOT_SENT(Effect.NOT_RUN, 500),
     /** There was no response; the run may have started or may start later. */
     UNKNOWN(Effect.UNKNOWN, 500);
 
--- a/core/src/main/java/org/marigoldturn/scheduling/StepState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StepState.java
@@ -7,6 +7,9 @@
 
 /** State of one step in one occurrence of a job, with its tasks. Confined to the control thread. */
 final class StepState {
+    /** Scheduling passes that find a waiting task are not further apart than this. */
+    private static final long UNPLACED_GAP_MILLIS = 1_000;
+
     private final JobEntry mJob;
     private final StepSpec mSpec;
     private final int mOccurrence;
@@ -14,6 +17,8 @@
     private final List<TaskState> mTasks = new ArrayList<>();
     private final StepAdvice mAdvice = new StepAdvice();
     private int mDoneTasks;
+    private long mUnplacedSinceMillis;
+    private long mLastUnplacedMillis = Long.MIN_VALUE / 2;
 
     StepState(JobEntry job, int occurrence, int number) {
         mJob = job;
@@ -82,6 +87,15 @@
         return mTasks.stream().allMatch(TaskState::isWaiting);
     }
 
+    /** Returns since when a waiting task has fitted into no usable target; now if it did before. */
+    long unplacedSinceMillis(long nowMillis) {
+        if (nowMillis - mLastUnplacedMillis > UNPLACED_GAP_MILLIS) {
+            mUnplacedSinceMillis = nowMillis;
+        }
+        mLastUnplacedMillis = nowMillis;
+        return mUnplacedSinceMillis;
+    }
+
     /** Counts the tasks that have no available run now. */
     int countUnavailable() {
         int unavailable = 0;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.marigoldturn.jobs.ResourceAmounts;
@@ -18,27 +18,22 @@
  * there, {@code mUsedByLongRunning} of those by long-running ones. Confined to the control thread.
  */
 public final class TargetState {
-    /** Consecutive failed runs after which a target is paused. */
-    private static final int FAILURES_BEFORE_PAUSE = 4;
-
     /**
-     * Number of jobs to which these runs must belong, so that one job that always fails does not
-     * pause targets.
+     * Time of the end of earlier owners' runs on a target that they have not used; before all
+     * times.
      */
-    private static final int JOBS_BEFORE_PAUSE = 2;
-
-    private static final long FIRST_PAUSE_MILLIS = 2_000;
-    private static final long LONGEST_PAUSE_MILLIS = 16_000;
+    static final long NEVER_USED = Long.MIN_VALUE;
 
     private final Map<TaskId, List<Run>> mRuns = new HashMap<>();
-    private final Set<String> mFailedJobs = new HashSet<>();
     private final List<Run> mAbandoned = new ArrayList<>();
+    private final StartPause mPause = new StartPause();
     private TargetEntry mEntry;
     private ResourceAmounts mUsed = ResourceAmounts.NONE;
     private ResourceAmounts mUsedByLongRunning = ResourceAmounts.NONE;
     private ResourceAmounts mHeldBack = ResourceAmounts.NONE;
     private boolean mListed = true;
     private boolean mRecorded;
+    private long mUnknownRunsEndMillis;
     private boolean mReported;
     private boolean mReportedToCertainOwner;
     private boolean mReachable;
@@ -46,13 +41,17 @@
     private boolean mInterrupted;
     private boolean mLoaned;
     private long mLeaseEndMillis;
-    private long mPausedUntilMillis;
-    private long mPauseMillis = FIRST_PAUSE_MILLIS;
-    private int mConsecutiveFailures;
     private long mLastProcessedEnd;
 
-    TargetState(TargetEntry entry) {
+    /**
+     * Creates the state of an incarnation that has not reported.
+     *
+     * @param unknownRunsEndMillis monotonic time by which all runs of earlier owners have ended
+     *     there; {@link #NEVER_USED} if there can be none
+     */
+    TargetState(TargetEntry entry, long unknownRunsEndMillis) {
         mEntry = entry;
+        mUnknownRunsEndMillis = unknownRunsEndMillis;
     }
 
     /** Returns the newest entry of the platform's list. */
@@ -77,6 +76,19 @@
         return mReported;
     }
 
+    /** Returns whether runs of earlier owners that are not known here may exist there. */
+    public boolean mayHaveUnknownRuns() {
+        return mUnknownRunsEndMillis != NEVER_USED && !mReported;
+    }
+
+    /**
+     * Returns the monotonic time by which all runs of earlier owners have ended there; {@link
+     * #NEVER_USED} if there can be none.
+     */
+    public long unknownRunsEndMillis() {
+        return mUnknownRunsEndMillis;
+    }
+
     /** Returns whether it responded to the last call. */
     public boolean isReachable() {
         return mReachable;
@@ -102,6 +114,21 @@
         return all;
     }
 
+    /** Returns whether it is not known of a run if it has started or will start there. */
+    public boolean hasUncertainRun() {
+        return mRuns.values().stream().flatMap(List::stream).anyMatch(Run::isUncertain);
+    }
+
+    /**
+     * Records a time that its clock has passed; start orders without a response whose lease ended
+     * before cannot be carried out any more.
+     *
+     * @param pollSentMillis monotonic time at which the poll that read the clock was sent
+     */
+    public void onClock(long targetMillis, long pollSentMillis) {
+        forEachRun(run -> run.onTargetClock(targetMillis, pollSentMillis));
+    }
+
     /** Passes all runs that may exist there; the action must not add or remove runs. */
     void forEachRun(Consumer<Run> action) {
         for (List<Run> runs : mRuns.values()) {
@@ -166,12 +193,21 @@
 
     void abandonUnconfirmedRuns() {
         for (Run run : runs()) {
-            if (run.phase() != Run.Phase.RUNNING) {
+            if (run.mayStartLater()) {
                 mAbandoned.add(run);
             }
         }
     }
 
+    /**
+     * Records that an earlier owner has used it, so that its runs are unknown until it reports.
+     *
+     * @param unknownRunsEndMillis monotonic time by which all these runs have ended
+     */
+    void markUsedByEarlierOwners(long unknownRunsEndMillis) {
+        mUnknownRunsEndMillis = unknownRunsEndMillis;
+    }
+
     void update(TargetEntry entry) {
         mEntry = entry;
         mListed = true;
@@ -221,19 +257,68 @@
         return mEntry.capacity().minus(mUsedByLongRunning);
     }
 
-    boolean accepts(Set<String> closedZones, long nowMillis) {
+    /** Returns whether a task that started there now would run. */
+    boolean canRun(Set<String> closedZones, long nowMillis) {
+        return mayStart(closedZones) && !mPause.isPaused(nowMillis);
+    }
+
+    /** Returns whether a start that was decided before may be sent. */
+    boolean mayStart(Set<String> closedZones) {
         return mListed
                 && mRecorded
                 && mReported
                 && mReachable
-                && !mCordoned
+                && !mInterrupted
                 && !mEntry.draining()
-                && nowMillis >= mPausedUntilMillis
                 && !closedZones.contains(mEntry.zone());
     }
 
-    void pause(long untilMillis) {
-        mPausedUntilMillis = Math.max(mPausedUntilMillis, untilMillis);
+    /** Returns whether tasks start elsewhere if they can, although they would run there. */
+    boolean isAvoided(long nowMillis) {
+        return mCordoned || mPause.isAvoided(nowMillis);
+    }
+
+    /** Tells until when tasks do not start there or avoid it. */
+    StartPause startPause() {
+        return mPause;
+    }
+
+    /** Returns why tasks do not start there or avoid it; empty if nothing keeps them from it. */
+    Optional<WaitReason> exclusion(Set<String> closedZones, long nowMillis) {
+        WaitReason reason = null;
+        if (!mListed) {
+            reason = WaitReason.UNLISTED;
+        } else if (!mReachable) {
+            reason = WaitReason.UNREACHABLE;
+        } else if (!mReported) {
+            reason = WaitReason.UNREAD;
+        } else if (!mRecorded) {
+            reason = WaitReason.UNRECORDED;
+        } else if (mCordoned || mInterrupted) {
+            reason = WaitReason.CORDONED;
+        } else if (mEntry.draining()) {
+            reason = WaitReason.DRAINING;
+        } else if (nowMillis < mPause.untilMillis()) {
+            reason = WaitReason.PAUSED;
+        } else if (closedZones.contains(mEntry.zone())) {
+            reason = WaitReason.CLOSED_ZONE;
+        }
+        return Optional.ofNullable(reason);
+    }
+
+    /** Returns the monotonic time before which no task starts there, or tasks avoid it. */
+    public long pausedUntilMillis() {
+        return mPause.untilMillis();
+    }
+
+    /** Returns a word for the cause of the last pause; empty if there was none. */
+    public String pauseCause() {
+        return mPause.cause();
+    }
+
+    /** Returns whether no new task starts there because planned work is about to begin. */
+    public boolean isCordoned() {
+        return mCordoned;
     }
 
     void add(Run run) {
@@ -279,28 +364,4 @@
         }
         return count;
     }
-
-    /**
-     * Updates the count of consecutive failures after the end of a run, and pauses the target after
-     * several failures of several jobs.
-     */
-    void onEnd(EndKind kind, String jobId, long nowMillis) {
-        if (kind == EndKind.DONE) {
-            mConsecutiveFailures = 0;
-            mFailedJobs.clear();
-            mPauseMillis = FIRST_PAUSE_MILLIS;
-            return;
-        }
-        if (kind != EndKind.FAILED) {
-            return;
-        }
-        mConsecutiveFailures++;
-        mFailedJobs.add(jobId);
-        if (mConsecutiveFailures >= FAILURES_BEFORE_PAUSE
-                && mFailedJobs.size() >= JOBS_BEFORE_PAUSE) {
-            pause(nowMillis + mPauseMillis);
-            mPauseMillis = Math.min(2 * mPauseMillis, LONGEST_PAUSE_MILLIS);
-            mConsecutiveFailures = FAILURES_BEFORE_PAUSE - 1;
-        }
-    }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,9 +13,11 @@
 /**
  * Holds the state of all known targets.
  *
- * <p>Invariant: a lease counts as ended, and the tasks of a target that has ended start again, only
- * once it is known that no other daemon was the owner at that time, since a newer owner may have
- * renewed the lease or recorded the tasks as done. Confined to the control thread.
+ * <p>Invariants: restored tasks of a service start only once the runs of all its targets that an
+ * earlier owner may have used are known; a lease counts as ended, and the tasks of a target that
+ * has ended start again, only once it is known that no other daemon was the owner at that time,
+ * since a newer owner may have renewed the lease or recorded the tasks as done. Confined to the
+ * control thread.
  */
 final class TargetTable {
     /**
@@ -29,6 +33,10 @@
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
     private long mConfirmedMillis;
+    private boolean mRecordsComplete;
+
+    /** By service, when a target with unknown runs ended last. */
+    private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
     TargetTable(RunTracker runs, long takeoverMillis, long longestLeaseMillis) {
         mRuns = runs;
@@ -58,15 +66,18 @@
     boolean lacksConfirmation(long nowMillis) {
         long provenMillis = provenMillis(nowMillis);
         for (TargetState target : mTargets.values()) {
-            if (!target.isReachable()
-                    && isLeaseOver(target, nowMillis)
-                    && !isLeaseOver(target, provenMillis)) {
+            boolean leaseIsOver =
+                    !target.isReachable()
+                            && isLeaseOver(target, nowMillis)
+                            && !isLeaseOver(target, provenMillis);
+            boolean unknownRunsAreOver =
+                    knowsRunsAt(target, nowMillis) && !knowsRunsAt(target, provenMillis);
+            if (leaseIsOver || unknownRunsAreOver) {
                 return true;
             }
         }
         return mRuns.hasHeldTasks()
-                || leasesOfEarlierOwnersAreOver(nowMillis)
-                        && !leasesOfEarlierOwnersAreOver(provenMillis);
+                || mUnreadEndMillis.values().stream().anyMatch(ended -> ended > mConfirmedMillis);
     }
 
     boolean isOwnerCertain() {
@@ -94,11 +105,26 @@
         if (known != null) {
             endRuns(known, nowMillis);
         }
-        TargetState state = new TargetState(entry);
+        TargetState state =
+                new TargetState(
+                        entry, mRecordsComplete ? TargetState.NEVER_USED : longestLeaseEndMillis());
         mTargets.put(entry.id(), state);
         return state;
     }
 
+    /**
+     * Sets whether each target on which an earlier owner may have started tasks is known from the
+     * store, so that no other target is waited for.
+     */
+    void setRecordsComplete(boolean complete) {
+        mRecordsComplete = complete;
+    }
+
+    /** Returns the monotonic time by which every lease of an earlier owner has expired. */
+    long longestLeaseEndMillis() {
+        return mTakeoverMillis + mLongestLeaseMillis;
+    }
+
     /** Records that the platform's list has no entry for a target. */
     void markUnlisted(String id) {
         TargetState target = mTargets.get(id);
@@ -113,7 +139,28 @@
         mTargets.remove(target.entry().id(), target);
     }
 
+    /**
+     * Records that a target has responded. A target is one life of its host, so the recorded ones
+     * of the same host that have not responded have ended.
+     */
+    void onResponse(TargetState target, long nowMillis) {
+        if (target.hasReported()) {
+            return;
+        }
+        for (TargetState other : all()) {
+            boolean sameHost =
+                    !other.entry().hostId().isEmpty()
+                            && other.entry().hostId().equals(target.entry().hostId());
+            if (other != target && sameHost && other.isRecorded() && other.mayHaveUnknownRuns()) {
+                endIncarnation(other, nowMillis);
+            }
+        }
+    }
+
     private void endRuns(TargetState target, long nowMillis) {
+        if (target.mayHaveUnknownRuns()) {
+            mUnreadEndMillis.merge(target.entry().service(), nowMillis, Math::max);
+        }
         List<TaskState> tasks = mRuns.endAllRuns(target);
         if (nowMillis > mConfirmedMillis) {
             mRuns.hold(tasks, nowMillis);
@@ -143,11 +190,7 @@
     private boolean isLeaseOver(TargetState target, long timeMillis) {
         return target.leaseEndMillis() > 0
                 ? timeMillis > target.leaseEndMillis()
-                : leasesOfEarlierOwnersAreOver(timeMillis);
-    }
-
-    private boolean leasesOfEarlierOwnersAreOver(long timeMillis) {
-        return timeMillis - mTakeoverMillis >= mLongestLeaseMillis;
+                : timeMillis >= target.unknownRunsEndMillis();
     }
 
     /** Returns the stop orders that are due, and marks them as sent. */
@@ -165,15 +208,25 @@
     }
 
     /**
-     * Returns whether all runs that can exist on a target are known: it has reported, or every
-     * lease of an earlier owner has expired.
+     * Returns whether all runs that can exist on a target are known: it has reported, no earlier
+     * owner has used it, or every lease of an earlier owner has expired.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
-        return target.hasReported() || leasesOfEarlierOwnersAreOver(provenMillis(nowMillis));
+        return knowsRunsAt(target, provenMillis(nowMillis));
     }
 
-    /** Returns whether {@link #knowsRuns} holds for all targets of a service. */
+    private static boolean knowsRunsAt(TargetState target, long timeMillis) {
+        return !target.mayHaveUnknownRuns() || timeMillis >= target.unknownRunsEndMillis();
+    }
+
+    /**
+     * Returns whether {@link #knowsRuns} holds for all targets of a service, and no other daemon
+     * was the owner when one of them ended unread.
+     */
     boolean knowsAllRuns(String service, long nowMillis) {
+        if (mUnreadEndMillis.getOrDefault(service, Long.MIN_VALUE) > mConfirmedMillis) {
+            return false;
+        }
         for (TargetState target : mTargets.values()) {
             if (target.entry().service().equals(service) && !knowsRuns(target, nowMillis)) {
                 return false;
@@ -182,6 +235,28 @@
         return true;
     }
 
+    /** Returns the targets of a service for which {@link #knowsRuns} does not hold. */
+    List<TargetState> withUnknownRuns(String service, long nowMillis) {
+        return ofService(service).stream().filter(t -> !knowsRuns(t, nowMillis)).toList();
+    }
+
+    /** Returns the targets of a service. */
+    List<TargetState> ofService(String service) {
+        return mTargets.values().stream().filter(t -> t.entry().service().equals(service)).toList();
+    }
+
+    /** Returns why {@link #usable} leaves out a target of the service; empty if it does not. */
+    Optional<WaitReason> exclusion(TargetState target, long nowMillis) {
+        Optional<WaitReason> exclusion = target.exclusion(mClosedZones, nowMillis);
+        boolean unproven = !mOwnerCertain && !target.hasReportedToCertainOwner();
+        return exclusion.isEmpty() && unproven ? Optional.of(WaitReason.OWNERSHIP) : exclusion;
+    }
+
+    /** Returns the latest time at which the store has shown that no other daemon was the owner. */
+    long confirmedMillis() {
+        return mConfirmedMillis;
+    }
+
     /** Counts the targets of a service that have not reported to this owner. */
     int countUnread(String service) {
         int count = 0;
@@ -193,26 +268,63 @@
         return count;
     }
 
-    /** Returns the listed target on a host; empty if none is known. */
+    /**
+     * Returns the listed target on a host; empty if none is known. The list can still contain an
+     * earlier target of the host, which does not respond.
+     */
     Optional<TargetState> listedOn(String hostId) {
-        for (TargetState target : mTargets.values()) {
-            if (target.isListed() && target.entry().hostId().equals(hostId)) {
-                return Optional.of(target);
-            }
-        }
-        return Optional.empty();
+        return mTargets.values().stream()
+                .filter(target -> target.isListed() && target.entry().hostId().equals(hostId))
+                .max(
+                        Comparator.comparing(TargetState::isReachable)
+                                .thenComparing(TargetState::hasReported));
+    }
+
+    /**
+     * Returns whether all runs on a target are known, also those that this owner may still start:
+     * it has reported, or every lease of an earlier owner has expired.
+     */
+    boolean hasReportedOrHasNoLease(TargetState target, long nowMillis) {
+        return target.hasReported() || provenMillis(nowMillis) >= longestLeaseEndMillis();
+    }
+
+    /** Returns whether a start that was decided before may be sent now. */
+    boolean mayStart(Run run) {
+        TargetState target = run.target();
+        return contains(target)
+                && target.find(run.task(), run.number()) == run
+                && !run.isStopRequested()
+                && (mOwnerCertain || target.hasReportedToCertainOwner())
+                && target.mayStart(mClosedZones);
     }
 
     /** Returns the targets of a service on which new tasks may start. */
     List<TargetState> usable(String service, long nowMillis) {
+        return candidates(service, nowMillis).usable();
+    }
+
+    /** Returns whether another usable target of the same service has room for a task of a step. */
+    boolean hasRoomBeside(StepState step, TargetState target, long nowMillis) {
+        return usable(target.entry().service(), nowMillis).stream()
+                .anyMatch(other -> other != target && Placer.isFeasible(step, other));
+    }
+
+    /** Returns the targets of a service on which new tasks may start, or could if need be. */
+    Candidates candidates(String service, long nowMillis) {
         List<TargetState> usable = new ArrayList<>();
+        List<TargetState> avoided = new ArrayList<>();
         for (TargetState target : mTargets.values()) {
-            if (target.entry().service().equals(service)
-                    && (mOwnerCertain || target.hasReportedToCertainOwner())
-                    && target.accepts(mClosedZones, nowMillis)) {
+            if (!target.entry().service().equals(service)
+                    || !mOwnerCertain && !target.hasReportedToCertainOwner()
+                    || !target.canRun(mClosedZones, nowMillis)) {
+                continue;
+            }
+            if (target.isAvoided(nowMillis)) {
+                avoided.add(target);
+            } else {
                 usable.add(target);
             }
         }
-        return usable;
+        return new Candidates(usable, avoided);
     }
 }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -24,6 +24,8 @@
 class TargetRecordsTest {
     private static final ByteString GARBAGE = ByteString.copyFrom(new byte[] {-1, 8, 127, 0});
 
+    private static final UnreadTargetNote.RunsEnds NO_NOTE = new UnreadTargetNote.RunsEnds();
+
     private static final TargetReport.RunReport RUN =
             new TargetReport.RunReport(new TaskId("job", 0, 0, 0), 1, "", 100);
 
@@ -54,11 +56,13 @@
         List<TargetState> restored =
                 new TargetRecords(next, mCommits, () -> {})
                         .restore(
-                                List.of(
+                                records(
+                                        Optional.empty(),
                                         mStore.read(StoreLayout.target("t1")).join().orElseThrow(),
                                         value("t2", GARBAGE),
                                         value("t3", TargetRecordCodec.encode(entry("t4", 7))),
                                         value("t5", TargetRecordCodec.encode(entry("t5", 7)))),
+                                NO_NOTE,
                                 0);
         assertThat(restored).extracting(target -> target.entry().id()).containsExactly("t1", "t5");
         assertThat(restored).allMatch(target -> target.isRecorded() && !target.isListed());
@@ -116,6 +120,21 @@
         assertThat(mScheduler.targets()).allMatch(TargetState::isRecorded);
     }
 
+    /** Guards against a next owner that waits for a target that has ended. */
+    @Example
+    void theRecordOfAnEndedTargetIsDeletedAlsoIfItsEntryChangesOnceMore() throws Exception {
+        add(entry("t1", 7));
+        onControl(
+                () -> {
+                    mScheduler
+                            .targets()
+                            .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
+                    mRecords.add(mScheduler.onTargetListed(entry("t1", 7), mNowMillis));
+                });
+        dropUnused();
+        assertThat(stored("t1")).isEmpty();
+    }
+
     @Example
     void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
         onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0)));
@@ -136,6 +155,43 @@
         assertThat(target.isRecorded()).isFalse();
     }
 
+    /** Guards against a wait for targets on which no earlier owner can have started a task. */
+    @Example
+    void aNextOwnerWaitsForRecordedTargetsOnlyOnceTheRecordsAreComplete() throws Exception {
+        add(entry("t1", 7));
+        assertThat(isWaitedForIfOnlyListed(Optional.empty())).isTrue();
+        onControl(mRecords::markComplete);
+        flush();
+        Optional<StoredValue> complete = mStore.read(StoreLayout.TARGETS_COMPLETE).join();
+        assertThat(complete).isPresent();
+        assertThat(isWaitedForIfOnlyListed(complete)).isFalse();
+        assertThat(isWaitedForIfOnlyListed(complete, value("t2", GARBAGE))).isTrue();
+        assertThat(
+                        isWaitedForIfOnlyListed(
+                                Optional.of(
+                                        new StoredValue(
+                                                StoreLayout.TARGETS_COMPLETE, GARBAGE, 1, 1))))
+                .isTrue();
+    }
+
+    private boolean isWaitedForIfOnlyListed(
+            Optional<StoredValue> complete, StoredValue... targets) {
+        JobScheduler next = scheduler();
+        new TargetRecords(next, mCommits, () -> {}).restore(records(complete, targets), NO_NOTE, 0);
+        return next.onTargetListed(entry("listed", 7), 0).mayHaveUnknownRuns();
+    }
+
+    private static OwnerRecords records(
+            Optional<StoredValue> targetsComplete, StoredValue... targets) {
+        return new OwnerRecords(
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(targets),
+                targetsComplete,
+                Optional.empty());
+    }
+
     private TargetState add(TargetEntry entry, TargetReport.RunReport... runs) throws Exception {
         CompletableFuture<TargetState> added = new CompletableFuture<>();
         onControl(
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -24,15 +25,18 @@
     private static final long ENTRY_INTERVAL_MILLIS = 500;
     private static final long MAINTENANCE_MILLIS = 300;
 
+    /** An entry that is no longer written is removed after this time. */
+    private static final long ENTRY_EXPIRY_MILLIS = 4_000;
+
     private final StandInStore mStore = new StandInStore();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
     private final Set<String> mLostPrefixes = ConcurrentHashMap.newKeySet();
     private final Set<String> mLostWrites = ConcurrentHashMap.newKeySet();
-    private final List<String> mMaintainedHosts = new ArrayList<>();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
     private final StandInHttp mStoreHttp = new StandInHttp(this::handleStore);
-    private final StandInHttp mHostsHttp = new StandInHttp(this::handleHosts);
+    private final StandInHostService mHosts =
+            new StandInHostService(mTargets.values(), this::beginMaintenance);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
     private volatile boolean mStoreUnavailable;
     private int mLastTargetNumber;
@@ -52,7 +56,7 @@
 
     /** Returns the address of the host service. */
     public String hostsAddress() {
-        return mHostsHttp.address();
+        return mHosts.address();
     }
 
     /** Returns the policy service. */
@@ -115,9 +119,22 @@
     }
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
-    public synchronized String addTarget(String service, String hostId, long taskMillis) {
+    public String addTarget(String service, String hostId, long taskMillis) {
+        return add(service, hostId, taskMillis, true);
+    }
+
+    /** Starts a target that is listed and never responds to a call, and returns its id. */
+    public String addUnresponsiveTarget(String service, String hostId) {
+        return add(service, hostId, 0, false);
+    }
+
+    private synchronized String add(
+            String service, String hostId, long taskMillis, boolean responds) {
         String id = "i-" + (++mLastTargetNumber);
         StandInTarget target = new StandInTarget(id, service, hostId, taskMillis);
+        if (!responds) {
+            target.stopResponding();
+        }
         mTargets.put(id, target);
         mStore.put("servers/" + id, target.entry("ready"));
         return id;
@@ -130,6 +147,64 @@
         mTargets.remove(id).close();
     }
 
+    /**
+     * Ends a target at once, as its host's loss of power does: its runs end, calls to its address
+     * get no response, and its entry is removed.
+     */
+    public synchronized void losePower(String id) {
+        mTargets.get(id).losePower();
+        mStore.delete("servers/" + id);
+    }
+
+    /** Leaves all further calls to a target without a response; its runs go on under its lease. */
+    public void stopResponding(String id) {
+        mTargets.get(id).stopResponding();
+    }
+
+    /**
+     * Leaves all further orders to a target without an effect and a response, but not the polls.
+     */
+    public void loseOrders(String id) {
+        mTargets.get(id).loseOrders();
+    }
+
+    /**
+     * Leaves all further orders to a target without a response, but not the polls; starts are
+     * carried out after the given time, stops are not.
+     */
+    public void loseOrdersAndStartLate(String id, long delayMillis) {
+        mTargets.get(id).loseOrdersAndStartLate(delayMillis);
+    }
+
+    /** Returns the number of start orders to a target that were lost. */
+    public int countLostStarts(String id) {
+        return mTargets.get(id).countLostStarts();
+    }
+
+    /**
+     * Returns the newest term whose owner has read all targets that respond; 0 if there is none.
+     */
+    public long lastTermThatReadAllTargets() {
+        return mTargets.values().stream()
+                .filter(StandInTarget::responds)
+                .mapToLong(StandInTarget::lastReadTerm)
+                .min()
+                .orElse(0);
+    }
+
+    /**
+     * Lets hosts stay in maintenance once it has begun: calls to the address of their target get no
+     * response, and its entry is removed only when it expires.
+     */
+    public void keepHostsInMaintenance() {
+        mHosts.keepInMaintenance();
+    }
+
+    /** Sets whether the host service leaves calls for the list of hosts without a response. */
+    public void setHostListUnavailable(boolean unavailable) {
+        mHosts.setListUnavailable(unavailable);
+    }
+
     /** Cuts a target off from the store, and lets its entry expire; it goes on with its tasks. */
     public void cutTargetFromStore(String id) {
         mCutFromStore.add(id);
@@ -193,13 +268,13 @@
     }
 
     /** Returns the hosts whose maintenance has begun, also the ended ones, in order. */
-    public synchronized List<String> hostsInMaintenance() {
-        return List.copyOf(mMaintainedHosts);
+    public List<String> hostsInMaintenance() {
+        return mHosts.inMaintenance();
     }
 
-    private void writeTargetEntries() {
+    private synchronized void writeTargetEntries() {
         for (StandInTarget target : mTargets.values()) {
-            if (!mCutFromStore.contains(target.id())) {
+            if (target.hasPower() && !mCutFromStore.contains(target.id())) {
                 mStore.put("servers/" + target.id(), target.entry("ready"));
             }
         }
@@ -269,44 +344,22 @@
         return after == null ? defaultValue : after;
     }
 
-    private StandInStore.Response handleHosts(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body) {
-        return context.path().equals("/v1/machines") ? hosts() : startMaintenance(body);
-    }
-
-    private StandInStore.Response hosts() {
-        ObjectNode body = StandInHttp.object();
-        var rows = body.putArray("Machines");
-        for (StandInTarget target : mTargets.values()) {
-            rows.addObject()
-                    .put("Machine", target.hostId())
-                    .put("Pool", "service")
-                    .put("State", "up")
-                    .put("Id", target.id());
-        }
-        return new StandInStore.Response(200, body.putNull("NextToken"));
-    }
-
-    private synchronized StandInStore.Response startMaintenance(JsonNode body) {
-        String host = body.path("Machine").asText();
-        if (mMaintainedHosts.contains(host)) {
-            return StandInStore.Response.of(200);
-        }
-        for (StandInTarget target : mTargets.values()) {
-            if (target.hostId().equals(host)) {
-                mMaintainedHosts.add(host);
-                mTargets.remove(target.id());
-                mStore.delete("servers/" + target.id());
-                target.close();
-                mTimer.schedule(
-                        () -> addTarget("service", host, 300),
-                        MAINTENANCE_MILLIS,
-                        TimeUnit.MILLISECONDS);
-                return StandInStore.Response.of(200);
-            }
+    private synchronized void beginMaintenance(StandInTarget target, boolean stays) {
+        if (stays) {
+            target.losePower();
+            mTimer.schedule(
+                    () -> mStore.delete("servers/" + target.id()),
+                    ENTRY_EXPIRY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return;
         }
-        ObjectNode conflict = StandInHttp.object().put("Reason", "busy");
-        return new StandInStore.Response(409, conflict);
+        mTargets.remove(target.id());
+        mStore.delete("servers/" + target.id());
+        target.close();
+        mTimer.schedule(
+                () -> addTarget("service", target.hostId(), 300),
+                MAINTENANCE_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private static long nowMillis() {
@@ -318,9 +371,11 @@
         mTimer.shutdownNow();
         mStoreUnavailable = false;
         mLostPrefixes.clear();
-        mTargets.values().forEach(StandInTarget::close);
-        mStoreHttp.close();
-        mHostsHttp.close();
-        mPolicyService.close();
+        List<CompletableFuture<Void>> stopped = new ArrayList<>();
+        mTargets.values().forEach(target -> stopped.add(target.stop()));
+        stopped.add(mStoreHttp.stop());
+        stopped.add(mHosts.stop());
+        stopped.add(mPolicyService.stop());
+        stopped.forEach(CompletableFuture::join);
     }
 }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Stand-in for one target: runs tasks for a fixed time while its lease lasts, and records every
@@ -30,6 +31,7 @@
     private final TreeMap<String, Execution> mRunning = new TreeMap<>();
     private final List<ArrayNode> mUnseenEnds = new ArrayList<>();
     private final Map<String, Long> mHighestEndedRun = new HashMap<>();
+    private final TreeMap<Long, Integer> mPollsByTerm = new TreeMap<>();
     private final List<String> mStarts = new ArrayList<>();
     private final List<String> mConfirmedDone = new ArrayList<>();
     private long mHighestToken;
@@ -38,6 +40,12 @@
     private int mPolls;
     private boolean mHoldsBackResponses;
     private boolean mDelaysStops;
+    private boolean mHasPower = true;
+    private boolean mResponds = true;
+    private boolean mLosesOrders;
+    private boolean mClosed;
+    private int mLostStarts;
+    private long mStartDelayMillis = Long.MAX_VALUE;
 
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
@@ -99,6 +107,55 @@
         return mPolls;
     }
 
+    /**
+     * Returns the newest term under which two polls were accepted, so that its owner has processed
+     * the response to the first one; 0 if there is none.
+     */
+    synchronized long lastReadTerm() {
+        return mPollsByTerm.descendingMap().entrySet().stream()
+                .filter(polls -> polls.getValue() >= 2)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0L);
+    }
+
+    /** Leaves all calls without an effect and a response from now on; connections stay open. */
+    synchronized void stopResponding() {
+        mResponds = false;
+        notifyAll();
+    }
+
+    synchronized boolean responds() {
+        return mResponds;
+    }
+
+    /** Ends all runs as a loss of power does: no end is listed, and no call gets a response. */
+    synchronized void losePower() {
+        mHasPower = false;
+        mRunning.clear();
+        stopResponding();
+    }
+
+    synchronized boolean hasPower() {
+        return mHasPower;
+    }
+
+    /** Leaves all further start and stop orders without an effect and a response. */
+    synchronized void loseOrders() {
+        mLosesOrders = true;
+    }
+
+    /** Like {@link #loseOrders}, but carries out each start order after the given time. */
+    synchronized void loseOrdersAndStartLate(long delayMillis) {
+        mLosesOrders = true;
+        mStartDelayMillis = delayMillis;
+    }
+
+    /** Returns the number of start orders that were lost. */
+    synchronized int countLostStarts() {
+        return mLostStarts;
+    }
+
     /** Delays the stop orders until {@link #endRuns} is called. */
     synchronized void delayStops() {
         mDelaysStops = true;
@@ -120,14 +177,22 @@
         if (!mId.equals(request.headers().get("Expect-Instance", mId))) {
             return StandInStore.Response.of(421);
         }
+        synchronized (this) {
+            if (!mResponds) {
+                awaitClose();
+            }
+        }
         StandInStore.Response response =
                 switch (context.path()) {
-                    case "/v1/run-start" -> start(body);
-                    case "/v1/run-stop" -> stop(body);
+                    case "/v1/run-start" -> receiveStart(body);
+                    case "/v1/run-stop" -> receiveStop(body);
                     case "/v1/hold" -> poll(body);
                     default -> StandInStore.Response.of(404);
                 };
         synchronized (this) {
+            if (!mResponds) {
+                awaitClose();
+            }
             if (mHoldsBackResponses) {
                 wait(60_000);
             }
@@ -135,6 +200,37 @@
         return response;
     }
 
+    private synchronized StandInStore.Response receiveStart(JsonNode body)
+            throws InterruptedException {
+        if (!mLosesOrders) {
+            return start(body);
+        }
+        mLostStarts++;
+        if (mStartDelayMillis < Long.MAX_VALUE) {
+            long dueMillis = clockMillis() + mStartDelayMillis;
+            while (!mClosed && clockMillis() < dueMillis) {
+                wait(dueMillis - clockMillis() + 1);
+            }
+            start(body);
+        }
+        awaitClose();
+        return StandInStore.Response.of(503);
+    }
+
+    private synchronized StandInStore.Response receiveStop(JsonNode body)
+            throws InterruptedException {
+        if (mLosesOrders) {
+            awaitClose();
+        }
+        return stop(body);
+    }
+
+    private synchronized void awaitClose() throws InterruptedException {
+        while (!mClosed) {
+            wait();
+        }
+    }
+
     private synchronized StandInStore.Response start(JsonNode body) {
         advance();
         String task = body.path("Task").asText();
@@ -187,6 +283,7 @@
             return conflict("fence");
         }
         mPolls++;
+        mPollsByTerm.merge(body.path("FencingToken").asLong(), 1, Integer::sum);
         advance();
         mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
         long lastSeen = body.path("LastSeen").asLong();
@@ -265,12 +362,18 @@
                 StandInHttp.object().put("ClockMs", clockMillis()).put("born", mStartedAtMillis));
     }
 
-    @Override
-    public void close() {
+    /** Stops the target; the future completes once its server has stopped. */
+    CompletableFuture<Void> stop() {
         synchronized (this) {
+            mClosed = true;
             mDelaysStops = false;
             notifyAll();
         }
-        mHttp.close();
+        return mHttp.stop();
+    }
+
+    @Override
+    public void close() {
+        stop().join();
     }
 }
