--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -134,12 +134,11 @@
             readHosts(nowMillis);
         }
         mDownHosts.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
-        if (mWithdrawn) {
-            // Hosts that are down are still followed.
-        } else if (!mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty()) {
+        boolean hostsLeft = !mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty();
+        if (hostsLeft && !mWithdrawn) {
             cordonHosts(nowMillis);
             orderMaintenance(nowMillis);
-        } else if (!mCompleted) {
+        } else if (!hostsLeft && !mCompleted && !mWithdrawn) {
             complete();
         }
         if (nowMillis - mListedMillis >= LIST_INTERVAL_MILLIS) {
