Log incarnations of targets and the calls that they may inherit

A target that starts again under its id may receive calls that were decided for its earlier incarnation. No line named the incarnation, told which runs ended with the earlier one, or what a poll without a response carried.

Change: lines about targets and runs carry the start of the incarnation (born). event=replaced counts the runs of the earlier one, event=ended-with-target names each run that ends without a report, also after the expiry of a lease, with what was known of it. event=lost, unread and call-open describe the call without a response (lease, lastSeen, time), regained counts such calls, event=adopted names runs that were not known, read has the lowest end. A start that is accepted after its incarnation has ended is logged too. Lines about runs stay within the budget of RunLog; those about targets come at most once for each change.

Ruled out: no decision uses the new values.

--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -126,7 +126,8 @@
     }
 
     private void apply(Run run, StartOutcome outcome) {
-        if (outcome != StartOutcome.ACCEPTED) {
+        // A later incarnation may have accepted a start that was sent to the earlier one.
+        if (outcome != StartOutcome.ACCEPTED || !mScheduler.isKnown(run.target())) {
             mRunLog.logStartResponse(run, outcome, mContext.clocks().now());
         }
         if (outcome == StartOutcome.FENCED) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -211,7 +211,7 @@
         mUnread = new UnreadTargets(mContext.term(), mScheduler::targets);
         mWaitLog = new WaitLog(mContext.term(), mScheduler.longRunningWaits(), mContext.metrics());
         mTargetLog = new TargetLog(mContext.term(), mScheduler::targets);
-        mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, this);
+        mTargetList = new TargetList(mContext, mScheduler, mSessions, mCommits, mRunLog, this);
         mLeases = new LeaseGrants(mContext, mScheduler::targets, mTargetList::countRecords);
         mUnknownRuns.restore(mScheduler, mTargetList, records);
         mTargetList.start();
@@ -295,10 +295,15 @@
         if (mClosed) {
             return;
         }
-        Logger.info("target: event=ended target={}", target.entry().id());
+        Logger.info(
+                "target: event=ended target={} born={}",
+                target.entry().id(),
+                target.entry().startedEpochMillis());
         mSessions.close(target);
         updateOwnership();
-        mScheduler.onTargetEnded(target, mContext.clocks().now());
+        long now = mContext.clocks().now();
+        mScheduler.onTargetEnded(target, now);
+        mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), now);
         mUnknownRuns.onTargetKnown();
         serveOnceTargetsAreUsable();
         requestScheduling();
@@ -321,6 +326,7 @@
             mHostWork.tick(now);
         }
         mScheduler.expireLeases(now);
+        mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), now);
         mRunLog.reportLeftOut(now);
         mUnreadCheck.tick(now);
         mWaitLog.tick(mayStart(), now, mContext.clocks().epoch());
--- a/core/src/main/java/org/marigoldturn/coordination/RunLog.java
+++ b/core/src/main/java/org/marigoldturn/coordination/RunLog.java
@@ -1,6 +1,8 @@
 package org.marigoldturn.coordination;
 
+import java.util.List;
 import org.marigoldturn.jobs.TaskId;
+import org.marigoldturn.scheduling.EndedRuns;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.ReportEffects;
 import org.marigoldturn.scheduling.Run;
@@ -33,13 +35,14 @@
         if (mayWrite(nowMillis)) {
             Logger.info(
                     "run: event=start {} term={} restored={} earlierRun={} confirmedMillisAgo={}"
-                            + " unreadTargets={}",
+                            + " unreadTargets={} born={}",
                     describe(start.run()),
                     mTerm,
                     start.history().restored(),
                     start.history().earlierRun(),
                     confirmedMillisAgo,
-                    unreadTargets);
+                    unreadTargets,
+                    born(start.run().target()));
         }
     }
 
@@ -49,11 +52,18 @@
         }
     }
 
-    /** Logs a response to a start order that does not accept it, or that there was none. */
+    /**
+     * Logs a response to a start order that does not accept it or comes after the end of the
+     * incarnation that it was sent to, or that there was none.
+     */
     void logStartResponse(Run run, StartOutcome outcome, long nowMillis) {
         if (mayWrite(nowMillis)) {
             Logger.warn(
-                    "run: event=start-answer {} term={} outcome={}", describe(run), mTerm, outcome);
+                    "run: event=start-answer {} term={} outcome={} born={}",
+                    describe(run),
+                    mTerm,
+                    outcome,
+                    born(run.target()));
         }
     }
 
@@ -62,23 +72,29 @@
         effects.ends().forEach(end -> logEnd(target, end, nowMillis));
         effects.unlistedRuns().forEach(run -> logUnlisted(run, nowMillis));
         effects.keptRuns().forEach(run -> logKept(run, nowMillis));
+        effects.adoptedRuns().forEach(run -> logAdopted(run, nowMillis));
     }
 
     private void logEnd(TargetState target, ReportEffects.ProcessedEnd processed, long nowMillis) {
         if (mayWrite(nowMillis)) {
             Logger.info(
-                    "run: event=ended {} term={} how={} end={} applied={}",
+                    "run: event=ended {} term={} how={} end={} applied={} born={}",
                     describe(processed.end().task(), processed.end().run(), target),
                     mTerm,
                     processed.end().kind(),
                     processed.end().number(),
-                    processed.effect());
+                    processed.effect(),
+                    born(target));
         }
     }
 
     private void logUnlisted(Run run, long nowMillis) {
         if (mayWrite(nowMillis)) {
-            Logger.info("run: event=unlisted {} term={}", describe(run), mTerm);
+            Logger.info(
+                    "run: event=unlisted {} term={} born={}",
+                    describe(run),
+                    mTerm,
+                    born(run.target()));
         }
     }
 
@@ -88,14 +104,71 @@
         }
     }
 
+    private void logAdopted(ReportEffects.AdoptedRun adopted, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info(
+                    "run: event=adopted {} term={} needed={} born={}",
+                    describe(adopted.run()),
+                    mTerm,
+                    adopted.needed(),
+                    born(adopted.run().target()));
+        }
+    }
+
+    /** Logs the runs that are taken as ended without a report of their ends. */
+    void logEndedRuns(List<EndedRuns> ended, long nowMillis) {
+        for (EndedRuns runs : ended) {
+            if (runs.cause() == EndedRuns.Cause.REPLACED) {
+                Logger.info(describeReplaced(runs, runs.nextStartedEpochMillis(), "list"));
+            }
+            runs.runs().forEach(run -> logEndedRun(runs.cause(), run, nowMillis));
+        }
+    }
+
+    private void logEndedRun(EndedRuns.Cause cause, EndedRuns.EndedRun ended, long nowMillis) {
+        if (mayWrite(nowMillis)) {
+            Logger.info(
+                    "run: event=ended-with-target {} term={} cause={} phase={} listed={} born={}",
+                    describe(ended.run()),
+                    mTerm,
+                    cause,
+                    ended.phase(),
+                    ended.listed(),
+                    born(ended.run().target()));
+        }
+    }
+
+    /**
+     * Returns the line about an incarnation of a target that was replaced by a later one.
+     *
+     * @param seenIn what has shown the later one
+     */
+    static String describeReplaced(EndedRuns earlier, long startedEpochMillis, String seenIn) {
+        return "target: event=replaced target="
+                + earlier.target().entry().id()
+                + " born="
+                + startedEpochMillis
+                + " earlierBorn="
+                + born(earlier.target())
+                + " seenIn="
+                + seenIn
+                + " runs="
+                + earlier.runs().size()
+                + " neverListed="
+                + earlier.countNeverListed()
+                + " abandoned="
+                + earlier.abandoned();
+    }
+
     /** Logs that a target is told that its ends up to the given number are stored. */
     void logEndsConfirmed(TargetState target, long upTo, long nowMillis) {
         if (mayWrite(nowMillis)) {
             Logger.info(
-                    "target: event=ends-confirmed target={} term={} upTo={}",
+                    "target: event=ends-confirmed target={} term={} upTo={} born={}",
                     target.entry().id(),
                     mTerm,
-                    upTo);
+                    upTo,
+                    born(target));
         }
     }
 
@@ -117,6 +190,11 @@
         return mBudget.admit(nowMillis);
     }
 
+    /** Returns the wall-clock start of an incarnation, which tells it from others of its target. */
+    private static long born(TargetState target) {
+        return target.entry().startedEpochMillis();
+    }
+
     private static String describe(Run run) {
         return describe(run.task(), run.number(), run.target());
     }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -26,6 +26,7 @@
     private final JobScheduler mScheduler;
     private final TargetSessions mSessions;
     private final TargetRecords mRecords;
+    private final RunLog mRunLog;
     private final Listener mListener;
     private final UnusableEntries mUnusableEntries;
     private final PrefixMirror mMirror;
@@ -47,10 +48,12 @@
             JobScheduler scheduler,
             TargetSessions sessions,
             GroupCommit commits,
+            RunLog runLog,
             Listener listener) {
         mContext = context;
         mScheduler = scheduler;
         mSessions = sessions;
+        mRunLog = runLog;
         mRecords =
                 new TargetRecords(scheduler, commits, context.term(), listener::onTargetRecorded);
         mListener = listener;
@@ -120,7 +123,9 @@
         }
         mUnusableEntries.remove(value.key());
         mListener.beforeTargetChange();
-        TargetState target = mScheduler.onTargetListed(entry.get(), mContext.clocks().now());
+        long now = mContext.clocks().now();
+        TargetState target = mScheduler.onTargetListed(entry.get(), now);
+        mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), now);
         mRecords.add(target);
         mSessions.open(target);
     }
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.LongUnaryOperator;
 import org.marigoldturn.daemon.ControlLoop;
+import org.marigoldturn.scheduling.EndedRuns;
 import org.marigoldturn.scheduling.Run;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
@@ -54,6 +55,8 @@
     private long mRecordedEnd;
     private long mConfirmedEnd;
     private boolean mPollOpen;
+    private SentCall mLastCall = new SentCall("none", 0, 0, 0);
+    private int mCallsWithoutResponse;
     private Runnable mOnFirstPoll = () -> {};
     private long mPollCycle;
     private CompletableFuture<Void> mStored = CompletableFuture.completedFuture(null);
@@ -131,6 +134,17 @@
         mClosed = true;
     }
 
+    /** Logs the call that is open, which a later incarnation of the target may still receive. */
+    void logOpenCall() {
+        if (mPollOpen) {
+            Logger.info(
+                    "target: event=call-open target={} {} born={}",
+                    mTarget.entry().id(),
+                    mLastCall.describe(mClocks.now()),
+                    mTarget.entry().startedEpochMillis());
+        }
+    }
+
     /**
      * Grants a lease from now on and returns its end on the target's clock; 0 if that clock is not
      * known yet or no lease can be granted.
@@ -164,6 +178,7 @@
             mConfirmedEnd = mRecordedEnd;
             mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
         }
+        mLastCall = new SentCall("poll", lease > 0 ? mLeaseEndMillis - now : 0, mRecordedEnd, now);
         mPollOpen = true;
         mClient.poll(
                         mTarget.entry(),
@@ -210,6 +225,7 @@
      */
     private void stopAbandoned() {
         Run run = mTarget.abandonedRuns().get(0);
+        mLastCall = new SentCall("stop", 0, 0, mClocks.now());
         mPollOpen = true;
         mClient.stop(mTarget.entry(), run, mTerm)
                 .whenComplete(
@@ -228,6 +244,9 @@
 
     private void onResponse(TargetClient.PollResponse response, long pollSentMillis) {
         if (response.report().startedEpochMillis() != mTarget.entry().startedEpochMillis()) {
+            Logger.info(
+                    RunLog.describeReplaced(
+                            EndedRuns.of(mTarget), response.report().startedEpochMillis(), "poll"));
             mCallbacks.onEnded(mTarget);
             return;
         }
@@ -250,8 +269,14 @@
         }
         mTarget.setReachable(true);
         if (!wasReachable && !first) {
-            Logger.info("target: event=regained target={}", mTarget.entry().id());
+            Logger.info(
+                    "target: event=regained target={} callsWithoutResponse={} lastSeen={} born={}",
+                    mTarget.entry().id(),
+                    mCallsWithoutResponse,
+                    mRecordedEnd,
+                    mTarget.entry().startedEpochMillis());
         }
+        mCallsWithoutResponse = 0;
         if (first) {
             logFirstReport(response.report());
         }
@@ -276,12 +301,15 @@
 
     private void logFirstReport(TargetReport report) {
         Logger.info(
-                "target: event=read target={} term={} running={} ends={} complete={}",
+                "target: event=read target={} term={} running={} ends={} complete={} firstEnd={}"
+                        + " born={}",
                 mTarget.entry().id(),
                 mTerm,
                 report.running().size(),
                 report.ends().size(),
-                report.complete());
+                report.complete(),
+                report.ends().isEmpty() ? 0 : report.ends().get(0).number(),
+                mTarget.entry().startedEpochMillis());
     }
 
     private void pollAfterCommit(long cycle) {
@@ -304,15 +332,18 @@
             mCallbacks.onFenced(mTarget);
             return;
         }
+        mCallsWithoutResponse++;
         boolean firstFailure = !mTarget.hasReported() && !mLoggedUnread;
         if (mTarget.isReachable() || firstFailure) {
             mLoggedUnread = true;
             Logger.warn(
-                    "target: event={} target={} kind={} cause=\"{}\"",
+                    "target: event={} target={} kind={} cause=\"{}\" {} born={}",
                     firstFailure ? "unread" : "lost",
                     mTarget.entry().id(),
                     kind,
-                    cause);
+                    cause,
+                    mLastCall.describe(mClocks.now()),
+                    mTarget.entry().startedEpochMillis());
         }
         mTarget.setReachable(false);
         if (kind == TargetCallException.Kind.OTHER_INSTANCE) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
@@ -55,6 +55,9 @@
         if (mSessions.containsKey(target) || mGivenUp.contains(target)) {
             return;
         }
+        mSessions.values().stream()
+                .filter(earlier -> earlier.target().entry().id().equals(target.entry().id()))
+                .forEach(TargetSession::logOpenCall);
         closeIf(old -> old.entry().id().equals(target.entry().id()));
         TargetSession session =
                 new TargetSession(
@@ -70,12 +73,13 @@
                         mCallbacks);
         mSessions.put(target, session);
         Logger.info(
-                "target: event=found target={} service={} zone={} rack={} host={}",
+                "target: event=found target={} service={} zone={} rack={} host={} born={}",
                 target.entry().id(),
                 target.entry().service(),
                 target.entry().zone(),
                 target.entry().rack(),
-                target.entry().hostId());
+                target.entry().hostId(),
+                target.entry().startedEpochMillis());
         mUnstarted.add(session);
         startNext();
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -176,6 +176,11 @@
         mTargets.endIncarnation(target, nowMillis);
     }
 
+    /** Returns and clears the runs that were taken as ended without a report of their ends. */
+    public List<EndedRuns> takeEndedRuns() {
+        return mTargets.takeEndedRuns();
+    }
+
     /** Returns all known targets. */
     public Collection<TargetState> targets() {
         return mTargets.all();
--- a/core/src/main/java/org/marigoldturn/scheduling/ReportEffects.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/ReportEffects.java
@@ -10,12 +10,18 @@
  *     their ends
  * @param keptRuns runs whose stop was withdrawn, since they run although their start order has no
  *     response
+ * @param adoptedRuns runs that the target lists and that were not known to be there
  */
-public record ReportEffects(List<ProcessedEnd> ends, List<Run> unlistedRuns, List<Run> keptRuns) {
+public record ReportEffects(
+        List<ProcessedEnd> ends,
+        List<Run> unlistedRuns,
+        List<Run> keptRuns,
+        List<AdoptedRun> adoptedRuns) {
     public ReportEffects {
         ends = List.copyOf(ends);
         unlistedRuns = List.copyOf(unlistedRuns);
         keptRuns = List.copyOf(keptRuns);
+        adoptedRuns = List.copyOf(adoptedRuns);
     }
 
     /** Returns the effects of a report of a target that is no longer known. */
@@ -25,9 +31,17 @@
                         .map(end -> new ProcessedEnd(end, EndEffect.IGNORED_UNKNOWN_TARGET))
                         .toList(),
                 List.of(),
+                List.of(),
                 List.of());
     }
 
     /** An end and what the owner concluded from it. */
     public record ProcessedEnd(TargetReport.RunEnd end, EndEffect effect) {}
+
+    /**
+     * A run that was not known.
+     *
+     * @param needed whether it is kept; it is stopped otherwise
+     */
+    public record AdoptedRun(Run run, boolean needed) {}
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -52,6 +52,7 @@
     private long mStopSentMillis;
     private long mConfirmedMillis;
     private int mPercent;
+    private boolean mListed;
     private long mOrderEndTargetMillis = Long.MAX_VALUE;
 
     Run(
@@ -236,7 +237,13 @@
         }
     }
 
+    /** Returns whether its target has listed it as running. */
+    boolean wasListed() {
+        return mListed;
+    }
+
     void onListed(int percent, long nowMillis) {
+        mListed = true;
         mPercent = percent;
         onStarted(nowMillis);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -68,9 +68,14 @@
         }
         Set<Run> listed = new HashSet<>();
         List<Run> kept = new ArrayList<>();
+        List<ReportEffects.AdoptedRun> adopted = new ArrayList<>();
         for (TargetReport.RunReport running : report.running()) {
+            boolean known = target.find(running.task(), running.run()) != null;
             Run run = onRunning(target, running, nowMillis);
             listed.add(run);
+            if (!known) {
+                adopted.add(new ReportEffects.AdoptedRun(run, !run.isStopRequested()));
+            }
             if (run.isStopWithdrawable() && isNeeded(run)) {
                 run.withdrawStop();
                 kept.add(run);
@@ -86,7 +91,7 @@
                 unlisted.add(run);
             }
         }
-        return new ReportEffects(ends, unlisted, kept);
+        return new ReportEffects(ends, unlisted, kept, adopted);
     }
 
     private Run onRunning(TargetState target, TargetReport.RunReport report, long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -34,6 +34,8 @@
     private long mConfirmedMillis;
     private boolean mRecordsComplete;
 
+    private final List<EndedRuns> mEndedRuns = new ArrayList<>();
+
     /** By service, when a target with unknown runs ended last. */
     private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
@@ -101,6 +103,8 @@
             return known;
         }
         if (known != null) {
+            mEndedRuns.add(
+                    EndedRuns.of(known, EndedRuns.Cause.REPLACED, entry.startedEpochMillis()));
             endRuns(known, nowMillis);
         }
         TargetState state =
@@ -139,6 +143,7 @@
 
     /** Records that an incarnation of a target has ended, and all its runs with it. */
     void endIncarnation(TargetState target, long nowMillis) {
+        mEndedRuns.add(EndedRuns.of(target, EndedRuns.Cause.ENDED, 0));
         endRuns(target, nowMillis);
         mTargets.remove(target.entry().id(), target);
     }
@@ -171,11 +176,21 @@
         }
     }
 
+    /** Returns and clears the runs that were taken as ended without a report of their ends. */
+    List<EndedRuns> takeEndedRuns() {
+        List<EndedRuns> ended = List.copyOf(mEndedRuns);
+        mEndedRuns.clear();
+        return ended;
+    }
+
     /** Ends the runs of targets whose lease has certainly expired. */
     void expireLeases(long nowMillis) {
         long provenMillis = provenMillis(nowMillis);
         for (TargetState target : all()) {
             if (!target.isReachable() && isLeaseOver(target, provenMillis)) {
+                if (!target.isIdle()) {
+                    mEndedRuns.add(EndedRuns.of(target, EndedRuns.Cause.LEASE_EXPIRED, 0));
+                }
                 target.abandonUnconfirmedRuns();
                 mRuns.endAllRuns(target);
                 if (!target.isListed()) {
--- a/core/src/test/java/org/marigoldturn/scheduling/ReportEffectsTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ReportEffectsTest.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.scheduling;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 import static org.marigoldturn.scheduling.SchedulerFixture.job;
 import static org.marigoldturn.scheduling.SchedulerFixture.longRunning;
 import static org.marigoldturn.scheduling.SchedulerFixture.step;
@@ -73,6 +74,19 @@
         assertThat(report(target, List.of()).unlistedRuns()).isEqualTo(runs);
     }
 
+    @Example
+    void runThatWasNotKnownIsNamedOnceAndWithWhetherItIsNeeded() {
+        TargetState target = mFixture.addTarget("t1", 2_000);
+        mFixture.accept(job("a", "account", step(1, 1_000)));
+        TargetReport.RunReport needed = new TargetReport.RunReport(TASK, 3, "", 0);
+        TargetReport.RunReport second = new TargetReport.RunReport(TASK, 4, "", 0);
+
+        assertThat(reportRunning(target, needed, second).adoptedRuns())
+                .extracting(adopted -> adopted.run().number(), ReportEffects.AdoptedRun::needed)
+                .containsExactly(tuple(3L, true), tuple(4L, false));
+        assertThat(reportRunning(target, needed, second).adoptedRuns()).isEmpty();
+    }
+
     @Example
     void startTellsWhatTheOwnerKnewOfTheTask() {
         JobProgress.TaskProgress failedOnce =
@@ -103,6 +117,17 @@
         return report(target, List.of(end)).ends().get(0).effect();
     }
 
+    private ReportEffects reportRunning(TargetState target, TargetReport.RunReport... running) {
+        mFixture.mNowMillis++;
+        return mScheduler.onReport(
+                target,
+                new TargetReport(
+                        target.entry().startedEpochMillis(), List.of(running), List.of(), true),
+                mFixture.mNowMillis,
+                mFixture.mNowMillis,
+                mFixture.mNowMillis);
+    }
+
     private ReportEffects report(TargetState target, List<TargetReport.RunEnd> ends) {
         mFixture.mNowMillis++;
         return mScheduler.onReport(
