--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -97,20 +97,31 @@
                 now - mContext.ownershipLease().confirmedMillis(),
                 mScheduler.countUnreadTargets(run.target().entry().service()),
                 now);
+        long contact = run.target().contact();
         mContext.targets()
-                .start(run.target().entry(), start, mContext.term(), lease)
+                .start(run.target().entry(), start, token(contact), lease)
                 .whenComplete(
                         (outcome, failure) ->
                                 mContext.control()
-                                        .execute(() -> onStartResponse(run, outcome, failure)));
+                                        .execute(
+                                                () ->
+                                                        onStartResponse(
+                                                                run, contact, outcome, failure)));
     }
 
-    private void onStartResponse(Run run, StartOutcome outcome, Throwable failure) {
+    private long token(long contact) {
+        return FencingToken.of(mContext.term(), contact);
+    }
+
+    private void onStartResponse(Run run, long contact, StartOutcome outcome, Throwable failure) {
         if (mClosed) {
             return;
         }
         mOrders.onEnded(run.target());
         StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
+        if (known == StartOutcome.FENCED && mScheduler.isSuperseded(run.target(), contact)) {
+            known = StartOutcome.SUPERSEDED;
+        }
         apply(run, known);
         if (known == StartOutcome.UNKNOWN) {
             takeBackStarts(run.target());
@@ -145,7 +156,7 @@
         Run run = stop.run();
         mRunLog.logStop(run, now);
         mContext.targets()
-                .stop(run.target().entry(), run, mContext.term())
+                .stop(run.target().entry(), run, token(run.target().contact()))
                 .whenComplete(
                         (done, failure) ->
                                 mContext.control().execute(() -> onStopResponse(run, failure)));
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -179,7 +179,8 @@
                         mOperator.catalog().orElseThrow(),
                         mContext.term(),
                         mUnknownRuns.electedMillis(),
-                        mUnknownRuns.longestMillis());
+                        mUnknownRuns.longestMillis(),
+                        TargetLeases.longestMillis(mContext.limits().maxLeaseMillis()));
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
         mHostWorkFromMillis =
@@ -309,6 +310,23 @@
         requestScheduling();
     }
 
+    @Override
+    public void onRestarted(TargetState target, long startedEpochMillis) {
+        if (mClosed || !mScheduler.isKnown(target)) {
+            return;
+        }
+        updateOwnership();
+        mTargetList.onRestarted(target, startedEpochMillis, mContext.clocks().now());
+        mUnknownRuns.onTargetKnown();
+        serveOnceTargetsAreUsable();
+        requestScheduling();
+    }
+
+    @Override
+    public void onContactLost(TargetState target) {
+        mScheduler.onContactLost(target);
+    }
+
     @Override
     public void onFenced(TargetState target) {
         Logger.warn("owner: event=fenced term={} target={}", mContext.term(), target.entry().id());
@@ -331,7 +349,11 @@
         mUnreadCheck.tick(now);
         mWaitLog.tick(mayStart(), now, mContext.clocks().epoch());
         mTargetLog.tick(now);
-        mTargetList.dropUnused();
+        mTargetList.updateRecords(now);
+        if (!FencingToken.hasNext(mScheduler.countContacts())) {
+            Logger.warn("owner: event=out-of-fencing-tokens term={}", mContext.term());
+            mContext.onFenced().run();
+        }
         mTargetList.markRecordsComplete(now);
         forgetOldJobs();
         logMayActChange();
--- a/core/src/main/java/org/marigoldturn/coordination/RunLog.java
+++ b/core/src/main/java/org/marigoldturn/coordination/RunLog.java
@@ -118,8 +118,8 @@
     /** Logs the runs that are taken as ended without a report of their ends. */
     void logEndedRuns(List<EndedRuns> ended, long nowMillis) {
         for (EndedRuns runs : ended) {
-            if (runs.cause() == EndedRuns.Cause.REPLACED) {
-                Logger.info(describeReplaced(runs, runs.nextStartedEpochMillis(), "list"));
+            if (runs.nextStartedEpochMillis() > 0) {
+                Logger.info(describeReplaced(runs));
             }
             runs.runs().forEach(run -> logEndedRun(runs.cause(), run, nowMillis));
         }
@@ -128,7 +128,8 @@
     private void logEndedRun(EndedRuns.Cause cause, EndedRuns.EndedRun ended, long nowMillis) {
         if (mayWrite(nowMillis)) {
             Logger.info(
-                    "run: event=ended-with-target {} term={} cause={} phase={} listed={} born={}",
+                    "run: event={} {} term={} cause={} phase={} listed={} born={}",
+                    ended.moved() ? "moved-to-next-incarnation" : "ended-with-target",
                     describe(ended.run()),
                     mTerm,
                     cause,
@@ -138,20 +139,16 @@
         }
     }
 
-    /**
-     * Returns the line about an incarnation of a target that was replaced by a later one.
-     *
-     * @param seenIn what has shown the later one
-     */
-    static String describeReplaced(EndedRuns earlier, long startedEpochMillis, String seenIn) {
+    /** Returns the line about an incarnation of a target that was replaced by a later one. */
+    static String describeReplaced(EndedRuns earlier) {
         return "target: event=replaced target="
                 + earlier.target().entry().id()
                 + " born="
-                + startedEpochMillis
+                + earlier.nextStartedEpochMillis()
                 + " earlierBorn="
                 + born(earlier.target())
-                + " seenIn="
-                + seenIn
+                + " cause="
+                + earlier.cause()
                 + " runs="
                 + earlier.runs().size()
                 + " neverListed="
--- a/core/src/main/java/org/marigoldturn/coordination/TargetClient.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetClient.java
@@ -19,24 +19,28 @@
     /**
      * Orders a target to start a run; a missing response is {@link StartOutcome#UNKNOWN}.
      *
-     * @param term the owner's term, which fences earlier owners
+     * @param token the {@link FencingToken}
      * @param leaseEndTargetMillis end of the lease on the target's clock
      */
     CompletableFuture<StartOutcome> start(
-            TargetEntry target, Order.Start order, long term, long leaseEndTargetMillis);
+            TargetEntry target, Order.Start order, long token, long leaseEndTargetMillis);
 
-    /** Orders a target to stop a run. */
-    CompletableFuture<Void> stop(TargetEntry target, Run run, long term);
+    /**
+     * Orders a target to stop a run.
+     *
+     * @param token the {@link FencingToken}
+     */
+    CompletableFuture<Void> stop(TargetEntry target, Run run, long token);
 
     /**
      * A poll of a target.
      *
-     * @param term the owner's term; from then on the target rejects lower terms
+     * @param token the {@link FencingToken}; from then on the target rejects lower ones
      * @param recordedEnd highest number of a run's end that the store holds
      * @param leaseEndTargetMillis end of the lease on the target's clock; 0 does not renew it
      * @param waitMillis how long the target may wait for a run to end before it responds
      */
-    record PollRequest(long term, long recordedEnd, long leaseEndTargetMillis, long waitMillis) {}
+    record PollRequest(long token, long recordedEnd, long leaseEndTargetMillis, long waitMillis) {}
 
     /**
      * Response to a poll.
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -97,7 +97,7 @@
 
     /** Records a target that has reported, so that tasks may start there. */
     void onReport(TargetState target) {
-        mRecords.add(target);
+        mRecords.add(target, mContext.clocks().now());
     }
 
     /** Tells later owners that all targets that may be in use are recorded, once that is so. */
@@ -107,10 +107,19 @@
         }
     }
 
-    /** Ends the sessions of targets that the scheduler has dropped, and the unused records. */
-    void dropUnused() {
+    /** Opens a session with the next incarnation of a target, which responds in its place. */
+    void onRestarted(TargetState target, long startedEpochMillis) {
+        mSessions.open(
+                mScheduler.onTargetRestarted(target, startedEpochMillis, mContext.clocks().now()));
+    }
+
+    /**
+     * Ends the sessions of targets that the scheduler has dropped, and updates the records of the
+     * others.
+     */
+    void updateRecords(long nowMillis) {
         mSessions.retain(mScheduler.targets());
-        mRecords.dropUnused();
+        mRecords.update(nowMillis);
     }
 
     @Override
@@ -126,7 +135,7 @@
         long now = mContext.clocks().now();
         TargetState target = mScheduler.onTargetListed(entry.get(), now);
         mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), now);
-        mRecords.add(target);
+        mRecords.add(target, now);
         mSessions.open(target);
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecordCodec.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecordCodec.java
@@ -12,9 +12,21 @@
 final class TargetRecordCodec {
     private TargetRecordCodec() {}
 
-    static ByteString encode(TargetEntry entry, long term) {
+    /**
+     * What a record tells.
+     *
+     * @param entry the recorded entry, as one that is not draining
+     * @param misdirected whether the target may hold a lease that was granted to an earlier
+     *     incarnation
+     * @param term term of the owner that wrote the record; 0 if it does not tell
+     */
+    record Decoded(TargetEntry entry, boolean misdirected, long term) {}
+
+    /** Returns the record of a target; see {@link Decoded} for the parameters. */
+    static ByteString encode(TargetEntry entry, boolean misdirected, long term) {
         return TargetRecord.newBuilder()
                 .setTerm(term)
+                .setMayHoldMisdirectedLease(misdirected)
                 .setId(entry.id())
                 .setStartedEpochMillis(entry.startedEpochMillis())
                 .setHostId(entry.hostId())
@@ -31,16 +43,20 @@
     }
 
     /**
-     * Returns the recorded entry, as one that is not draining.
+     * Reads a record.
      *
      * @throws IllegalArgumentException if no daemon can have written the record
      */
-    static TargetEntry decode(StoredValue value) {
+    static Decoded decode(StoredValue value) {
         TargetRecord record = parse(value);
         if (!StoreLayout.target(record.getId()).equals(value.key())) {
             throw new IllegalArgumentException(
                     "the record " + value.key() + " is of the other target " + record.getId());
         }
+        return new Decoded(entry(record), record.getMayHoldMisdirectedLease(), record.getTerm());
+    }
+
+    private static TargetEntry entry(TargetRecord record) {
         return new TargetEntry(
                 record.getId(),
                 record.getStartedEpochMillis(),
@@ -57,15 +73,6 @@
                 false);
     }
 
-    /**
-     * Returns the term of the owner that wrote the record; 0 if it does not tell.
-     *
-     * @throws IllegalArgumentException if no daemon can have written the record
-     */
-    static long term(StoredValue value) {
-        return parse(value).getTerm();
-    }
-
     private static TargetRecord parse(StoredValue value) {
         try {
             return TargetRecord.parseFrom(value.value());
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -41,8 +41,15 @@
     private int mUnreadable;
     private boolean mComplete;
 
-    /** An incarnation whose record was written, and a future that completes once it is stored. */
-    private record Recorded(TargetEntry entry, CompletableFuture<Void> stored) {}
+    /**
+     * An incarnation whose record was written.
+     *
+     * @param misdirected whether the record tells that it may hold a lease that was granted to an
+     *     earlier incarnation
+     * @param stored completes once the record is stored
+     */
+    private record Recorded(
+            TargetEntry entry, boolean misdirected, CompletableFuture<Void> stored) {}
 
     /**
      * Creates the keeper of one owner's records.
@@ -70,13 +77,11 @@
         records.targetsComplete()
                 .ifPresent(value -> mCommits.recordRevision(value.key(), value.modRevision()));
         mComplete = records.targetsComplete().filter(v -> v.value().equals(COMPLETE)).isPresent();
-        List<TargetEntry> entries = new ArrayList<>();
-        List<Long> terms = new ArrayList<>();
+        List<TargetRecordCodec.Decoded> decoded = new ArrayList<>();
         for (StoredValue record : records.targets()) {
             mCommits.recordRevision(record.key(), record.modRevision());
             try {
-                entries.add(TargetRecordCodec.decode(record));
-                terms.add(TargetRecordCodec.term(record));
+                decoded.add(TargetRecordCodec.decode(record));
             } catch (IllegalArgumentException e) {
                 // Another writer's record must not keep the other targets from being restored.
                 Logger.error(e, "owner: event=unreadable-target key={}", record.key());
@@ -85,11 +90,16 @@
         }
         mScheduler.setTargetRecordsComplete(mComplete && mUnreadable == 0);
         List<EarlierTargetLeases.RecordedTarget> restored = new ArrayList<>();
-        for (int i = 0; i < entries.size(); i++) {
-            TargetEntry entry = entries.get(i);
-            mRecords.put(entry.id(), new Recorded(entry, CompletableFuture.completedFuture(null)));
-            TargetState target = mScheduler.restoreTarget(entry, runsEnds.millis(entry), nowMillis);
-            restored.add(new EarlierTargetLeases.RecordedTarget(target, terms.get(i)));
+        for (TargetRecordCodec.Decoded record : decoded) {
+            TargetEntry entry = record.entry();
+            mRecords.put(
+                    entry.id(),
+                    new Recorded(
+                            entry, record.misdirected(), CompletableFuture.completedFuture(null)));
+            TargetState target =
+                    mScheduler.restoreTarget(
+                            entry, runsEnds.millis(entry), record.misdirected(), nowMillis);
+            restored.add(new EarlierTargetLeases.RecordedTarget(target, record.term()));
         }
         return restored;
     }
@@ -106,21 +116,29 @@
     }
 
     /** Writes the record of a target that has reported, unless there is one of this incarnation. */
-    void add(TargetState target) {
-        if (target.isRecorded() || !target.hasReported() || !target.isListed()) {
+    void add(TargetState target, long nowMillis) {
+        boolean usable = target.isListed() || target.mayHoldMisdirectedLease(nowMillis);
+        if (target.isRecorded() || !target.hasReported() || !usable) {
             return;
         }
         TargetEntry entry = target.entry();
         Recorded recorded = mRecords.get(entry.id());
         if (recorded == null || !recorded.entry().isSameIncarnation(entry)) {
-            recorded = new Recorded(entry, write(entry));
-            mRecords.put(entry.id(), recorded);
+            recorded = write(entry, target.mayHoldMisdirectedLease(nowMillis));
         }
         var unused = recorded.stored().thenRun(() -> onStored(target));
     }
 
-    private CompletableFuture<Void> write(TargetEntry entry) {
-        return mCommits.put(StoreLayout.target(entry.id()), TargetRecordCodec.encode(entry, mTerm));
+    private Recorded write(TargetEntry entry, boolean misdirected) {
+        Recorded recorded =
+                new Recorded(
+                        entry,
+                        misdirected,
+                        mCommits.put(
+                                StoreLayout.target(entry.id()),
+                                TargetRecordCodec.encode(entry, misdirected, mTerm)));
+        mRecords.put(entry.id(), recorded);
+        return recorded;
     }
 
     private void onStored(TargetState target) {
@@ -134,15 +152,20 @@
     /**
      * Deletes the records of targets on which nothing can run and nothing will start: those that
      * the scheduler has dropped, and idle ones that the platform does not list. A target that ended
-     * may be known again from a late change of its entry; it has not reported then.
+     * may be known again from a late change of its entry; it has not reported then. The record of
+     * an incarnation stays while the next one may carry out its calls. Records tell no longer than
+     * necessary that a lease of an earlier incarnation may hold.
      */
-    void dropUnused() {
+    void update(long nowMillis) {
         Set<String> inUse = new HashSet<>();
         for (TargetState target : mScheduler.targets()) {
-            if (isUnused(target)) {
+            if (isUnused(target, nowMillis)) {
                 target.setRecorded(false);
-            } else if (target.isRecorded() || target.hasReported()) {
+            } else if (target.isRecorded()
+                    || target.hasReported()
+                    || target.mayTakeMisdirectedCalls()) {
                 inUse.add(target.entry().id());
+                rewriteAfterMisdirectedLease(target, nowMillis);
             }
         }
         for (String id : List.copyOf(mRecords.keySet())) {
@@ -152,6 +175,17 @@
         }
     }
 
+    private void rewriteAfterMisdirectedLease(TargetState target, long nowMillis) {
+        Recorded recorded = mRecords.get(target.entry().id());
+        if (recorded != null
+                && recorded.misdirected()
+                && recorded.entry().isSameIncarnation(target.entry())
+                && target.hasReported()
+                && !target.mayHoldMisdirectedLease(nowMillis)) {
+            write(target.entry(), false);
+        }
+    }
+
     /** Returns how many records of targets the store may hold. */
     int count() {
         long droppedOnly =
@@ -167,8 +201,11 @@
         var unused = mCommits.flush().thenRun(() -> deleteUnlessAddedAgain(id, drop));
     }
 
-    private static boolean isUnused(TargetState target) {
-        return !target.isListed() && target.hasReported() && target.isIdle();
+    private static boolean isUnused(TargetState target, long nowMillis) {
+        return !target.isListed()
+                && target.hasReported()
+                && target.isIdle()
+                && !target.mayHoldMisdirectedLease(nowMillis);
     }
 
     private void deleteUnlessAddedAgain(String id, long drop) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.LongUnaryOperator;
 import org.marigoldturn.daemon.ControlLoop;
-import org.marigoldturn.scheduling.EndedRuns;
 import org.marigoldturn.scheduling.Run;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
@@ -83,9 +82,19 @@
         /** A poll is about to tell the target that the store holds its ends up to this number. */
         void onEndsConfirmed(TargetState target, long upTo);
 
-        /** The target's process has ended, or another one has its address. */
+        /** Another target has the target's address. */
         void onEnded(TargetState target);
 
+        /**
+         * The next incarnation of the target has responded.
+         *
+         * @param startedEpochMillis wall-clock start of that incarnation
+         */
+        void onRestarted(TargetState target, long startedEpochMillis);
+
+        /** A target that has responded does not respond any more. */
+        void onContactLost(TargetState target);
+
         /** The target has seen the higher term of a newer owner. */
         void onFenced(TargetState target);
     }
@@ -174,7 +183,9 @@
         // An unresponsive target's lease is not renewed, so that its tasks can run elsewhere.
         long lease = mTarget.isReachable() ? grantLease(now) : 0;
         long wait = pollWaitMillis(now);
-        if (mRecordedEnd > mConfirmedEnd) {
+        // Another incarnation may respond, whose ends have the same numbers.
+        long recordedEnd = mTarget.isReachable() ? mRecordedEnd : 0;
+        if (recordedEnd > mConfirmedEnd) {
             mConfirmedEnd = mRecordedEnd;
             mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
         }
@@ -182,7 +193,7 @@
         mPollOpen = true;
         mClient.poll(
                         mTarget.entry(),
-                        new TargetClient.PollRequest(mTerm, mRecordedEnd, lease, wait))
+                        new TargetClient.PollRequest(token(), recordedEnd, lease, wait))
                 .whenComplete(
                         (response, failure) ->
                                 mControl.execute(
@@ -200,6 +211,10 @@
                                         }));
     }
 
+    private long token() {
+        return FencingToken.of(mTerm, mTarget.contact());
+    }
+
     private long pollWaitMillis(long nowMillis) {
         if (!mTarget.hasReported() || !mTarget.isReachable()) {
             // The first poll must not wait, since it reads the target's clock and runs.
@@ -227,7 +242,7 @@
         Run run = mTarget.abandonedRuns().get(0);
         mLastCall = new SentCall("stop", 0, 0, mClocks.now());
         mPollOpen = true;
-        mClient.stop(mTarget.entry(), run, mTerm)
+        mClient.stop(mTarget.entry(), run, token())
                 .whenComplete(
                         (done, failure) ->
                                 mControl.execute(
@@ -244,10 +259,7 @@
 
     private void onResponse(TargetClient.PollResponse response, long pollSentMillis) {
         if (response.report().startedEpochMillis() != mTarget.entry().startedEpochMillis()) {
-            Logger.info(
-                    RunLog.describeReplaced(
-                            EndedRuns.of(mTarget), response.report().startedEpochMillis(), "poll"));
-            mCallbacks.onEnded(mTarget);
+            mCallbacks.onRestarted(mTarget, response.report().startedEpochMillis());
             return;
         }
         boolean first = !mTarget.hasReported();
@@ -345,7 +357,9 @@
                     mLastCall.describe(mClocks.now()),
                     mTarget.entry().startedEpochMillis());
         }
-        mTarget.setReachable(false);
+        if (mTarget.isReachable()) {
+            mCallbacks.onContactLost(mTarget);
+        }
         if (kind == TargetCallException.Kind.OTHER_INSTANCE) {
             mCallbacks.onEnded(mTarget);
             return;
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecord.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecord.java
@@ -385,6 +385,21 @@
     return term_;
   }
 
+  public static final int MAY_HOLD_MISDIRECTED_LEASE_FIELD_NUMBER = 13;
+  private boolean mayHoldMisdirectedLease_ = false;
+  /**
+   * <pre>
+   * Whether the target may hold a lease that was granted to an earlier incarnation.
+   * </pre>
+   *
+   * <code>bool may_hold_misdirected_lease = 13;</code>
+   * @return The mayHoldMisdirectedLease.
+   */
+  @java.lang.Override
+  public boolean getMayHoldMisdirectedLease() {
+    return mayHoldMisdirectedLease_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -435,6 +450,9 @@
     if (term_ != 0L) {
       output.writeInt64(12, term_);
     }
+    if (mayHoldMisdirectedLease_ != false) {
+      output.writeBool(13, mayHoldMisdirectedLease_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -490,6 +508,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(12, term_);
     }
+    if (mayHoldMisdirectedLease_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, mayHoldMisdirectedLease_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -529,6 +551,8 @@
         != other.getAccelerators()) return false;
     if (getTerm()
         != other.getTerm()) return false;
+    if (getMayHoldMisdirectedLease()
+        != other.getMayHoldMisdirectedLease()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -571,6 +595,9 @@
     hash = (37 * hash) + TERM_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTerm());
+    hash = (37 * hash) + MAY_HOLD_MISDIRECTED_LEASE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getMayHoldMisdirectedLease());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -719,6 +746,7 @@
       memoryMegabytes_ = 0L;
       accelerators_ = 0L;
       term_ = 0L;
+      mayHoldMisdirectedLease_ = false;
       return this;
     }
 
@@ -789,6 +817,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.term_ = term_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.mayHoldMisdirectedLease_ = mayHoldMisdirectedLease_;
+      }
     }
 
     @java.lang.Override
@@ -858,6 +889,9 @@
       if (other.getTerm() != 0L) {
         setTerm(other.getTerm());
       }
+      if (other.getMayHoldMisdirectedLease() != false) {
+        setMayHoldMisdirectedLease(other.getMayHoldMisdirectedLease());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -945,6 +979,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              mayHoldMisdirectedLease_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1677,6 +1716,50 @@
       return this;
     }
 
+    private boolean mayHoldMisdirectedLease_ ;
+    /**
+     * <pre>
+     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * </pre>
+     *
+     * <code>bool may_hold_misdirected_lease = 13;</code>
+     * @return The mayHoldMisdirectedLease.
+     */
+    @java.lang.Override
+    public boolean getMayHoldMisdirectedLease() {
+      return mayHoldMisdirectedLease_;
+    }
+    /**
+     * <pre>
+     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * </pre>
+     *
+     * <code>bool may_hold_misdirected_lease = 13;</code>
+     * @param value The mayHoldMisdirectedLease to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMayHoldMisdirectedLease(boolean value) {
+
+      mayHoldMisdirectedLease_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * </pre>
+     *
+     * <code>bool may_hold_misdirected_lease = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMayHoldMisdirectedLease() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      mayHoldMisdirectedLease_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.jobs.TargetRecord)
   }
 
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecordOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecordOrBuilder.java
@@ -140,4 +140,14 @@
    * @return The term.
    */
   long getTerm();
+
+  /**
+   * <pre>
+   * Whether the target may hold a lease that was granted to an earlier incarnation.
+   * </pre>
+   *
+   * <code>bool may_hold_misdirected_lease = 13;</code>
+   * @return The mayHoldMisdirectedLease.
+   */
+  boolean getMayHoldMisdirectedLease();
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/EndedRuns.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/EndedRuns.java
@@ -27,6 +27,8 @@
     public enum Cause {
         /** The platform's list has a later incarnation. */
         REPLACED,
+        /** A later incarnation has responded. */
+        RESTARTED,
         /** The incarnation has ended. */
         ENDED,
         /** The lease has expired. */
@@ -38,24 +40,25 @@
      *
      * @param phase what the responses to its orders and the reports have told
      * @param listed whether its target has listed it as running
+     * @param moved whether the later incarnation of its target may have carried out its start order
      */
-    public record EndedRun(Run run, String phase, boolean listed) {
-        static EndedRun of(Run run) {
-            return new EndedRun(run, run.phase().name(), run.wasListed());
+    public record EndedRun(Run run, String phase, boolean listed, boolean moved) {
+        static EndedRun of(Run run, Cause cause) {
+            boolean hasNext = cause == Cause.REPLACED || cause == Cause.RESTARTED;
+            return new EndedRun(
+                    run,
+                    run.phase().name(),
+                    run.wasListed(),
+                    hasNext && run.mayExistAtNextIncarnation());
         }
     }
 
-    /** Returns what is known of the runs on an incarnation that has ended. */
-    public static EndedRuns of(TargetState target) {
-        return of(target, Cause.ENDED, 0);
-    }
-
     static EndedRuns of(TargetState target, Cause cause, long nextStartedEpochMillis) {
         return new EndedRuns(
                 target,
                 cause,
                 nextStartedEpochMillis,
-                target.runs().stream().map(EndedRun::of).toList(),
+                target.runs().stream().map(run -> EndedRun.of(run, cause)).toList(),
                 target.abandonedRuns().size());
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -49,11 +49,17 @@
      * @param term the owner's term
      * @param nowMillis monotonic time of the takeover
      * @param longestLeaseMillis time after which every lease of an earlier owner has expired
+     * @param longestHeldLeaseMillis longest time that a target holds a lease, whatever it names
      */
-    public JobScheduler(QueueCatalog catalog, long term, long nowMillis, long longestLeaseMillis) {
+    public JobScheduler(
+            QueueCatalog catalog,
+            long term,
+            long nowMillis,
+            long longestLeaseMillis,
+            long longestHeldLeaseMillis) {
         mCatalog = catalog;
         mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
-        mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis);
+        mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis, longestHeldLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
         mInterruptions = new InterruptionRules(mJobs, mTargets::hasRoomBeside);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
@@ -131,26 +137,50 @@
         return mTargets.addOrUpdate(entry, nowMillis);
     }
 
+    /** Adds a target that an earlier owner has recorded, used until its leases have ended. */
+    public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
+        return restoreTarget(entry, Long.MAX_VALUE, false, nowMillis);
+    }
+
     /**
      * Adds a target that an earlier owner has recorded; it counts as unlisted until the platform's
      * list contains it.
+     *
+     * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there;
+     *     {@link Long#MAX_VALUE} if no time is known for this target
+     * @param misdirected whether it may have had a lease for an earlier incarnation when it was
+     *     recorded
      */
-    public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
-        return restoreTarget(entry, mTargets.longestLeaseEndMillis(), nowMillis);
+    public TargetState restoreTarget(
+            TargetEntry entry, long runsEndMillis, boolean misdirected, long nowMillis) {
+        return mTargets.restore(entry, runsEndMillis, misdirected, nowMillis);
     }
 
     /**
-     * Adds a target that an earlier owner has recorded, with an earlier end of the runs that may
-     * exist there.
-     *
-     * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there
+     * Replaces a target by its next incarnation, which has responded in its place; it is not used
+     * until the platform lists it. Returns the next incarnation.
+     */
+    public TargetState onTargetRestarted(
+            TargetState target, long startedEpochMillis, long nowMillis) {
+        return mTargets.restart(target, startedEpochMillis, nowMillis);
+    }
+
+    /** Records that a target does not respond. */
+    public void onContactLost(TargetState target) {
+        mTargets.loseContact(target);
+    }
+
+    /** Returns how many contacts with targets there were. */
+    public long countContacts() {
+        return mTargets.countContacts();
+    }
+
+    /**
+     * Returns whether a call of a contact may have been rejected because of a later contact of this
+     * owner with the same id, rather than because of a newer owner.
      */
-    public TargetState restoreTarget(TargetEntry entry, long runsEndMillis, long nowMillis) {
-        TargetState target = mTargets.addOrUpdate(entry, nowMillis);
-        target.setListed(false);
-        target.setRecorded(true);
-        target.markUsedByEarlierOwners(Math.min(runsEndMillis, mTargets.longestLeaseEndMillis()));
-        return target;
+    public boolean isSuperseded(TargetState target, long contact) {
+        return mTargets.isSuperseded(target.entry().id(), contact);
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -52,8 +52,9 @@
     private long mStopSentMillis;
     private long mConfirmedMillis;
     private int mPercent;
-    private boolean mListed;
     private long mOrderEndTargetMillis = Long.MAX_VALUE;
+    private boolean mOrderSent;
+    private boolean mListed;
 
     Run(
             TaskId task,
@@ -70,6 +71,22 @@
         mDecidedMillis = nowMillis;
     }
 
+    /**
+     * Creates the run that the next incarnation of the target may have, since it may have carried
+     * out the start order; the first report of that incarnation decides whether it exists.
+     */
+    Run atNextIncarnation(TargetState next, long nowMillis) {
+        Run run = new Run(mTask, mNumber, next, mReservedResources, mLongRunning, mDecidedMillis);
+        run.mPhase = Phase.OUT_OF_DATE;
+        run.mOrderSent = true;
+        if (mStopRequest == StopRequest.FINAL) {
+            run.mStopRequest = StopRequest.FINAL;
+        }
+        // A poll that is sent now counts.
+        run.mConfirmedMillis = nowMillis - 1;
+        return run;
+    }
+
     /** Returns the task that it runs. */
     public TaskId task() {
         return mTask;
@@ -200,11 +217,21 @@
      *     order, the end of the lease sent with it; 0 if there is none
      */
     public void onOrderSent(long leaseEndTargetMillis) {
+        mOrderSent = true;
         if (leaseEndTargetMillis > 0) {
             mOrderEndTargetMillis = leaseEndTargetMillis;
         }
     }
 
+    /**
+     * Returns whether the next incarnation of the target may carry out the start order or has done
+     * so: the order was sent, and this incarnation has not listed the run. A response to the order
+     * does not tell which incarnation gave it.
+     */
+    boolean mayExistAtNextIncarnation() {
+        return mOrderSent && !mListed;
+    }
+
     /** Returns whether it is not known if the start order has been or will be carried out. */
     boolean isUncertain() {
         return mPhase == Phase.UNCERTAIN || mPhase == Phase.OUT_OF_DATE;
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -257,6 +257,17 @@
         }
     }
 
+    /** Moves the runs that an incarnation of a target has never listed to the next one. */
+    void moveUnlistedRuns(TargetState earlier, TargetState next, long nowMillis) {
+        for (Run run : earlier.runs()) {
+            if (run.mayExistAtNextIncarnation()) {
+                removeRun(run);
+                JobEntry job = mJobs.job(run.task().jobId());
+                addRun(run.atNextIncarnation(next, nowMillis), mJobs.task(run.task()), job);
+            }
+        }
+    }
+
     /** Ends all runs of a target that has ended or whose lease has expired; returns their tasks. */
     List<TaskState> endAllRuns(TargetState target) {
         List<TaskState> tasks = new ArrayList<>();
--- a/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/StartOutcome.java
@@ -5,6 +5,8 @@
     ACCEPTED(Effect.RUNS, 0),
     /** The target has seen a higher fencing token: another owner has taken over. */
     FENCED(Effect.NOT_RUN, 0),
+    /** The target has rejected the order, since it has responded to a later contact meanwhile. */
+    SUPERSEDED(Effect.NOT_RUN, 0),
     /** A run of the task with this or a higher number was stopped or has ended there. */
     OUTDATED_RUN(Effect.NOT_RUN, 0),
     /** The lease sent with the order had expired when the order arrived. */
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetEntry.java
@@ -68,4 +68,10 @@
                 && address.equals(other.address)
                 && service.equals(other.service);
     }
+
+    /** Returns the entry of an incarnation of which only the start is known. */
+    TargetEntry startedAt(long epochMillis) {
+        return new TargetEntry(
+                id, epochMillis, hostId, service, address, zone, rack, labels, capacity, draining);
+    }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -42,16 +42,20 @@
     private boolean mLoaned;
     private long mLeaseEndMillis;
     private long mLastProcessedEnd;
+    private long mContact;
+    private MisdirectedCalls mMisdirected = MisdirectedCalls.none();
 
     /**
      * Creates the state of an incarnation that has not reported.
      *
      * @param unknownRunsEndMillis monotonic time by which all runs of earlier owners have ended
      *     there; {@link #NEVER_USED} if there can be none
+     * @param contact number of the contact with it
      */
-    TargetState(TargetEntry entry, long unknownRunsEndMillis) {
+    TargetState(TargetEntry entry, long unknownRunsEndMillis, long contact) {
         mEntry = entry;
         mUnknownRunsEndMillis = unknownRunsEndMillis;
+        mContact = contact;
     }
 
     /** Returns the newest entry of the platform's list. */
@@ -89,6 +93,19 @@
         return mUnknownRunsEndMillis;
     }
 
+    /**
+     * Returns the number of the present contact with its id, which rises when contact is lost and
+     * with each incarnation. A target that has responded to a call of a contact rejects all calls
+     * of earlier ones.
+     */
+    public long contact() {
+        return mContact;
+    }
+
+    void setContact(long contact) {
+        mContact = contact;
+    }
+
     /** Returns whether it responded to the last call. */
     public boolean isReachable() {
         return mReachable;
@@ -178,17 +195,60 @@
     }
 
     /**
-     * Records that a lease of an earlier owner may outlast those of this owner, since it has
-     * responded now and never shortens a lease.
+     * Records that a lease that was granted before its first response, which it has given now, may
+     * outlast those of this owner, since it never shortens a lease.
      *
-     * @param longestLeaseMillis longest time that a lease can last that was granted before now
+     * @param longestLeaseMillis longest time that a lease can last that an earlier owner has
+     *     granted to this incarnation before now
      */
     public void keepEarlierLease(long nowMillis, long longestLeaseMillis) {
+        mMisdirected.onFirstResponse(nowMillis);
+        if (mMisdirected.mayHoldLeaseAt(nowMillis)) {
+            extendLease(mMisdirected.leaseEndMillis());
+        }
         if (mayHaveUnknownRuns()) {
             extendLease(Math.min(mUnknownRunsEndMillis, nowMillis + longestLeaseMillis));
         }
     }
 
+    /** Records what calls for an earlier incarnation may have done to it. */
+    void setMisdirected(MisdirectedCalls misdirected) {
+        mMisdirected = misdirected;
+    }
+
+    /** Returns what calls for an earlier incarnation may have done to it. */
+    MisdirectedCalls misdirected() {
+        return mMisdirected;
+    }
+
+    /**
+     * Returns whether an entry of the platform's list describes this incarnation. Until it is
+     * listed, only its start is known.
+     */
+    boolean isPresentIncarnation(TargetEntry entry) {
+        boolean started = mEntry.startedEpochMillis() == entry.startedEpochMillis();
+        return mEntry.isSameIncarnation(entry)
+                || !mListed && started && mMisdirected.mayArrive();
+    }
+
+    /** Returns whether an entry is of the incarnation before this one, which is not listed yet. */
+    boolean isPredecessor(TargetEntry entry) {
+        return !mListed && mMisdirected.wereMeantFor(entry);
+    }
+
+    /** Returns whether it may still carry out calls that were meant for an earlier incarnation. */
+    public boolean mayTakeMisdirectedCalls() {
+        return mMisdirected.mayArrive() && !mReported;
+    }
+
+    /**
+     * Returns whether a lease may hold that was granted to an earlier incarnation, and outlasts
+     * those that this one was granted.
+     */
+    public boolean mayHoldMisdirectedLease(long nowMillis) {
+        return mMisdirected.mayHoldLeaseAt(nowMillis);
+    }
+
     /** Records that a lease was sent that expires at the given monotonic time at the latest. */
     public void extendLease(long leaseEndMillis) {
         mLeaseEndMillis = Math.max(mLeaseEndMillis, leaseEndMillis);
@@ -223,7 +283,8 @@
     /** Records an earlier time by which all runs of earlier owners have ended there. */
     void shortenUnknownRuns(long endMillis) {
         if (mayHaveUnknownRuns()) {
-            mUnknownRunsEndMillis = Math.min(mUnknownRunsEndMillis, endMillis);
+            long atLeastMillis = Math.max(endMillis, mMisdirected.leaseEndMillis());
+            mUnknownRunsEndMillis = Math.min(mUnknownRunsEndMillis, atLeastMillis);
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -27,7 +27,10 @@
     private static final long STOP_RETRY_MILLIS = 400;
 
     private final RunTracker mRuns;
+    private final long mTakeoverMillis;
+    private final long mLongestHeldLeaseMillis;
     private long mEarlierLeasesEndMillis;
+    private long mContacts;
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
@@ -39,8 +42,21 @@
     /** By service, when a target with unknown runs ended last. */
     private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
-    TargetTable(RunTracker runs, long takeoverMillis, long longestLeaseMillis) {
+    /**
+     * Creates an empty table.
+     *
+     * @param longestLeaseMillis time after the takeover after which all leases have ended that
+     *     earlier owners have granted
+     * @param longestHeldLeaseMillis longest time that a target holds a lease, whatever it names
+     */
+    TargetTable(
+            RunTracker runs,
+            long takeoverMillis,
+            long longestLeaseMillis,
+            long longestHeldLeaseMillis) {
         mRuns = runs;
+        mTakeoverMillis = takeoverMillis;
+        mLongestHeldLeaseMillis = longestHeldLeaseMillis;
         mConfirmedMillis = takeoverMillis;
         mEarlierLeasesEndMillis = takeoverMillis + longestLeaseMillis;
     }
@@ -94,24 +110,118 @@
 
     /**
      * Adds a target or updates its entry. If the entry describes a new incarnation, the earlier one
-     * and its runs have ended.
+     * and the runs that it has listed have ended. The entry of an earlier incarnation is ignored if
+     * the known one has responded before it was listed.
      */
     TargetState addOrUpdate(TargetEntry entry, long nowMillis) {
         TargetState known = mTargets.get(entry.id());
-        if (known != null && known.entry().isSameIncarnation(entry)) {
+        if (known == null) {
+            return add(entry, unknownRunsEndMillis());
+        }
+        if (known.isPresentIncarnation(entry)) {
             known.update(entry);
             return known;
         }
-        if (known != null) {
-            mEndedRuns.add(
-                    EndedRuns.of(known, EndedRuns.Cause.REPLACED, entry.startedEpochMillis()));
-            endRuns(known, nowMillis);
+        if (known.isPredecessor(entry)) {
+            return known;
+        }
+        return replace(known, entry, EndedRuns.Cause.REPLACED, nowMillis);
+    }
+
+    /**
+     * Adds a target that an earlier owner has recorded; it counts as unlisted until the platform's
+     * list contains it.
+     *
+     * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there, if
+     *     that is earlier than for all targets
+     * @param misdirected whether it may have had a lease for an earlier incarnation when it was
+     *     recorded
+     */
+    TargetState restore(
+            TargetEntry entry, long runsEndMillis, boolean misdirected, long nowMillis) {
+        TargetState target = addOrUpdate(entry, nowMillis);
+        target.setListed(false);
+        target.setRecorded(true);
+        long endMillis = longestLeaseEndMillis();
+        if (misdirected) {
+            long heldEndMillis = Math.min(runsEndMillis, mTakeoverMillis + mLongestHeldLeaseMillis);
+            target.setMisdirected(MisdirectedCalls.beforeRecord(heldEndMillis));
+            endMillis = Math.max(endMillis, heldEndMillis);
         }
-        TargetState state =
-                new TargetState(
-                        entry, mRecordsComplete ? TargetState.NEVER_USED : longestLeaseEndMillis());
-        mTargets.put(entry.id(), state);
-        return state;
+        target.markUsedByEarlierOwners(Math.min(runsEndMillis, endMillis));
+        return target;
+    }
+
+    /**
+     * Replaces a target by its next incarnation, of which nothing but its start is known until the
+     * platform lists it. Returns the next incarnation.
+     */
+    TargetState restart(TargetState target, long startedEpochMillis, long nowMillis) {
+        TargetState next =
+                replace(
+                        target,
+                        target.entry().startedAt(startedEpochMillis),
+                        EndedRuns.Cause.RESTARTED,
+                        nowMillis);
+        next.setListed(false);
+        return next;
+    }
+
+    /** Calls for the earlier incarnation may still be carried out by the next one. */
+    private TargetState replace(
+            TargetState earlier, TargetEntry entry, EndedRuns.Cause cause, long nowMillis) {
+        // An earlier owner that is cut off from the store may still send such calls.
+        MisdirectedCalls misdirected =
+                MisdirectedCalls.afterRestart(
+                        earlier.entry(),
+                        mLongestHeldLeaseMillis,
+                        Math.max(nowMillis, longestLeaseEndMillis()));
+        TargetState next =
+                add(
+                        entry,
+                        earlier.mayHaveUnknownRuns()
+                                ? misdirected.leaseEndMillis()
+                                : unknownRunsEndMillis());
+        next.setMisdirected(misdirected);
+        next.extendLease(misdirected.leaseEndMillis());
+        mEndedRuns.add(
+                EndedRuns.of(earlier, cause, entry.startedEpochMillis()));
+        mRuns.moveUnlistedRuns(earlier, next, nowMillis);
+        endRuns(earlier, nowMillis);
+        return next;
+    }
+
+    private TargetState add(TargetEntry entry, long unknownRunsEndMillis) {
+        TargetState target = new TargetState(entry, unknownRunsEndMillis, ++mContacts);
+        mTargets.put(entry.id(), target);
+        return target;
+    }
+
+    private long unknownRunsEndMillis() {
+        return mRecordsComplete ? TargetState.NEVER_USED : longestLeaseEndMillis();
+    }
+
+    /**
+     * Records that a target does not respond. From its next response on, it rejects the calls of
+     * before.
+     */
+    void loseContact(TargetState target) {
+        target.setReachable(false);
+        target.setContact(++mContacts);
+    }
+
+    /** Returns how many contacts with targets there were. */
+    long countContacts() {
+        return mContacts;
+    }
+
+    /**
+     * Returns whether a call of a contact with a target may have been rejected because of a later
+     * contact with its id.
+     */
+    boolean isSuperseded(String id, long contact) {
+        TargetState target = mTargets.get(id);
+        return target == null || target.contact() > contact;
     }
 
     /**
@@ -304,7 +414,8 @@
      * it has reported, or every lease of an earlier owner has expired.
      */
     boolean hasReportedOrHasNoLease(TargetState target, long nowMillis) {
-        return target.hasReported() || provenMillis(nowMillis) >= longestLeaseEndMillis();
+        long leasesEndMillis = Math.max(longestLeaseEndMillis(), target.leaseEndMillis());
+        return target.hasReported() || provenMillis(nowMillis) >= leasesEndMillis;
     }
 
     /** Returns whether a start that was decided before may be sent now. */
--- a/core/src/test/java/org/marigoldturn/coordination/EarlierTargetLeasesTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/EarlierTargetLeasesTest.java
@@ -28,7 +28,11 @@
 
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 2, ELECTED, 0);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                    2,
+                    ELECTED,
+                    0,
+                    0);
     private final List<TargetState> mRecorded = new ArrayList<>();
     private final List<Long> mTerms = new ArrayList<>();
     private long mBeforeLastEndMillis = ELECTED;
--- a/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
@@ -53,7 +53,8 @@
     private final Map<String, PlatformFormats.OperatorItem> mItems = new HashMap<>();
     private final List<HostStatus> mHosts = new ArrayList<>();
     private final List<String> mMoves = new ArrayList<>();
-    private final JobScheduler mScheduler = new JobScheduler(catalog(), 2, mNowMillis, 5_000);
+    private final JobScheduler mScheduler =
+            new JobScheduler(catalog(), 2, mNowMillis, 5_000, 5_000);
     private final PlatformFormats mFormats = new ListedItems();
     private final OperatorView mOperator =
             new OperatorView(mFormats, () -> {}, mClocks, new MetricRegistry());
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -42,6 +42,7 @@
                     new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
                     2,
                     TAKEOVER_MILLIS,
+                    LONGEST_LEASE_MILLIS,
                     LONGEST_LEASE_MILLIS);
 
     @AfterTry
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerCallsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerCallsTest.java
@@ -40,7 +40,11 @@
     private final OwnerCalls mCalls =
             new OwnerCalls(
                     new JobScheduler(
-                            new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0),
+                            new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                            1,
+                            0,
+                            0,
+                            0),
                     new GroupCommit(
                             mStore,
                             mControl,
--- a/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/OwnerRecordsTest.java
@@ -41,7 +41,7 @@
     private final ControlLoop mControl = new ControlLoop();
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
     private final GroupCommit mCommits =
             new GroupCommit(new MemoryStore(), mControl, Clocks.system(), 1, () -> {});
 
--- a/core/src/test/java/org/marigoldturn/coordination/ProgressRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/ProgressRecordsTest.java
@@ -143,7 +143,7 @@
         QueueCatalog catalog =
                 new QueueCatalog(
                         1, List.of(QUEUE_OF_ONE_ATTEMPT), Set.of("service"), Set.of(), List.of());
-        return new JobScheduler(catalog, 1, 0, 0);
+        return new JobScheduler(catalog, 1, 0, 0, 0);
     }
 
     private static Job job(String id, boolean gang) {
--- a/core/src/test/java/org/marigoldturn/coordination/RunLogTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/RunLogTest.java
@@ -21,7 +21,7 @@
 
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
     private final TargetState mTarget = mScheduler.onTargetListed(ENTRY, 0);
 
     @Example
--- a/core/src/test/java/org/marigoldturn/coordination/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/coordination/SimulatedOwner.java
@@ -61,6 +61,7 @@
                         new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
                         term,
                         mElectedMillis,
+                        earlierEndMillis - mElectedMillis,
                         earlierEndMillis - mElectedMillis);
         Optional<TakeoverSimulation.Note> noted =
                 world.note().filter(note -> note.term() == term - 1);
@@ -77,7 +78,7 @@
                                                 times, LEASE_MILLIS, mElectedMillis));
         for (int i = 0; i < TakeoverSimulation.TARGETS; i++) {
             long endMillis = i == 0 ? notedEndMillis : Long.MAX_VALUE;
-            mTargets.add(mScheduler.restoreTarget(entry(i), endMillis, mElectedMillis));
+            mTargets.add(mScheduler.restoreTarget(entry(i), endMillis, false, mElectedMillis));
             mNextPollMillis[i] = mElectedMillis + world.mRandom.nextInt(20) * 10;
         }
         mMajority = new TargetMajority(mScheduler::targets, mTargets::size);
--- a/core/src/test/java/org/marigoldturn/coordination/TargetLogTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetLogTest.java
@@ -36,7 +36,11 @@
     private final List<String> mLines = new ArrayList<>();
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 2, 0, 5_000);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                    2,
+                    0,
+                    5_000,
+                    5_000);
     private final TargetLog mLog = new TargetLog(2, mScheduler::targets, mLines::add);
 
     @Example
--- a/core/src/test/java/org/marigoldturn/coordination/TargetMajorityTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetMajorityTest.java
@@ -95,7 +95,7 @@
     private void addTargets(int count) {
         JobScheduler scheduler =
                 new JobScheduler(
-                        new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                        new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
         for (int i = 0; i < count; i++) {
             mTargets.add(scheduler.restoreTarget(entry("t" + i), 0));
         }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetOrdersTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetOrdersTest.java
@@ -33,6 +33,7 @@
                     new QueueCatalog(1, List.of(QUEUE), Set.of("service"), Set.of(), List.of()),
                     1,
                     0,
+                    0,
                     0);
     private final TargetOrders mOrders = new TargetOrders();
     private TargetState mTarget;
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -60,8 +60,13 @@
                                         Optional.empty(),
                                         mStore.read(StoreLayout.target("t1")).join().orElseThrow(),
                                         value("t2", GARBAGE),
-                                        value("t3", TargetRecordCodec.encode(entry("t4", 7), 1)),
-                                        value("t5", TargetRecordCodec.encode(entry("t5", 7), 3))),
+                                        value(
+                                                "t3",
+                                                TargetRecordCodec.encode(entry("t4", 7), false, 1)),
+                                        value(
+                                                "t5",
+                                                TargetRecordCodec.encode(
+                                                        entry("t5", 7), false, 3))),
                                 NO_NOTE,
                                 0);
         assertThat(recorded)
@@ -101,8 +106,8 @@
                     mScheduler
                             .targets()
                             .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
-                    mRecords.dropUnused();
-                    mRecords.add(reported(entry("t1", 7), List.of()));
+                    mRecords.update(mNowMillis);
+                    mRecords.add(reported(entry("t1", 7), List.of()), mNowMillis);
                 });
         flush();
         assertThat(stored("t1")).isPresent();
@@ -117,8 +122,8 @@
                     mScheduler
                             .targets()
                             .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
-                    mRecords.add(reported(entry("t1", 7), List.of()));
-                    mRecords.dropUnused();
+                    mRecords.add(reported(entry("t1", 7), List.of()), mNowMillis);
+                    mRecords.update(mNowMillis);
                 });
         flush();
         assertThat(stored("t1")).isPresent();
@@ -134,7 +139,7 @@
                     mScheduler
                             .targets()
                             .forEach(target -> mScheduler.onTargetEnded(target, mNowMillis));
-                    mRecords.add(mScheduler.onTargetListed(entry("t1", 7), mNowMillis));
+                    mRecords.add(mScheduler.onTargetListed(entry("t1", 7), mNowMillis), mNowMillis);
                 });
         dropUnused();
         assertThat(stored("t1")).isEmpty();
@@ -142,7 +147,7 @@
 
     @Example
     void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
-        onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0)));
+        onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0), 0));
         flush();
         assertThat(stored("t1")).isEmpty();
     }
@@ -203,7 +208,7 @@
         onControl(
                 () -> {
                     TargetState target = reported(entry, List.of(runs));
-                    mRecords.add(target);
+                    mRecords.add(target, mNowMillis);
                     added.complete(target);
                 });
         flush();
@@ -236,7 +241,7 @@
     }
 
     private void dropUnused() throws Exception {
-        onControl(mRecords::dropUnused);
+        onControl(() -> mRecords.update(mNowMillis));
         flush();
     }
 
@@ -259,12 +264,14 @@
     }
 
     private Optional<TargetEntry> stored(String id) {
-        return mStore.read(StoreLayout.target(id)).join().map(TargetRecordCodec::decode);
+        return mStore.read(StoreLayout.target(id))
+                .join()
+                .map(record -> TargetRecordCodec.decode(record).entry());
     }
 
     private static JobScheduler scheduler() {
         return new JobScheduler(
-                new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
     }
 
     private static StoredValue value(String id, ByteString content) {
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -56,7 +56,7 @@
     private final Clocks mClocks = Clocks.system();
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
     private final TargetState mTarget = mScheduler.onTargetListed(ENTRY, 0);
     private final ScriptedTarget mClient = new ScriptedTarget();
     private volatile boolean mMayRenew = true;
@@ -178,6 +178,7 @@
                         new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
                         2,
                         now,
+                        3_000,
                         3_000);
         TargetState restored = scheduler.restoreTarget(ENTRY, now);
         mMayRenew = false;
@@ -245,6 +246,16 @@
         throw new IllegalStateException("the target has not ended");
     }
 
+    @Override
+    public void onRestarted(TargetState target, long startedEpochMillis) {
+        throw new AssertionError("no target is restarted");
+    }
+
+    @Override
+    public void onContactLost(TargetState target) {
+        mScheduler.onContactLost(target);
+    }
+
     @Override
     public void onFenced(TargetState target) {
         throw new IllegalStateException("the target has not fenced");
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -29,7 +29,7 @@
     private final ControlLoop mControl = new ControlLoop();
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
     private final List<CompletableFuture<PollResponse>> mOpenPolls = new ArrayList<>();
     private final List<String> mPolled = new ArrayList<>();
     private final TargetSessions mSessions =
@@ -172,6 +172,16 @@
         throw new IllegalStateException("no target ends");
     }
 
+    @Override
+    public void onRestarted(TargetState target, long startedEpochMillis) {
+        throw new AssertionError("no target is restarted");
+    }
+
+    @Override
+    public void onContactLost(TargetState target) {
+        mScheduler.onContactLost(target);
+    }
+
     @Override
     public void onFenced(TargetState target) {
         throw new IllegalStateException("no target has a newer owner");
--- a/core/src/test/java/org/marigoldturn/coordination/UnreadTargetCheckTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UnreadTargetCheckTest.java
@@ -30,6 +30,7 @@
                     new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
                     2,
                     TAKEOVER_MILLIS,
+                    LONGEST_LEASE_MILLIS,
                     LONGEST_LEASE_MILLIS);
     private final UnreadTargetCheck mCheck =
             new UnreadTargetCheck(mScheduler, this, mControl, mEnded::add);
--- a/core/src/test/java/org/marigoldturn/coordination/WaitLogTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/WaitLogTest.java
@@ -33,7 +33,11 @@
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final JobScheduler mScheduler =
             new JobScheduler(
-                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 2, 0, 5_000);
+                    new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                    2,
+                    0,
+                    5_000,
+                    5_000);
     private final WaitLog mLog =
             new WaitLog(2, mScheduler.longRunningWaits(), mMetrics, mLines::add);
     private long mNowMillis;
--- a/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/LongRunningWaitTest.java
@@ -154,6 +154,7 @@
                         SchedulerFixture.catalog(SchedulerFixture.ACCOUNT),
                         2,
                         0,
+                        EARLIER_OWNER_MILLIS,
                         EARLIER_OWNER_MILLIS);
 
         RestoredFixture() {
--- a/core/src/test/java/org/marigoldturn/scheduling/RepeatedFailureTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RepeatedFailureTest.java
@@ -48,7 +48,7 @@
         QueueCatalog catalog =
                 new QueueCatalog(
                         1, List.of(QUEUE_OF_TWO_ATTEMPTS), Set.of("service"), Set.of(), List.of());
-        return new JobScheduler(catalog, 2, 0, 0);
+        return new JobScheduler(catalog, 2, 0, 0, 0);
     }
 
     private static Job jobOfOneTask() {
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -55,7 +55,13 @@
     }
 
     SchedulerFixture(long term) {
-        mScheduler = new JobScheduler(catalog(ACCOUNT), term, mNowMillis, LONGEST_LEASE_MILLIS);
+        mScheduler =
+                new JobScheduler(
+                        catalog(ACCOUNT),
+                        term,
+                        mNowMillis,
+                        LONGEST_LEASE_MILLIS,
+                        LONGEST_LEASE_MILLIS);
         mScheduler.setOwnership(true, Long.MAX_VALUE);
     }
 
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -49,6 +49,7 @@
                         simulation.catalog(),
                         mTerm,
                         simulation.nowMillis(),
+                        simulation.longestLeaseMillis(),
                         simulation.longestLeaseMillis());
     }
 
--- a/core/src/test/java/org/marigoldturn/scheduling/UnconfiguredQueueTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/UnconfiguredQueueTest.java
@@ -81,7 +81,7 @@
     /** Guards against a verdict that is lost with the owner that has deferred it. */
     @Example
     void aNextOwnerFailsARestoredJobThatIsOutOfAttempts() {
-        JobScheduler next = new JobScheduler(WITHOUT_QUEUE, 2, 0, 0);
+        JobScheduler next = new JobScheduler(WITHOUT_QUEUE, 2, 0, 0, 0);
         next.restore(job("a", "account", step(1, 1_000)), failedRuns("a", 1L, 2L), 0);
         next.restore(job("b", "account", step(1, 1_000)), failedRuns("b", 1L), 0);
         next.decide(1_000, 1_000);
--- a/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/WaitDiagnosisTest.java
@@ -367,7 +367,7 @@
             @ForAll boolean paused,
             @ForAll boolean closed) {
         TargetState target =
-                new TargetState(SchedulerFixture.entry("t1", 1, 1_000), TargetState.NEVER_USED);
+                new TargetState(SchedulerFixture.entry("t1", 1, 1_000), TargetState.NEVER_USED, 1);
         target.setListed(listed);
         target.setRecorded(recorded);
         if (reported) {
