Log runs that move to the next incarnation of a target

Cause: the lines of runs that end with their target named runs that may go on at the next incarnation. A target is taken for the listed one by its start while it is not listed.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -108,9 +108,10 @@
     }
 
     /** Opens a session with the next incarnation of a target, which responds in its place. */
-    void onRestarted(TargetState target, long startedEpochMillis) {
-        mSessions.open(
-                mScheduler.onTargetRestarted(target, startedEpochMillis, mContext.clocks().now()));
+    void onRestarted(TargetState target, long startedEpochMillis, long nowMillis) {
+        TargetState next = mScheduler.onTargetRestarted(target, startedEpochMillis, nowMillis);
+        mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), nowMillis);
+        mSessions.open(next);
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -204,7 +204,8 @@
     public void keepEarlierLease(long nowMillis, long longestLeaseMillis) {
         mMisdirected.onFirstResponse(nowMillis);
         if (mMisdirected.mayHoldLeaseAt(nowMillis)) {
-            extendLease(mMisdirected.leaseEndMillis());
+            // This incarnation has been granted no lease before.
+            mLeaseEndMillis = mMisdirected.leaseEndMillis();
         }
         if (mayHaveUnknownRuns()) {
             extendLease(Math.min(mUnknownRunsEndMillis, nowMillis + longestLeaseMillis));
@@ -227,8 +228,7 @@
      */
     boolean isPresentIncarnation(TargetEntry entry) {
         boolean started = mEntry.startedEpochMillis() == entry.startedEpochMillis();
-        return mEntry.isSameIncarnation(entry)
-                || !mListed && started && mMisdirected.mayArrive();
+        return mEntry.isSameIncarnation(entry) || !mListed && started && mMisdirected.mayArrive();
     }
 
     /** Returns whether an entry is of the incarnation before this one, which is not listed yet. */
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -184,8 +184,7 @@
                                 : unknownRunsEndMillis());
         next.setMisdirected(misdirected);
         next.extendLease(misdirected.leaseEndMillis());
-        mEndedRuns.add(
-                EndedRuns.of(earlier, cause, entry.startedEpochMillis()));
+        mEndedRuns.add(EndedRuns.of(earlier, cause, entry.startedEpochMillis()));
         mRuns.moveUnlistedRuns(earlier, next, nowMillis);
         endRuns(earlier, nowMillis);
         return next;
