Count delays of calls in the model of target incarnations

The wait for an incarnation that does not report covered leases of calls that were executed before it was found. The wait counts from the time until which calls can be late.

--- a/models/JobOwnership.tla
+++ b/models/JobOwnership.tla
@@ -7,7 +7,8 @@
    lost, and can arrive after newer ones. A paused owner takes no step and still believes that it is
    the owner. Time is not modelled: the wait for the longest lease is the action WaitOutLeases,
    which is enabled once all earlier owners have stepped down and nothing of theirs can run at the
-   target or arrive there. *)
+   target or arrive there. An order reaches the incarnation that it was sent to or none;
+   TargetIncarnations models orders that a later one under the same id executes. *)
 EXTENDS Naturals, FiniteSets, TLC
 
 CONSTANTS Daemons, Targets, Tasks, MaxTerm, MaxRuns, Capacity,
@@ -330,7 +331,7 @@
                    started, cancellations, lostEnd, restarted, job, writes, response, lives>>
 
 \* A target ends, for instance since maintenance of its host was ordered. Its runs end, the ends that
-\* it has listed are lost, and it accepts no further order.
+\* it has listed are lost, and orders for it are not executed any more, by a later incarnation either.
 EndTarget(t) ==
     /\ MayEnd /\ t \in alive
     /\ alive' = alive \ {t}
--- a/models/TargetIncarnations.tla
+++ b/models/TargetIncarnations.tla
@@ -1,21 +1,21 @@
 ------------------------- MODULE TargetIncarnations -------------------------
-(* Models calls that are executed by a later incarnation of a target than the one that they were decided
-   for (docs/platform.md, "Ownership and takeover"). One target runs under one id and at one address. It
-   can end at any time, and its next incarnation has seen no token, no run and no end of the former one.
-   One task runs there or elsewhere, where calls and runs have no faults. Times are numbers of steps that
-   are left.
+(* Models calls that are executed by a later incarnation of a target than the one that they were
+   decided for (docs/platform.md, "Ownership and takeover"). One target runs under one id and at one
+   address. It can end at any time, and its next incarnation has seen no token, no run and no end of
+   the former one. One task runs there or elsewhere, where calls and runs have no faults. Times are
+   numbers of steps that are left.
 
-   A call that has no response can be executed until LongestDelay after it was sent. Its lease is a time
-   on the clock of the incarnation that it was decided for, and lasts for the longest time that a target
-   accepts if a later one executes it. Owners act one after the other; JobOwnership models those that act
-   at the same time, and TakeoverWait how long the leases of earlier owners last.
+   A call that has no response can be executed until LongestDelay after it was sent. Its lease is a
+   time on the clock of the incarnation that it was decided for; at a later one, the lease lasts for
+   the longest time that a target accepts. Owners act one after the other; JobOwnership models those
+   that act at the same time, and TakeoverWait how long the leases of earlier owners last.
 
    Not covered, and excluded by the last three constants:
-   - A start that no incarnation has executed is settled, since the incarnation that it was decided for
-     has been stopped or has fenced it or its lease has ended, and reaches a later incarnation before that
-     one has responded to the owner.
-   - An incarnation executes a start, and neither the platform's list nor a response has shown it when
-     the leases of the former one have ended.
+   - A start is settled, since the incarnation that it was decided for has confirmed a stop, has
+     responded to a higher token or has been waited out, or since a later one has. It then reaches an
+     incarnation that has not responded to the owner yet.
+   - An incarnation executes a start, and neither the platform's list nor a response has shown it
+     when the leases of the former one have ended, or its owner ends before it has noted it.
    - A poll that confirms ends of the former incarnation is executed by the next one, before that one
      has responded to the owner, but after a start that was sent later has run to its end there. *)
 EXTENDS Naturals, FiniteSets
@@ -24,15 +24,15 @@
     OwnerLease,   \* length of a lease that an owner grants
     LongestLease, \* longest lease that a target accepts
     LongestDelay, \* time after which a call without a response is not executed any more
-    FoundWait,    \* time for which an owner waits for the first report of an incarnation
     FencesContacts,       \* FALSE: all calls of an owner carry the same token
     StopsUnlistedRuns,    \* TRUE: a run that was never listed is settled by a stop, not by a report
     KeepsUnlistedRuns,    \* FALSE: all runs of an incarnation have ended once a later one is found
     SettlesOnceFenced,    \* FALSE: the response that shows an incarnation settles what can run there
     CountsInheritedLease, \* FALSE: an owner counts only leases that it has granted to an incarnation
+    CountsDelays,         \* FALSE: such a lease has begun once an owner has found the incarnation
     ConfirmsOnceListed,   \* FALSE: polls confirm ends while a start at the target is not settled
     RecordsAfterReport,   \* FALSE: an owner records an incarnation before it knows what runs there
-    AwaitsNextIncarnation,\* FALSE: a target has ended for a new owner once a later incarnation is shown
+    AwaitsNextIncarnation, \* FALSE: a new owner takes the target as ended if a later one is shown
     ReadsNextIncarnation, \* FALSE: a new owner does not read which incarnation was found last
     SettledStartsArrive,  \* TRUE: a start that was settled at an incarnation reaches a later one
     UnknownMayRun,        \* TRUE: an incarnation that no owner has found executes starts
@@ -63,6 +63,7 @@
     seen,      \* number of the last end that the owner has read from the known incarnation
     ownLeft,   \* time left of the leases that the owner has granted or awaits
     inheritedLeft, \* time left of a lease that calls for earlier incarnations can have caused
+    sentLeft,  \* time left until the calls are out of date that the owner has sent
     elsewhere, \* whether the task runs elsewhere
     lastRun,   \* number of the last run
     noted,     \* whether a target has dropped an end of the completed task
@@ -73,7 +74,7 @@
 store == <<term, recorded, inherited, next, done>>
 contacts == <<known, contact, ready, found, seen>>
 knownRuns == <<settled, possible>>
-leases == <<ownLeft, inheritedLeft>>
+leases == <<ownLeft, inheritedLeft, sentLeft>>
 owner == <<contacts, knownRuns, leases>>
 history == <<noted, rerun, again>>
 vars == <<target, listed, calls, store, owner, elsewhere, lastRun, history>>
@@ -106,6 +107,7 @@
     /\ seen = 0
     /\ ownLeft = 0
     /\ inheritedLeft = 0
+    /\ sentLeft = 0
     /\ elsewhere = FALSE
     /\ lastRun = 0
     /\ noted = FALSE
@@ -159,6 +161,7 @@
     /\ leaseLeft' = Less(leaseLeft, 1)
     /\ ownLeft' = Less(ownLeft, 1)
     /\ inheritedLeft' = Less(inheritedLeft, 1)
+    /\ sentLeft' = Less(sentLeft, 1)
     /\ IF leaseLeft <= 1
        THEN /\ runs' = {}
             /\ ends' = {[e EXCEPT !.done = FALSE] : e \in ends}
@@ -174,6 +177,10 @@
 \* The lease that a call causes at the target; 0: it is out of date there.
 LeaseOf(c) == IF c.incarnation = born THEN Less(OwnerLease, c.age) ELSE LongestLease
 
+\* How long a lease can last that calls for earlier incarnations cause within the given delay.
+InheritedLease(delay) ==
+    IF ~CountsInheritedLease THEN 0 ELSE LongestLease + (IF CountsDelays THEN delay ELSE 0)
+
 \* The owner learns of a later incarnation. Its calls carry a higher token from then on.
 Find(incarnation) ==
     /\ known' = incarnation
@@ -183,7 +190,8 @@
     /\ seen' = 0
     /\ possible' = IF KeepsUnlistedRuns THEN {r \in possible : ~r.listed} ELSE {}
     /\ ownLeft' = 0
-    /\ inheritedLeft' = IF CountsInheritedLease THEN FoundWait ELSE 0
+    /\ inheritedLeft' = InheritedLease(sentLeft)
+    /\ UNCHANGED sentLeft
 
 FindListed ==
     /\ listed > known
@@ -208,7 +216,8 @@
                    \cup {[run |-> r, listed |-> TRUE] : r \in runs}
     /\ done' = (done \/ \E e \in left : e.done)
     /\ inheritedLeft' = IF ~found THEN inheritedLeft
-                        ELSE IF CountsInheritedLease THEN LongestLease ELSE 0
+                        ELSE InheritedLease(IF FencesContacts THEN 0 ELSE sentLeft)
+    /\ UNCHANGED sentLeft
 
 \* The owner takes the response of a poll that was decided for an earlier incarnation as a report.
 ReportAtOnce(left) ==
@@ -221,7 +230,8 @@
     /\ possible' = {[run |-> r, listed |-> TRUE] : r \in runs}
     /\ done' = (done \/ \E e \in left : e.done)
     /\ ownLeft' = 0
-    /\ inheritedLeft' = IF CountsInheritedLease THEN LongestLease ELSE 0
+    /\ inheritedLeft' = InheritedLease(0)
+    /\ UNCHANGED sentLeft
 
 \* The target drops the ends that the poll confirms. An owner takes nothing from the response to an
 \* earlier token, and uses an incarnation only once it has noted in the store that it has found it.
@@ -272,6 +282,7 @@
     /\ ready /\ \A c \in calls : c.kind # "poll"
     /\ calls' = calls \cup {NewPoll}
     /\ ownLeft' = Max(ownLeft, OwnerLease)
+    /\ sentLeft' = LongestDelay
     /\ UNCHANGED <<target, listed, store, contacts, knownRuns, inheritedLeft, elsewhere, lastRun,
                    history>>
 
@@ -290,6 +301,7 @@
     /\ calls' = calls \cup {NewStart(lastRun + 1)}
     /\ possible' = {[run |-> lastRun + 1, listed |-> FALSE]}
     /\ ownLeft' = Max(ownLeft, OwnerLease)
+    /\ sentLeft' = LongestDelay
     /\ UNCHANGED <<target, listed, store, contacts, settled, inheritedLeft, elsewhere, history>>
 
 \* A start that is refused for its run number renews the lease, too. A response that it was executed
@@ -352,7 +364,7 @@
     /\ UNCHANGED <<target, listed, calls, term, recorded, next, done, owner, elsewhere, lastRun,
                    history>>
 
-\* All leases have ended that the owner counts, so that nothing runs at the target.
+\* All leases have ended that the owner counts, so that nothing runs at the target as far as it knows.
 WaitOut ==
     /\ ~settled \/ possible # {}
     /\ ownLeft = 0 /\ inheritedLeft = 0
@@ -373,9 +385,9 @@
         /\ found' = later
         /\ settled' = (later /\ ~AwaitsNextIncarnation)
         /\ ownLeft' = IF later THEN 0 ELSE OwnerLease
-        /\ inheritedLeft' = CASE ~CountsInheritedLease -> 0
-                              [] CountsInheritedLease /\ later -> FoundWait
-                              [] OTHER -> IF inherited THEN LongestLease ELSE 0
+        /\ inheritedLeft' = IF later THEN InheritedLease(LongestDelay)
+                            ELSE IF inherited THEN LongestLease ELSE 0
+    /\ sentLeft' = LongestDelay
     /\ contact' = 1
     /\ ready' = FALSE
     /\ seen' = 0
