Confirm ends of runs until one response

Change: a poll confirms ends only while no confirmation of them has a response, and not while the target does not respond. The record of a target tells that it has restarted while the next incarnation has not reported. Ruled out: no confirmation while a started run is not listed, as in the model: on a busy target ends would stay unconfirmed.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -153,8 +153,8 @@
      * Deletes the records of targets on which nothing can run and nothing will start: those that
      * the scheduler has dropped, and idle ones that the platform does not list. A target that ended
      * may be known again from a late change of its entry; it has not reported then. The record of
-     * an incarnation stays while the next one may carry out its calls. Records tell no longer than
-     * necessary that a lease of an earlier incarnation may hold.
+     * an incarnation stays while the next one may carry out its calls. Records tell while it is so
+     * that a lease may hold that was granted to an earlier incarnation.
      */
     void update(long nowMillis) {
         Set<String> inUse = new HashSet<>();
@@ -165,7 +165,7 @@
                     || target.hasReported()
                     || target.mayTakeMisdirectedCalls()) {
                 inUse.add(target.entry().id());
-                rewriteAfterMisdirectedLease(target, nowMillis);
+                updateMisdirected(target, nowMillis);
             }
         }
         for (String id : List.copyOf(mRecords.keySet())) {
@@ -175,14 +175,18 @@
         }
     }
 
-    private void rewriteAfterMisdirectedLease(TargetState target, long nowMillis) {
+    private void updateMisdirected(TargetState target, long nowMillis) {
         Recorded recorded = mRecords.get(target.entry().id());
-        if (recorded != null
-                && recorded.misdirected()
-                && recorded.entry().isSameIncarnation(target.entry())
-                && target.hasReported()
-                && !target.mayHoldMisdirectedLease(nowMillis)) {
-            write(target.entry(), false);
+        if (recorded == null) {
+            return;
+        }
+        boolean misdirected =
+                target.mayTakeMisdirectedCalls()
+                        || recorded.misdirected()
+                                && (!target.hasReported()
+                                        || target.mayHoldMisdirectedLease(nowMillis));
+        if (misdirected != recorded.misdirected()) {
+            write(recorded.entry(), misdirected);
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -53,6 +53,7 @@
     private long mLeaseEndMillis;
     private long mRecordedEnd;
     private long mConfirmedEnd;
+    private long mAcknowledgedEnd;
     private boolean mPollOpen;
     private SentCall mLastCall = new SentCall("none", 0, 0, 0);
     private int mCallsWithoutResponse;
@@ -183,13 +184,13 @@
         // An unresponsive target's lease is not renewed, so that its tasks can run elsewhere.
         long lease = mTarget.isReachable() ? grantLease(now) : 0;
         long wait = pollWaitMillis(now);
-        // Another incarnation may respond, whose ends have the same numbers.
-        long recordedEnd = mTarget.isReachable() ? mRecordedEnd : 0;
+        long recordedEnd = endToConfirm();
         if (recordedEnd > mConfirmedEnd) {
-            mConfirmedEnd = mRecordedEnd;
-            mCallbacks.onEndsConfirmed(mTarget, mRecordedEnd);
+            mConfirmedEnd = recordedEnd;
+            mCallbacks.onEndsConfirmed(mTarget, recordedEnd);
         }
-        mLastCall = new SentCall("poll", lease > 0 ? mLeaseEndMillis - now : 0, mRecordedEnd, now);
+        mLastCall = new SentCall("poll", lease > 0 ? mLeaseEndMillis - now : 0, recordedEnd, now);
+
         mPollOpen = true;
         mClient.poll(
                         mTarget.entry(),
@@ -204,13 +205,21 @@
                                                 return;
                                             }
                                             if (failure == null) {
-                                                onResponse(response, now);
+                                                onResponse(response, recordedEnd, now);
                                             } else {
                                                 onFailure(failure);
                                             }
                                         }));
     }
 
+    /**
+     * Returns the number up to which ends are to be confirmed; 0 if no confirmation lacks a
+     * response. A call can reach the next incarnation, whose ends have the same numbers.
+     */
+    private long endToConfirm() {
+        return mTarget.isReachable() && mRecordedEnd > mAcknowledgedEnd ? mRecordedEnd : 0;
+    }
+
     private long token() {
         return FencingToken.of(mTerm, mTarget.contact());
     }
@@ -257,11 +266,13 @@
                                         }));
     }
 
-    private void onResponse(TargetClient.PollResponse response, long pollSentMillis) {
+    private void onResponse(
+            TargetClient.PollResponse response, long recordedEnd, long pollSentMillis) {
         if (response.report().startedEpochMillis() != mTarget.entry().startedEpochMillis()) {
             mCallbacks.onRestarted(mTarget, response.report().startedEpochMillis());
             return;
         }
+        mAcknowledgedEnd = Math.max(mAcknowledgedEnd, recordedEnd);
         boolean first = !mTarget.hasReported();
         if (first) {
             CompletableFuture<Void> mayReport = mCallbacks.onFirstResponse(mTarget);
