--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -29,6 +29,8 @@
     private static final TargetReport.RunReport RUN =
             new TargetReport.RunReport(new TaskId("job", 0, 0, 0), 1, "", 100);
 
+    private static final long HELD_LEASE_MILLIS = 8_000;
+
     private final ControlLoop mControl = new ControlLoop();
     private final MemoryStore mStore = new MemoryStore();
     private final JobScheduler mScheduler = scheduler();
@@ -145,6 +147,51 @@
         assertThat(stored("t1")).isEmpty();
     }
 
+    /** Guards against a next owner that does not wait for a target with calls under way. */
+    @Example
+    void theRecordOfARestartedTargetStaysUntilTheNextIncarnationHasReported() throws Exception {
+        add(entry("t1", 7));
+        onControl(() -> mScheduler.onTargetListed(entry("t1", 8), mNowMillis));
+        dropUnused();
+
+        assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(7);
+        assertThat(decoded("t1").misdirected()).isTrue();
+    }
+
+    @Example
+    void theRecordOfARestartedTargetTellsOfItsLeaseUntilThatHasEnded() throws Exception {
+        add(entry("t1", 7));
+        TargetState next = mScheduler.onTargetListed(entry("t1", 8), mNowMillis);
+        onControl(
+                () -> {
+                    next.keepEarlierLease(mNowMillis, 0);
+                    report(next, List.of());
+                    mRecords.add(next, mNowMillis);
+                });
+        dropUnused();
+        assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(8);
+        assertThat(decoded("t1").misdirected()).isTrue();
+
+        mNowMillis += HELD_LEASE_MILLIS;
+        dropUnused();
+        assertThat(decoded("t1").misdirected()).isFalse();
+    }
+
+    @Example
+    void aRestartedTargetIsRecordedBeforeItIsListed() throws Exception {
+        TargetState earlier = add(entry("t1", 7));
+        onControl(
+                () -> {
+                    TargetState next = mScheduler.onTargetRestarted(earlier, 8, mNowMillis);
+                    next.keepEarlierLease(mNowMillis, 0);
+                    report(next, List.of());
+                    mRecords.add(next, mNowMillis);
+                });
+        dropUnused();
+        assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(8);
+        assertThat(decoded("t1").misdirected()).isTrue();
+    }
+
     @Example
     void aTargetThatHasNotReportedIsNotRecorded() throws Exception {
         onControl(() -> mRecords.add(mScheduler.onTargetListed(entry("t1", 7), 0), 0));
@@ -269,9 +316,17 @@
                 .map(record -> TargetRecordCodec.decode(record).entry());
     }
 
+    private TargetRecordCodec.Decoded decoded(String id) {
+        return TargetRecordCodec.decode(mStore.read(StoreLayout.target(id)).join().orElseThrow());
+    }
+
     private static JobScheduler scheduler() {
         return new JobScheduler(
-                new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()), 1, 0, 0, 0);
+                new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
+                1,
+                0,
+                0,
+                HELD_LEASE_MILLIS);
     }
 
     private static StoredValue value(String id, ByteString content) {
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -61,6 +61,7 @@
     private final ScriptedTarget mClient = new ScriptedTarget();
     private volatile boolean mMayRenew = true;
     private volatile LongUnaryOperator mLeaseEnd = now -> now + 4_000;
+    private final BlockingQueue<Long> mRestarts = new LinkedBlockingQueue<>();
     private volatile JobScheduler mReportedTo = mScheduler;
     private final List<CompletableFuture<Void>> mWrites = new ArrayList<>();
     private final List<Long> mConfirmedEnds = new CopyOnWriteArrayList<>();
@@ -123,6 +124,58 @@
         assertThat(nextPoll().leaseEndTargetMillis()).isZero();
     }
 
+    @Example
+    void callsOfBeforeALossOfContactAreFenced() throws InterruptedException {
+        mClient.mUnresponsiveAfter = 1;
+        startSession();
+
+        long token = nextPoll().token();
+        assertThat(nextPoll().token()).isEqualTo(token);
+        assertThat(nextPoll().token()).isEqualTo(token + 1);
+        assertThat(nextPoll().token()).isEqualTo(token + 1);
+    }
+
+    /** Guards against ends of the next incarnation that are confirmed unread. */
+    @Example
+    void endsAreNotConfirmedToATargetThatDoesNotRespond() throws InterruptedException {
+        mClient.mUnresponsiveAfter = 2;
+        startSession();
+
+        nextPoll();
+        nextPoll();
+        mControl.execute(() -> mWrites.forEach(write -> write.complete(null)));
+        long recorded = nextRecordedEnd();
+        for (int i = 0; i < 3; i++) {
+            recorded = nextRecordedEnd();
+        }
+        assertThat(recorded).isZero();
+    }
+
+    @Example
+    void endsAreConfirmedOnce() throws InterruptedException {
+        mClient.mRespondsToConfirmations = true;
+        startSession();
+
+        assertThat(nextRecordedEnd()).isZero();
+        mControl.execute(() -> mWrites.forEach(write -> write.complete(null)));
+        long recorded = nextRecordedEnd();
+        for (int i = 0; i < 3 && recorded == 0; i++) {
+            recorded = nextRecordedEnd();
+        }
+        assertThat(recorded).isEqualTo(1);
+        assertThat(nextRecordedEnd()).isZero();
+        assertThat(mConfirmedEnds).containsExactly(1L);
+    }
+
+    @Example
+    void theNextIncarnationIsNotTakenForTheEarlierOne() throws InterruptedException {
+        mClient.mReport = new TargetReport(8, List.of(), List.of(), true);
+        startSession();
+
+        assertThat(mRestarts.poll(20, TimeUnit.SECONDS)).isEqualTo(8);
+        assertThat(mTarget.hasReported()).isFalse();
+    }
+
     /** Guards against a lease that outlasts what the next owner waits for. */
     @Example
     void noLeaseEndsAfterTheLimit() throws InterruptedException {
@@ -248,7 +301,7 @@
 
     @Override
     public void onRestarted(TargetState target, long startedEpochMillis) {
-        throw new AssertionError("no target is restarted");
+        mRestarts.add(startedEpochMillis);
     }
 
     @Override
@@ -265,6 +318,8 @@
     private static final class ScriptedTarget implements TargetClient {
         private final BlockingQueue<PollRequest> mRequests = new LinkedBlockingQueue<>();
         private int mUnresponsiveAfter = Integer.MAX_VALUE;
+        private volatile boolean mRespondsToConfirmations;
+        private volatile TargetReport mReport = ONE_END;
         private int mPolls;
 
         @Override
@@ -275,8 +330,8 @@
                         new TargetCallException(
                                 TargetCallException.Kind.UNANSWERED, "no answer", null));
             }
-            return request.recordedEnd() == 0
-                    ? CompletableFuture.completedFuture(new PollResponse(1_000, ONE_END))
+            return request.recordedEnd() == 0 || mRespondsToConfirmations
+                    ? CompletableFuture.completedFuture(new PollResponse(1_000, mReport))
                     : new CompletableFuture<>();
         }
 
--- a/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SchedulerFixture.java
@@ -26,6 +26,7 @@
     static final AccountSettings ACCOUNT =
             new AccountSettings("account", Set.of("key"), 1, new ResourceAmounts(8_000, 0, 0));
     static final long LONGEST_LEASE_MILLIS = 5_000;
+    static final long LONGEST_HELD_LEASE_MILLIS = 8_000;
 
     final JobScheduler mScheduler;
     final Map<String, Long> mEnds = new HashMap<>();
@@ -61,7 +62,7 @@
                         term,
                         mNowMillis,
                         LONGEST_LEASE_MILLIS,
-                        LONGEST_LEASE_MILLIS);
+                        LONGEST_HELD_LEASE_MILLIS);
         mScheduler.setOwnership(true, Long.MAX_VALUE);
     }
 
