Move the faults of the store's calls out of StandInPlatform

Change: StandInStoreAccess, which serves the clients of the store, also handles their calls, leaves them without a response and loses writes. Behaviour is the same.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -1,9 +1,5 @@
 package org.marigoldturn.standins.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -32,20 +28,20 @@
     private final StandInRuns mRuns = new StandInRuns();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
-    private final Set<String> mLostPrefixes = ConcurrentHashMap.newKeySet();
-    private final Set<String> mLostWrites = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
-    private final StandInStoreAccess mStoreAccess = new StandInStoreAccess(this::handleStore);
+    private final StandInStoreAccess mStoreAccess = new StandInStoreAccess(mStore);
     private final StandInHostService mHosts =
             new StandInHostService(mTargets.values(), this::beginMaintenance);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
-    private volatile boolean mStoreUnavailable;
     private int mLastTargetNumber;
 
     /** Starts the services; no target runs yet. */
     public StandInPlatform() {
         mTimer.scheduleWithFixedDelay(
-                () -> mStore.expireLeases(nowMillis()), 50, 50, TimeUnit.MILLISECONDS);
+                () -> mStore.expireLeases(StandInStoreAccess.nowMillis()),
+                50,
+                50,
+                TimeUnit.MILLISECONDS);
         mTimer.scheduleWithFixedDelay(
                 this::writeTargetEntries, 0, ENTRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -103,7 +99,7 @@
      * when it responds again.
      */
     public void setStoreUnavailable(boolean unavailable) {
-        mStoreUnavailable = unavailable;
+        mStoreAccess.setUnavailable(unavailable);
     }
 
     /**
@@ -111,17 +107,17 @@
      * response; all other calls are carried out.
      */
     public void loseWrites(String keyPrefix) {
-        mLostPrefixes.add(keyPrefix);
+        mStoreAccess.loseWrites(keyPrefix);
     }
 
     /** Carries out all further transactions; the lost ones stay without an effect. */
     public void stopLosingWrites() {
-        mLostPrefixes.clear();
+        mStoreAccess.stopLosingWrites();
     }
 
     /** Returns the keys of all writes that were lost. */
     public Set<String> lostWrites() {
-        return Set.copyOf(mLostWrites);
+        return mStoreAccess.lostWrites();
     }
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
@@ -299,70 +295,6 @@
         }
     }
 
-    private StandInStore.Response handleStore(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
-            throws InterruptedException {
-        while (mStoreUnavailable) {
-            Thread.sleep(50);
-        }
-        String path = context.path();
-        if (path.startsWith("/v1/kv-keep/")) {
-            long id = Long.parseLong(path.substring("/v1/kv-keep/".length()));
-            return StandInStore.Response.of(mStore.renewLease(id, nowMillis()) ? 200 : 404);
-        }
-        if (path.startsWith("/v1/kv-lease-end/")) {
-            long id = Long.parseLong(path.substring("/v1/kv-lease-end/".length()));
-            return StandInStore.Response.of(mStore.endLease(id) ? 200 : 404);
-        }
-        return switch (path) {
-            case "/v1/kv-key" -> mStore.read(context.queryParam("Key"));
-            case "/v1/kv-range" -> mStore.list(context.queryParam("Prefix"), after(context, ""));
-            case "/v1/kv-watch" -> watch(context);
-            case "/v1/kv-txn" -> commit(body);
-            case "/v1/kv-lease" -> {
-                long ttl = body.path("TtlMs").asLong();
-                ObjectNode lease = StandInHttp.object().put("TtlMs", ttl);
-                yield new StandInStore.Response(
-                        200, lease.put("Lease", mStore.grantLease(ttl, nowMillis())));
-            }
-            default -> StandInStore.Response.of(404);
-        };
-    }
-
-    private StandInStore.Response commit(JsonNode body) throws InterruptedException {
-        List<String> keys = new ArrayList<>();
-        body.path("Writes").forEach(write -> keys.add(write.path("Key").asText()));
-        if (keys.stream().noneMatch(key -> mLostPrefixes.stream().anyMatch(key::startsWith))) {
-            return mStore.commit(body);
-        }
-        mLostWrites.addAll(keys);
-        while (!mLostPrefixes.isEmpty()) {
-            Thread.sleep(50);
-        }
-        return StandInStore.Response.of(503);
-    }
-
-    private StandInStore.Response watch(ServiceRequestContext context) throws InterruptedException {
-        String prefix = context.queryParam("Prefix");
-        long after = Long.parseLong(after(context, "0"));
-        long untilMillis = nowMillis() + Long.parseLong(context.queryParam("WaitMs"));
-        StandInStore.Response response = mStore.changes(prefix, after);
-        while (response.status() == 200 && response.body().path("events").isEmpty()) {
-            long remainingMillis = untilMillis - nowMillis();
-            if (remainingMillis <= 0) {
-                return response;
-            }
-            mStore.await(response.body().path("At").asLong(), remainingMillis);
-            response = mStore.changes(prefix, after);
-        }
-        return response;
-    }
-
-    private static String after(ServiceRequestContext context, String defaultValue) {
-        String after = context.queryParam("After");
-        return after == null ? defaultValue : after;
-    }
-
     private synchronized void beginMaintenance(StandInTarget target, boolean stays) {
         if (stays) {
             target.losePower();
@@ -381,15 +313,9 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     @Override
     public void close() {
         mTimer.shutdownNow();
-        mStoreUnavailable = false;
-        mLostPrefixes.clear();
         List<CompletableFuture<Void>> stopped = new ArrayList<>();
         mTargets.values().forEach(target -> stopped.add(target.stop()));
         stopped.add(mStoreAccess.stop());
