Share the check for tasks that start twice

Cause: the check of PlatformSoakTest is needed by a further test. Change: it moves to StandInRuns as startedTwice, which is synchronized as a whole. The condition is the same.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInRuns.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInRuns.java
@@ -1,9 +1,11 @@
 package org.marigoldturn.standins.platform;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /** Record of all runs on all targets, with the times of the host's clock. Thread safe. */
 final class StandInRuns {
@@ -57,6 +59,27 @@
                         new Confirmation(run.target(), run.task(), run.runNumber(), false));
     }
 
+    /**
+     * Returns the pairs of runs of one task of which the later one has started before the end of
+     * the other one, or after that end was confirmed as done under the same lease.
+     */
+    synchronized List<String> startedTwice() {
+        Map<String, List<Run>> byTask =
+                all().stream()
+                        .sorted(Comparator.comparingLong(Run::startMillis))
+                        .collect(Collectors.groupingBy(Run::task));
+        List<String> twice = new ArrayList<>();
+        for (List<Run> runs : byTask.values()) {
+            for (int i = 1; i < runs.size(); i++) {
+                Run before = runs.get(i - 1);
+                if (before.endMillis() > runs.get(i).startMillis() || isConfirmedDone(before)) {
+                    twice.add(before + " and " + runs.get(i));
+                }
+            }
+        }
+        return twice;
+    }
+
     /** Returns all runs; the ones that go on are last. */
     synchronized List<Run> all() {
         List<Run> all = new ArrayList<>(mEnded);
--- a/standins/src/test/java/org/marigoldturn/standins/platform/PlatformSoakTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/platform/PlatformSoakTest.java
@@ -5,10 +5,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Collectors;
@@ -120,21 +118,7 @@
 
     private void assertNoneTwice(String history) {
         mPlatform.countRunning();
-        Map<String, List<StandInRuns.Run>> byTask =
-                mPlatform.runs().all().stream()
-                        .sorted(Comparator.comparingLong(StandInRuns.Run::startMillis))
-                        .collect(Collectors.groupingBy(StandInRuns.Run::task));
-        List<String> twice = new ArrayList<>();
-        for (List<StandInRuns.Run> runs : byTask.values()) {
-            for (int i = 1; i < runs.size(); i++) {
-                StandInRuns.Run before = runs.get(i - 1);
-                if (before.endMillis() > runs.get(i).startMillis()
-                        || mPlatform.runs().isConfirmedDone(before)) {
-                    twice.add(before + " and " + runs.get(i));
-                }
-            }
-        }
-        assertThat(twice).as(history).isEmpty();
+        assertThat(mPlatform.runs().startedTwice()).as(history).isEmpty();
     }
 
     private static Set<String> accepted(List<SoakClient> clients, boolean longRunning) {
