Let the stand-in target restart under its id and cap its lease

Cause: the stand-in took any lease, and a target that ended never came back under its id. Change: StandInPlatform.restartTarget ends a target as a loss of power does and starts its next incarnation under the same id and listed address, of a given kind; reconnectTarget lists it. A target that is added has been up for 10 min, so its clock is ahead of that of its next incarnation. A call that waits at a target without power is no longer carried out when the target closes.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -132,7 +132,7 @@
                 platform.Address=%s
                 Cloud.Address=%s
                 Advice=%s
-                Bounds.MaxHoldMs=6000
+                Bounds.MaxHoldMs=%d
                 Bounds.status_s=120
                 Bounds.GraceS=6
                 """
@@ -143,7 +143,8 @@
                                 ip,
                                 mPlatform.storeAddress(node(index)),
                                 mPlatform.hostsAddress(),
-                                mPlatform.policyService().address()));
+                                mPlatform.policyService().address(),
+                                StandInLease.MAX_HOLD_MILLIS));
         return ChildProcess.start(
                 mDirectory.resolve("daemon-" + index + ".log"),
                 MAIN,
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -122,18 +122,25 @@
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
     public String addTarget(String service, String hostId, long taskMillis) {
-        return add(service, hostId, taskMillis, true);
+        return addTarget(service, hostId, "a", taskMillis);
+    }
+
+    /** Like {@link #addTarget(String, String, long)}, with the label of a kind of hosts. */
+    public String addTarget(String service, String hostId, String kind, long taskMillis) {
+        return add(service, hostId, kind, taskMillis, true);
     }
 
     /** Starts a target that is listed and never responds to a call, and returns its id. */
     public String addUnresponsiveTarget(String service, String hostId) {
-        return add(service, hostId, 0, false);
+        return add(service, hostId, "a", 0, false);
     }
 
     private synchronized String add(
-            String service, String hostId, long taskMillis, boolean responds) {
+            String service, String hostId, String kind, long taskMillis, boolean responds) {
         String id = "i-" + (++mLastTargetNumber);
-        StandInTarget target = new StandInTarget(id, service, hostId, taskMillis, mRuns);
+        StandInTarget target =
+                new StandInTarget(
+                        StandInTargetEntry.of(id, service, hostId, kind), taskMillis, mRuns);
         if (!responds) {
             target.stopResponding();
         }
@@ -149,6 +156,27 @@
         mTargets.remove(id).close();
     }
 
+    /** Returns the address at which the present incarnation of a target serves. */
+    public String address(String id) {
+        return mTargets.get(id).address();
+    }
+
+    /** Lists a target under the address of a relay to it, also after a restart. */
+    public void listUnder(String id, String address) {
+        mTargets.get(id).listUnder(address);
+        mStore.put("servers/" + id, mTargets.get(id).entry("ready"));
+    }
+
+    /**
+     * Ends a target at once, as its host's loss of power does, and starts its next incarnation,
+     * which has the same id and is listed under the same address of a relay. The entry remains that
+     * of the former one until {@link #reconnectTarget}.
+     */
+    public synchronized void restartTarget(String id, String kind) {
+        mCutFromStore.add(id);
+        mTargets.put(id, mTargets.get(id).restart(kind));
+    }
+
     /**
      * Ends a target at once, as its host's loss of power does: its runs end, calls to its address
      * get no response, and its entry is removed.
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.ArrayList;
@@ -22,22 +21,20 @@
  * advised} starts only with a ticket of the policy service. Thread safe.
  */
 final class StandInTarget implements AutoCloseable {
-    private final String mId;
-    private final String mService;
-    private final String mHostId;
+    /** A target that is added has run before, so that its clock is ahead of its next one's. */
+    private static final long FIRST_UPTIME_MILLIS = 600_000;
+
     private final long mTaskMillis;
     private final StandInRuns mRuns;
-    private final long mStartedAtMillis = System.currentTimeMillis();
+    private final StandInLease mLease;
     private final StandInHttp mHttp;
     private final TreeMap<String, Execution> mRunning = new TreeMap<>();
-    private final List<ArrayNode> mUnseenEnds = new ArrayList<>();
+    private final StandInEnds mEnds;
     private final Map<String, Long> mHighestEndedRun = new HashMap<>();
     private final TreeMap<Long, Integer> mPollsByTerm = new TreeMap<>();
     private final List<String> mStarts = new ArrayList<>();
+    private volatile StandInTargetEntry mEntry;
     private long mHighestToken;
-    private long mLastEndNumber;
-    private long mLastEndBeforeLapse;
-    private long mLeaseEndMillis;
     private int mPolls;
     private boolean mHoldsBackResponses;
     private boolean mDelaysStops;
@@ -52,35 +49,52 @@
     /** One run; it ends at a time of the target's clock, unless it is long-running. */
     private record Execution(long runNumber, boolean longRunning, long endMillis) {}
 
-    StandInTarget(String id, String service, String hostId, long taskMillis, StandInRuns runs) {
-        mId = id;
-        mService = service;
-        mHostId = hostId;
+    StandInTarget(StandInTargetEntry entry, long taskMillis, StandInRuns runs) {
+        this(entry, taskMillis, runs, new StandInLease(FIRST_UPTIME_MILLIS));
+        listUnder(address());
+    }
+
+    private StandInTarget(
+            StandInTargetEntry entry, long taskMillis, StandInRuns runs, StandInLease lease) {
+        mEntry = entry.withBorn(lease.startedAtMillis());
         mTaskMillis = taskMillis;
         mRuns = runs;
+        mLease = lease;
+        mEnds = new StandInEnds(entry.id(), runs);
         mHttp = new StandInHttp(this::handle);
     }
 
+    /**
+     * Ends this incarnation as a loss of power does, and returns the next one, which is listed
+     * under the same id and address; its clock, ends and fencing token start anew.
+     */
+    StandInTarget restart(String kind) {
+        losePower();
+        var unused = stop();
+        return new StandInTarget(mEntry.withKind(kind), mTaskMillis, mRuns, new StandInLease(0));
+    }
+
+    /** Returns the address at which this incarnation serves. */
+    String address() {
+        return mHttp.address();
+    }
+
+    /** Lists the target under the address of a relay to it. */
+    void listUnder(String address) {
+        mEntry = mEntry.withAddress(address);
+    }
+
     /** Returns the entry of the target for the store. */
     String entry(String state) {
-        ObjectNode entry = StandInHttp.object();
-        entry.put("Service", mService)
-                .put("Address", mHttp.address())
-                .put("Zone", "z1")
-                .put("State", state)
-                .put("Machine", mHostId)
-                .put("born", mStartedAtMillis);
-        entry.putObject("Capacity").put("Cpu", 8_000).put("MemMb", 16_000).put("Gpu", 0);
-        entry.putArray("Labels").add("a").add("r1");
-        return entry.toString();
+        return mEntry.text(state);
     }
 
     String id() {
-        return mId;
+        return mEntry.id();
     }
 
     String hostId() {
-        return mHostId;
+        return mEntry.hostId();
     }
 
     /** Returns the names of all started tasks, in order. */
@@ -186,12 +200,13 @@
     private StandInStore.Response handle(
             ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
             throws InterruptedException {
-        if (!mId.equals(request.headers().get("Expect-Instance", mId))) {
+        if (!id().equals(request.headers().get("Expect-Instance", id()))) {
             return StandInStore.Response.of(421);
         }
         synchronized (this) {
             if (!mResponds || body.path("FencingToken").asLong() > mNewestTermWithResponse) {
                 awaitClose();
+                return StandInStore.Response.of(503);
             }
         }
         StandInStore.Response response =
@@ -261,14 +276,14 @@
             return conflict("late");
         }
         boolean advised = body.path("Spec").asText().startsWith("advised");
-        if (advised && !StandInPolicyService.isTicket(body.path("Ticket").asText(), task, mId)) {
+        if (advised && !StandInPolicyService.isTicket(body.path("Ticket").asText(), task, id())) {
             return conflict("ticket");
         }
-        mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
+        mLease.extend(body.path("ExpiresMs").asLong());
         boolean longRunning = body.path("Spec").asText().startsWith("lasting");
         mRunning.put(task, new Execution(runNumber, longRunning, clockMillis() + mTaskMillis));
         mStarts.add(task);
-        mRuns.onStart(mId, task, runNumber, System.currentTimeMillis());
+        mRuns.onStart(id(), task, runNumber, System.currentTimeMillis());
         return response(200);
     }
 
@@ -298,11 +313,10 @@
         mPolls++;
         mPollsByTerm.merge(body.path("FencingToken").asLong(), 1, Integer::sum);
         advance();
-        mLeaseEndMillis = Math.max(mLeaseEndMillis, body.path("ExpiresMs").asLong());
-        long lastSeen = body.path("LastSeen").asLong();
-        confirmEnds(lastSeen);
+        mLease.extend(body.path("ExpiresMs").asLong());
+        mEnds.confirm(body.path("LastSeen").asLong());
         long untilMillis = clockMillis() + body.path("WaitMs").asLong();
-        while (mUnseenEnds.isEmpty() && clockMillis() < untilMillis) {
+        while (mEnds.unseen().isEmpty() && clockMillis() < untilMillis) {
             wait(20);
             advance();
         }
@@ -310,22 +324,10 @@
         ArrayNode running = response.body().putArray("Running");
         mRunning.forEach(
                 (task, run) -> running.addArray().add(task).add(run.runNumber()).add("").add(100));
-        response.body().putArray("Finished").addAll(mUnseenEnds);
+        response.body().putArray("Finished").addAll(mEnds.unseen());
         return response;
     }
 
-    private void confirmEnds(long lastSeen) {
-        for (ArrayNode end : List.copyOf(mUnseenEnds)) {
-            if (end.path(0).asLong() <= lastSeen) {
-                mUnseenEnds.remove(end);
-                if (end.path(3).asText().equals("done")) {
-                    boolean lapsed = end.path(0).asLong() <= mLastEndBeforeLapse;
-                    mRuns.onConfirmedDone(mId, end.path(1).asText(), end.path(2).asLong(), lapsed);
-                }
-            }
-        }
-    }
-
     private boolean isFenced(JsonNode body) {
         long token = body.path("FencingToken").asLong();
         boolean fenced = token < mHighestToken;
@@ -335,36 +337,31 @@
 
     /** Ends the runs whose time is over, and all runs once the lease has expired. */
     private void advance() {
-        boolean leaseExpired = clockMillis() > mLeaseEndMillis;
+        boolean leaseExpired = clockMillis() > mLease.endMillis();
         for (Map.Entry<String, Execution> entry : Map.copyOf(mRunning).entrySet()) {
             Execution run = entry.getValue();
             // A run that was to end after the lease has lapsed, also if that is noticed later.
-            if (!run.longRunning() && Math.min(clockMillis(), mLeaseEndMillis) >= run.endMillis()) {
+            if (!run.longRunning()
+                    && Math.min(clockMillis(), mLease.endMillis()) >= run.endMillis()) {
                 end(entry.getKey(), run, "done", run.endMillis());
             } else if (leaseExpired) {
-                end(entry.getKey(), run, "lapsed", mLeaseEndMillis);
+                end(entry.getKey(), run, "lapsed", mLease.endMillis());
             }
         }
-        mLastEndBeforeLapse = leaseExpired ? mLastEndNumber : mLastEndBeforeLapse;
+        if (leaseExpired) {
+            mEnds.onLapse();
+        }
     }
 
     private void end(String task, Execution run, String outcome, long endMillis) {
         mRunning.remove(task);
-        mRuns.onEnd(mId, task, System.currentTimeMillis() - clockMillis() + endMillis, outcome);
+        mRuns.onEnd(id(), task, mLease.epochMillis(endMillis), outcome);
         mHighestEndedRun.merge(task, run.runNumber(), Math::max);
-        mUnseenEnds.add(
-                StandInHttp.JSON
-                        .createArrayNode()
-                        .add(++mLastEndNumber)
-                        .add(task)
-                        .add(run.runNumber())
-                        .add(outcome)
-                        .add(""));
+        mEnds.add(task, run.runNumber(), outcome);
     }
 
-    /** Returns the time of the target's clock, which stands at 1 s when the target starts. */
     private long clockMillis() {
-        return System.currentTimeMillis() - mStartedAtMillis + 1_000;
+        return mLease.clockMillis();
     }
 
     private StandInStore.Response conflict(String reason) {
@@ -376,7 +373,9 @@
     private StandInStore.Response response(int status) {
         return new StandInStore.Response(
                 status,
-                StandInHttp.object().put("ClockMs", clockMillis()).put("born", mStartedAtMillis));
+                StandInHttp.object()
+                        .put("ClockMs", clockMillis())
+                        .put("born", mLease.startedAtMillis()));
     }
 
     /** Stops the target; the future completes once its server has stopped. */
