--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInPlatform.java
@@ -1,9 +1,5 @@
 package org.marigoldturn.standins.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -32,20 +28,20 @@
     private final StandInRuns mRuns = new StandInRuns();
     private final Map<String, StandInTarget> mTargets = new ConcurrentHashMap<>();
     private final Set<String> mCutFromStore = ConcurrentHashMap.newKeySet();
-    private final Set<String> mLostPrefixes = ConcurrentHashMap.newKeySet();
-    private final Set<String> mLostWrites = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(2);
-    private final StandInStoreAccess mStoreAccess = new StandInStoreAccess(this::handleStore);
+    private final StandInStoreAccess mStoreAccess = new StandInStoreAccess(mStore);
     private final StandInHostService mHosts =
             new StandInHostService(mTargets.values(), this::beginMaintenance);
     private final StandInPolicyService mPolicyService = new StandInPolicyService();
-    private volatile boolean mStoreUnavailable;
     private int mLastTargetNumber;
 
     /** Starts the services; no target runs yet. */
     public StandInPlatform() {
         mTimer.scheduleWithFixedDelay(
-                () -> mStore.expireLeases(nowMillis()), 50, 50, TimeUnit.MILLISECONDS);
+                () -> mStore.expireLeases(StandInStoreAccess.nowMillis()),
+                50,
+                50,
+                TimeUnit.MILLISECONDS);
         mTimer.scheduleWithFixedDelay(
                 this::writeTargetEntries, 0, ENTRY_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -103,7 +99,7 @@
      * when it responds again.
      */
     public void setStoreUnavailable(boolean unavailable) {
-        mStoreUnavailable = unavailable;
+        mStoreAccess.setUnavailable(unavailable);
     }
 
     /**
@@ -111,33 +107,40 @@
      * response; all other calls are carried out.
      */
     public void loseWrites(String keyPrefix) {
-        mLostPrefixes.add(keyPrefix);
+        mStoreAccess.loseWrites(keyPrefix);
     }
 
     /** Carries out all further transactions; the lost ones stay without an effect. */
     public void stopLosingWrites() {
-        mLostPrefixes.clear();
+        mStoreAccess.stopLosingWrites();
     }
 
     /** Returns the keys of all writes that were lost. */
     public Set<String> lostWrites() {
-        return Set.copyOf(mLostWrites);
+        return mStoreAccess.lostWrites();
     }
 
     /** Starts a target whose tasks run for the given time, and returns its id. */
     public String addTarget(String service, String hostId, long taskMillis) {
-        return add(service, hostId, taskMillis, true);
+        return addTarget(service, hostId, "a", taskMillis);
+    }
+
+    /** Like {@link #addTarget(String, String, long)}, with the label of a kind of hosts. */
+    public String addTarget(String service, String hostId, String kind, long taskMillis) {
+        return add(service, hostId, kind, taskMillis, true);
     }
 
     /** Starts a target that is listed and never responds to a call, and returns its id. */
     public String addUnresponsiveTarget(String service, String hostId) {
-        return add(service, hostId, 0, false);
+        return add(service, hostId, "a", 0, false);
     }
 
     private synchronized String add(
-            String service, String hostId, long taskMillis, boolean responds) {
+            String service, String hostId, String kind, long taskMillis, boolean responds) {
         String id = "i-" + (++mLastTargetNumber);
-        StandInTarget target = new StandInTarget(id, service, hostId, taskMillis, mRuns);
+        StandInTarget target =
+                new StandInTarget(
+                        StandInTargetEntry.of(id, service, hostId, kind), taskMillis, mRuns);
         if (!responds) {
             target.stopResponding();
         }
@@ -153,6 +156,27 @@
         mTargets.remove(id).close();
     }
 
+    /** Returns the address at which the present incarnation of a target serves. */
+    public String address(String id) {
+        return mTargets.get(id).address();
+    }
+
+    /** Lists a target under the address of a relay to it, also after a restart. */
+    public void listUnder(String id, String address) {
+        mTargets.get(id).listUnder(address);
+        mStore.put("servers/" + id, mTargets.get(id).entry("ready"));
+    }
+
+    /**
+     * Ends a target at once, as its host's loss of power does, and starts its next incarnation,
+     * which has the same id and is listed under the same address of a relay. The entry remains that
+     * of the former one until {@link #reconnectTarget}.
+     */
+    public synchronized void restartTarget(String id, String kind) {
+        mCutFromStore.add(id);
+        mTargets.put(id, mTargets.get(id).restart(kind));
+    }
+
     /**
      * Ends a target at once, as its host's loss of power does: its runs end, calls to its address
      * get no response, and its entry is removed.
@@ -299,70 +323,6 @@
         }
     }
 
-    private StandInStore.Response handleStore(
-            ServiceRequestContext context, AggregatedHttpRequest request, JsonNode body)
-            throws InterruptedException {
-        while (mStoreUnavailable) {
-            Thread.sleep(50);
-        }
-        String path = context.path();
-        if (path.startsWith("/v1/kv-keep/")) {
-            long id = Long.parseLong(path.substring("/v1/kv-keep/".length()));
-            return StandInStore.Response.of(mStore.renewLease(id, nowMillis()) ? 200 : 404);
-        }
-        if (path.startsWith("/v1/kv-lease-end/")) {
-            long id = Long.parseLong(path.substring("/v1/kv-lease-end/".length()));
-            return StandInStore.Response.of(mStore.endLease(id) ? 200 : 404);
-        }
-        return switch (path) {
-            case "/v1/kv-key" -> mStore.read(context.queryParam("Key"));
-            case "/v1/kv-range" -> mStore.list(context.queryParam("Prefix"), after(context, ""));
-            case "/v1/kv-watch" -> watch(context);
-            case "/v1/kv-txn" -> commit(body);
-            case "/v1/kv-lease" -> {
-                long ttl = body.path("TtlMs").asLong();
-                ObjectNode lease = StandInHttp.object().put("TtlMs", ttl);
-                yield new StandInStore.Response(
-                        200, lease.put("Lease", mStore.grantLease(ttl, nowMillis())));
-            }
-            default -> StandInStore.Response.of(404);
-        };
-    }
-
-    private StandInStore.Response commit(JsonNode body) throws InterruptedException {
-        List<String> keys = new ArrayList<>();
-        body.path("Writes").forEach(write -> keys.add(write.path("Key").asText()));
-        if (keys.stream().noneMatch(key -> mLostPrefixes.stream().anyMatch(key::startsWith))) {
-            return mStore.commit(body);
-        }
-        mLostWrites.addAll(keys);
-        while (!mLostPrefixes.isEmpty()) {
-            Thread.sleep(50);
-        }
-        return StandInStore.Response.of(503);
-    }
-
-    private StandInStore.Response watch(ServiceRequestContext context) throws InterruptedException {
-        String prefix = context.queryParam("Prefix");
-        long after = Long.parseLong(after(context, "0"));
-        long untilMillis = nowMillis() + Long.parseLong(context.queryParam("WaitMs"));
-        StandInStore.Response response = mStore.changes(prefix, after);
-        while (response.status() == 200 && response.body().path("events").isEmpty()) {
-            long remainingMillis = untilMillis - nowMillis();
-            if (remainingMillis <= 0) {
-                return response;
-            }
-            mStore.await(response.body().path("At").asLong(), remainingMillis);
-            response = mStore.changes(prefix, after);
-        }
-        return response;
-    }
-
-    private static String after(ServiceRequestContext context, String defaultValue) {
-        String after = context.queryParam("After");
-        return after == null ? defaultValue : after;
-    }
-
     private synchronized void beginMaintenance(StandInTarget target, boolean stays) {
         if (stays) {
             target.losePower();
@@ -381,15 +341,9 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private static long nowMillis() {
-        return System.nanoTime() / 1_000_000;
-    }
-
     @Override
     public void close() {
         mTimer.shutdownNow();
-        mStoreUnavailable = false;
-        mLostPrefixes.clear();
         List<CompletableFuture<Void>> stopped = new ArrayList<>();
         mTargets.values().forEach(target -> stopped.add(target.stop()));
         stopped.add(mStoreAccess.stop());
