--- a/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OrderSender.java
@@ -22,6 +22,14 @@
     private final TargetOrders mOrders = new TargetOrders();
     private boolean mClosed;
 
+    /**
+     * A start order without a response yet.
+     *
+     * @param contact number of the contact with its target
+     * @param targetMillis last known time of the target's clock
+     */
+    private record SentStart(Run run, long contact, long targetMillis) {}
+
     /** Is notified of what the targets' responses imply for the owner. */
     interface Listener {
         /** The target has seen the higher term of a newer owner. */
@@ -68,11 +76,21 @@
             if (order instanceof Order.Start start) {
                 sendIfAllowed(start, now);
             } else if (order instanceof Order.Stop stop) {
-                send(stop, now);
+                sendIfKnown(stop, now);
             }
         }
     }
 
+    /** A stop that has waited must not reach the next incarnation of its target. */
+    private void sendIfKnown(Order.Stop stop, long now) {
+        TargetState target = stop.run().target();
+        if (mScheduler.isKnown(target)) {
+            send(stop, now);
+        } else {
+            mOrders.onEnded(target);
+        }
+    }
+
     /** What was decided for a start that has waited may not hold any more. */
     private void sendIfAllowed(Order.Start start, long now) {
         long lease =
@@ -97,31 +115,34 @@
                 now - mContext.ownershipLease().confirmedMillis(),
                 mScheduler.countUnreadTargets(run.target().entry().service()),
                 now);
-        long contact = run.target().contact();
+        SentStart sent =
+                new SentStart(run, run.target().contact(), mSessions.lastClockMillis(run.target()));
         mContext.targets()
-                .start(run.target().entry(), start, token(contact), lease)
+                .start(run.target().entry(), start, token(sent.contact()), lease)
                 .whenComplete(
-                        (outcome, failure) ->
+                        (response, failure) ->
                                 mContext.control()
-                                        .execute(
-                                                () ->
-                                                        onStartResponse(
-                                                                run, contact, outcome, failure)));
+                                        .execute(() -> onStartResponse(sent, response, failure)));
     }
 
     private long token(long contact) {
         return FencingToken.of(mContext.term(), contact);
     }
 
-    private void onStartResponse(Run run, long contact, StartOutcome outcome, Throwable failure) {
+    private void onStartResponse(
+            SentStart sent, TargetClient.StartResponse response, Throwable failure) {
         if (mClosed) {
             return;
         }
+        Run run = sent.run();
         mOrders.onEnded(run.target());
-        StartOutcome known = failure == null ? outcome : StartOutcome.UNKNOWN;
-        if (known == StartOutcome.FENCED && mScheduler.isSuperseded(run.target(), contact)) {
+        StartOutcome known = failure == null ? response.outcome() : StartOutcome.UNKNOWN;
+        if (known == StartOutcome.FENCED && mScheduler.isSuperseded(run.target(), sent.contact())) {
             known = StartOutcome.SUPERSEDED;
         }
+        if (failure == null && response.targetMillis() < sent.targetMillis()) {
+            mScheduler.onEarlierClock(run.target(), mContext.clocks().now());
+        }
         apply(run, known);
         if (known == StartOutcome.UNKNOWN) {
             takeBackStarts(run.target());
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -262,7 +262,9 @@
 
     @Override
     public CompletableFuture<Void> onFirstResponse(TargetState target) {
-        return mUnknownRuns.onFirstResponse(target.entry());
+        return CompletableFuture.allOf(
+                mUnknownRuns.onFirstResponse(target.entry()),
+                mTargetList.markRestarted(target, mContext.clocks().now()));
     }
 
     @Override
--- a/core/src/main/java/org/marigoldturn/coordination/TargetClient.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetClient.java
@@ -22,7 +22,7 @@
      * @param token the {@link FencingToken}
      * @param leaseEndTargetMillis end of the lease on the target's clock
      */
-    CompletableFuture<StartOutcome> start(
+    CompletableFuture<StartResponse> start(
             TargetEntry target, Order.Start order, long token, long leaseEndTargetMillis);
 
     /**
@@ -32,6 +32,21 @@
      */
     CompletableFuture<Void> stop(TargetEntry target, Run run, long token);
 
+    /**
+     * Response to a start order.
+     *
+     * @param targetMillis present time of the target's clock; {@link #UNKNOWN_MILLIS} if the
+     *     response does not tell it
+     */
+    record StartResponse(StartOutcome outcome, long targetMillis) {
+        static final long UNKNOWN_MILLIS = Long.MAX_VALUE;
+
+        /** Returns a response that does not tell the time. */
+        public static StartResponse of(StartOutcome outcome) {
+            return new StartResponse(outcome, UNKNOWN_MILLIS);
+        }
+    }
+
     /**
      * A poll of a target.
      *
--- a/core/src/main/java/org/marigoldturn/coordination/TargetList.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetList.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetState;
@@ -111,9 +112,19 @@
     void onRestarted(TargetState target, long startedEpochMillis, long nowMillis) {
         TargetState next = mScheduler.onTargetRestarted(target, startedEpochMillis, nowMillis);
         mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), nowMillis);
+        var unused = markRestarted(next, nowMillis);
         mSessions.open(next);
     }
 
+    /**
+     * Tells later owners that a target has restarted, if it has.
+     *
+     * @return a future that completes when the first report of the next incarnation may be used
+     */
+    CompletableFuture<Void> markRestarted(TargetState next, long nowMillis) {
+        return mRecords.markRestarted(next, nowMillis);
+    }
+
     /**
      * Ends the sessions of targets that the scheduler has dropped, and updates the records of the
      * others.
@@ -137,6 +148,7 @@
         TargetState target = mScheduler.onTargetListed(entry.get(), now);
         mRunLog.logEndedRuns(mScheduler.takeEndedRuns(), now);
         mRecords.add(target, now);
+        var unused = markRestarted(target, now);
         mSessions.open(target);
     }
 
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecordCodec.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecordCodec.java
@@ -16,17 +16,17 @@
      * What a record tells.
      *
      * @param entry the recorded entry, as one that is not draining
-     * @param misdirected whether the target may hold a lease that was granted to an earlier
-     *     incarnation
+     * @param misdirected lease that was granted to an earlier incarnation
      * @param term term of the owner that wrote the record; 0 if it does not tell
      */
-    record Decoded(TargetEntry entry, boolean misdirected, long term) {}
+    record Decoded(TargetEntry entry, MisdirectedLease misdirected, long term) {}
 
     /** Returns the record of a target; see {@link Decoded} for the parameters. */
-    static ByteString encode(TargetEntry entry, boolean misdirected, long term) {
+    static ByteString encode(TargetEntry entry, MisdirectedLease misdirected, long term) {
         return TargetRecord.newBuilder()
                 .setTerm(term)
-                .setMayHoldMisdirectedLease(misdirected)
+                .setMisdirectedLeaseMillis(misdirected.millis())
+                .addAllEarlierStartsEpochMillis(misdirected.earlierStartsEpochMillis())
                 .setId(entry.id())
                 .setStartedEpochMillis(entry.startedEpochMillis())
                 .setHostId(entry.hostId())
@@ -53,7 +53,12 @@
             throw new IllegalArgumentException(
                     "the record " + value.key() + " is of the other target " + record.getId());
         }
-        return new Decoded(entry(record), record.getMayHoldMisdirectedLease(), record.getTerm());
+        return new Decoded(
+                entry(record),
+                new MisdirectedLease(
+                        record.getMisdirectedLeaseMillis(),
+                        Set.copyOf(record.getEarlierStartsEpochMillisList())),
+                record.getTerm());
     }
 
     private static TargetEntry entry(TargetRecord record) {
--- a/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetRecords.java
@@ -44,12 +44,12 @@
     /**
      * An incarnation whose record was written.
      *
-     * @param misdirected whether the record tells that it may hold a lease that was granted to an
-     *     earlier incarnation
+     * @param misdirected what the record tells of a lease that was granted to an earlier
+     *     incarnation
      * @param stored completes once the record is stored
      */
     private record Recorded(
-            TargetEntry entry, boolean misdirected, CompletableFuture<Void> stored) {}
+            TargetEntry entry, MisdirectedLease misdirected, CompletableFuture<Void> stored) {}
 
     /**
      * Creates the keeper of one owner's records.
@@ -96,14 +96,25 @@
                     entry.id(),
                     new Recorded(
                             entry, record.misdirected(), CompletableFuture.completedFuture(null)));
-            TargetState target =
-                    mScheduler.restoreTarget(
-                            entry, runsEnds.millis(entry), record.misdirected(), nowMillis);
+            TargetState target = restore(record, runsEnds, nowMillis);
             restored.add(new EarlierTargetLeases.RecordedTarget(target, record.term()));
         }
         return restored;
     }
 
+    private TargetState restore(
+            TargetRecordCodec.Decoded record, UnreadTargetNote.RunsEnds runsEnds, long nowMillis) {
+        TargetEntry entry = record.entry();
+        MisdirectedLease misdirected = record.misdirected();
+        return misdirected.mayHold()
+                ? mScheduler.restoreRestartedTarget(
+                        entry,
+                        misdirected.earlierStartsEpochMillis(),
+                        misdirected.millis(),
+                        nowMillis)
+                : mScheduler.restoreTarget(entry, runsEnds.millis(entry), nowMillis);
+    }
+
     /**
      * Tells later owners that each target on which a task may run has a record. To be called once
      * all runs of earlier owners are known.
@@ -124,12 +135,12 @@
         TargetEntry entry = target.entry();
         Recorded recorded = mRecords.get(entry.id());
         if (recorded == null || !recorded.entry().isSameIncarnation(entry)) {
-            recorded = write(entry, target.mayHoldMisdirectedLease(nowMillis));
+            recorded = write(entry, misdirectedLease(target, nowMillis));
         }
         var unused = recorded.stored().thenRun(() -> onStored(target));
     }
 
-    private Recorded write(TargetEntry entry, boolean misdirected) {
+    private Recorded write(TargetEntry entry, MisdirectedLease misdirected) {
         Recorded recorded =
                 new Recorded(
                         entry,
@@ -163,7 +174,7 @@
                 target.setRecorded(false);
             } else if (target.isRecorded()
                     || target.hasReported()
-                    || target.mayTakeMisdirectedCalls()) {
+                    || target.mayTakeMisdirectedCalls(nowMillis)) {
                 inUse.add(target.entry().id());
                 updateMisdirected(target, nowMillis);
             }
@@ -175,21 +186,48 @@
         }
     }
 
+    /**
+     * Tells later owners that a target has restarted and may have carried out calls for its earlier
+     * incarnation.
+     *
+     * @return a future that completes once the store tells that; the report of the next incarnation
+     *     must not be used before
+     */
+    CompletableFuture<Void> markRestarted(TargetState next, long nowMillis) {
+        Recorded recorded = mRecords.get(next.entry().id());
+        if (recorded == null || !next.mayTakeMisdirectedCalls(nowMillis)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        boolean marked =
+                recorded.misdirected()
+                        .earlierStartsEpochMillis()
+                        .containsAll(next.earlierStartsEpochMillis());
+        return marked
+                ? recorded.stored()
+                : write(recorded.entry(), misdirectedLease(next, nowMillis)).stored();
+    }
+
     private void updateMisdirected(TargetState target, long nowMillis) {
         Recorded recorded = mRecords.get(target.entry().id());
-        if (recorded == null) {
-            return;
-        }
-        boolean misdirected =
-                target.mayTakeMisdirectedCalls()
-                        || recorded.misdirected()
-                                && (!target.hasReported()
-                                        || target.mayHoldMisdirectedLease(nowMillis));
-        if (misdirected != recorded.misdirected()) {
-            write(recorded.entry(), misdirected);
+        boolean isOver =
+                recorded != null
+                        && recorded.misdirected().mayHold()
+                        && target.hasReported()
+                        && recorded.entry().isSameIncarnation(target.entry())
+                        && !target.mayHoldMisdirectedLease(nowMillis);
+        if (isOver) {
+            write(target.entry(), MisdirectedLease.NONE);
         }
     }
 
+    private static MisdirectedLease misdirectedLease(TargetState target, long nowMillis) {
+        return target.mayHoldMisdirectedLease(nowMillis)
+                ? new MisdirectedLease(
+                        target.misdirectedLeaseEndMillis() - nowMillis,
+                        target.earlierStartsEpochMillis())
+                : MisdirectedLease.NONE;
+    }
+
     /** Returns how many records of targets the store may hold. */
     int count() {
         long droppedOnly =
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -155,6 +155,11 @@
         }
     }
 
+    /** Returns the last known time of the target's clock; before all times if none is known. */
+    long lastClockMillis() {
+        return mClockKnown ? mTargetClockMillis : Long.MIN_VALUE;
+    }
+
     /**
      * Grants a lease from now on and returns its end on the target's clock; 0 if that clock is not
      * known yet or no lease can be granted.
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSessions.java
@@ -107,6 +107,12 @@
         return session == null ? 0 : session.grantLease(nowMillis);
     }
 
+    /** Returns the last known time of a target's clock; before all times if none is known. */
+    long lastClockMillis(TargetState target) {
+        TargetSession session = mSessions.get(target);
+        return session == null ? Long.MIN_VALUE : session.lastClockMillis();
+    }
+
     /** Closes the session with a target for good: it is granted no lease any more. */
     void giveUp(TargetState target) {
         mGivenUp.add(target);
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecord.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecord.java
@@ -40,6 +40,7 @@
     rack_ = "";
     labels_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    earlierStartsEpochMillis_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -385,21 +386,52 @@
     return term_;
   }
 
-  public static final int MAY_HOLD_MISDIRECTED_LEASE_FIELD_NUMBER = 13;
-  private boolean mayHoldMisdirectedLease_ = false;
+  public static final int MISDIRECTED_LEASE_MILLIS_FIELD_NUMBER = 13;
+  private long misdirectedLeaseMillis_ = 0L;
   /**
    * <pre>
-   * Whether the target may hold a lease that was granted to an earlier incarnation.
+   * For how long after a takeover the target may hold a lease that was granted to an earlier
+   * incarnation; 0 if it holds none.
    * </pre>
    *
-   * <code>bool may_hold_misdirected_lease = 13;</code>
-   * @return The mayHoldMisdirectedLease.
+   * <code>int64 misdirected_lease_millis = 13;</code>
+   * @return The misdirectedLeaseMillis.
    */
   @java.lang.Override
-  public boolean getMayHoldMisdirectedLease() {
-    return mayHoldMisdirectedLease_;
+  public long getMisdirectedLeaseMillis() {
+    return misdirectedLeaseMillis_;
   }
 
+  public static final int EARLIER_STARTS_EPOCH_MILLIS_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList earlierStartsEpochMillis_ =
+      emptyLongList();
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @return A list containing the earlierStartsEpochMillis.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getEarlierStartsEpochMillisList() {
+    return earlierStartsEpochMillis_;
+  }
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @return The count of earlierStartsEpochMillis.
+   */
+  public int getEarlierStartsEpochMillisCount() {
+    return earlierStartsEpochMillis_.size();
+  }
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @param index The index of the element to return.
+   * @return The earlierStartsEpochMillis at the given index.
+   */
+  public long getEarlierStartsEpochMillis(int index) {
+    return earlierStartsEpochMillis_.getLong(index);
+  }
+  private int earlierStartsEpochMillisMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -414,6 +446,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(id_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, id_);
     }
@@ -450,8 +483,15 @@
     if (term_ != 0L) {
       output.writeInt64(12, term_);
     }
-    if (mayHoldMisdirectedLease_ != false) {
-      output.writeBool(13, mayHoldMisdirectedLease_);
+    if (misdirectedLeaseMillis_ != 0L) {
+      output.writeInt64(13, misdirectedLeaseMillis_);
+    }
+    if (getEarlierStartsEpochMillisList().size() > 0) {
+      output.writeUInt32NoTag(114);
+      output.writeUInt32NoTag(earlierStartsEpochMillisMemoizedSerializedSize);
+    }
+    for (int i = 0; i < earlierStartsEpochMillis_.size(); i++) {
+      output.writeInt64NoTag(earlierStartsEpochMillis_.getLong(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -508,9 +548,23 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(12, term_);
     }
-    if (mayHoldMisdirectedLease_ != false) {
+    if (misdirectedLeaseMillis_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(13, mayHoldMisdirectedLease_);
+        .computeInt64Size(13, misdirectedLeaseMillis_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < earlierStartsEpochMillis_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt64SizeNoTag(earlierStartsEpochMillis_.getLong(i));
+      }
+      size += dataSize;
+      if (!getEarlierStartsEpochMillisList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      earlierStartsEpochMillisMemoizedSerializedSize = dataSize;
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -551,8 +605,10 @@
         != other.getAccelerators()) return false;
     if (getTerm()
         != other.getTerm()) return false;
-    if (getMayHoldMisdirectedLease()
-        != other.getMayHoldMisdirectedLease()) return false;
+    if (getMisdirectedLeaseMillis()
+        != other.getMisdirectedLeaseMillis()) return false;
+    if (!getEarlierStartsEpochMillisList()
+        .equals(other.getEarlierStartsEpochMillisList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -595,9 +651,13 @@
     hash = (37 * hash) + TERM_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTerm());
-    hash = (37 * hash) + MAY_HOLD_MISDIRECTED_LEASE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getMayHoldMisdirectedLease());
+    hash = (37 * hash) + MISDIRECTED_LEASE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getMisdirectedLeaseMillis());
+    if (getEarlierStartsEpochMillisCount() > 0) {
+      hash = (37 * hash) + EARLIER_STARTS_EPOCH_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getEarlierStartsEpochMillisList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -746,7 +806,8 @@
       memoryMegabytes_ = 0L;
       accelerators_ = 0L;
       term_ = 0L;
-      mayHoldMisdirectedLease_ = false;
+      misdirectedLeaseMillis_ = 0L;
+      earlierStartsEpochMillis_ = emptyLongList();
       return this;
     }
 
@@ -818,7 +879,11 @@
         result.term_ = term_;
       }
       if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.mayHoldMisdirectedLease_ = mayHoldMisdirectedLease_;
+        result.misdirectedLeaseMillis_ = misdirectedLeaseMillis_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        earlierStartsEpochMillis_.makeImmutable();
+        result.earlierStartsEpochMillis_ = earlierStartsEpochMillis_;
       }
     }
 
@@ -889,8 +954,19 @@
       if (other.getTerm() != 0L) {
         setTerm(other.getTerm());
       }
-      if (other.getMayHoldMisdirectedLease() != false) {
-        setMayHoldMisdirectedLease(other.getMayHoldMisdirectedLease());
+      if (other.getMisdirectedLeaseMillis() != 0L) {
+        setMisdirectedLeaseMillis(other.getMisdirectedLeaseMillis());
+      }
+      if (!other.earlierStartsEpochMillis_.isEmpty()) {
+        if (earlierStartsEpochMillis_.isEmpty()) {
+          earlierStartsEpochMillis_ = other.earlierStartsEpochMillis_;
+          earlierStartsEpochMillis_.makeImmutable();
+          bitField0_ |= 0x00002000;
+        } else {
+          ensureEarlierStartsEpochMillisIsMutable();
+          earlierStartsEpochMillis_.addAll(other.earlierStartsEpochMillis_);
+        }
+        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -980,10 +1056,26 @@
               break;
             } // case 96
             case 104: {
-              mayHoldMisdirectedLease_ = input.readBool();
+              misdirectedLeaseMillis_ = input.readInt64();
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 112: {
+              long v = input.readInt64();
+              ensureEarlierStartsEpochMillisIsMutable();
+              earlierStartsEpochMillis_.addLong(v);
+              break;
+            } // case 112
+            case 114: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureEarlierStartsEpochMillisIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                earlierStartsEpochMillis_.addLong(input.readInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1716,46 +1808,133 @@
       return this;
     }
 
-    private boolean mayHoldMisdirectedLease_ ;
+    private long misdirectedLeaseMillis_ ;
     /**
      * <pre>
-     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * For how long after a takeover the target may hold a lease that was granted to an earlier
+     * incarnation; 0 if it holds none.
      * </pre>
      *
-     * <code>bool may_hold_misdirected_lease = 13;</code>
-     * @return The mayHoldMisdirectedLease.
+     * <code>int64 misdirected_lease_millis = 13;</code>
+     * @return The misdirectedLeaseMillis.
      */
     @java.lang.Override
-    public boolean getMayHoldMisdirectedLease() {
-      return mayHoldMisdirectedLease_;
+    public long getMisdirectedLeaseMillis() {
+      return misdirectedLeaseMillis_;
     }
     /**
      * <pre>
-     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * For how long after a takeover the target may hold a lease that was granted to an earlier
+     * incarnation; 0 if it holds none.
      * </pre>
      *
-     * <code>bool may_hold_misdirected_lease = 13;</code>
-     * @param value The mayHoldMisdirectedLease to set.
+     * <code>int64 misdirected_lease_millis = 13;</code>
+     * @param value The misdirectedLeaseMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setMayHoldMisdirectedLease(boolean value) {
+    public Builder setMisdirectedLeaseMillis(long value) {
 
-      mayHoldMisdirectedLease_ = value;
+      misdirectedLeaseMillis_ = value;
       bitField0_ |= 0x00001000;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Whether the target may hold a lease that was granted to an earlier incarnation.
+     * For how long after a takeover the target may hold a lease that was granted to an earlier
+     * incarnation; 0 if it holds none.
      * </pre>
      *
-     * <code>bool may_hold_misdirected_lease = 13;</code>
+     * <code>int64 misdirected_lease_millis = 13;</code>
      * @return This builder for chaining.
      */
-    public Builder clearMayHoldMisdirectedLease() {
+    public Builder clearMisdirectedLeaseMillis() {
       bitField0_ = (bitField0_ & ~0x00001000);
-      mayHoldMisdirectedLease_ = false;
+      misdirectedLeaseMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.Internal.LongList earlierStartsEpochMillis_ = emptyLongList();
+    private void ensureEarlierStartsEpochMillisIsMutable() {
+      if (!earlierStartsEpochMillis_.isModifiable()) {
+        earlierStartsEpochMillis_ = makeMutableCopy(earlierStartsEpochMillis_);
+      }
+      bitField0_ |= 0x00002000;
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @return A list containing the earlierStartsEpochMillis.
+     */
+    public java.util.List<java.lang.Long>
+        getEarlierStartsEpochMillisList() {
+      earlierStartsEpochMillis_.makeImmutable();
+      return earlierStartsEpochMillis_;
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @return The count of earlierStartsEpochMillis.
+     */
+    public int getEarlierStartsEpochMillisCount() {
+      return earlierStartsEpochMillis_.size();
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @param index The index of the element to return.
+     * @return The earlierStartsEpochMillis at the given index.
+     */
+    public long getEarlierStartsEpochMillis(int index) {
+      return earlierStartsEpochMillis_.getLong(index);
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @param index The index to set the value at.
+     * @param value The earlierStartsEpochMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEarlierStartsEpochMillis(
+        int index, long value) {
+
+      ensureEarlierStartsEpochMillisIsMutable();
+      earlierStartsEpochMillis_.setLong(index, value);
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @param value The earlierStartsEpochMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addEarlierStartsEpochMillis(long value) {
+
+      ensureEarlierStartsEpochMillisIsMutable();
+      earlierStartsEpochMillis_.addLong(value);
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @param values The earlierStartsEpochMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllEarlierStartsEpochMillis(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureEarlierStartsEpochMillisIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, earlierStartsEpochMillis_);
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEarlierStartsEpochMillis() {
+      earlierStartsEpochMillis_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00002000);
       onChanged();
       return this;
     }
--- a/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecordOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/TargetRecordOrBuilder.java
@@ -143,11 +143,29 @@
 
   /**
    * <pre>
-   * Whether the target may hold a lease that was granted to an earlier incarnation.
+   * For how long after a takeover the target may hold a lease that was granted to an earlier
+   * incarnation; 0 if it holds none.
    * </pre>
    *
-   * <code>bool may_hold_misdirected_lease = 13;</code>
-   * @return The mayHoldMisdirectedLease.
+   * <code>int64 misdirected_lease_millis = 13;</code>
+   * @return The misdirectedLeaseMillis.
    */
-  boolean getMayHoldMisdirectedLease();
+  long getMisdirectedLeaseMillis();
+
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @return A list containing the earlierStartsEpochMillis.
+   */
+  java.util.List<java.lang.Long> getEarlierStartsEpochMillisList();
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @return The count of earlierStartsEpochMillis.
+   */
+  int getEarlierStartsEpochMillisCount();
+  /**
+   * <code>repeated int64 earlier_starts_epoch_millis = 14;</code>
+   * @param index The index of the element to return.
+   * @return The earlierStartsEpochMillis at the given index.
+   */
+  long getEarlierStartsEpochMillis(int index);
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -139,7 +139,7 @@
 
     /** Adds a target that an earlier owner has recorded, used until its leases have ended. */
     public TargetState restoreTarget(TargetEntry entry, long nowMillis) {
-        return restoreTarget(entry, Long.MAX_VALUE, false, nowMillis);
+        return restoreTarget(entry, Long.MAX_VALUE, nowMillis);
     }
 
     /**
@@ -148,12 +148,23 @@
      *
      * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there;
      *     {@link Long#MAX_VALUE} if no time is known for this target
-     * @param misdirected whether it may have had a lease for an earlier incarnation when it was
-     *     recorded
      */
-    public TargetState restoreTarget(
-            TargetEntry entry, long runsEndMillis, boolean misdirected, long nowMillis) {
-        return mTargets.restore(entry, runsEndMillis, misdirected, nowMillis);
+    public TargetState restoreTarget(TargetEntry entry, long runsEndMillis, long nowMillis) {
+        return mTargets.restore(entry, runsEndMillis, nowMillis);
+    }
+
+    /**
+     * Adds a recorded target that may hold a lease that was granted to an earlier incarnation.
+     *
+     * @param earlierStartsEpochMillis wall-clock starts of the earlier incarnations
+     * @param leaseMillis for how long after a takeover it may hold that lease
+     */
+    public TargetState restoreRestartedTarget(
+            TargetEntry entry,
+            Set<Long> earlierStartsEpochMillis,
+            long leaseMillis,
+            long nowMillis) {
+        return mTargets.restoreRestarted(entry, earlierStartsEpochMillis, leaseMillis, nowMillis);
     }
 
     /**
@@ -170,6 +181,14 @@
         mTargets.loseContact(target);
     }
 
+    /**
+     * Records that a response shows an earlier time of a target's clock than before, so that its
+     * next incarnation has responded.
+     */
+    public void onEarlierClock(TargetState target, long nowMillis) {
+        mTargets.onEarlierClock(target, nowMillis);
+    }
+
     /** Returns how many contacts with targets there were. */
     public long countContacts() {
         return mTargets.countContacts();
--- a/core/src/main/java/org/marigoldturn/scheduling/MisdirectedCalls.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/MisdirectedCalls.java
@@ -1,6 +1,7 @@
 package org.marigoldturn.scheduling;
 
-import java.util.Optional;
+import java.util.HashSet;
+import java.util.Set;
 
 /**
  * Tells what calls that were meant for an earlier incarnation of a target may have done to the
@@ -10,20 +11,21 @@
  * seen no fencing token. So it carries out a call that is delivered late or over a connection that
  * is opened again: it starts the run, or takes the lease, whose end on the clock of the earlier
  * incarnation is far ahead of its own. From its first response to a higher token on, it rejects
- * such calls. Confined to the control thread.
+ * such calls. Until then a call counts as delayed for no longer than the longest lease lasts.
+ * Confined to the control thread.
  */
 final class MisdirectedCalls {
-    private final Optional<TargetEntry> mEarlier;
+    private final Set<Long> mEarlierStartsEpochMillis;
     private final long mLongestLeaseMillis;
-    private final boolean mFenced;
+    private boolean mFenced;
     private long mLeaseEndMillis;
 
     private MisdirectedCalls(
-            Optional<TargetEntry> earlier,
+            Set<Long> earlierStartsEpochMillis,
             long longestLeaseMillis,
             boolean fenced,
             long leaseEndMillis) {
-        mEarlier = earlier;
+        mEarlierStartsEpochMillis = Set.copyOf(earlierStartsEpochMillis);
         mLongestLeaseMillis = longestLeaseMillis;
         mFenced = fenced;
         mLeaseEndMillis = leaseEndMillis;
@@ -31,42 +33,46 @@
 
     /** Returns that no earlier incarnation is known. */
     static MisdirectedCalls none() {
-        return new MisdirectedCalls(Optional.empty(), 0, true, Long.MIN_VALUE);
+        return new MisdirectedCalls(Set.of(), 0, true, Long.MIN_VALUE);
     }
 
     /**
-     * Returns what calls for an earlier incarnation may do until the present one responds.
+     * Returns what calls for the given incarnation and those before it may do to the next one.
      *
      * @param longestLeaseMillis longest time that a target holds a lease after the call
      * @param sentUntilMillis monotonic time by which all such calls were sent
      */
     static MisdirectedCalls afterRestart(
-            TargetEntry earlier, long longestLeaseMillis, long sentUntilMillis) {
+            TargetState earlier, long longestLeaseMillis, long sentUntilMillis) {
+        Set<Long> starts = new HashSet<>(earlier.misdirected().mEarlierStartsEpochMillis);
+        starts.add(earlier.entry().startedEpochMillis());
         return new MisdirectedCalls(
-                Optional.of(earlier),
-                longestLeaseMillis,
-                false,
-                sentUntilMillis + longestLeaseMillis);
+                starts, longestLeaseMillis, false, sentUntilMillis + 2 * longestLeaseMillis);
     }
 
     /**
-     * Returns what calls may have done before an earlier owner recorded that the incarnation had
-     * responded to it.
+     * Returns what such calls may have done as far as a record of an earlier owner tells.
      *
+     * @param earlierStartsEpochMillis wall-clock starts of earlier incarnations
      * @param leaseEndMillis monotonic time by which a lease of such a call has ended
      */
-    static MisdirectedCalls beforeRecord(long leaseEndMillis) {
-        return new MisdirectedCalls(Optional.empty(), 0, true, leaseEndMillis);
+    static MisdirectedCalls recorded(Set<Long> earlierStartsEpochMillis, long leaseEndMillis) {
+        return new MisdirectedCalls(earlierStartsEpochMillis, 0, true, leaseEndMillis);
     }
 
-    /** Returns whether an entry describes the earlier incarnation. */
-    boolean wereMeantFor(TargetEntry entry) {
-        return mEarlier.filter(earlier -> earlier.isSameIncarnation(entry)).isPresent();
+    /** Returns the wall-clock starts of the earlier incarnations that are known. */
+    Set<Long> earlierStartsEpochMillis() {
+        return mEarlierStartsEpochMillis;
     }
 
-    /** Returns whether the earlier incarnation is known and its calls may still be carried out. */
-    boolean mayArrive() {
-        return mEarlier.isPresent();
+    /** Returns whether an entry describes an earlier incarnation. */
+    boolean isEarlierIncarnation(TargetEntry entry) {
+        return mEarlierStartsEpochMillis.contains(entry.startedEpochMillis());
+    }
+
+    /** Returns whether such calls may still be carried out at the given monotonic time. */
+    boolean mayArriveAt(long timeMillis) {
+        return !mFenced && mayHoldLeaseAt(timeMillis);
     }
 
     /** Returns whether a lease of such a call may hold at the given monotonic time or later. */
@@ -82,6 +88,7 @@
     /** Records that the target has responded for the first time, and rejects such calls now. */
     void onFirstResponse(long nowMillis) {
         if (!mFenced) {
+            mFenced = true;
             mLeaseEndMillis = nowMillis + mLongestLeaseMillis;
         }
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -227,18 +227,31 @@
      * listed, only its start is known.
      */
     boolean isPresentIncarnation(TargetEntry entry) {
-        boolean started = mEntry.startedEpochMillis() == entry.startedEpochMillis();
-        return mEntry.isSameIncarnation(entry) || !mListed && started && mMisdirected.mayArrive();
+        boolean sameStart = mEntry.startedEpochMillis() == entry.startedEpochMillis();
+        return mEntry.isSameIncarnation(entry) || !mListed && sameStart;
     }
 
-    /** Returns whether an entry is of the incarnation before this one, which is not listed yet. */
+    /** Returns whether an entry is of an incarnation before this one, which is not listed yet. */
     boolean isPredecessor(TargetEntry entry) {
-        return !mListed && mMisdirected.wereMeantFor(entry);
+        return !mListed && mMisdirected.isEarlierIncarnation(entry);
     }
 
     /** Returns whether it may still carry out calls that were meant for an earlier incarnation. */
-    public boolean mayTakeMisdirectedCalls() {
-        return mMisdirected.mayArrive() && !mReported;
+    public boolean mayTakeMisdirectedCalls(long nowMillis) {
+        return mMisdirected.mayArriveAt(nowMillis);
+    }
+
+    /** Returns the wall-clock starts of the earlier incarnations under its id that are known. */
+    public Set<Long> earlierStartsEpochMillis() {
+        return mMisdirected.earlierStartsEpochMillis();
+    }
+
+    /**
+     * Returns the monotonic time by which a lease has ended that was granted to an earlier
+     * incarnation; before all times if none was.
+     */
+    public long misdirectedLeaseEndMillis() {
+        return mMisdirected.leaseEndMillis();
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -31,6 +31,7 @@
     private final long mLongestHeldLeaseMillis;
     private long mEarlierLeasesEndMillis;
     private long mContacts;
+    private final Map<String, Dropped> mDropped = new HashMap<>();
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
@@ -42,6 +43,9 @@
     /** By service, when a target with unknown runs ended last. */
     private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
+    /** A target that was dropped since its lease had ended and the platform did not list it. */
+    private record Dropped(TargetState target, long droppedMillis) {}
+
     /**
      * Creates an empty table.
      *
@@ -116,7 +120,7 @@
     TargetState addOrUpdate(TargetEntry entry, long nowMillis) {
         TargetState known = mTargets.get(entry.id());
         if (known == null) {
-            return add(entry, unknownRunsEndMillis());
+            return addUnknown(entry, nowMillis);
         }
         if (known.isPresentIncarnation(entry)) {
             known.update(entry);
@@ -134,21 +138,30 @@
      *
      * @param runsEndMillis monotonic time by which all runs of earlier owners have ended there, if
      *     that is earlier than for all targets
-     * @param misdirected whether it may have had a lease for an earlier incarnation when it was
-     *     recorded
      */
-    TargetState restore(
-            TargetEntry entry, long runsEndMillis, boolean misdirected, long nowMillis) {
+    TargetState restore(TargetEntry entry, long runsEndMillis, long nowMillis) {
         TargetState target = addOrUpdate(entry, nowMillis);
         target.setListed(false);
         target.setRecorded(true);
-        long endMillis = longestLeaseEndMillis();
-        if (misdirected) {
-            long heldEndMillis = Math.min(runsEndMillis, mTakeoverMillis + mLongestHeldLeaseMillis);
-            target.setMisdirected(MisdirectedCalls.beforeRecord(heldEndMillis));
-            endMillis = Math.max(endMillis, heldEndMillis);
-        }
-        target.markUsedByEarlierOwners(Math.min(runsEndMillis, endMillis));
+        target.markUsedByEarlierOwners(Math.min(runsEndMillis, longestLeaseEndMillis()));
+        return target;
+    }
+
+    /**
+     * Adds a recorded target that may hold a lease that was granted to an earlier incarnation.
+     *
+     * @param earlierStartsEpochMillis wall-clock starts of the earlier incarnations
+     * @param leaseMillis for how long after a takeover it may hold that lease
+     */
+    TargetState restoreRestarted(
+            TargetEntry entry,
+            Set<Long> earlierStartsEpochMillis,
+            long leaseMillis,
+            long nowMillis) {
+        long leaseEndMillis = mTakeoverMillis + leaseMillis;
+        TargetState target = restore(entry, Long.MAX_VALUE, nowMillis);
+        target.setMisdirected(MisdirectedCalls.recorded(earlierStartsEpochMillis, leaseEndMillis));
+        target.markUsedByEarlierOwners(Math.max(longestLeaseEndMillis(), leaseEndMillis));
         return target;
     }
 
@@ -173,7 +186,7 @@
         // An earlier owner that is cut off from the store may still send such calls.
         MisdirectedCalls misdirected =
                 MisdirectedCalls.afterRestart(
-                        earlier.entry(),
+                        earlier,
                         mLongestHeldLeaseMillis,
                         Math.max(nowMillis, longestLeaseEndMillis()));
         TargetState next =
@@ -190,6 +203,21 @@
         return next;
     }
 
+    /**
+     * A target that was dropped since it was silent may have restarted before it responds again.
+     */
+    private TargetState addUnknown(TargetEntry entry, long nowMillis) {
+        mDropped.values()
+                .removeIf(
+                        dropped ->
+                                nowMillis - dropped.droppedMillis() > 2 * mLongestHeldLeaseMillis);
+        Dropped dropped = mDropped.remove(entry.id());
+        boolean restarted = dropped != null && !dropped.target().entry().isSameIncarnation(entry);
+        return restarted
+                ? replace(dropped.target(), entry, EndedRuns.Cause.REPLACED, nowMillis)
+                : add(entry, unknownRunsEndMillis());
+    }
+
     private TargetState add(TargetEntry entry, long unknownRunsEndMillis) {
         TargetState target = new TargetState(entry, unknownRunsEndMillis, ++mContacts);
         mTargets.put(entry.id(), target);
@@ -200,6 +228,18 @@
         return mRecordsComplete ? TargetState.NEVER_USED : longestLeaseEndMillis();
     }
 
+    /**
+     * Records that a response shows an earlier time of a target's clock than before, so that its
+     * next incarnation has responded. Calls that were meant for the earlier one may have given it a
+     * lease, and its entry is not known yet.
+     */
+    void onEarlierClock(TargetState target, long nowMillis) {
+        if (contains(target) && target.isReachable()) {
+            loseContact(target);
+            target.extendLease(nowMillis + mLongestHeldLeaseMillis);
+        }
+    }
+
     /**
      * Records that a target does not respond. From its next response on, it rejects the calls of
      * before.
@@ -304,6 +344,7 @@
                 mRuns.endAllRuns(target);
                 if (!target.isListed()) {
                     mTargets.remove(target.entry().id());
+                    mDropped.put(target.entry().id(), new Dropped(target, nowMillis));
                 }
             }
         }
@@ -413,7 +454,10 @@
      * it has reported, or every lease of an earlier owner has expired.
      */
     boolean hasReportedOrHasNoLease(TargetState target, long nowMillis) {
-        long leasesEndMillis = Math.max(longestLeaseEndMillis(), target.leaseEndMillis());
+        long leasesEndMillis =
+                Math.max(
+                        longestLeaseEndMillis(),
+                        Math.max(target.leaseEndMillis(), target.unknownRunsEndMillis()));
         return target.hasReported() || provenMillis(nowMillis) >= leasesEndMillis;
     }
 
--- a/core/src/test/java/org/marigoldturn/coordination/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/coordination/SimulatedOwner.java
@@ -78,7 +78,7 @@
                                                 times, LEASE_MILLIS, mElectedMillis));
         for (int i = 0; i < TakeoverSimulation.TARGETS; i++) {
             long endMillis = i == 0 ? notedEndMillis : Long.MAX_VALUE;
-            mTargets.add(mScheduler.restoreTarget(entry(i), endMillis, false, mElectedMillis));
+            mTargets.add(mScheduler.restoreTarget(entry(i), endMillis, mElectedMillis));
             mNextPollMillis[i] = mElectedMillis + world.mRandom.nextInt(20) * 10;
         }
         mMajority = new TargetMajority(mScheduler::targets, mTargets::size);
--- a/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetRecordsTest.java
@@ -64,11 +64,12 @@
                                         value("t2", GARBAGE),
                                         value(
                                                 "t3",
-                                                TargetRecordCodec.encode(entry("t4", 7), false, 1)),
+                                                TargetRecordCodec.encode(
+                                                        entry("t4", 7), MisdirectedLease.NONE, 1)),
                                         value(
                                                 "t5",
                                                 TargetRecordCodec.encode(
-                                                        entry("t5", 7), false, 3))),
+                                                        entry("t5", 7), MisdirectedLease.NONE, 3))),
                                 NO_NOTE,
                                 0);
         assertThat(recorded)
@@ -151,11 +152,15 @@
     @Example
     void theRecordOfARestartedTargetStaysUntilTheNextIncarnationHasReported() throws Exception {
         add(entry("t1", 7));
-        onControl(() -> mScheduler.onTargetListed(entry("t1", 8), mNowMillis));
+        onControl(
+                () -> {
+                    TargetState next = mScheduler.onTargetListed(entry("t1", 8), mNowMillis);
+                    var unused = mRecords.markRestarted(next, mNowMillis);
+                });
         dropUnused();
 
         assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(7);
-        assertThat(decoded("t1").misdirected()).isTrue();
+        assertThat(decoded("t1").misdirected().mayHold()).isTrue();
     }
 
     @Example
@@ -170,11 +175,11 @@
                 });
         dropUnused();
         assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(8);
-        assertThat(decoded("t1").misdirected()).isTrue();
+        assertThat(decoded("t1").misdirected().mayHold()).isTrue();
 
         mNowMillis += HELD_LEASE_MILLIS;
         dropUnused();
-        assertThat(decoded("t1").misdirected()).isFalse();
+        assertThat(decoded("t1").misdirected().mayHold()).isFalse();
     }
 
     @Example
@@ -189,7 +194,7 @@
                 });
         dropUnused();
         assertThat(decoded("t1").entry().startedEpochMillis()).isEqualTo(8);
-        assertThat(decoded("t1").misdirected()).isTrue();
+        assertThat(decoded("t1").misdirected().mayHold()).isTrue();
     }
 
     @Example
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -21,7 +21,6 @@
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.Run;
-import org.marigoldturn.scheduling.StartOutcome;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetReport;
 import org.marigoldturn.scheduling.TargetState;
@@ -336,7 +335,7 @@
         }
 
         @Override
-        public CompletableFuture<StartOutcome> start(
+        public CompletableFuture<StartResponse> start(
                 TargetEntry target, Order.Start order, long term, long leaseEndTargetMillis) {
             return new CompletableFuture<>();
         }
--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionsTest.java
@@ -15,7 +15,6 @@
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.Order;
 import org.marigoldturn.scheduling.Run;
-import org.marigoldturn.scheduling.StartOutcome;
 import org.marigoldturn.scheduling.TargetEntry;
 import org.marigoldturn.scheduling.TargetState;
 
@@ -141,7 +140,7 @@
     }
 
     @Override
-    public CompletableFuture<StartOutcome> start(
+    public CompletableFuture<StartResponse> start(
             TargetEntry target, Order.Start order, long term, long leaseEndTargetMillis) {
         throw new IllegalStateException("nothing is started");
     }
--- a/core/src/test/java/org/marigoldturn/coordination/UnreadTargetNoteTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/UnreadTargetNoteTest.java
@@ -81,9 +81,7 @@
                     JobScheduler scheduler = scheduler(5, 7_000);
                     TargetEntry entry = entry("t1", 1);
                     passing.write(
-                            List.of(
-                                    scheduler.restoreTarget(
-                                            entry, noted.millis(entry), false, 7_000)));
+                            List.of(scheduler.restoreTarget(entry, noted.millis(entry), 7_000)));
                     mCommits.flush().thenRun(() -> done.complete(null));
                 });
         done.get(10, TimeUnit.SECONDS);
--- a/core/src/test/java/org/marigoldturn/scheduling/RestartedTargetTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RestartedTargetTest.java
@@ -6,6 +6,7 @@
 import static org.marigoldturn.scheduling.SchedulerFixture.longRunning;
 
 import java.util.List;
+import java.util.Set;
 import net.jqwik.api.Example;
 import org.marigoldturn.jobs.JobProgress;
 
@@ -54,7 +55,7 @@
         listNextIncarnation();
         mFixture.addTarget("t2", 4_000);
 
-        mFixture.mNowMillis += 2 * SchedulerFixture.LONGEST_HELD_LEASE_MILLIS + 1;
+        mFixture.mNowMillis += 3 * SchedulerFixture.LONGEST_HELD_LEASE_MILLIS;
         mScheduler.expireLeases(mFixture.mNowMillis);
         assertThat(mFixture.starts()).hasSize(1);
     }
@@ -103,7 +104,11 @@
         later.mScheduler.restore(
                 job("j1", "account", longRunning(1, 1_000, 1)), JobProgress.NONE, later.mNowMillis);
         long takeoverMillis = later.mNowMillis;
-        later.mScheduler.restoreTarget(entry("t1", 1, 4_000), Long.MAX_VALUE, true, takeoverMillis);
+        later.mScheduler.restoreRestartedTarget(
+                entry("t1", 1, 4_000),
+                Set.of(0L),
+                SchedulerFixture.LONGEST_HELD_LEASE_MILLIS,
+                takeoverMillis);
         later.addTarget("t2", 4_000);
         later.mScheduler.shortenEarlierLeases(takeoverMillis + 1);
 
@@ -186,6 +191,83 @@
         assertThat(mFixture.addTarget("t1", 4_000).contact()).isGreaterThan(contact);
     }
 
+    @Example
+    void anEntryOfAnEvenEarlierIncarnationEndsNoRuns() {
+        TargetState second = mScheduler.onTargetRestarted(mEarlier, 2, mFixture.mNowMillis);
+        TargetState third = mScheduler.onTargetRestarted(second, 3, mFixture.mNowMillis);
+
+        assertThat(mScheduler.onTargetListed(entry("t1", 1, 2_500), mFixture.mNowMillis))
+                .isSameAs(third);
+    }
+
+    @Example
+    void aLateEntryDoesNotEndTheRunsOfARecordedIncarnation() {
+        TargetState second =
+                mScheduler.restoreRestartedTarget(
+                        entry("t2", 2, 3_000), Set.of(1L), 8_000, mFixture.mNowMillis);
+
+        assertThat(mScheduler.onTargetListed(entry("t2", 1, 3_000), mFixture.mNowMillis))
+                .isSameAs(second);
+    }
+
+    @Example
+    void theLeaseOfACallForATargetThatWasDroppedMeanwhileIsAwaited() {
+        mScheduler.setTargetRecordsComplete(true);
+        mEarlier.extendLease(mFixture.mNowMillis + 1);
+        mScheduler.onContactLost(mEarlier);
+        mScheduler.onTargetUnlisted("t1");
+        mFixture.mNowMillis += 10;
+        mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mScheduler.isKnown(mEarlier)).isFalse();
+
+        TargetState next = listNextIncarnation();
+        next.keepEarlierLease(mFixture.mNowMillis, 0);
+
+        assertThat(next.mayHoldMisdirectedLease(mFixture.mNowMillis)).isTrue();
+    }
+
+    @Example
+    void plannedWorkWaitsForTheLeaseThatARecordTellsOf() {
+        mScheduler.setTargetRecordsComplete(true);
+        TargetState target =
+                mScheduler.restoreRestartedTarget(
+                        entry("t2", 2, 3_000), Set.of(1L), 8_000, mFixture.mNowMillis);
+        mScheduler.shortenEarlierLeases(mFixture.mNowMillis + 10);
+
+        assertThat(mScheduler.knowsRuns(target, mFixture.mNowMillis + 20)).isFalse();
+    }
+
+    @Example
+    void aRunThatMayStartLateAtASilentTargetCountsUntilItsLeaseHasEnded() {
+        startOn(mEarlier);
+        mFixture.addTarget("t2", 4_000);
+        mFixture.mNowMillis += SchedulerFixture.LONGEST_LEASE_MILLIS;
+        listNextIncarnation();
+        long carriedOutMillis = mFixture.mNowMillis + 3_000;
+
+        mFixture.mNowMillis = carriedOutMillis + SchedulerFixture.LONGEST_HELD_LEASE_MILLIS;
+        mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mFixture.starts()).isEmpty();
+    }
+
+    @Example
+    void aStartThatTheNextIncarnationAcceptedBeforeItWasFoundCountsUntilItsLeaseHasEnded() {
+        Run run = startOn(mEarlier);
+        mEarlier.extendLease(mFixture.mNowMillis + 3_000);
+        mFixture.addTarget("t2", 4_000);
+        // The response shows the clock of the next incarnation, which is cut off from then on.
+        long acceptedMillis = mFixture.mNowMillis;
+        mScheduler.onEarlierClock(mEarlier, acceptedMillis);
+        assertThat(run.target().isReachable()).isFalse();
+
+        mFixture.mNowMillis = acceptedMillis + SchedulerFixture.LONGEST_HELD_LEASE_MILLIS;
+        mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mFixture.starts()).isEmpty();
+        mFixture.mNowMillis++;
+        mScheduler.expireLeases(mFixture.mNowMillis);
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
     private TargetState listNextIncarnation() {
         return mScheduler.onTargetListed(entry("t1", 2, 4_000), mFixture.mNowMillis);
     }
