Let the stand-in target take the lease of an outdated start

Cause: the platform's page says that ExpiresMs is also taken from a start that receives old; the stand-in left its lease as it was.

--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -270,6 +270,7 @@
             return response(200);
         }
         if (current != null || runNumber <= mHighestEndedRun.getOrDefault(task, 0L)) {
+            mLease.extend(body.path("ExpiresMs").asLong());
             return conflict("old");
         }
         if (body.path("ExpiresMs").asLong() <= clockMillis()) {
