Apply maintenance orders to the present target of a host

What callers saw: an availability budget exceeded, or one host more than the wave allows down at the same time, after a target had restarted under its id while an order for its host had no response.

Cause: MaintenanceRunner kept the TargetState of the time of the first order. After a restart of the target the repetition checked the runs of the former incarnation, of which there are none, while the order ends those of the next one. That one was neither cordoned nor interrupted, so tasks started there. onBegun stored the former incarnation, so the next one, which the maintenance had just ended, was taken for the host's return, and the next host was ordered.

Change: an order names its host only. The target is looked up when the order is sent, repeated and answered; a repetition also waits until the runs of the target are known, or, without a target, until the host list shows that none is left. Each tick marks the present targets of the hosts. A host without a list entry is distinguished from a list that has not been read, so that the repetition for a host that is gone is still sent and refused.

Ruled out: a fresh host list before each repetition; the entries of targets are watched and newer than the list.

A task that starts between the entry of the next incarnation and the next tick (100 ms) is not prevented; the repetition counts it.

--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -134,6 +134,7 @@
             readHosts(nowMillis);
         }
         mDownHosts.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
+        markTargets();
         boolean hostsLeft = !mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty();
         if (hostsLeft && !mWithdrawn) {
             cordonHosts(nowMillis);
@@ -188,6 +189,19 @@
         }
     }
 
+    /** Marks the present targets of the hosts, since a target can restart under its id. */
+    private void markTargets() {
+        mCordonedSinceMillis.keySet().forEach(host -> setCordoned(host, true));
+        mOrderedHosts.forEach(host -> setInterrupted(host, true));
+    }
+
+    private void setInterrupted(String host, boolean interrupted) {
+        TargetState target = targetOn(host);
+        if (target != null) {
+            target.setInterrupted(interrupted);
+        }
+    }
+
     private void setCordoned(String host, boolean cordoned) {
         TargetState target = targetOn(host);
         if (target != null) {
@@ -201,35 +215,38 @@
             if (mDownHosts.size() + mOrderedHosts.size() >= mWave.maxHostsDown()) {
                 return;
             }
-            if (mOrderedHosts.contains(host)) {
-                continue;
-            }
-            TargetState target = targetOn(host);
-            if (target == null
-                    ? mayHaveTarget(host)
-                    : !isReady(host, target, cordoned.getValue(), nowMillis)) {
-                continue;
+            if (!mOrderedHosts.contains(host)
+                    && hasDrained(host, cordoned.getValue(), nowMillis)
+                    && mayBegin(host, nowMillis)) {
+                mOrderedHosts.add(host);
+                setInterrupted(host, true);
+                send(host);
             }
-            order(host, target);
         }
     }
 
     /**
      * Returns whether the host may have a target whose entry is only missing for now: the host list
-     * shows one or does not include the host.
+     * shows one or has not been read.
      */
     private boolean mayHaveTarget(String host) {
         HostClient.HostStatus status = mListed.get(host);
-        return status == null || !status.targetId().isEmpty();
+        return mListed.isEmpty() || (status != null && !status.targetId().isEmpty());
+    }
+
+    private boolean hasDrained(String host, long cordonedSinceMillis, long nowMillis) {
+        TargetState target = targetOn(host);
+        return target == null
+                || nowMillis - cordonedSinceMillis >= DRAIN_WAIT_MILLIS
+                || mScheduler.interruptions().hasOnlyLongRunningTasks(target);
     }
 
-    private boolean isReady(
-            String host, TargetState target, long cordonedSinceMillis, long nowMillis) {
-        target.setCordoned(true);
-        boolean waited = nowMillis - cordonedSinceMillis >= DRAIN_WAIT_MILLIS;
-        return mScheduler.knowsRuns(target, nowMillis)
-                && (mScheduler.interruptions().hasOnlyLongRunningTasks(target) || waited)
-                && !isBlocked(host, target, nowMillis);
+    /** Returns whether maintenance may end now what runs on the host. */
+    private boolean mayBegin(String host, long nowMillis) {
+        TargetState target = targetOn(host);
+        return target == null
+                ? !mayHaveTarget(host)
+                : mScheduler.knowsRuns(target, nowMillis) && !isBlocked(host, target, nowMillis);
     }
 
     private boolean isBlocked(String host, TargetState target, long nowMillis) {
@@ -259,50 +276,40 @@
         return blockingStep.isPresent();
     }
 
-    private void order(String host, TargetState target) {
-        mOrderedHosts.add(host);
-        if (target != null) {
-            target.setInterrupted(true);
-        }
-        send(host, target);
-    }
-
     /**
      * Repeats an order that got no response, once no other daemon can be the owner and the budgets
-     * allow it again.
+     * of the present target's tasks allow it.
      */
-    private void retry(String host, TargetState target) {
+    private void retry(String host) {
         if (mClosed) {
             return;
         }
         if (!mOwnershipLease.isCertain(mClocks.now(), mClocks.epoch())) {
-            mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
+            retryLater(host);
             return;
         }
-        if (target != null) {
-            target.setInterrupted(false);
-            boolean blocked = isBlocked(host, target, mClocks.now());
-            target.setInterrupted(true);
-            if (blocked) {
-                mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
-                return;
-            }
+        setInterrupted(host, false);
+        boolean mayBegin = mayBegin(host, mClocks.now());
+        setInterrupted(host, true);
+        if (mayBegin) {
+            send(host);
+        } else {
+            retryLater(host);
         }
-        send(host, target);
     }
 
-    private void send(String host, TargetState target) {
+    private void retryLater(String host) {
+        mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host));
+    }
+
+    private void send(String host) {
         mHosts.orderMaintenance(host, mWave.number(), mHolder, mTerm)
                 .whenComplete(
                         (outcome, failure) ->
-                                mControl.execute(() -> onResponse(host, target, outcome, failure)));
+                                mControl.execute(() -> onResponse(host, outcome, failure)));
     }
 
-    private void onResponse(
-            String host,
-            TargetState target,
-            HostClient.HostOrderOutcome outcome,
-            Throwable failure) {
+    private void onResponse(String host, HostClient.HostOrderOutcome outcome, Throwable failure) {
         Logger.info(
                 "upkeep: event=answer wave={} host={} outcome={} cause={}",
                 mWave.number(),
@@ -312,15 +319,15 @@
         if (failure != null || outcome == HostClient.HostOrderOutcome.UNKNOWN) {
             // Maintenance may have begun: the host still counts as down, and the order is repeated,
             // which is safe.
-            mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
+            retryLater(host);
             return;
         }
         mOrderedHosts.remove(host);
-        if (target != null && outcome != HostClient.HostOrderOutcome.BEGUN) {
-            target.setInterrupted(false);
+        if (outcome != HostClient.HostOrderOutcome.BEGUN) {
+            setInterrupted(host, false);
         }
         switch (outcome) {
-            case BEGUN -> onBegun(host, target);
+            case BEGUN -> onBegun(host);
             case FENCED -> mOnFenced.run();
             case REJECTED -> drop(host);
             default ->
@@ -329,13 +336,13 @@
         }
     }
 
-    private void onBegun(String host, TargetState target) {
+    private void onBegun(String host) {
         mRemainingHosts.remove(host);
         mCordonedSinceMillis.remove(host);
         mBegunHosts.add(host);
         // An order that was carried out for an earlier owner gets the same response; the host may
         // then be in use again, which the host list shows.
-        mDownHosts.put(host, new Down(target, mClocks.now()));
+        mDownHosts.put(host, new Down(targetOn(host), mClocks.now()));
         mListedMillis = Long.MIN_VALUE / 2;
         mCommits.put(
                 StoreLayout.wave(mWave.number()),
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.daemon.ControlLoop;
@@ -15,6 +17,7 @@
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobSpec;
 import org.marigoldturn.jobs.QueueCatalog;
+import org.marigoldturn.jobs.QueueSettings;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
@@ -30,11 +33,16 @@
 class MaintenanceRunnerTest implements HostClient {
     private static final long LONGEST_LEASE_MILLIS = 5_000;
     private static final long TAKEOVER_MILLIS = 100_000;
+    private static final QueueSettings QUEUE =
+            new QueueSettings(
+                    "queue", "host", "/q/", "service", 0, 2, 1.6, 600, false, Optional.empty());
 
     private volatile boolean mListPending;
     private volatile long mNowMillis = TAKEOVER_MILLIS;
     private final ControlLoop mControl = new ControlLoop();
     private final Clocks mClocks = new Clocks(() -> mNowMillis, () -> 0);
+    private volatile HostOrderOutcome mOutcome = HostOrderOutcome.BEGUN;
+    private final OwnershipLease mOwnershipLease = new OwnershipLease();
     private final List<String> mOrders = new ArrayList<>();
     private final List<HostStatus> mHosts = new ArrayList<>();
     private final JobScheduler mScheduler =
@@ -107,10 +115,89 @@
         assertThat(mOrders).hasSize(1);
     }
 
+    /** Guards against a repeated order that ends tasks which its first attempt was not for. */
+    @Example
+    void repeatedOrderWaitsForTheBudgetsOfTheNextIncarnationsTasks() {
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
+        mScheduler.restore(longRunningJob(), JobProgress.NONE, mNowMillis);
+        readTarget();
+        MaintenanceRunner runner = runner();
+        orderWithoutResponse(runner);
+
+        TargetState next = read(entry("t1", 2, "h1"), List.of(run(0)));
+        assertThat(mScheduler.interruptions().mayInterrupt(next)).isFalse();
+        repeatOrders(runner);
+        assertThat(mOrders).containsExactly("h1");
+    }
+
+    /** Guards against a repeated order that ends tasks which this owner does not know of. */
+    @Example
+    void repeatedOrderWaitsUntilTheNextIncarnationHasReported() {
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
+        readTarget();
+        MaintenanceRunner runner = runner();
+        orderWithoutResponse(runner);
+
+        mScheduler.onTargetListed(entry("t1", 2, "h1"), mNowMillis);
+        repeatOrders(runner);
+        assertThat(mOrders).containsExactly("h1");
+    }
+
+    /** Guards against tasks that start on a target whose maintenance may begin at any time. */
+    @Example
+    void noTaskStartsOnTheNextIncarnationWhileAnOrderIsOpen() {
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
+        readTarget();
+        MaintenanceRunner runner = runner();
+        orderWithoutResponse(runner);
+
+        TargetState next = read(entry("t1", 2, "h1"), List.of());
+        next.setRecorded(true);
+        tick(runner, mNowMillis += 100);
+        mScheduler.setOwnership(true, Long.MAX_VALUE);
+        mScheduler.setCatalog(
+                new QueueCatalog(1, List.of(QUEUE), Set.of("service"), Set.of(), List.of()));
+        mScheduler.restore(longRunningJob(), JobProgress.NONE, mNowMillis);
+        assertThat(mScheduler.decide(mNowMillis, mNowMillis)).isEmpty();
+    }
+
+    /** Guards against a second host that goes down while the first one is. */
+    @Example
+    void theNextIncarnationThatMaintenanceHasEndedIsNotTakenForTheHostsReturn() {
+        mHosts.add(new HostStatus("h1", "service", HostState.UP, "z", "t1"));
+        mHosts.add(new HostStatus("h2", "service", HostState.UP, "z", "t2"));
+        readTarget();
+        read(entry("t2", 1, "h2"), List.of());
+        MaintenanceRunner runner = runner(Set.of("h1", "h2"), 1);
+        orderWithoutResponse(runner);
+        String ordered = mOrders.get(0);
+        read(entry("t" + ordered.substring(1), 2, ordered), List.of());
+        mOutcome = HostOrderOutcome.BEGUN;
+        mListPending = true;
+        repeatOrders(runner);
+        assertThat(mOrders).containsOnly(ordered);
+    }
+
+    /** Lets the first order get no response. */
+    private void orderWithoutResponse(MaintenanceRunner runner) {
+        mOwnershipLease.confirm(Long.MAX_VALUE / 4, Long.MAX_VALUE / 4);
+        mOutcome = HostOrderOutcome.UNKNOWN;
+        tick(runner, mNowMillis += 100);
+        assertThat(mOrders).hasSize(1);
+    }
+
+    /** Runs ticks for longer than the interval at which orders are repeated. */
+    private void repeatOrders(MaintenanceRunner runner) {
+        for (int i = 0; i < 15; i++) {
+            tick(runner, mNowMillis += 100);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        }
+    }
+
     private void acceptLongRunningJobOnTwoTargets() {
         mScheduler.restore(longRunningJob(), JobProgress.NONE, mNowMillis);
-        TargetState first = read(entry("t1", "h1"), List.of(run(0)));
-        TargetState second = read(entry("t2", "h2"), List.of(run(1)));
+        TargetState first = read(entry("t1", 1, "h1"), List.of(run(0)));
+        TargetState second = read(entry("t2", 1, "h2"), List.of(run(1)));
         assertThat(mScheduler.interruptions().mayInterrupt(first)).isTrue();
         assertThat(mScheduler.interruptions().mayInterrupt(second)).isTrue();
     }
@@ -123,7 +210,11 @@
         TargetState target = mScheduler.onTargetListed(entry, 0);
         target.setReachable(true);
         mScheduler.onReport(
-                target, new TargetReport(1, runs, List.of(), true), mNowMillis, mNowMillis, 0);
+                target,
+                new TargetReport(entry.startedEpochMillis(), runs, List.of(), true),
+                mNowMillis,
+                mNowMillis,
+                0);
         return target;
     }
 
@@ -170,7 +261,7 @@
                         new JobLimits(6_000, 1_000),
                         new MetricRegistry(),
                         new TakeoverTimes(0, 0, OwnershipLease.GRACE_MILLIS, 0, 0, 1),
-                        new OwnershipLease(),
+                        mOwnershipLease,
                         0,
                         () -> {},
                         () -> {});
@@ -194,13 +285,13 @@
     }
 
     private static TargetEntry entry() {
-        return entry("t1", "h1");
+        return entry("t1", 1, "h1");
     }
 
-    private static TargetEntry entry(String id, String hostId) {
+    private static TargetEntry entry(String id, long born, String hostId) {
         return new TargetEntry(
                 id,
-                1,
+                born,
                 hostId,
                 "service",
                 "a:1",
@@ -238,7 +329,7 @@
     public CompletableFuture<HostOrderOutcome> orderMaintenance(
             String hostId, long wave, String holder, long term) {
         mOrders.add(hostId);
-        return CompletableFuture.completedFuture(HostOrderOutcome.BEGUN);
+        return CompletableFuture.completedFuture(mOutcome);
     }
 
     @Override
