Apply moves of hosts to the present target of a host

What callers saw: a long-running task that started on a target and was ended at once by the move of its host, which had been ordered for an idle, earlier incarnation of the target.

Cause: SpareHosts.orderMove kept the TargetState of the time of the order. A target that restarted under its id while the move had no response was neither cordoned nor interrupted, and its runs did not end when the move had begun.

Change: the target is looked up when the response arrives, and each tick marks the present target of a host while its move may still begin. A target in the new pool is the host's arrival and stays.

Ruled out: nothing else in SpareHosts keeps a target beyond a tick; the time since which a host is idle is kept by host and at most moves an idle host earlier.

Result: two examples of SpareHostsTest failed before (noTaskStartsOnTheNextIncarnationWhileTheMoveOfItsHostMayBegin, theNextIncarnationHasEndedOnceTheMoveHasBegun) and pass; the third (theNextIncarnationIsInUseAgainIfTheMoveIsRejected) passed before too and guards the new marking. HostWorkWaitTest passes.

--- a/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
+++ b/core/src/main/java/org/marigoldturn/coordination/SpareHosts.java
@@ -101,6 +101,10 @@
         }
         boolean arrived = target != null && target.entry().service().equals(transfer.toPool());
         boolean overdue = nowMillis - transfer.orderedMillis() >= ARRIVAL_TIMEOUT_MILLIS;
+        if (!arrived) {
+            // The target can restart under its id while the move may still begin.
+            setInUse(target, false);
+        }
         if (arrived) {
             mTransfers.remove(host);
         } else if (overdue && (target == null || !isListedSince(target, transfer))) {
@@ -183,8 +187,7 @@
     }
 
     private void orderMove(LoanPolicy.Move move, long nowMillis) {
-        TargetState target = targetOn(move.hostId());
-        setInUse(target, false);
+        setInUse(targetOn(move.hostId()), false);
         mTransfers.put(move.hostId(), new Transfer(move.toPool(), nowMillis));
         mIdleSinceMillis.remove(move.hostId());
         mContext.hosts()
@@ -192,17 +195,11 @@
                 .whenComplete(
                         (outcome, failure) ->
                                 mContext.control()
-                                        .execute(
-                                                () ->
-                                                        onMoveResponse(
-                                                                move, target, outcome, failure)));
+                                        .execute(() -> onMoveResponse(move, outcome, failure)));
     }
 
     private void onMoveResponse(
-            LoanPolicy.Move move,
-            TargetState target,
-            HostClient.HostOrderOutcome outcome,
-            Throwable failure) {
+            LoanPolicy.Move move, HostClient.HostOrderOutcome outcome, Throwable failure) {
         Logger.info(
                 "loan: event=move host={} to={} reason=\"{}\" outcome={} cause={}",
                 move.hostId(),
@@ -210,8 +207,9 @@
                 move.reason(),
                 outcome,
                 failure == null ? "-" : failure.getMessage());
+        TargetState target = targetOn(move.hostId());
         if (outcome == HostClient.HostOrderOutcome.BEGUN) {
-            if (target != null) {
+            if (target != null && !target.entry().service().equals(move.toPool())) {
                 mScheduler.onTargetEnded(target, mContext.clocks().now());
             }
             HostClient.HostStatus listed = mListed.get(move.hostId());
