Record maintenance orders before they are sent

What callers saw: more hosts down for a wave than it allows at the same time. An order without a response was known to the owner that had sent it only. The next owner counted the hosts whose maintenance the store recorded as begun, and that was written after the response, so it ordered further hosts while the platform could still carry out the former owner's order. A fencing token does not prevent that, since it applies to each host separately and the next owner had not ordered that one.

Change: MaintenanceOrders, taken out of MaintenanceRunner, sends an order only once the store has recorded it under the owner's term and while no other daemon can be the owner. The record of the wave lists the open orders beside the hosts whose maintenance has begun, so that both change in one write. The next owner counts them as down and repeats them under its own term until their outcome is certain. A repetition that is refused since the host is busy stays open until the host list, read after it, shows that the host is down, or a repetition is accepted or rejected. Repetitions run from the owner's tick, which ends with the role. An order that may not begin any more once it is recorded, or whose wave is withdrawn or owner leaves by then, is not sent. A host that the list shows as down and that has no target is not ordered, since each attempt writes to the store.

Ruled out: waiting at each takeover until no earlier order can begin, since there is no bound for that; a key for each order, since the hosts that have begun and the open orders could then change in different transactions. Versions without open orders pass over their lines in the record, and drop them when they write it.

An order waits for one write; an order that is open at a takeover keeps its place until it is settled.

--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -48,10 +48,11 @@
     }
 
     /**
-     * Orders no more work; completes once the orders for maintenance have ended, or the role has.
+     * Begins no more work; completes once the orders for maintenance have ended, or the role has.
      */
     CompletableFuture<Void> finish() {
         mFinishing = true;
+        mWaves.values().forEach(wave -> wave.setWithdrawn(true));
         CompletableFuture<Void> ended = new CompletableFuture<>();
         awaitOrders(ended);
         return ended;
@@ -78,6 +79,7 @@
 
     void tick(long nowMillis) {
         if (mFinishing) {
+            mWaves.values().forEach(wave -> wave.tick(nowMillis));
             return;
         }
         tickWaves(nowMillis);
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.TargetState;
@@ -20,15 +21,15 @@
  * long-running tasks are left there, or after a wait, and if the budgets of these tasks allow it.
  * Invariants: at most {@code maxHostsDown} hosts are down for the wave, also while the response to
  * an order is missing, and the wave is completed only when maintenance has begun on each host that
- * still exists and that the order applies to. The hosts on which it has begun are recorded in the
- * store. Confined to the control thread.
+ * still exists and that the order applies to. The hosts on which it has begun or may begin are
+ * recorded in the store. Confined to the control thread.
+ *
+ * @see MaintenanceOrders
  */
-final class MaintenanceRunner {
+final class MaintenanceRunner implements MaintenanceOrders.Listener {
     /** Short tasks mostly end within this time; maintenance ends those that are left. */
     private static final long DRAIN_WAIT_MILLIS = 3_000;
 
-    private static final long RETRY_MILLIS = 1_000;
-
     /** Interval of log lines about hosts whose maintenance a budget delays. */
     private static final long BLOCK_LOG_INTERVAL_MILLIS = 2_000;
 
@@ -45,22 +46,17 @@
     private final PlatformFormats mFormats;
     private final ControlLoop mControl;
     private final Clocks mClocks;
-    private final OwnershipLease mOwnershipLease;
-    private final String mHolder;
-    private final long mTerm;
-    private final Runnable mOnFenced;
+    private final MaintenanceOrders mOrders;
     private final Set<String> mRemainingHosts;
     private final Set<String> mBegunHosts = new TreeSet<>();
     private final Map<String, Down> mDownHosts = new HashMap<>();
     private final Map<String, Long> mCordonedSinceMillis = new HashMap<>();
-    private final Set<String> mOrderedHosts = new HashSet<>();
     private final Map<String, HostClient.HostStatus> mListed = new HashMap<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
     private long mBlockLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mReportedRunning;
     private boolean mCompleted;
     private boolean mWithdrawn;
-    private boolean mClosed;
 
     /**
      * A host on which maintenance has begun.
@@ -84,16 +80,13 @@
         mFormats = context.formats();
         mControl = context.control();
         mClocks = context.clocks();
-        mOwnershipLease = context.ownershipLease();
-        mHolder = context.self().host();
-        mTerm = context.term();
-        mOnFenced = context.onFenced();
+        mOrders = new MaintenanceOrders(wave.number(), context, this);
         mRemainingHosts = new TreeSet<>(wave.hostIds());
-        record.ifPresent(this::restore);
+        record.map(MaintenanceRecord::decode).ifPresent(this::restore);
     }
 
-    private void restore(ByteString record) {
-        for (String host : record.toStringUtf8().split("\n", -1)) {
+    private void restore(MaintenanceRecord record) {
+        for (String host : record.begunHosts()) {
             if (mRemainingHosts.remove(host)) {
                 mBegunHosts.add(host);
                 // The host may still be down; it counts as down until its target
@@ -101,20 +94,26 @@
                 mDownHosts.put(host, new Down(null, 0));
             }
         }
+        for (String host : record.orderedHosts()) {
+            if (mRemainingHosts.contains(host)) {
+                mOrders.restore(host);
+                mCordonedSinceMillis.put(host, mClocks.now());
+            }
+        }
     }
 
     boolean isCompleted() {
         return mCompleted;
     }
 
-    /** Repeats no order any more. */
+    /** Sends no order any more. */
     void close() {
-        mClosed = true;
+        mOrders.close();
     }
 
     /** Returns whether an order has got no response, so that the maintenance may still begin. */
     boolean hasOpenOrders() {
-        return !mOrderedHosts.isEmpty();
+        return !mOrders.hosts().isEmpty();
     }
 
     /** Returns the hosts that are being prepared for maintenance or are down for it. */
@@ -135,7 +134,8 @@
         }
         mDownHosts.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
         markTargets();
-        boolean hostsLeft = !mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty();
+        mOrders.repeat(nowMillis);
+        boolean hostsLeft = !mRemainingHosts.isEmpty();
         if (hostsLeft && !mWithdrawn) {
             cordonHosts(nowMillis);
             orderMaintenance(nowMillis);
@@ -148,14 +148,15 @@
     }
 
     /**
-     * Sets whether the operator has removed the wave. No further maintenance is ordered then; what
-     * has been ordered is followed to its end.
+     * Sets whether the operator has removed the wave, or the owner leaves. No further maintenance
+     * is ordered then; what has been ordered is followed to its end.
      */
     void setWithdrawn(boolean withdrawn) {
         mWithdrawn = withdrawn;
         if (withdrawn) {
+            mOrders.withdrawUnsent();
             for (String host : Set.copyOf(mCordonedSinceMillis.keySet())) {
-                if (!mOrderedHosts.contains(host)) {
+                if (!mOrders.isOpen(host)) {
                     mCordonedSinceMillis.remove(host);
                     setCordoned(host, false);
                 }
@@ -192,7 +193,7 @@
     /** Marks the present targets of the hosts, since a target can restart under its id. */
     private void markTargets() {
         mCordonedSinceMillis.keySet().forEach(host -> setCordoned(host, true));
-        mOrderedHosts.forEach(host -> setInterrupted(host, true));
+        mOrders.hosts().forEach(host -> setInterrupted(host, true));
     }
 
     private void setInterrupted(String host, boolean interrupted) {
@@ -212,15 +213,15 @@
     private void orderMaintenance(long nowMillis) {
         for (Map.Entry<String, Long> cordoned : Map.copyOf(mCordonedSinceMillis).entrySet()) {
             String host = cordoned.getKey();
-            if (mDownHosts.size() + mOrderedHosts.size() >= mWave.maxHostsDown()) {
+            if (mDownHosts.size() + mOrders.hosts().size() >= mWave.maxHostsDown()) {
                 return;
             }
-            if (!mOrderedHosts.contains(host)
+            if (!mOrders.isOpen(host)
+                    && !isDown(host)
                     && hasDrained(host, cordoned.getValue(), nowMillis)
-                    && mayBegin(host, nowMillis)) {
-                mOrderedHosts.add(host);
+                    && isAllowed(host, nowMillis)) {
                 setInterrupted(host, true);
-                send(host);
+                mOrders.open(host, nowMillis);
             }
         }
     }
@@ -234,6 +235,12 @@
         return mListed.isEmpty() || (status != null && !status.targetId().isEmpty());
     }
 
+    /** Returns whether the host service would refuse an order since the host is down. */
+    private boolean isDown(String host) {
+        HostClient.HostStatus status = mListed.get(host);
+        return targetOn(host) == null && status != null && status.down();
+    }
+
     private boolean hasDrained(String host, long cordonedSinceMillis, long nowMillis) {
         TargetState target = targetOn(host);
         return target == null
@@ -242,7 +249,7 @@
     }
 
     /** Returns whether maintenance may end now what runs on the host. */
-    private boolean mayBegin(String host, long nowMillis) {
+    private boolean isAllowed(String host, long nowMillis) {
         TargetState target = targetOn(host);
         return target == null
                 ? !mayHaveTarget(host)
@@ -276,64 +283,41 @@
         return blockingStep.isPresent();
     }
 
-    /**
-     * Repeats an order that got no response, once no other daemon can be the owner and the budgets
-     * of the present target's tasks allow it.
-     */
-    private void retry(String host) {
-        if (mClosed) {
-            return;
-        }
-        if (!mOwnershipLease.isCertain(mClocks.now(), mClocks.epoch())) {
-            retryLater(host);
-            return;
-        }
-        setInterrupted(host, false);
-        boolean mayBegin = mayBegin(host, mClocks.now());
-        setInterrupted(host, true);
-        if (mayBegin) {
-            send(host);
-        } else {
-            retryLater(host);
-        }
-    }
-
-    private void retryLater(String host) {
-        mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host));
+    @Override
+    public CompletableFuture<Void> recordOrders() {
+        return mCommits.put(
+                StoreLayout.wave(mWave.number()),
+                new MaintenanceRecord(mBegunHosts, mOrders.hosts()).encode());
     }
 
-    private void send(String host) {
-        mHosts.orderMaintenance(host, mWave.number(), mHolder, mTerm)
-                .whenComplete(
-                        (outcome, failure) ->
-                                mControl.execute(() -> onResponse(host, outcome, failure)));
+    /** Leaves out of account that the runs on the host count as unavailable for its order. */
+    @Override
+    public boolean mayBegin(String host, long nowMillis) {
+        setInterrupted(host, false);
+        boolean allowed = isAllowed(host, nowMillis);
+        setInterrupted(host, true);
+        return allowed;
     }
 
-    private void onResponse(String host, HostClient.HostOrderOutcome outcome, Throwable failure) {
-        Logger.info(
-                "upkeep: event=answer wave={} host={} outcome={} cause={}",
-                mWave.number(),
-                host,
-                outcome,
-                failure == null ? "-" : failure.getMessage());
-        if (failure != null || outcome == HostClient.HostOrderOutcome.UNKNOWN) {
-            // Maintenance may have begun: the host still counts as down, and the order is repeated,
-            // which is safe.
-            retryLater(host);
-            return;
-        }
-        mOrderedHosts.remove(host);
-        if (outcome != HostClient.HostOrderOutcome.BEGUN) {
+    @Override
+    public void onOutcome(String host, HostClient.HostOrderOutcome outcome) {
+        if (outcome == HostClient.HostOrderOutcome.BEGUN) {
+            onBegun(host);
+        } else {
             setInterrupted(host, false);
+            if (outcome == HostClient.HostOrderOutcome.REJECTED) {
+                drop(host);
+            } else {
+                // The host is moving, down or leaving, and is tried again later.
+                requestList();
+            }
         }
-        switch (outcome) {
-            case BEGUN -> onBegun(host);
-            case FENCED -> mOnFenced.run();
-            case REJECTED -> drop(host);
-            default ->
-                    // Busy: the host is moving, down or leaving, and is tried again later.
-                    mListedMillis = Long.MIN_VALUE / 2;
-        }
+        recordOrders();
+    }
+
+    @Override
+    public void requestList() {
+        mListedMillis = Long.MIN_VALUE / 2;
     }
 
     private void onBegun(String host) {
@@ -343,10 +327,7 @@
         // An order that was carried out for an earlier owner gets the same response; the host may
         // then be in use again, which the host list shows.
         mDownHosts.put(host, new Down(targetOn(host), mClocks.now()));
-        mListedMillis = Long.MIN_VALUE / 2;
-        mCommits.put(
-                StoreLayout.wave(mWave.number()),
-                ByteString.copyFromUtf8(String.join("\n", mBegunHosts)));
+        requestList();
     }
 
     private void drop(String host) {
@@ -381,11 +362,12 @@
         mListed.clear();
         hosts.forEach(host -> mListed.put(host.hostId(), host));
         for (String host : Set.copyOf(mRemainingHosts)) {
-            if (!mListed.containsKey(host) && !mOrderedHosts.contains(host)) {
+            if (!mListed.containsKey(host) && !mOrders.isOpen(host)) {
                 Logger.info("upkeep: event=host-gone wave={} host={}", mWave.number(), host);
                 drop(host);
             }
         }
+        hosts.forEach(host -> mOrders.onListed(host.hostId(), host, askedMillis));
         for (Map.Entry<String, Down> down : Map.copyOf(mDownHosts).entrySet()) {
             if (askedMillis > down.getValue().begunMillis()) {
                 onListed(down.getKey(), down.getValue(), mListed.get(down.getKey()));
--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceRunnerTest.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.marigoldturn.daemon.ControlLoop;
@@ -43,6 +42,8 @@
     private final Clocks mClocks = new Clocks(() -> mNowMillis, () -> 0);
     private volatile HostOrderOutcome mOutcome = HostOrderOutcome.BEGUN;
     private final OwnershipLease mOwnershipLease = new OwnershipLease();
+    private final MemoryStore mStore = new MemoryStore();
+    private GroupCommit mCommits;
     private final List<String> mOrders = new ArrayList<>();
     private final List<HostStatus> mHosts = new ArrayList<>();
     private final JobScheduler mScheduler =
@@ -180,7 +181,6 @@
 
     /** Lets the first order get no response. */
     private void orderWithoutResponse(MaintenanceRunner runner) {
-        mOwnershipLease.confirm(Long.MAX_VALUE / 4, Long.MAX_VALUE / 4);
         mOutcome = HostOrderOutcome.UNKNOWN;
         tick(runner, mNowMillis += 100);
         assertThat(mOrders).hasSize(1);
@@ -190,7 +190,6 @@
     private void repeatOrders(MaintenanceRunner runner) {
         for (int i = 0; i < 15; i++) {
             tick(runner, mNowMillis += 100);
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
         }
     }
 
@@ -245,7 +244,8 @@
     }
 
     private MaintenanceRunner runner(Set<String> hostIds, int maxHostsDown) {
-        GroupCommit commits = new GroupCommit(new MemoryStore(), mControl, mClocks, 1, () -> {});
+        mCommits = new GroupCommit(mStore, mControl, mClocks, mStore.writeTerm(), () -> {});
+        mOwnershipLease.confirm(Long.MAX_VALUE / 4, Long.MAX_VALUE / 4);
         OwnerContext context =
                 new OwnerContext(
                         new DaemonIdentity("front-1", "front-1/a", "z", "127.0.0.1", 1, 1.0),
@@ -269,19 +269,25 @@
                 new PlatformFormats.OperatorItem.Wave(1, hostIds, 20_000, maxHostsDown),
                 context,
                 mScheduler,
-                commits,
+                mCommits,
                 Optional.empty());
     }
 
-    /** Runs one tick on the control thread and waits for the tasks that it queued there. */
+    /**
+     * Runs one tick on the control thread and waits for the writes and tasks that follow from it.
+     */
     private void tick(MaintenanceRunner runner, long nowMillis) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        mControl.execute(
-                () -> {
-                    runner.tick(nowMillis);
-                    mControl.execute(() -> mControl.execute(() -> done.complete(null)));
-                });
-        done.join();
+        onControl(() -> runner.tick(nowMillis));
+        CompletableFuture.supplyAsync(mCommits::flush, mControl)
+                .thenCompose(stored -> stored)
+                .orTimeout(20, TimeUnit.SECONDS)
+                .join();
+        onControl(() -> {});
+        onControl(() -> {});
+    }
+
+    private void onControl(Runnable action) {
+        CompletableFuture.runAsync(action, mControl).orTimeout(20, TimeUnit.SECONDS).join();
     }
 
     private static TargetEntry entry() {
