Start no task where an earlier owner's order may begin

What callers saw: a long-running task could be ended soon after its start by a maintenance order of the former owner, and two open orders could each wait for the other at the next owner for good.

Cause: an owner looks at maintenance only once earlier owners order no work on hosts any more, up to 7 s after it has begun to serve. Until then the targets of hosts with a recorded open order were not marked. Tasks of one step that started on two of them made each repetition wait for the other host, whose task counts as unavailable.

Change: HostWork.markTargets reads the recorded orders and marks the targets of their hosts in each tick in which no work on hosts is ordered. MaintenanceRunner loses a method that was not used.

Ruled out: leaving the runs on hosts with an open order out of account when another order is repeated; both could then begin together.

The two orders that wait for each other were found by reading and have no test of their own.

--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -82,11 +82,20 @@
             mWaves.values().forEach(wave -> wave.tick(nowMillis));
             return;
         }
-        tickWaves(nowMillis);
+        updateWaves();
+        mWaves.values().forEach(wave -> wave.tick(nowMillis));
         tickSpareHosts(nowMillis);
     }
 
-    private void tickWaves(long now) {
+    /** Orders nothing; keeps tasks from starting on hosts whose maintenance may still begin. */
+    void markTargets() {
+        if (!mFinishing) {
+            updateWaves();
+        }
+        mWaves.values().forEach(MaintenanceRunner::markTargets);
+    }
+
+    private void updateWaves() {
         Set<Long> listed = new HashSet<>();
         for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
             listed.add(wave.number());
@@ -101,11 +110,7 @@
                                     Optional.ofNullable(
                                             mHostRecords.get(StoreLayout.wave(number)))));
         }
-        mWaves.forEach(
-                (number, runner) -> {
-                    runner.setWithdrawn(!listed.contains(number));
-                    runner.tick(now);
-                });
+        mWaves.forEach((number, runner) -> runner.setWithdrawn(!listed.contains(number)));
     }
 
     private void tickSpareHosts(long now) {
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -102,10 +102,6 @@
         }
     }
 
-    boolean isCompleted() {
-        return mCompleted;
-    }
-
     /** Sends no order any more. */
     void close() {
         mOrders.close();
@@ -191,23 +187,17 @@
     }
 
     /** Marks the present targets of the hosts, since a target can restart under its id. */
-    private void markTargets() {
+    void markTargets() {
         mCordonedSinceMillis.keySet().forEach(host -> setCordoned(host, true));
         mOrders.hosts().forEach(host -> setInterrupted(host, true));
     }
 
     private void setInterrupted(String host, boolean interrupted) {
-        TargetState target = targetOn(host);
-        if (target != null) {
-            target.setInterrupted(interrupted);
-        }
+        mScheduler.targetOn(host).ifPresent(target -> target.setInterrupted(interrupted));
     }
 
     private void setCordoned(String host, boolean cordoned) {
-        TargetState target = targetOn(host);
-        if (target != null) {
-            target.setCordoned(cordoned);
-        }
+        mScheduler.targetOn(host).ifPresent(target -> target.setCordoned(cordoned));
     }
 
     private void orderMaintenance(long nowMillis) {
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -319,6 +319,8 @@
         // Until then an earlier owner may order work on the same hosts.
         if (updateOwnership() && now >= mHostWorkFromMillis) {
             mHostWork.tick(now);
+        } else {
+            mHostWork.markTargets();
         }
         mScheduler.expireLeases(now);
         mRunLog.reportLeftOut(now);
--- a/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/HostWorkWaitTest.java
@@ -121,6 +121,22 @@
         assertStartsInTime("waiting");
     }
 
+    /** Guards against a task that starts where the order of an earlier owner may end it. */
+    @Example
+    void noTaskStartsOnAHostWhoseMaintenanceAnEarlierOwnerHasOrdered() {
+        MaintenanceRecord record = new MaintenanceRecord(Set.of(), Set.of("host-t1"));
+        mHostWork.load(List.of(new StoredValue(StoreLayout.wave(1), record.encode(), 1, 1)));
+        addTarget("t1", 32_000);
+        accept("waiting", step(1, 3_000, true));
+        set(WAVE_KEY, new PlatformFormats.OperatorItem.Wave(1, Set.of("host-t1"), 20_000, 1));
+        onControl(
+                () -> {
+                    mHostWork.markTargets();
+                    return null;
+                });
+        assertThat(start()).isEmpty();
+    }
+
     /** Adds a target that lacks the label and the capacity for the tasks of the other jobs. */
     private void addTargetWithLongRunningTask() {
         TargetState target = addTarget("full", 8_000, Set.of());
