--- a/core/src/main/java/org/marigoldturn/coordination/HostWork.java
+++ b/core/src/main/java/org/marigoldturn/coordination/HostWork.java
@@ -48,10 +48,11 @@
     }
 
     /**
-     * Orders no more work; completes once the orders for maintenance have ended, or the role has.
+     * Begins no more work; completes once the orders for maintenance have ended, or the role has.
      */
     CompletableFuture<Void> finish() {
         mFinishing = true;
+        mWaves.values().forEach(wave -> wave.setWithdrawn(true));
         CompletableFuture<Void> ended = new CompletableFuture<>();
         awaitOrders(ended);
         return ended;
@@ -78,13 +79,23 @@
 
     void tick(long nowMillis) {
         if (mFinishing) {
+            mWaves.values().forEach(wave -> wave.tick(nowMillis));
             return;
         }
-        tickWaves(nowMillis);
+        updateWaves();
+        mWaves.values().forEach(wave -> wave.tick(nowMillis));
         tickSpareHosts(nowMillis);
     }
 
-    private void tickWaves(long now) {
+    /** Orders nothing; keeps tasks from starting on hosts whose maintenance may still begin. */
+    void markTargets() {
+        if (!mFinishing) {
+            updateWaves();
+        }
+        mWaves.values().forEach(MaintenanceRunner::markTargets);
+    }
+
+    private void updateWaves() {
         Set<Long> listed = new HashSet<>();
         for (PlatformFormats.OperatorItem.Wave wave : mOperator.waves()) {
             listed.add(wave.number());
@@ -99,11 +110,7 @@
                                     Optional.ofNullable(
                                             mHostRecords.get(StoreLayout.wave(number)))));
         }
-        mWaves.forEach(
-                (number, runner) -> {
-                    runner.setWithdrawn(!listed.contains(number));
-                    runner.tick(now);
-                });
+        mWaves.forEach((number, runner) -> runner.setWithdrawn(!listed.contains(number)));
     }
 
     private void tickSpareHosts(long now) {
--- a/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
+++ b/core/src/main/java/org/marigoldturn/coordination/MaintenanceRunner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import org.marigoldturn.daemon.ControlLoop;
 import org.marigoldturn.scheduling.JobScheduler;
 import org.marigoldturn.scheduling.TargetState;
@@ -20,15 +21,15 @@
  * long-running tasks are left there, or after a wait, and if the budgets of these tasks allow it.
  * Invariants: at most {@code maxHostsDown} hosts are down for the wave, also while the response to
  * an order is missing, and the wave is completed only when maintenance has begun on each host that
- * still exists and that the order applies to. The hosts on which it has begun are recorded in the
- * store. Confined to the control thread.
+ * still exists and that the order applies to. The hosts on which it has begun or may begin are
+ * recorded in the store. Confined to the control thread.
+ *
+ * @see MaintenanceOrders
  */
-final class MaintenanceRunner {
+final class MaintenanceRunner implements MaintenanceOrders.Listener {
     /** Short tasks mostly end within this time; maintenance ends those that are left. */
     private static final long DRAIN_WAIT_MILLIS = 3_000;
 
-    private static final long RETRY_MILLIS = 1_000;
-
     /** Interval of log lines about hosts whose maintenance a budget delays. */
     private static final long BLOCK_LOG_INTERVAL_MILLIS = 2_000;
 
@@ -45,22 +46,17 @@
     private final PlatformFormats mFormats;
     private final ControlLoop mControl;
     private final Clocks mClocks;
-    private final OwnershipLease mOwnershipLease;
-    private final String mHolder;
-    private final long mTerm;
-    private final Runnable mOnFenced;
+    private final MaintenanceOrders mOrders;
     private final Set<String> mRemainingHosts;
     private final Set<String> mBegunHosts = new TreeSet<>();
     private final Map<String, Down> mDownHosts = new HashMap<>();
     private final Map<String, Long> mCordonedSinceMillis = new HashMap<>();
-    private final Set<String> mOrderedHosts = new HashSet<>();
     private final Map<String, HostClient.HostStatus> mListed = new HashMap<>();
     private long mListedMillis = Long.MIN_VALUE / 2;
     private long mBlockLoggedMillis = Long.MIN_VALUE / 2;
     private boolean mReportedRunning;
     private boolean mCompleted;
     private boolean mWithdrawn;
-    private boolean mClosed;
 
     /**
      * A host on which maintenance has begun.
@@ -84,16 +80,13 @@
         mFormats = context.formats();
         mControl = context.control();
         mClocks = context.clocks();
-        mOwnershipLease = context.ownershipLease();
-        mHolder = context.self().host();
-        mTerm = context.term();
-        mOnFenced = context.onFenced();
+        mOrders = new MaintenanceOrders(wave.number(), context, this);
         mRemainingHosts = new TreeSet<>(wave.hostIds());
-        record.ifPresent(this::restore);
+        record.map(MaintenanceRecord::decode).ifPresent(this::restore);
     }
 
-    private void restore(ByteString record) {
-        for (String host : record.toStringUtf8().split("\n", -1)) {
+    private void restore(MaintenanceRecord record) {
+        for (String host : record.begunHosts()) {
             if (mRemainingHosts.remove(host)) {
                 mBegunHosts.add(host);
                 // The host may still be down; it counts as down until its target
@@ -101,20 +94,22 @@
                 mDownHosts.put(host, new Down(null, 0));
             }
         }
+        for (String host : record.orderedHosts()) {
+            if (mRemainingHosts.contains(host)) {
+                mOrders.restore(host);
+                mCordonedSinceMillis.put(host, mClocks.now());
+            }
+        }
     }
 
-    boolean isCompleted() {
-        return mCompleted;
-    }
-
-    /** Repeats no order any more. */
+    /** Sends no order any more. */
     void close() {
-        mClosed = true;
+        mOrders.close();
     }
 
     /** Returns whether an order has got no response, so that the maintenance may still begin. */
     boolean hasOpenOrders() {
-        return !mOrderedHosts.isEmpty();
+        return !mOrders.hosts().isEmpty();
     }
 
     /** Returns the hosts that are being prepared for maintenance or are down for it. */
@@ -134,7 +129,9 @@
             readHosts(nowMillis);
         }
         mDownHosts.entrySet().removeIf(down -> isBack(down.getKey(), down.getValue()));
-        boolean hostsLeft = !mRemainingHosts.isEmpty() || !mOrderedHosts.isEmpty();
+        markTargets();
+        mOrders.repeat(nowMillis);
+        boolean hostsLeft = !mRemainingHosts.isEmpty();
         if (hostsLeft && !mWithdrawn) {
             cordonHosts(nowMillis);
             orderMaintenance(nowMillis);
@@ -147,14 +144,15 @@
     }
 
     /**
-     * Sets whether the operator has removed the wave. No further maintenance is ordered then; what
-     * has been ordered is followed to its end.
+     * Sets whether the operator has removed the wave, or the owner leaves. No further maintenance
+     * is ordered then; what has been ordered is followed to its end.
      */
     void setWithdrawn(boolean withdrawn) {
         mWithdrawn = withdrawn;
         if (withdrawn) {
+            mOrders.withdrawUnsent();
             for (String host : Set.copyOf(mCordonedSinceMillis.keySet())) {
-                if (!mOrderedHosts.contains(host)) {
+                if (!mOrders.isOpen(host)) {
                     mCordonedSinceMillis.remove(host);
                     setCordoned(host, false);
                 }
@@ -188,48 +186,64 @@
         }
     }
 
+    /** Marks the present targets of the hosts, since a target can restart under its id. */
+    void markTargets() {
+        mCordonedSinceMillis.keySet().forEach(host -> setCordoned(host, true));
+        mOrders.hosts().forEach(host -> setInterrupted(host, true));
+    }
+
+    private void setInterrupted(String host, boolean interrupted) {
+        mScheduler.targetOn(host).ifPresent(target -> target.setInterrupted(interrupted));
+    }
+
     private void setCordoned(String host, boolean cordoned) {
-        TargetState target = targetOn(host);
-        if (target != null) {
-            target.setCordoned(cordoned);
-        }
+        mScheduler.targetOn(host).ifPresent(target -> target.setCordoned(cordoned));
     }
 
     private void orderMaintenance(long nowMillis) {
         for (Map.Entry<String, Long> cordoned : Map.copyOf(mCordonedSinceMillis).entrySet()) {
             String host = cordoned.getKey();
-            if (mDownHosts.size() + mOrderedHosts.size() >= mWave.maxHostsDown()) {
+            if (mDownHosts.size() + mOrders.hosts().size() >= mWave.maxHostsDown()) {
                 return;
             }
-            if (mOrderedHosts.contains(host)) {
-                continue;
-            }
-            TargetState target = targetOn(host);
-            if (target == null
-                    ? mayHaveTarget(host)
-                    : !isReady(host, target, cordoned.getValue(), nowMillis)) {
-                continue;
+            if (!mOrders.isOpen(host)
+                    && !isDown(host)
+                    && hasDrained(host, cordoned.getValue(), nowMillis)
+                    && isAllowed(host, nowMillis)) {
+                setInterrupted(host, true);
+                mOrders.open(host, nowMillis);
             }
-            order(host, target);
         }
     }
 
     /**
      * Returns whether the host may have a target whose entry is only missing for now: the host list
-     * shows one or does not include the host.
+     * shows one or has not been read.
      */
     private boolean mayHaveTarget(String host) {
         HostClient.HostStatus status = mListed.get(host);
-        return status == null || !status.targetId().isEmpty();
+        return mListed.isEmpty() || (status != null && !status.targetId().isEmpty());
+    }
+
+    /** Returns whether the host service would refuse an order since the host is down. */
+    private boolean isDown(String host) {
+        HostClient.HostStatus status = mListed.get(host);
+        return targetOn(host) == null && status != null && status.down();
     }
 
-    private boolean isReady(
-            String host, TargetState target, long cordonedSinceMillis, long nowMillis) {
-        target.setCordoned(true);
-        boolean waited = nowMillis - cordonedSinceMillis >= DRAIN_WAIT_MILLIS;
-        return mScheduler.knowsRuns(target, nowMillis)
-                && (mScheduler.interruptions().hasOnlyLongRunningTasks(target) || waited)
-                && !isBlocked(host, target, nowMillis);
+    private boolean hasDrained(String host, long cordonedSinceMillis, long nowMillis) {
+        TargetState target = targetOn(host);
+        return target == null
+                || nowMillis - cordonedSinceMillis >= DRAIN_WAIT_MILLIS
+                || mScheduler.interruptions().hasOnlyLongRunningTasks(target);
+    }
+
+    /** Returns whether maintenance may end now what runs on the host. */
+    private boolean isAllowed(String host, long nowMillis) {
+        TargetState target = targetOn(host);
+        return target == null
+                ? !mayHaveTarget(host)
+                : mScheduler.knowsRuns(target, nowMillis) && !isBlocked(host, target, nowMillis);
     }
 
     private boolean isBlocked(String host, TargetState target, long nowMillis) {
@@ -259,87 +273,51 @@
         return blockingStep.isPresent();
     }
 
-    private void order(String host, TargetState target) {
-        mOrderedHosts.add(host);
-        if (target != null) {
-            target.setInterrupted(true);
-        }
-        send(host, target);
+    @Override
+    public CompletableFuture<Void> recordOrders() {
+        return mCommits.put(
+                StoreLayout.wave(mWave.number()),
+                new MaintenanceRecord(mBegunHosts, mOrders.hosts()).encode());
     }
 
-    /**
-     * Repeats an order that got no response, once no other daemon can be the owner and the budgets
-     * allow it again.
-     */
-    private void retry(String host, TargetState target) {
-        if (mClosed) {
-            return;
-        }
-        if (!mOwnershipLease.isCertain(mClocks.now(), mClocks.epoch())) {
-            mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
-            return;
-        }
-        if (target != null) {
-            target.setInterrupted(false);
-            boolean blocked = isBlocked(host, target, mClocks.now());
-            target.setInterrupted(true);
-            if (blocked) {
-                mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
-                return;
-            }
-        }
-        send(host, target);
+    /** Leaves out of account that the runs on the host count as unavailable for its order. */
+    @Override
+    public boolean mayBegin(String host, long nowMillis) {
+        setInterrupted(host, false);
+        boolean allowed = isAllowed(host, nowMillis);
+        setInterrupted(host, true);
+        return allowed;
     }
 
-    private void send(String host, TargetState target) {
-        mHosts.orderMaintenance(host, mWave.number(), mHolder, mTerm)
-                .whenComplete(
-                        (outcome, failure) ->
-                                mControl.execute(() -> onResponse(host, target, outcome, failure)));
+    @Override
+    public void onOutcome(String host, HostClient.HostOrderOutcome outcome) {
+        if (outcome == HostClient.HostOrderOutcome.BEGUN) {
+            onBegun(host);
+        } else {
+            setInterrupted(host, false);
+            if (outcome == HostClient.HostOrderOutcome.REJECTED) {
+                drop(host);
+            } else {
+                // The host is moving, down or leaving, and is tried again later.
+                requestList();
+            }
+        }
+        recordOrders();
     }
 
-    private void onResponse(
-            String host,
-            TargetState target,
-            HostClient.HostOrderOutcome outcome,
-            Throwable failure) {
-        Logger.info(
-                "upkeep: event=answer wave={} host={} outcome={} cause={}",
-                mWave.number(),
-                host,
-                outcome,
-                failure == null ? "-" : failure.getMessage());
-        if (failure != null || outcome == HostClient.HostOrderOutcome.UNKNOWN) {
-            // Maintenance may have begun: the host still counts as down, and the order is repeated,
-            // which is safe.
-            mControl.after("maintenance retry", RETRY_MILLIS, () -> retry(host, target));
-            return;
-        }
-        mOrderedHosts.remove(host);
-        if (target != null && outcome != HostClient.HostOrderOutcome.BEGUN) {
-            target.setInterrupted(false);
-        }
-        switch (outcome) {
-            case BEGUN -> onBegun(host, target);
-            case FENCED -> mOnFenced.run();
-            case REJECTED -> drop(host);
-            default ->
-                    // Busy: the host is moving, down or leaving, and is tried again later.
-                    mListedMillis = Long.MIN_VALUE / 2;
-        }
+    @Override
+    public void requestList() {
+        mListedMillis = Long.MIN_VALUE / 2;
     }
 
-    private void onBegun(String host, TargetState target) {
+    private void onBegun(String host) {
         mRemainingHosts.remove(host);
         mCordonedSinceMillis.remove(host);
         mBegunHosts.add(host);
         // An order that was carried out for an earlier owner gets the same response; the host may
         // then be in use again, which the host list shows.
-        mDownHosts.put(host, new Down(target, mClocks.now()));
-        mListedMillis = Long.MIN_VALUE / 2;
-        mCommits.put(
-                StoreLayout.wave(mWave.number()),
-                ByteString.copyFromUtf8(String.join("\n", mBegunHosts)));
+        mDownHosts.put(host, new Down(targetOn(host), mClocks.now()));
+        requestList();
     }
 
     private void drop(String host) {
@@ -374,11 +352,12 @@
         mListed.clear();
         hosts.forEach(host -> mListed.put(host.hostId(), host));
         for (String host : Set.copyOf(mRemainingHosts)) {
-            if (!mListed.containsKey(host) && !mOrderedHosts.contains(host)) {
+            if (!mListed.containsKey(host) && !mOrders.isOpen(host)) {
                 Logger.info("upkeep: event=host-gone wave={} host={}", mWave.number(), host);
                 drop(host);
             }
         }
+        hosts.forEach(host -> mOrders.onListed(host.hostId(), host, askedMillis));
         for (Map.Entry<String, Down> down : Map.copyOf(mDownHosts).entrySet()) {
             if (askedMillis > down.getValue().begunMillis()) {
                 onListed(down.getKey(), down.getValue(), mListed.get(down.getKey()));
