--- a/core/src/test/java/org/marigoldturn/coordination/MaintenanceOrdersTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/MaintenanceOrdersTest.java
@@ -37,6 +37,7 @@
                     new QueueCatalog(1, List.of(), Set.of(), Set.of(), List.of()),
                     2,
                     TAKEOVER_MILLIS,
+                    5_000,
                     5_000);
     private final Map<String, HostState> mHosts = new HashMap<>();
     private final Map<String, HostOrderOutcome> mOutcomes = new HashMap<>();
