--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -31,7 +31,7 @@
     private final long mLongestHeldLeaseMillis;
     private long mEarlierLeasesEndMillis;
     private long mContacts;
-    private final Map<String, Dropped> mDropped = new HashMap<>();
+    private final DroppedTargets mDropped;
     private final Map<String, TargetState> mTargets = new LinkedHashMap<>();
     private Set<String> mClosedZones = Set.of();
     private boolean mOwnerCertain = true;
@@ -43,9 +43,6 @@
     /** By service, when a target with unknown runs ended last. */
     private final Map<String, Long> mUnreadEndMillis = new HashMap<>();
 
-    /** A target that was dropped since its lease had ended and the platform did not list it. */
-    private record Dropped(TargetState target, long droppedMillis) {}
-
     /**
      * Creates an empty table.
      *
@@ -61,6 +58,7 @@
         mRuns = runs;
         mTakeoverMillis = takeoverMillis;
         mLongestHeldLeaseMillis = longestHeldLeaseMillis;
+        mDropped = new DroppedTargets(2 * longestHeldLeaseMillis);
         mConfirmedMillis = takeoverMillis;
         mEarlierLeasesEndMillis = takeoverMillis + longestLeaseMillis;
     }
@@ -203,19 +201,11 @@
         return next;
     }
 
-    /**
-     * A target that was dropped since it was silent may have restarted before it responds again.
-     */
+    /** A target that was dropped since it was silent may have restarted before it responds again. */
     private TargetState addUnknown(TargetEntry entry, long nowMillis) {
-        mDropped.values()
-                .removeIf(
-                        dropped ->
-                                nowMillis - dropped.droppedMillis() > 2 * mLongestHeldLeaseMillis);
-        Dropped dropped = mDropped.remove(entry.id());
-        boolean restarted = dropped != null && !dropped.target().entry().isSameIncarnation(entry);
-        return restarted
-                ? replace(dropped.target(), entry, EndedRuns.Cause.REPLACED, nowMillis)
-                : add(entry, unknownRunsEndMillis());
+        return mDropped.takeEarlierIncarnation(entry, nowMillis)
+                .map(earlier -> replace(earlier, entry, EndedRuns.Cause.REPLACED, nowMillis))
+                .orElseGet(() -> add(entry, unknownRunsEndMillis()));
     }
 
     private TargetState add(TargetEntry entry, long unknownRunsEndMillis) {
@@ -344,7 +334,7 @@
                 mRuns.endAllRuns(target);
                 if (!target.isListed()) {
                     mTargets.remove(target.entry().id());
-                    mDropped.put(target.entry().id(), new Dropped(target, nowMillis));
+                    mDropped.add(target, nowMillis);
                 }
             }
         }
--- a/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/StandInTarget.java
@@ -24,6 +24,9 @@
     /** A target that is added has run before, so that its clock is ahead of its next one's. */
     private static final long FIRST_UPTIME_MILLIS = 600_000;
 
+    /** The daemons number their contacts with a target in these low bits of the fencing token. */
+    private static final int CONTACT_BITS = 20;
+
     private final long mTaskMillis;
     private final StandInRuns mRuns;
     private final StandInLease mLease;
@@ -138,10 +141,10 @@
     }
 
     /**
-     * Leaves calls with a higher fencing token than the present without an effect and a response.
+     * Leaves calls of owners with a higher term than the present without an effect and a response.
      */
     synchronized void stopRespondingToNewerTerms() {
-        mNewestTermWithResponse = mHighestToken;
+        mNewestTermWithResponse = term(mHighestToken);
     }
 
     /** Responds to further calls again. */
@@ -204,7 +207,7 @@
             return StandInStore.Response.of(421);
         }
         synchronized (this) {
-            if (!mResponds || body.path("FencingToken").asLong() > mNewestTermWithResponse) {
+            if (!mResponds || term(token(body)) > mNewestTermWithResponse) {
                 awaitClose();
                 return StandInStore.Response.of(503);
             }
@@ -312,7 +315,7 @@
             return conflict("fence");
         }
         mPolls++;
-        mPollsByTerm.merge(body.path("FencingToken").asLong(), 1, Integer::sum);
+        mPollsByTerm.merge(term(token(body)), 1, Integer::sum);
         advance();
         mLease.extend(body.path("ExpiresMs").asLong());
         mEnds.confirm(body.path("LastSeen").asLong());
@@ -329,8 +332,16 @@
         return response;
     }
 
+    private static long token(JsonNode body) {
+        return body.path("FencingToken").asLong();
+    }
+
+    private static long term(long token) {
+        return token >> CONTACT_BITS;
+    }
+
     private boolean isFenced(JsonNode body) {
-        long token = body.path("FencingToken").asLong();
+        long token = token(body);
         boolean fenced = token < mHighestToken;
         mHighestToken = Math.max(mHighestToken, token);
         return fenced;
