Let calls reach later incarnations in the simulation of the scheduler

Ruled out: repeated delivery of a start that was carried out. The model has each call carried out once, and the owner could not tell such a start from one that was settled.

--- a/core/src/test/java/org/marigoldturn/scheduling/ScheduleTrouble.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/ScheduleTrouble.java
@@ -7,6 +7,11 @@
      * earlier ones have recorded.
      */
     LIST_LOSES_TARGETS,
+    /**
+     * Targets restart unnoticed under their ids, and calls for an earlier incarnation can be
+     * carried out by a later one.
+     */
+    CALLS_REACH_LATER_INCARNATIONS,
     /** Owners are replaced before their lease in the store has ended. */
     LIVING_OWNERS_ARE_REPLACED,
     /** Versions of the configuration lack the queue of all jobs. */
