Let the simulated owner mark the records of restarted targets

Cause: the simulation was written for the mark as a yes or no. Change: SimulatedTargetRecords holds the length of the lease and the starts of earlier incarnations, and marks a record when the next incarnation is found.

--- a/core/src/main/java/org/marigoldturn/scheduling/DroppedTargets.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/DroppedTargets.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 /**
- * Remembers targets that are not used any more since their lease has ended and the platform does not
- * list them, for as long as a call to one of them may be carried out by its next incarnation.
+ * Remembers targets that are not used any more since their lease has ended and the platform does
+ * not list them, for as long as a call to one of them may be carried out by its next incarnation.
  * Confined to the control thread.
  */
 final class DroppedTargets {
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -201,7 +201,9 @@
         return next;
     }
 
-    /** A target that was dropped since it was silent may have restarted before it responds again. */
+    /**
+     * A target that was dropped since it was silent may have restarted before it responds again.
+     */
     private TargetState addUnknown(TargetEntry entry, long nowMillis) {
         return mDropped.takeEarlierIncarnation(entry, nowMillis)
                 .map(earlier -> replace(earlier, entry, EndedRuns.Cause.REPLACED, nowMillis))
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedOwner.java
@@ -167,6 +167,7 @@
     }
 
     private void addSession(TargetState state) {
+        mRecords.markRestarted(state);
         if (!mSessions.containsKey(state)) {
             mSessions.put(state, new SimulatedSession(state));
             poll(state);
--- a/core/src/test/java/org/marigoldturn/scheduling/SimulatedTargetRecords.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SimulatedTargetRecords.java
@@ -16,9 +16,11 @@
     /**
      * A record.
      *
-     * @param misdirected whether the target may hold a lease for an earlier incarnation
+     * @param misdirectedMillis for how long after a takeover the target may hold a lease for an
+     *     earlier incarnation; 0 if it holds none
+     * @param earlierStarts starts of the earlier incarnations
      */
-    record Stored(TargetEntry entry, boolean misdirected) {}
+    record Stored(TargetEntry entry, long misdirectedMillis, Set<Long> earlierStarts) {}
 
     SimulatedTargetRecords(ScheduleSimulation simulation, JobScheduler scheduler) {
         mSimulation = simulation;
@@ -29,15 +31,15 @@
     /** Adds the recorded targets to the scheduler and returns them. */
     List<TargetState> restore() {
         mRecords.putAll(mSimulation.storedTargets());
-        return mRecords.values().stream()
-                .map(
-                        stored ->
-                                mScheduler.restoreTarget(
-                                        stored.entry(),
-                                        Long.MAX_VALUE,
-                                        stored.misdirected(),
-                                        mSimulation.nowMillis()))
-                .toList();
+        return mRecords.values().stream().map(this::restore).toList();
+    }
+
+    private TargetState restore(Stored stored) {
+        long now = mSimulation.nowMillis();
+        return stored.misdirectedMillis() > 0
+                ? mScheduler.restoreRestartedTarget(
+                        stored.entry(), stored.earlierStarts(), stored.misdirectedMillis(), now)
+                : mScheduler.restoreTarget(stored.entry(), now);
     }
 
     /** Writes the record of a target that has reported, unless there is one. */
@@ -50,11 +52,31 @@
         TargetEntry entry = target.entry();
         Stored stored = mRecords.get(entry.id());
         boolean hasRecord = stored != null && stored.entry().isSameIncarnation(entry);
-        if (hasRecord || write(new Stored(entry, misdirected))) {
+        if (hasRecord || write(stored(entry, target))) {
             target.setRecorded(true);
         }
     }
 
+    /** Marks the record of a target that has restarted, before the next incarnation is used. */
+    void markRestarted(TargetState next) {
+        Stored stored = mRecords.get(next.entry().id());
+        if (stored != null
+                && next.mayTakeMisdirectedCalls(mSimulation.nowMillis())
+                && !stored.earlierStarts().containsAll(next.earlierStartsEpochMillis())) {
+            write(stored(stored.entry(), next));
+        }
+    }
+
+    private Stored stored(TargetEntry entry, TargetState target) {
+        long now = mSimulation.nowMillis();
+        return target.mayHoldMisdirectedLease(now)
+                ? new Stored(
+                        entry,
+                        target.misdirectedLeaseEndMillis() - now,
+                        target.earlierStartsEpochMillis())
+                : new Stored(entry, 0, Set.of());
+    }
+
     private boolean write(Stored stored) {
         if (!mSimulation.storeTarget(mTerm, stored)) {
             return false;
@@ -71,7 +93,7 @@
                 target.setRecorded(false);
             } else if (target.isRecorded()
                     || target.hasReported()
-                    || target.mayTakeMisdirectedCalls()) {
+                    || target.mayTakeMisdirectedCalls(mSimulation.nowMillis())) {
                 inUse.add(target.entry().id());
                 updateMisdirected(target);
             }
@@ -92,12 +114,13 @@
         if (stored == null) {
             return;
         }
-        boolean mayStillHold =
-                !target.hasReported() || target.mayHoldMisdirectedLease(mSimulation.nowMillis());
-        boolean misdirected =
-                target.mayTakeMisdirectedCalls() || stored.misdirected() && mayStillHold;
-        if (misdirected != stored.misdirected()) {
-            write(new Stored(stored.entry(), misdirected));
+        boolean isOver =
+                stored.misdirectedMillis() > 0
+                        && target.hasReported()
+                        && stored.entry().isSameIncarnation(target.entry())
+                        && !target.mayHoldMisdirectedLease(mSimulation.nowMillis());
+        if (isOver) {
+            write(new Stored(target.entry(), 0, Set.of()));
         }
     }
 }
