Bound the starts of earlier incarnations in a target's record

Cause: a target that restarts again and again would add its start to the record each time. Change: at most 16 are kept; then the next restart begins anew. Ruled out: only the last start: an entry of the one before it can be listed late.

--- a/core/src/main/java/org/marigoldturn/scheduling/MisdirectedCalls.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/MisdirectedCalls.java
@@ -15,6 +15,9 @@
  * Confined to the control thread.
  */
 final class MisdirectedCalls {
+    /** Bounds the record of a target that restarts again and again. */
+    private static final int MAX_EARLIER_INCARNATIONS = 16;
+
     private final Set<Long> mEarlierStartsEpochMillis;
     private final long mLongestLeaseMillis;
     private boolean mFenced;
@@ -45,6 +48,9 @@
     static MisdirectedCalls afterRestart(
             TargetState earlier, long longestLeaseMillis, long sentUntilMillis) {
         Set<Long> starts = new HashSet<>(earlier.misdirected().mEarlierStartsEpochMillis);
+        if (starts.size() >= MAX_EARLIER_INCARNATIONS) {
+            starts.clear();
+        }
         starts.add(earlier.entry().startedEpochMillis());
         return new MisdirectedCalls(
                 starts, longestLeaseMillis, false, sentUntilMillis + 2 * longestLeaseMillis);
