Ignore the response to a stop of a session that has ended

Cause, by reading: the stop of an abandoned run at an earlier incarnation can be rejected by the next one, which has seen a later token. The closed session took that for a newer owner, and the owner would have given up. Change: as after a poll, a closed session does nothing with the response.

--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -262,6 +262,9 @@
                                 mControl.execute(
                                         () -> {
                                             mPollOpen = false;
+                                            if (mClosed) {
+                                                return;
+                                            }
                                             if (failure == null) {
                                                 mTarget.abandonedRuns().remove(run);
                                                 poll();
