Wait for the first report in the test of confirmations

Cause: endsAreConfirmedOnce completed the pending writes once it saw the first poll, which can be before the report of that poll has enqueued its write. Change: it waits for the second poll first, as the other examples do. Ruled out: more polls to wait for.

--- a/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
+++ b/core/src/test/java/org/marigoldturn/coordination/TargetSessionTest.java
@@ -155,6 +155,8 @@
         mClient.mRespondsToConfirmations = true;
         startSession();
 
+        assertThat(nextRecordedEnd()).isZero();
+        // The second poll is sent once the first report has been processed.
         assertThat(nextRecordedEnd()).isZero();
         mControl.execute(() -> mWrites.forEach(write -> write.complete(null)));
         long recorded = nextRecordedEnd();
