Give client accounts their shares when capacity is short

Cause: the weight of an account was read and used by nothing. Jobs started in the order of acceptance, and admission saw one backlog for each service, so an account at six times its load took 42% of all accepted jobs while jobs of others were refused.

Change: within a priority, the account with the smallest dominant share in relation to its weight starts next (AccountShares). The forecast of an account's wait follows weighted fair queueing (BacklogForecast). What an account submits beyond its weight in jobs a second is accepted only while capacity allows, and told when its entitlement allows it again (EntitlementMeter). All of it applies only where the configuration has weights, and metering where the settings have a window. JobScheduler hands submissions to SubmissionRules and passes to SchedulingPass.

Ruled out: fixed parts of the capacity (not work-conserving) and virtual time over past work (needs state that a takeover cannot rebuild), see docs/design/account-shares.md.

Result: in AccountShareLoadTest, with one account at six times its load over four bursts, the 19 others complete at least 95% of what they complete beside its usual load, also over a change of the owner. With weights of 0, the order of before, the same load takes them below 95%.

--- a/core/src/main/java/org/marigoldturn/coordination/JobLimits.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobLimits.java
@@ -5,8 +5,11 @@
  *
  * @param maxLeaseMillis longest lease that a target accepts
  * @param endedJobRetentionMillis how long the state of an ended job can be queried
+ * @param entitlementWindowMillis time over which a client account may save up the jobs that it is
+ *     entitled to submit; 0 if entitlements are not metered
  */
-public record JobLimits(long maxLeaseMillis, long endedJobRetentionMillis) {
+public record JobLimits(
+        long maxLeaseMillis, long endedJobRetentionMillis, long entitlementWindowMillis) {
     /**
      * Allows three polls without the last of them in time, and frees a lost target's tasks soon.
      */
@@ -19,6 +22,17 @@
                             + maxLeaseMillis
                             + " ms; it must be at least 500 ms");
         }
+        if (entitlementWindowMillis < 0) {
+            throw new IllegalArgumentException(
+                    "the window of entitlements is "
+                            + entitlementWindowMillis
+                            + " ms; it must not be negative");
+        }
+    }
+
+    /** Creates limits without metered entitlements. */
+    public JobLimits(long maxLeaseMillis, long endedJobRetentionMillis) {
+        this(maxLeaseMillis, endedJobRetentionMillis, 0);
     }
 
     /** Returns the length of the leases that the owner grants. */
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -56,6 +56,7 @@
     private final UnknownRuns mUnknownRuns;
     private WaitLog mWaitLog;
     private TargetLog mTargetLog;
+    private AccountShareMetrics mShareMetrics;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -103,6 +104,7 @@
         if (mScheduler != null) {
             mWaitLog.close(now);
             mTargetLog.close(now);
+            mShareMetrics.close();
         }
     }
 
@@ -181,6 +183,8 @@
                         mUnknownRuns.electedMillis(),
                         mUnknownRuns.longestMillis(),
                         TargetLeases.longestMillis(mContext.limits().maxLeaseMillis()));
+        mScheduler.setEntitlementWindow(mContext.limits().entitlementWindowMillis());
+        mShareMetrics = new AccountShareMetrics(mScheduler, mContext.metrics());
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
         mHostWorkFromMillis =
@@ -353,6 +357,7 @@
         mUnreadCheck.tick(now);
         mWaitLog.tick(mayStart(), now, mContext.clocks().epoch());
         mTargetLog.tick(now);
+        mOperator.catalog().ifPresent(catalog -> mShareMetrics.tick(catalog, now));
         mTargetList.updateRecords(now);
         if (!FencingToken.hasNext(mScheduler.countContacts())) {
             Logger.warn("owner: event=out-of-fencing-tokens term={}", mContext.term());
--- a/core/src/main/java/org/marigoldturn/jobs/AccountSettings.java
+++ b/core/src/main/java/org/marigoldturn/jobs/AccountSettings.java
@@ -7,8 +7,8 @@
  *
  * @param name name of the account
  * @param keys API keys that authenticate its calls; never logged
- * @param weight relative share of the capacity when demand exceeds it; the scheduler does not use
- *     it
+ * @param weight relative share of the capacity when demand exceeds it, and the number of jobs a
+ *     second that the account is entitled to; 0 if not configured
  * @param limit limit on the resources that its running tasks request; 0 means no limit on a
  *     resource
  */
--- a/core/src/main/java/org/marigoldturn/jobs/QueueCatalog.java
+++ b/core/src/main/java/org/marigoldturn/jobs/QueueCatalog.java
@@ -1,5 +1,7 @@
 package org.marigoldturn.jobs;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +60,11 @@
         return Optional.ofNullable(mQueueByName.get(name));
     }
 
+    /** Returns the settings of all accounts. */
+    public Collection<AccountSettings> accounts() {
+        return Collections.unmodifiableCollection(mAccountByName.values());
+    }
+
     /** Returns the account of the given name. */
     public Optional<AccountSettings> account(String name) {
         return Optional.ofNullable(mAccountByName.get(name));
--- a/core/src/main/java/org/marigoldturn/scheduling/Admission.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Admission.java
@@ -9,6 +9,20 @@
  * @param forecast load of the service at the time of the decision
  */
 public record Admission(boolean accepted, int retryAfterSeconds, String reason, Forecast forecast) {
+    /** Reason of a refusal because of the backlog. */
+    public static final String OVERLOAD = "overload";
+
+    /** Reason of a refusal for overload of a job that exceeds its account's entitlement. */
+    public static final String OVER_ENTITLEMENT = "over-entitlement";
+
+    /** Reason of an acceptance beyond the account's entitlement, which capacity allows. */
+    public static final String ACCEPTED_BEYOND_ENTITLEMENT = "accepted-beyond-entitlement";
+
+    /**
+     * Upper bound on the delay asked of a refused client, since the load changes within seconds.
+     */
+    static final int MAX_RETRY_AFTER_SECONDS = 5;
+
     /**
      * Load of the job's service as the owner estimated it for the decision.
      *
@@ -28,6 +42,28 @@
         return new Admission(true, 0, "accepted", forecast);
     }
 
+    /** Returns an acceptance that says whether the job is within its account's entitlement. */
+    Admission entitled(boolean entitled) {
+        return new Admission(
+                accepted,
+                retryAfterSeconds,
+                entitled ? reason : ACCEPTED_BEYOND_ENTITLEMENT,
+                forecast);
+    }
+
+    /**
+     * Returns the refusal of a job that exceeds its account's entitlement.
+     *
+     * @param millis time until the entitlement allows another job
+     */
+    Admission overEntitlement(long millis) {
+        long seconds = (millis + 999) / 1_000;
+        return refuse(
+                (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, seconds)),
+                OVER_ENTITLEMENT,
+                forecast);
+    }
+
     static Admission refuse(int retryAfterSeconds, String reason, Forecast forecast) {
         return new Admission(false, retryAfterSeconds, reason, forecast);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -14,24 +14,24 @@
  * against loads that exceed the capacity for a few seconds. Stateless.
  */
 final class AdmissionForecast {
-    /** Reason of a refusal because of the backlog. */
-    static final String OVERLOAD = "overload";
-
-    /**
-     * Upper bound on the delay asked of a refused client, since the load changes within seconds.
-     */
-    private static final int MAX_RETRY_AFTER_SECONDS = 5;
-
     /** Number of tasks that fit a target by a resource of which they request nothing. */
     private static final long TASKS_IF_NOT_REQUESTED = 99;
 
     private AdmissionForecast() {}
 
+    /**
+     * Decides on a submission.
+     *
+     * @param incoming capacity that is being moved to the service
+     * @param backlog work that is served before the job
+     * @param jobsAhead jobs whose waiting tasks start before those of the job
+     */
     static Admission decide(
             JobSpec spec,
             QueueSettings queue,
             List<TargetState> targets,
             ResourceAmounts incoming,
+            BacklogForecast backlog,
             Collection<JobEntry> jobsAhead,
             long epochMillis) {
         if (targets.isEmpty()) {
@@ -46,14 +46,15 @@
         long chainMillis = spec.longestChainMillis();
         Admission.Forecast forecast =
                 new Admission.Forecast(
-                        waitMillis(capacity, jobsAhead),
+                        backlog.waitMillis(capacity.cpuMillicores()),
                         queue.objectiveMillis(chainMillis) - chainMillis,
                         freeMillicores,
                         capacity.cpuMillicores());
         for (StepSpec step : spec.steps()) {
             if (targets.stream()
                     .noneMatch(t -> step.reservedResources().fitsInto(t.entry().capacity()))) {
-                return Admission.refuse(MAX_RETRY_AFTER_SECONDS, "task-too-large", forecast);
+                return Admission.refuse(
+                        Admission.MAX_RETRY_AFTER_SECONDS, "task-too-large", forecast);
             }
         }
         boolean needsForecast = !spec.scheduled() && !spec.isLongRunning();
@@ -69,17 +70,12 @@
             return Admission.accept(forecast);
         }
         long excessMillis = forecast.waitMillis() - forecast.slackMillis();
-        int seconds = (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
-        return Admission.refuse(seconds, OVERLOAD, forecast);
-    }
-
-    /** Returns the time that all processors of the service together need for the backlog. */
-    private static long waitMillis(ResourceAmounts capacity, Collection<JobEntry> jobsAhead) {
-        long coreMillis = 0;
-        for (JobEntry job : jobsAhead) {
-            coreMillis += job.waitingCoreMillis() + job.runningCoreMillis();
-        }
-        return coreMillis * 1_000 / Math.max(1, capacity.cpuMillicores());
+        int seconds =
+                (int)
+                        Math.max(
+                                1,
+                                Math.min(Admission.MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
+        return Admission.refuse(seconds, Admission.OVERLOAD, forecast);
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -19,6 +19,7 @@
     private boolean mStarted;
     private JobState mFinalState;
     private long mFinishedEpochMillis;
+    private long mExcessUntilMillis = Long.MIN_VALUE;
 
     /**
      * Creates the entry of a job.
@@ -59,6 +60,26 @@
         return mAcceptedMillis;
     }
 
+    /**
+     * Returns the monotonic time at which the job was submitted first, by which the jobs of one
+     * account are ordered.
+     */
+    long firstSubmittedMillis() {
+        return mAcceptedMillis;
+    }
+
+    /**
+     * Records that the job exceeds its account's entitlement; until the given monotonic time it
+     * starts after jobs that do not.
+     */
+    void setExcessUntil(long untilMillis) {
+        mExcessUntilMillis = untilMillis;
+    }
+
+    boolean isExcess(long nowMillis) {
+        return nowMillis < mExcessUntilMillis;
+    }
+
     boolean isRestored() {
         return mRestored;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -37,6 +36,7 @@
     private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
+    private final SubmissionRules mSubmissions;
     private final AdvicePlanner mAdvice;
     private final TaskStarter mStarter;
     private final LongRunningWaits mWaits;
@@ -61,6 +61,8 @@
         mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis, longestHeldLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
+        mSubmissions =
+                new SubmissionRules(mJobs, mTargets, mLoads, mUsage, AccountWeights.of(catalog));
         mInterruptions = new InterruptionRules(mJobs, mTargets::hasRoomBeside);
         mAdvice = new AdvicePlanner(mJobs, mTargets);
         mWaits =
@@ -106,6 +108,7 @@
     /** Uses a newer configuration; jobs of queues that it does not have wait for one that does. */
     public void setCatalog(QueueCatalog catalog) {
         mCatalog = catalog;
+        mSubmissions.setWeights(AccountWeights.of(catalog));
         mJobs.updatePriorities(this::priorityOf);
     }
 
@@ -127,6 +130,24 @@
         return mTargets.lacksConfirmation(nowMillis);
     }
 
+    /**
+     * Sets the time over which client accounts may save up the jobs that they are entitled to
+     * submit.
+     */
+    public void setEntitlementWindow(long windowMillis) {
+        mSubmissions.setEntitlementWindow(windowMillis);
+    }
+
+    /**
+     * Returns the part of a service's usable capacity that an account's runs request, by its
+     * dominant resource.
+     */
+    public double share(String account, String service, long nowMillis) {
+        return AccountShares.dominantShare(
+                mUsage.running(account, service),
+                TargetTable.capacityOf(mTargets.usable(service, nowMillis)));
+    }
+
     /** Sets the availability zones in which no task starts. */
     public void setClosedZones(Set<String> zones) {
         mTargets.setClosedZones(zones);
@@ -257,27 +278,7 @@
 
     /** Decides on a submission; tasks of an accepted job start only after {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
-        List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
-        List<JobEntry> jobsAhead =
-                mJobs.activeAtLeastAsUrgentAs(
-                        queue.priority(),
-                        entry -> serviceOf(entry).equals(Optional.of(queue.service())));
-        Admission admission =
-                AdmissionForecast.decide(
-                        job.spec(),
-                        queue,
-                        targets,
-                        mLoads.incoming(queue.service()),
-                        jobsAhead,
-                        epochMillis);
-        if (admission.reason().equals(AdmissionForecast.OVERLOAD)) {
-            mLoads.recordRefusal(queue.service(), nowMillis);
-        }
-        if (admission.accepted()) {
-            JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
-            mJobs.add(entry);
-        }
-        return admission;
+        return mSubmissions.submit(job, queue, this::serviceOf, nowMillis, epochMillis);
     }
 
     /** Records that a job's durable record exists; its tasks may start. */
@@ -406,34 +407,18 @@
     /** Returns all orders that are due: first stops, then starts in scheduling order. */
     public List<Order> decide(long nowMillis, long epochMillis) {
         List<Order> orders = new ArrayList<>(mTargets.beginStops(nowMillis));
-        Map<String, Candidates> targets = new HashMap<>();
-        RestoredJobsCheck restored =
-                new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
-        long dueEpochMillis = epochMillis - DUE_MARGIN_MILLIS;
-        for (JobEntry job : List.copyOf(mJobs.active())) {
-            if (!job.isStored() || !job.hasStartableStep(dueEpochMillis)) {
-                continue;
-            }
-            Optional<String> service = serviceOf(job);
-            if (service.isEmpty() || job.isRestored() && !restored.mayStart(service.get())) {
-                continue;
-            }
-            Candidates candidates =
-                    targets.computeIfAbsent(service.get(), s -> mTargets.candidates(s, nowMillis));
-            boolean advised = needsTicket(job);
-            for (StepState step : job.startableSteps(dueEpochMillis)) {
-                Candidates allowed =
-                        advised
-                                ? candidates.filter(t -> step.advice().hasTicket(t, nowMillis))
-                                : candidates;
-                // The limit may have been unknown or higher when a task failed last.
-                if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), epochMillis)) {
-                    break;
-                }
-                orders.addAll(mStarter.start(step, allowed, nowMillis));
-            }
-        }
-        mStarter.endPass();
+        SchedulingPass.State state =
+                new SchedulingPass.State(
+                        mCatalog,
+                        mSubmissions.weights(),
+                        mUsage,
+                        mTargets,
+                        mRuns,
+                        mStarter,
+                        new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis));
+        orders.addAll(
+                new SchedulingPass(state, nowMillis, epochMillis, epochMillis - DUE_MARGIN_MILLIS)
+                        .run(List.copyOf(mJobs.active())));
         return orders;
     }
 
@@ -456,10 +441,6 @@
         mAdvice.record(request, tickets, sentMillis);
     }
 
-    private boolean needsTicket(JobEntry job) {
-        return mCatalog.queue(job.job().queue()).flatMap(QueueSettings::advice).isPresent();
-    }
-
     private Optional<String> serviceOf(JobEntry job) {
         return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -42,6 +42,7 @@
     private final TaskId mTask;
     private final long mNumber;
     private final TargetState mTarget;
+    private final String mService;
     private final ResourceAmounts mReservedResources;
     private final boolean mLongRunning;
     private final long mDecidedMillis;
@@ -66,6 +67,7 @@
         mTask = task;
         mNumber = number;
         mTarget = target;
+        mService = target.entry().service();
         mReservedResources = reservedResources;
         mLongRunning = longRunning;
         mDecidedMillis = nowMillis;
@@ -102,6 +104,11 @@
         return mTarget;
     }
 
+    /** Returns the service that its target belonged to when the run was created. */
+    String service() {
+        return mService;
+    }
+
     /** Returns the monotonic time of the decision to start it. */
     public long decidedMillis() {
         return mDecidedMillis;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.marigoldturn.jobs.ResourceAmounts;
 
 /**
  * Holds the state of all known targets.
@@ -468,6 +469,15 @@
         return candidates(service, nowMillis).usable();
     }
 
+    /** Returns the sum of the capacities of targets, whatever is in use. */
+    static ResourceAmounts capacityOf(Collection<TargetState> targets) {
+        ResourceAmounts capacity = ResourceAmounts.NONE;
+        for (TargetState target : targets) {
+            capacity = capacity.plus(target.entry().capacity());
+        }
+        return capacity;
+    }
+
     /** Returns whether another usable target of the same service has room for a task of a step. */
     boolean hasRoomBeside(StepState step, TargetState target, long nowMillis) {
         return usable(target.entry().service(), nowMillis).stream()
