Forecast on what a new owner knows, and order returning jobs

Cause: a new owner divided the whole restored backlog by the capacity of the targets that it had read, and refused with most of it free. One waiting task of any job ahead made a job that fitted consult the forecast. Retry-After was nearly always 1 s, whatever the backlog or the client's deadline, and calls after their deadline were logged as if no owner was known.

Change: ServiceView counts unread targets with their capacity and leaves restored jobs out while the view is partial, for admission and for the moves of hosts. FreeRoom subtracts ready demand from free room. RetryAdvice follows the backlog, the client's deadline and a spread. RefusedJobs orders jobs that return by their first submission. Late calls are counted apart, and refusals with free room are counted and marked in the log.

--- a/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobDaemon.java
@@ -75,7 +75,7 @@
         mMetrics = metrics;
         mOperator = new OperatorView(ports.formats(), this::onOperatorChange, mClocks, metrics);
         mElection = new OwnerElection(ports.store(), mControl, mClocks, self, this);
-        mService = new JobService(mControl, mClocks);
+        mService = new JobService(mControl, mClocks, metrics);
     }
 
     /** Starts to read the store; returns at once. */
--- a/core/src/main/java/org/marigoldturn/coordination/JobService.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobService.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.coordination;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.Optional;
@@ -44,13 +45,15 @@
 
     private final ControlLoop mControl;
     private final Clocks mClocks;
+    private final MetricRegistry mMetrics;
     private OwnerRecord mOwner = OwnerRecord.getDefaultInstance();
     private OwnerRole mRole;
     private PeerNetwork mPeers;
 
-    JobService(ControlLoop control, Clocks clocks) {
+    JobService(ControlLoop control, Clocks clocks, MetricRegistry metrics) {
         mControl = control;
         mClocks = clocks;
+        mMetrics = metrics;
     }
 
     void setPeers(PeerNetwork peers) {
@@ -148,7 +151,7 @@
                 giveUp();
                 return;
             }
-            Optional<CompletableFuture<JobReply>> local = handleLocally(mCall);
+            Optional<CompletableFuture<JobReply>> local = handleLocally(withTimeLeft(now));
             if (local.isPresent()) {
                 mMayHaveArrived = true;
                 local.get().whenComplete(this::onReply);
@@ -160,6 +163,10 @@
             }
         }
 
+        private JobCall withTimeLeft(long now) {
+            return mCall.toBuilder().setTimeLeftMillis(mDeadlineMillis - now).build();
+        }
+
         private boolean isOver(long now) {
             boolean isSubmission = mCall.getKind() == JobCall.Kind.HAND_IN;
             boolean unreached =
@@ -173,7 +180,7 @@
             long timeout = Math.max(1, Math.min(ATTEMPT_TIMEOUT_MILLIS, mDeadlineMillis - now));
             mPeers.call(
                             mOwner.getOwnerId(),
-                            Envelope.newBuilder().setJobCall(mCall.toByteString()),
+                            Envelope.newBuilder().setJobCall(withTimeLeft(now).toByteString()),
                             timeout)
                     .whenComplete(
                             (envelope, failure) ->
@@ -205,10 +212,34 @@
             mControl.after("job call retry", RETRY_MILLIS, this::next);
         }
 
+        /** The client's deadline had passed when the call arrived. */
+        private void rejectLate() {
+            Logger.info(
+                    "job: event=arrived-late id={} call={} lateMillis={}",
+                    mCall.getJob().getId(),
+                    mCall.getKind(),
+                    mStartedMillis - mDeadlineMillis);
+            mMetrics.counter("calls.arrived-late").inc();
+            boolean isSubmission = mCall.getKind() == JobCall.Kind.HAND_IN;
+            mReply.complete(
+                    JobReply.newBuilder()
+                            .setOutcome(
+                                    isSubmission
+                                            ? JobReply.Outcome.REFUSED
+                                            : JobReply.Outcome.UNKNOWN_OUTCOME)
+                            .setRetryAfterSeconds(isSubmission ? NO_OWNER_RETRY_SECONDS : 0)
+                            .setReason("deadline-passed")
+                            .build());
+        }
+
         private void giveUp() {
             if (mReply.isDone()) {
                 return;
             }
+            if (mClocks.now() >= mDeadlineMillis && mStartedMillis >= mDeadlineMillis) {
+                rejectLate();
+                return;
+            }
             boolean refused = mCall.getKind() == JobCall.Kind.HAND_IN && !mMayHaveArrived;
             Logger.info(
                     "job: event=given-up id={} call={} refused={} owner={} waitedMillis={}",
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerCalls.java
@@ -84,8 +84,10 @@
         if (mCommits.isStalled(mClocks.now())) {
             return completed(refuse(job, "store-away", STORE_UNAVAILABLE_RETRY_SECONDS));
         }
-        Admission admission = mScheduler.submit(job, queue.get(), mClocks.now(), mClocks.epoch());
-        log(job, admission);
+        Admission admission =
+                mScheduler.submit(
+                        job, queue.get(), call.getTimeLeftMillis(), mClocks.now(), mClocks.epoch());
+        log(job, queue.get(), admission);
         if (!admission.accepted()) {
             return completed(refusal(admission.reason(), admission.retryAfterSeconds()));
         }
@@ -152,12 +154,16 @@
                         });
     }
 
-    private void log(Job job, Admission admission) {
+    private void log(Job job, QueueSettings queue, Admission admission) {
         mMetrics.counter("handins." + admission.reason()).inc();
+        if (!admission.accepted() && admission.forecast().fitsFreeRoom()) {
+            mMetrics.counter("refused-while-fitting." + queue.service()).inc();
+        }
         Logger.info(
                 "job: event=hand-in id={} queue={} account={} accepted={} reason={}"
                         + " retryAfterSeconds={} waitMillis={} slackMillis={}"
-                        + " freeMillicores={} capacityMillicores={}",
+                        + " freeMillicores={} capacityMillicores={} unreadTargets={}"
+                        + " fitsFreeRoom={}",
                 job.id(),
                 job.queue(),
                 job.account(),
@@ -167,7 +173,9 @@
                 admission.forecast().waitMillis(),
                 admission.forecast().slackMillis(),
                 admission.forecast().freeMillicores(),
-                admission.forecast().capacityMillicores());
+                admission.forecast().capacityMillicores(),
+                admission.forecast().unreadTargets(),
+                admission.forecast().fitsFreeRoom());
     }
 
     private JobReply.Builder refuse(Job job, String reason, int retryAfterSeconds) {
--- a/core/src/main/java/org/marigoldturn/jobs/wire/JobCall.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/JobCall.java
@@ -257,6 +257,21 @@
     return catalogVersion_;
   }
 
+  public static final int TIME_LEFT_MILLIS_FIELD_NUMBER = 4;
+  private long timeLeftMillis_ = 0L;
+  /**
+   * <pre>
+   * Time until the client's deadline when the call was sent; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 time_left_millis = 4;</code>
+   * @return The timeLeftMillis.
+   */
+  @java.lang.Override
+  public long getTimeLeftMillis() {
+    return timeLeftMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -280,6 +295,9 @@
     if (catalogVersion_ != 0L) {
       output.writeInt64(3, catalogVersion_);
     }
+    if (timeLeftMillis_ != 0L) {
+      output.writeInt64(4, timeLeftMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -301,6 +319,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, catalogVersion_);
     }
+    if (timeLeftMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, timeLeftMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -324,6 +346,8 @@
     }
     if (getCatalogVersion()
         != other.getCatalogVersion()) return false;
+    if (getTimeLeftMillis()
+        != other.getTimeLeftMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -344,6 +368,9 @@
     hash = (37 * hash) + CATALOG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCatalogVersion());
+    hash = (37 * hash) + TIME_LEFT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimeLeftMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -494,6 +521,7 @@
         jobBuilder_ = null;
       }
       catalogVersion_ = 0L;
+      timeLeftMillis_ = 0L;
       return this;
     }
 
@@ -540,6 +568,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.catalogVersion_ = catalogVersion_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.timeLeftMillis_ = timeLeftMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -564,6 +595,9 @@
       if (other.getCatalogVersion() != 0L) {
         setCatalogVersion(other.getCatalogVersion());
       }
+      if (other.getTimeLeftMillis() != 0L) {
+        setTimeLeftMillis(other.getTimeLeftMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -607,6 +641,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              timeLeftMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -876,6 +915,50 @@
       return this;
     }
 
+    private long timeLeftMillis_ ;
+    /**
+     * <pre>
+     * Time until the client's deadline when the call was sent; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 time_left_millis = 4;</code>
+     * @return The timeLeftMillis.
+     */
+    @java.lang.Override
+    public long getTimeLeftMillis() {
+      return timeLeftMillis_;
+    }
+    /**
+     * <pre>
+     * Time until the client's deadline when the call was sent; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 time_left_millis = 4;</code>
+     * @param value The timeLeftMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeLeftMillis(long value) {
+
+      timeLeftMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time until the client's deadline when the call was sent; 0 if it is not known.
+     * </pre>
+     *
+     * <code>int64 time_left_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeLeftMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      timeLeftMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:marigoldturn.jobs.JobCall)
   }
 
--- a/core/src/main/java/org/marigoldturn/jobs/wire/JobCallOrBuilder.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/JobCallOrBuilder.java
@@ -57,4 +57,14 @@
    * @return The catalogVersion.
    */
   long getCatalogVersion();
+
+  /**
+   * <pre>
+   * Time until the client's deadline when the call was sent; 0 if it is not known.
+   * </pre>
+   *
+   * <code>int64 time_left_millis = 4;</code>
+   * @return The timeLeftMillis.
+   */
+  long getTimeLeftMillis();
 }
--- a/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
+++ b/core/src/main/java/org/marigoldturn/jobs/wire/Jobs.java
@@ -127,20 +127,20 @@
       "\030\n\020memory_megabytes\030\n \001(\003\022\024\n\014accelerator" +
       "s\030\013 \001(\003\022\014\n\004term\030\014 \001(\003\022 \n\030misdirected_lea" +
       "se_millis\030\r \001(\003\022#\n\033earlier_starts_epoch_" +
-      "millis\030\016 \003(\003\"\272\001\n\007JobCall\022-\n\004kind\030\001 \001(\0162\037" +
+      "millis\030\016 \003(\003\"\324\001\n\007JobCall\022-\n\004kind\030\001 \001(\0162\037" +
       ".marigoldturn.jobs.JobCall.Kind\022)\n\003job\030\002" +
       " \001(\0132\034.marigoldturn.jobs.JobRecord\022\027\n\017ca" +
-      "talog_version\030\003 \001(\003\"<\n\004Kind\022\013\n\007HAND_IN\020\000" +
-      "\022\010\n\004LOOK\020\001\022\n\n\006CANCEL\020\002\022\021\n\rCOUNT_WAITING\020" +
-      "\003\"\231\002\n\010JobReply\0224\n\007outcome\030\001 \001(\0162#.marigo" +
-      "ldturn.jobs.JobReply.Outcome\022\033\n\023retry_af" +
-      "ter_seconds\030\002 \001(\r\022\r\n\005state\030\003 \001(\r\022\024\n\014wait" +
-      "ing_jobs\030\004 \001(\r\022\016\n\006reason\030\005 \001(\t\"\204\001\n\007Outco" +
-      "me\022\014\n\010ACCEPTED\020\000\022\013\n\007REFUSED\020\001\022\023\n\017UNKNOWN" +
-      "_OUTCOME\020\002\022\r\n\tNOT_FOUND\020\003\022\t\n\005STATE\020\004\022\r\n\t" +
-      "CANCELLED\020\005\022\021\n\rWAITING_COUNT\020\006\022\r\n\tNOT_OW" +
-      "NER\020\007B\036\n\032org.marigoldturn.jobs.wireP\001b\006p" +
-      "roto3"
+      "talog_version\030\003 \001(\003\022\030\n\020time_left_millis\030" +
+      "\004 \001(\003\"<\n\004Kind\022\013\n\007HAND_IN\020\000\022\010\n\004LOOK\020\001\022\n\n\006" +
+      "CANCEL\020\002\022\021\n\rCOUNT_WAITING\020\003\"\231\002\n\010JobReply" +
+      "\0224\n\007outcome\030\001 \001(\0162#.marigoldturn.jobs.Jo" +
+      "bReply.Outcome\022\033\n\023retry_after_seconds\030\002 " +
+      "\001(\r\022\r\n\005state\030\003 \001(\r\022\024\n\014waiting_jobs\030\004 \001(\r" +
+      "\022\016\n\006reason\030\005 \001(\t\"\204\001\n\007Outcome\022\014\n\010ACCEPTED" +
+      "\020\000\022\013\n\007REFUSED\020\001\022\023\n\017UNKNOWN_OUTCOME\020\002\022\r\n\t" +
+      "NOT_FOUND\020\003\022\t\n\005STATE\020\004\022\r\n\tCANCELLED\020\005\022\021\n" +
+      "\rWAITING_COUNT\020\006\022\r\n\tNOT_OWNER\020\007B\036\n\032org.m" +
+      "arigoldturn.jobs.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -199,7 +199,7 @@
     internal_static_marigoldturn_jobs_JobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_marigoldturn_jobs_JobCall_descriptor,
-        new java.lang.String[] { "Kind", "Job", "CatalogVersion", });
+        new java.lang.String[] { "Kind", "Job", "CatalogVersion", "TimeLeftMillis", });
     internal_static_marigoldturn_jobs_JobReply_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_marigoldturn_jobs_JobReply_fieldAccessorTable = new
--- a/core/src/main/java/org/marigoldturn/scheduling/Admission.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Admission.java
@@ -30,12 +30,26 @@
      * @param slackMillis time for which the job may wait and still meet its objective
      * @param freeMillicores processors of the usable targets that no run reserves, in thousandths
      *     of a core
-     * @param capacityMillicores processors of the usable targets and of hosts that are being moved
-     *     to the service, in thousandths of a core
+     * @param capacityMillicores processors of the usable and the unread targets and of hosts that
+     *     are being moved to the service, in thousandths of a core
+     * @param unreadTargets number of targets of the service that have not reported to this owner;
+     *     what runs there is not known
+     * @param fitsFreeRoom whether the first step would fit into the free processors and memory,
+     *     which ready tasks of other jobs may claim
      */
     public record Forecast(
-            long waitMillis, long slackMillis, long freeMillicores, long capacityMillicores) {
-        static final Forecast NONE = new Forecast(0, 0, 0, 0);
+            long waitMillis,
+            long slackMillis,
+            long freeMillicores,
+            long capacityMillicores,
+            int unreadTargets,
+            boolean fitsFreeRoom) {
+        static final Forecast NONE = new Forecast(0, 0, 0, 0, 0, false);
+
+        /** Returns how much longer the wait is than what the objective allows. */
+        long excessMillis() {
+            return Math.max(0, waitMillis - slackMillis);
+        }
     }
 
     static Admission accept(Forecast forecast) {
@@ -51,17 +65,9 @@
                 forecast);
     }
 
-    /**
-     * Returns the refusal of a job that exceeds its account's entitlement.
-     *
-     * @param millis time until the entitlement allows another job
-     */
-    Admission overEntitlement(long millis) {
-        long seconds = (millis + 999) / 1_000;
-        return refuse(
-                (int) Math.max(1, Math.min(MAX_RETRY_AFTER_SECONDS, seconds)),
-                OVER_ENTITLEMENT,
-                forecast);
+    /** Returns the same decision with a delay after which the client should submit again. */
+    Admission retryAfter(int seconds) {
+        return new Admission(accepted, seconds, reason, forecast);
     }
 
     static Admission refuse(int retryAfterSeconds, String reason, Forecast forecast) {
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -1,66 +1,77 @@
 package org.marigoldturn.scheduling;
 
 import java.util.Collection;
-import java.util.List;
+import java.util.function.Predicate;
 import org.marigoldturn.jobs.JobSpec;
 import org.marigoldturn.jobs.QueueSettings;
-import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.StepSpec;
 
 /**
  * Decides whether to accept a submitted job, by forecasting whether it can meet its objective.
  *
  * <p>The forecast divides the estimated backlog by the processors of the service. It protects
- * against loads that exceed the capacity for a few seconds. Stateless.
+ * against loads that exceed the capacity for a few seconds. While the view of the service is
+ * partial, the caller passes only the work that is known to wait, and the capacity includes targets
+ * that have not been read, so that nothing is refused because of what is not known. Stateless.
  */
 final class AdmissionForecast {
-    /** Number of tasks that fit a target by a resource of which they request nothing. */
-    private static final long TASKS_IF_NOT_REQUESTED = 99;
-
     private AdmissionForecast() {}
 
     /**
-     * Decides on a submission.
+     * A submission and what competes with it.
      *
-     * @param incoming capacity that is being moved to the service
+     * @param elapsedMillis time since the first submission of the job
      * @param backlog work that is served before the job
      * @param jobsAhead jobs whose waiting tasks start before those of the job
+     * @param mayStart returns whether the tasks of a job may start now
      */
-    static Admission decide(
+    record Submission(
             JobSpec spec,
             QueueSettings queue,
-            List<TargetState> targets,
-            ResourceAmounts incoming,
+            long elapsedMillis,
             BacklogForecast backlog,
             Collection<JobEntry> jobsAhead,
-            long epochMillis) {
-        if (targets.isEmpty()) {
+            Predicate<JobEntry> mayStart) {}
+
+    /** Decides on a submission. */
+    static Admission decide(Submission submission, ServiceView view, long epochMillis) {
+        if (!view.hasTargets()) {
             return Admission.refuse(1, "no-target", Admission.Forecast.NONE);
         }
-        ResourceAmounts capacity = incoming;
-        long freeMillicores = 0;
-        for (TargetState target : targets) {
-            capacity = capacity.plus(target.entry().capacity());
-            freeMillicores += Math.max(0, target.free().cpuMillicores());
-        }
-        long chainMillis = spec.longestChainMillis();
+        JobSpec spec = submission.spec();
+        StepSpec firstStep = spec.steps().get(0);
+        long capacityMillicores = view.capacity().cpuMillicores();
         Admission.Forecast forecast =
                 new Admission.Forecast(
-                        backlog.waitMillis(capacity.cpuMillicores()),
-                        queue.objectiveMillis(chainMillis) - chainMillis,
-                        freeMillicores,
-                        capacity.cpuMillicores());
+                        submission.backlog().waitMillis(capacityMillicores),
+                        slackMillis(spec, submission.queue()) - submission.elapsedMillis(),
+                        view.freeMillicores(),
+                        capacityMillicores,
+                        view.unread().size(),
+                        FreeRoom.fits(firstStep, view.usable()));
         for (StepSpec step : spec.steps()) {
-            if (targets.stream()
-                    .noneMatch(t -> step.reservedResources().fitsInto(t.entry().capacity()))) {
+            if (!view.hasTargetFor(step.reservedResources())) {
                 return Admission.refuse(
                         Admission.MAX_RETRY_AFTER_SECONDS, "task-too-large", forecast);
             }
         }
         boolean needsForecast = !spec.scheduled() && !spec.isLongRunning();
-        boolean mustWait =
-                needsForecast && !fitsNow(spec.steps().get(0), targets, jobsAhead, epochMillis);
-        return mustWait ? decideByForecast(spec, forecast) : Admission.accept(forecast);
+        boolean startsNow =
+                FreeRoom.fitsBeside(
+                        firstStep,
+                        view.usable(),
+                        submission.jobsAhead(),
+                        submission.mayStart(),
+                        epochMillis);
+        return needsForecast && !startsNow
+                ? decideByForecast(spec, forecast)
+                : Admission.accept(forecast);
+    }
+
+    /** Returns for how long after its first submission a job may wait and meet its objective. */
+    static long slackMillis(JobSpec spec, QueueSettings queue) {
+        long chainMillis = spec.longestChainMillis();
+        return queue.objectiveMillis(chainMillis) - chainMillis;
     }
 
     private static Admission decideByForecast(JobSpec spec, Admission.Forecast forecast) {
@@ -69,44 +80,6 @@
         if (forecast.waitMillis() + ownMillis / 2 <= forecast.slackMillis()) {
             return Admission.accept(forecast);
         }
-        long excessMillis = forecast.waitMillis() - forecast.slackMillis();
-        int seconds =
-                (int)
-                        Math.max(
-                                1,
-                                Math.min(Admission.MAX_RETRY_AFTER_SECONDS, excessMillis / 1_000));
-        return Admission.refuse(seconds, Admission.OVERLOAD, forecast);
-    }
-
-    /**
-     * Returns whether all tasks of a step fit into the free capacity and no ready task of a job
-     * ahead is waiting for capacity.
-     */
-    private static boolean fitsNow(
-            StepSpec step,
-            List<TargetState> targets,
-            Collection<JobEntry> jobsAhead,
-            long epochMillis) {
-        if (jobsAhead.stream().anyMatch(job -> job.hasStartableStep(epochMillis))) {
-            return false;
-        }
-        long sum = 0;
-        for (TargetState target : targets) {
-            sum += fittingTasks(step.reservedResources(), target.free());
-        }
-        return sum >= step.taskCount();
-    }
-
-    /** Returns how many tasks fit by CPU and memory; accelerators do not count. */
-    private static long fittingTasks(ResourceAmounts reservedResources, ResourceAmounts free) {
-        long byCpu =
-                reservedResources.cpuMillicores() == 0
-                        ? TASKS_IF_NOT_REQUESTED
-                        : free.cpuMillicores() / reservedResources.cpuMillicores();
-        long byMemory =
-                reservedResources.memoryMegabytes() == 0
-                        ? TASKS_IF_NOT_REQUESTED
-                        : free.memoryMegabytes() / reservedResources.memoryMegabytes();
-        return Math.max(0, Math.min(byCpu, byMemory));
+        return Admission.refuse(1, Admission.OVERLOAD, forecast);
     }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
@@ -78,6 +78,11 @@
         return new BacklogForecast(Math.round(other), own);
     }
 
+    /** Returns this forecast with more work of the job's own account. */
+    BacklogForecast withOwn(long coreMillis) {
+        return new BacklogForecast(otherCoreMillis, ownCoreMillis + coreMillis);
+    }
+
     /** Returns the time after which processors of the given capacity begin with the job. */
     long waitMillis(long capacityMillicores) {
         return (otherCoreMillis + ownCoreMillis) * 1_000 / Math.max(1, capacityMillicores);
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -11,6 +11,7 @@
 final class JobEntry {
     private final Job mJob;
     private final long mAcceptedMillis;
+    private final long mFirstSubmittedMillis;
     private final boolean mRestored;
     private final List<List<StepState>> mOccurrences = new ArrayList<>();
     private final List<StepState> mAllSteps = new ArrayList<>();
@@ -28,8 +29,23 @@
      *     its tasks
      */
     JobEntry(Job job, int priority, long acceptedMillis, boolean restored) {
+        this(job, priority, acceptedMillis, acceptedMillis, restored);
+    }
+
+    /**
+     * Creates the entry of a job that may have been refused before.
+     *
+     * @param firstSubmittedMillis monotonic time of its first submission
+     */
+    JobEntry(
+            Job job,
+            int priority,
+            long firstSubmittedMillis,
+            long acceptedMillis,
+            boolean restored) {
         mJob = job;
         mPriority = priority;
+        mFirstSubmittedMillis = firstSubmittedMillis;
         mAcceptedMillis = acceptedMillis;
         mRestored = restored;
         mStored = restored;
@@ -65,7 +81,7 @@
      * account are ordered.
      */
     long firstSubmittedMillis() {
-        return mAcceptedMillis;
+        return mFirstSubmittedMillis;
     }
 
     /**
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -278,7 +278,24 @@
 
     /** Decides on a submission; tasks of an accepted job start only after {@link #onStored}. */
     public Admission submit(Job job, QueueSettings queue, long nowMillis, long epochMillis) {
-        return mSubmissions.submit(job, queue, this::serviceOf, nowMillis, epochMillis);
+        return submit(job, queue, 0, nowMillis, epochMillis);
+    }
+
+    /**
+     * Decides on a submission of a client that waits for a limited time.
+     *
+     * @param timeLeftMillis time until the client's deadline; 0 if it is not known
+     */
+    public Admission submit(
+            Job job, QueueSettings queue, long timeLeftMillis, long nowMillis, long epochMillis) {
+        RestoredJobsCheck restored =
+                new RestoredJobsCheck(mTargets, mRestoredHeldUntilMillis, nowMillis);
+        return mSubmissions.submit(
+                job,
+                queue,
+                new SubmissionRules.Call(timeLeftMillis, nowMillis, epochMillis),
+                this::serviceOf,
+                entry -> !entry.isRestored() || restored.mayStart(queue.service()));
     }
 
     /** Records that a job's durable record exists; its tasks may start. */
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -23,12 +23,12 @@
 final class JobTable {
     /**
      * Jobs with long-running tasks come first, since these serve users; then the operator's
-     * priorities and the order of acceptance decide.
+     * priorities and the order of the first submissions decide.
      */
     private static final Comparator<JobEntry> ORDER =
             Comparator.<JobEntry, Boolean>comparing(e -> !e.job().spec().isLongRunning())
                     .thenComparing(JobEntry::priority)
-                    .thenComparing(JobEntry::acceptedMillis)
+                    .thenComparing(JobEntry::firstSubmittedMillis)
                     .thenComparing(e -> e.job().id());
 
     private final Map<String, JobEntry> mJobs = new HashMap<>();
--- a/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
@@ -12,8 +12,9 @@
 import org.marigoldturn.jobs.ResourceAmounts;
 
 /**
- * Computes the load of each service from its backlog, its capacity and its refusals. Confined to
- * the control thread.
+ * Computes the load of each service from its backlog, its capacity and its refusals. While targets
+ * of a service have not been read, they count with their capacity and the work of restored jobs
+ * does not count, so that no host is moved because of it. Confined to the control thread.
  */
 final class ServiceLoads {
     /**
@@ -51,11 +52,16 @@
             Function<JobEntry, Optional<String>> serviceOf,
             long nowMillis,
             long epochMillis) {
+        Map<String, ServiceView> views = new HashMap<>();
+        for (String service : catalog.services()) {
+            views.put(service, mTargets.view(service, incoming(service), nowMillis));
+        }
         Map<String, Long> backlogCoreMillis = new HashMap<>();
         Set<String> lacksHost = new HashSet<>();
         for (JobEntry entry : mJobs.active()) {
             Optional<String> service = serviceOf.apply(entry);
-            if (service.isEmpty()) {
+            // What runs on targets that have not been read must not count as waiting.
+            if (service.isEmpty() || entry.isRestored() && isPartial(views.get(service.get()))) {
                 continue;
             }
             long work = entry.waitingCoreMillis() + entry.runningCoreMillis();
@@ -72,19 +78,18 @@
             if (catalog.standbyServices().contains(service)) {
                 continue;
             }
-            List<TargetState> targets = mTargets.usable(service, nowMillis);
-            ResourceAmounts capacity = incoming(service);
-            for (TargetState target : targets) {
-                capacity = capacity.plus(target.entry().capacity());
-            }
             loads.add(
                     new ServiceLoad(
                             service,
                             backlogCoreMillis.getOrDefault(service, 0L),
-                            capacity.cpuMillicores(),
+                            views.get(service).capacity().cpuMillicores(),
                             mRefusedMillis.getOrDefault(service, Long.MIN_VALUE / 2),
                             lacksHost.contains(service)));
         }
         return loads;
     }
+
+    private static boolean isPartial(ServiceView view) {
+        return view != null && view.isPartial();
+    }
 }
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.QueueSettings;
 import org.marigoldturn.jobs.ResourceAmounts;
@@ -24,9 +25,19 @@
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final AccountUsage mUsage;
+    private final RefusedJobs mRefused = new RefusedJobs();
     private Optional<EntitlementMeter> mMeter = Optional.empty();
     private AccountWeights mWeights;
 
+    /**
+     * A call that submits a job.
+     *
+     * @param timeLeftMillis time until the client's deadline; 0 if it is not known
+     * @param nowMillis monotonic time of the call
+     * @param epochMillis wall-clock time of the call
+     */
+    record Call(long timeLeftMillis, long nowMillis, long epochMillis) {}
+
     SubmissionRules(
             JobTable jobs,
             TargetTable targets,
@@ -63,37 +74,53 @@
     /**
      * Decides on a submission and adds an accepted job to the table.
      *
+     * @param call when the job was submitted, and the time that its client has left
      * @param serviceOf returns the service of a job; empty while its queue is not configured
+     * @param mayStart returns whether the tasks of a job may start now, if they fit
      */
     Admission submit(
             Job job,
             QueueSettings queue,
+            Call call,
             Function<JobEntry, Optional<String>> serviceOf,
-            long nowMillis,
-            long epochMillis) {
+            Predicate<JobEntry> mayStart) {
+        long nowMillis = call.nowMillis();
+        ServiceView view =
+                mTargets.view(queue.service(), mLoads.incoming(queue.service()), nowMillis);
         List<JobEntry> jobsAhead =
                 mJobs.activeAtLeastAsUrgentAs(
                         queue.priority(),
-                        entry -> serviceOf.apply(entry).equals(Optional.of(queue.service())));
+                        entry ->
+                                serviceOf.apply(entry).equals(Optional.of(queue.service()))
+                                        && !(view.isPartial() && entry.isRestored()));
         Optional<EntitlementMeter> meter =
                 mMeter.filter(m -> mWeights.hasEntitlement(job.account()) && needsForecast(job));
         double rate = mWeights.weight(job.account());
         boolean entitled = meter.map(m -> m.allows(job.account(), rate, nowMillis)).orElse(true);
         boolean byShares = mWeights.isEnabled() && entitled;
-        List<TargetState> targets = mTargets.usable(queue.service(), nowMillis);
+        long firstMillis = mRefused.firstSubmittedMillis(job.id(), nowMillis);
+        BacklogForecast backlog =
+                byShares
+                        ? backlogByShares(job, queue, jobsAhead, nowMillis)
+                        : BacklogForecast.ofAll(jobsAhead);
+        long returningCoreMillis =
+                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         Admission admission =
                 AdmissionForecast.decide(
-                        job.spec(),
-                        queue,
-                        targets,
-                        mLoads.incoming(queue.service()),
-                        byShares
-                                ? backlogByShares(job, queue, jobsAhead, nowMillis)
-                                : BacklogForecast.ofAll(jobsAhead),
-                        byShares ? startedBefore(job, queue, jobsAhead, nowMillis) : jobsAhead,
-                        epochMillis);
+                        new AdmissionForecast.Submission(
+                                job.spec(),
+                                queue,
+                                nowMillis - firstMillis,
+                                backlog.withOwn(returningCoreMillis),
+                                byShares
+                                        ? startedBefore(job, queue, view, jobsAhead, nowMillis)
+                                        : jobsAhead,
+                                mayStart),
+                        view,
+                        call.epochMillis());
         if (admission.accepted()) {
-            accept(job, queue, entitled, nowMillis);
+            mRefused.recordAccepted(job.id());
+            accept(job, queue, entitled, firstMillis, nowMillis);
             if (entitled) {
                 meter.ifPresent(m -> m.recordAccepted(job.account(), rate, nowMillis));
             }
@@ -102,21 +129,35 @@
         if (!admission.reason().equals(Admission.OVERLOAD)) {
             return admission;
         }
+        mRefused.recordRefusal(
+                job.id(),
+                job.account(),
+                queue.service(),
+                firstMillis,
+                AdmissionForecast.slackMillis(job.spec(), queue),
+                job.spec().estimatedCoreMillis(),
+                nowMillis);
         if (entitled) {
             // What exceeds an entitlement is no reason to move a host.
             mLoads.recordRefusal(queue.service(), nowMillis);
-            return admission;
+            return admission.retryAfter(
+                    RetryAdvice.seconds(
+                            job.id(), admission.forecast().excessMillis(), call.timeLeftMillis()));
         }
-        return admission.overEntitlement(
-                meter.orElseThrow().millisUntilAllowed(job.account(), rate, nowMillis));
+        long allowedMillis = meter.orElseThrow().millisUntilAllowed(job.account(), rate, nowMillis);
+        return Admission.refuse(
+                RetryAdvice.seconds(job.id(), allowedMillis, call.timeLeftMillis()),
+                Admission.OVER_ENTITLEMENT,
+                admission.forecast());
     }
 
     private static boolean needsForecast(Job job) {
         return !job.spec().scheduled() && !job.spec().isLongRunning();
     }
 
-    private void accept(Job job, QueueSettings queue, boolean entitled, long nowMillis) {
-        JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
+    private void accept(
+            Job job, QueueSettings queue, boolean entitled, long firstMillis, long nowMillis) {
+        JobEntry entry = new JobEntry(job, queue.priority(), firstMillis, nowMillis, false);
         if (!entitled) {
             entry.setExcessUntil(
                     nowMillis + queue.objectiveMillis(job.spec().longestChainMillis()));
@@ -137,10 +178,13 @@
 
     /** Returns the jobs ahead whose waiting tasks start before those of a submitted job. */
     private List<JobEntry> startedBefore(
-            Job job, QueueSettings queue, Collection<JobEntry> jobsAhead, long nowMillis) {
+            Job job,
+            QueueSettings queue,
+            ServiceView view,
+            Collection<JobEntry> jobsAhead,
+            long nowMillis) {
         String service = queue.service();
-        ResourceAmounts capacity =
-                TargetTable.capacityOf(mTargets.usable(queue.service(), nowMillis));
+        ResourceAmounts capacity = view.usableCapacity();
         AccountShares shares = new AccountShares(mWeights, mUsage::running, name -> capacity);
         double share = shares.relativeShare(job.account(), service);
         return jobsAhead.stream()
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -27,6 +27,9 @@
      */
     private static final long STOP_RETRY_MILLIS = 400;
 
+    /** Targets that respond at all report to a new owner of hundreds of them within this time. */
+    private static final long FIRST_REPORT_MILLIS = 2_000;
+
     private final RunTracker mRuns;
     private final long mTakeoverMillis;
     private final long mLongestHeldLeaseMillis;
@@ -469,6 +472,27 @@
         return candidates(service, nowMillis).usable();
     }
 
+    /**
+     * Returns what is known of the targets of a service. Targets count as unread until they report,
+     * no longer than runs of an earlier owner can exist there and {@link #FIRST_REPORT_MILLIS}
+     * after the takeover.
+     *
+     * @param incoming capacity that is being moved to the service
+     */
+    ServiceView view(String service, ResourceAmounts incoming, long nowMillis) {
+        boolean takingOver = nowMillis - mTakeoverMillis < FIRST_REPORT_MILLIS;
+        List<TargetState> unread = new ArrayList<>();
+        for (TargetState target : ofService(service)) {
+            boolean expected = takingOver || !knowsRuns(target, nowMillis);
+            if (!target.hasReported()
+                    && expected
+                    && !mClosedZones.contains(target.entry().zone())) {
+                unread.add(target);
+            }
+        }
+        return new ServiceView(usable(service, nowMillis), unread, incoming);
+    }
+
     /** Returns the sum of the capacities of targets, whatever is in use. */
     static ResourceAmounts capacityOf(Collection<TargetState> targets) {
         ResourceAmounts capacity = ResourceAmounts.NONE;
