--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -126,9 +126,19 @@
             }
             return admission.entitled(entitled);
         }
-        if (!admission.reason().equals(Admission.OVERLOAD)) {
-            return admission;
-        }
+        return admission.reason().equals(Admission.OVERLOAD)
+                ? refuse(job, queue, call, admission, entitled, firstMillis)
+                : admission;
+    }
+
+    /** Records a refusal for overload and says when the client should come back. */
+    private Admission refuse(
+            Job job,
+            QueueSettings queue,
+            Call call,
+            Admission admission,
+            boolean entitled,
+            long firstMillis) {
         mRefused.recordRefusal(
                 job.id(),
                 job.account(),
@@ -136,15 +146,17 @@
                 firstMillis,
                 AdmissionForecast.slackMillis(job.spec(), queue),
                 job.spec().estimatedCoreMillis(),
-                nowMillis);
+                call.nowMillis());
         if (entitled) {
             // What exceeds an entitlement is no reason to move a host.
-            mLoads.recordRefusal(queue.service(), nowMillis);
+            mLoads.recordRefusal(queue.service(), call.nowMillis());
             return admission.retryAfter(
                     RetryAdvice.seconds(
                             job.id(), admission.forecast().excessMillis(), call.timeLeftMillis()));
         }
-        long allowedMillis = meter.orElseThrow().millisUntilAllowed(job.account(), rate, nowMillis);
+        double rate = mWeights.weight(job.account());
+        long allowedMillis =
+                mMeter.orElseThrow().millisUntilAllowed(job.account(), rate, call.nowMillis());
         return Admission.refuse(
                 RetryAdvice.seconds(job.id(), allowedMillis, call.timeLeftMillis()),
                 Admission.OVER_ENTITLEMENT,
