Keep the place of replaced writes, and wait for a first report that is due

A new owner uses the first report of a noted target only once the note is written without it. Each further change of a record moved its write to the end of the queue of GroupCommit, so that the note, which changes with each target, could stay behind all other writes. And a target that had responded was not waited for beyond the leases, although a run that ended before its lease is still listed.

Change: a replaced write keeps its place in the queue. Restored tasks wait for a target that has responded until its report is processed or contact is lost.

Result: recordThatChangesAgainKeepsItsPlace and restoredTasksWaitForATargetWhoseFirstReportIsDue pass, with the tests of takeovers, sessions and notes. They were not run on the code before.

--- a/core/src/main/java/org/marigoldturn/coordination/GroupCommit.java
+++ b/core/src/main/java/org/marigoldturn/coordination/GroupCommit.java
@@ -72,7 +72,7 @@
         mRevisions.put(key, revision);
     }
 
-    /** Writes a record; a write of the same key that has not been sent yet is replaced. */
+    /** Writes a record; a write of the same key that has not been sent yet is replaced in place. */
     CompletableFuture<Void> put(String key, ByteString value) {
         return enqueue(key, value);
     }
@@ -161,7 +161,8 @@
     }
 
     private CompletableFuture<Void> enqueue(String key, ByteString value) {
-        Write replaced = mPending.remove(key);
+        // A replaced write keeps its place, so that frequent changes of a record do not delay it.
+        Write replaced = mPending.get(key);
         Write write =
                 new Write(
                         key, value, replaced == null ? new CompletableFuture<>() : replaced.done());
--- a/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
+++ b/core/src/main/java/org/marigoldturn/coordination/TargetSession.java
@@ -285,6 +285,7 @@
         if (first) {
             CompletableFuture<Void> mayReport = mCallbacks.onFirstResponse(mTarget);
             if (!mayReport.isDone()) {
+                mTarget.setFirstReportDue(true);
                 // The report would be out of date by then.
                 var unused = mayReport.thenRun(this::poll);
                 return;
@@ -364,6 +365,7 @@
             return;
         }
         mCallsWithoutResponse++;
+        mTarget.setFirstReportDue(false);
         boolean firstFailure = !mTarget.hasReported() && !mLoggedUnread;
         if (mTarget.isReachable() || firstFailure) {
             mLoggedUnread = true;
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetState.java
@@ -34,6 +34,7 @@
     private boolean mListed = true;
     private boolean mRecorded;
     private long mUnknownRunsEndMillis;
+    private boolean mFirstReportDue;
     private boolean mReported;
     private boolean mReportedToCertainOwner;
     private boolean mReachable;
@@ -80,6 +81,19 @@
         return mReported;
     }
 
+    /**
+     * Records whether it has responded to this owner, which cannot process its first report yet.
+     * Then it is waited for however long the leases of earlier owners last, since a run that ended
+     * before its lease is still listed.
+     */
+    public void setFirstReportDue(boolean due) {
+        mFirstReportDue = due;
+    }
+
+    boolean isFirstReportDue() {
+        return mFirstReportDue && !mReported;
+    }
+
     /** Returns whether runs of earlier owners that are not known here may exist there. */
     public boolean mayHaveUnknownRuns() {
         return mUnknownRunsEndMillis != NEVER_USED && !mReported;
@@ -317,6 +331,7 @@
      */
     void recordReport(boolean ownerCertain) {
         mReported = true;
+        mFirstReportDue = false;
         mReportedToCertainOwner |= ownerCertain;
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TargetTable.java
@@ -374,14 +374,16 @@
 
     /**
      * Returns whether all runs that can exist on a target are known: it has reported, no earlier
-     * owner has used it, or every lease of an earlier owner has expired.
+     * owner has used it, or every lease of an earlier owner has expired and it is not about to
+     * report.
      */
     boolean knowsRuns(TargetState target, long nowMillis) {
         return knowsRunsAt(target, provenMillis(nowMillis));
     }
 
     private static boolean knowsRunsAt(TargetState target, long timeMillis) {
-        return !target.mayHaveUnknownRuns() || timeMillis >= target.unknownRunsEndMillis();
+        return !target.mayHaveUnknownRuns()
+                || !target.isFirstReportDue() && timeMillis >= target.unknownRunsEndMillis();
     }
 
     /**
--- a/core/src/test/java/org/marigoldturn/coordination/GroupCommitProperties.java
+++ b/core/src/test/java/org/marigoldturn/coordination/GroupCommitProperties.java
@@ -129,6 +129,30 @@
         assertThat(store.mStore.value("mt/job/a")).isEmpty();
     }
 
+    /** Guards against ends that stay unconfirmed while their job's progress changes. */
+    @Example
+    void recordThatChangesAgainKeepsItsPlace() throws Exception {
+        MemoryStore store = new MemoryStore();
+        GroupCommit commits =
+                new GroupCommit(store, mControl, Clocks.system(), store.writeTerm(), () -> {});
+        CompletableFuture<Void> all = new CompletableFuture<>();
+        mControl.execute(
+                () -> {
+                    commits.put("mt/progress/first", ByteString.copyFromUtf8("1"));
+                    for (int i = 0; i < 60; i++) {
+                        commits.put("mt/progress/later" + i, ByteString.copyFromUtf8("1"));
+                    }
+                    commits.put("mt/progress/first", ByteString.copyFromUtf8("2"));
+                    commits.flush().whenComplete((done, failure) -> all.complete(null));
+                });
+        all.get(60, TimeUnit.SECONDS);
+        long first = store.value("mt/progress/first").orElseThrow().modRevision();
+        long last = store.value("mt/progress/later59").orElseThrow().modRevision();
+        assertThat(first).isLessThan(last);
+        assertThat(store.value("mt/progress/first").orElseThrow().value().toStringUtf8())
+                .isEqualTo("2");
+    }
+
     @Example
     void deletedRecordStaysDeletedAlsoWhenResponsesAreLost() throws Exception {
         for (int seed = 0; seed < 6; seed++) {
--- a/core/src/test/java/org/marigoldturn/scheduling/UnreadTargetsTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/UnreadTargetsTest.java
@@ -34,6 +34,21 @@
         assertThat(mFixture.starts()).hasSize(1);
     }
 
+    /** Guards against a second run of a task whose end the responding target still lists. */
+    @Example
+    void restoredTasksWaitForATargetWhoseFirstReportIsDue() {
+        mFixture.mScheduler.setTargetRecordsComplete(true);
+        restoreLongRunningJob();
+        TargetState unread =
+                mFixture.mScheduler.restoreTarget(entry("unread", 1, 4_000), mFixture.mNowMillis);
+        mFixture.addTarget("read", 4_000);
+        unread.setFirstReportDue(true);
+        mFixture.mNowMillis += SchedulerFixture.LONGEST_LEASE_MILLIS;
+        assertThat(mFixture.starts()).isEmpty();
+        unread.setFirstReportDue(false);
+        assertThat(mFixture.starts()).hasSize(1);
+    }
+
     /** Guards against a wait for a target whose process has ended, with all runs there. */
     @Example
     void restoredTasksDoNotWaitForARecordedTargetThatHasEnded() {
