Keep the hosts of a service of which the view is partial

Cause: while targets are unread, ServiceLoads leaves the work of restored jobs out. LoanPolicy took the service for idle: hosts on loan went back to the standby pool after 1.5 s, or at once to another service, while the restored jobs that wait for the last target had no other capacity. One target that is lost together with the owner keeps the view partial until its leases have ended. Change: a load says whether its view is partial, and such a service keeps its hosts. No host is moved to it because of restored work, as before. Result: newOwnerKeepsLoanedHostsWhoseWorkMayWaitForTheLastTarget failed before and passes; TakeoverViewTest 6 of 6, LoanPolicyTest 5 of 5.

--- a/core/src/main/java/org/marigoldturn/scheduling/LoanPolicy.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/LoanPolicy.java
@@ -72,18 +72,23 @@
                         .thenComparing(SpareHost::idleSinceMillis)
                         .thenComparing(SpareHost::hostId));
         Map<String, Integer> wanted = new HashMap<>();
+        Set<String> keepsHosts = new HashSet<>();
         List<ServiceLoad> order = new ArrayList<>(loads);
         order.sort(Comparator.comparing(ServiceLoad::waitMillis).reversed());
         for (ServiceLoad load : order) {
-            wanted.put(load.service(), wantedHosts(load, free, nowMillis));
+            int hostsWanted = wantedHosts(load, free, nowMillis);
+            wanted.put(load.service(), hostsWanted);
+            // With a partial view, restored work may wait for the hosts although it is not counted.
+            if (hostsWanted > 0 || load.partialView()) {
+                keepsHosts.add(load.service());
+            }
         }
         List<Move> moves = new ArrayList<>();
         Set<String> moved = new HashSet<>();
         for (ServiceLoad load : order) {
             int missing = wanted.get(load.service());
             for (SpareHost host : free) {
-                boolean needed = wanted.getOrDefault(host.pool(), 0) > 0;
-                if (missing > 0 && !needed && moved.add(host.hostId())) {
+                if (missing > 0 && !keepsHosts.contains(host.pool()) && moved.add(host.hostId())) {
                     moves.add(new Move(host.hostId(), load.service(), reason(load)));
                     missing--;
                 }
@@ -94,7 +99,7 @@
             boolean longIdle = nowMillis - host.idleSinceMillis() >= RETURN_AFTER_MILLIS;
             if (onLoan
                     && longIdle
-                    && wanted.getOrDefault(host.pool(), 0) == 0
+                    && !keepsHosts.contains(host.pool())
                     && moved.add(host.hostId())) {
                 moves.add(new Move(host.hostId(), standbyPool, "idle"));
             }
--- a/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/ServiceLoads.java
@@ -14,7 +14,8 @@
 /**
  * Computes the load of each service from its backlog, its capacity and its refusals. While targets
  * of a service have not been read, they count with their capacity and the work of restored jobs
- * does not count, so that no host is moved because of it. Confined to the control thread.
+ * does not count, so that no host is moved to it because of that work; since the service may need
+ * the hosts that it has, it keeps them. Confined to the control thread.
  */
 final class ServiceLoads {
     /**
@@ -84,7 +85,8 @@
                             backlogCoreMillis.getOrDefault(service, 0L),
                             views.get(service).capacity().cpuMillicores(),
                             mRefusedMillis.getOrDefault(service, Long.MIN_VALUE / 2),
-                            lacksHost.contains(service)));
+                            lacksHost.contains(service),
+                            views.get(service).isPartial()));
         }
         return loads;
     }
--- a/core/src/test/java/org/marigoldturn/scheduling/TakeoverViewTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/TakeoverViewTest.java
@@ -78,6 +78,23 @@
         assertThat(moves()).isEmpty();
     }
 
+    @Example
+    void newOwnerKeepsLoanedHostsWhoseWorkMayWaitForTheLastTarget() {
+        takeOver(1);
+        LoanPolicy.SpareHost loaned =
+                new LoanPolicy.SpareHost(
+                        "loaned", "service", TARGET_MILLICORES, mFixture.mNowMillis - 2_000);
+
+        assertThat(
+                        LoanPolicy.decide(
+                                mFixture.mScheduler.serviceLoads(
+                                        mFixture.mNowMillis, mFixture.mNowMillis),
+                                List.of(loaned),
+                                "standby",
+                                mFixture.mNowMillis))
+                .isEmpty();
+    }
+
     @Example
     void loadThatNoReadingOfTheViewCanServeIsRefused() {
         takeOver(UNREAD_TARGETS);
