Count urgent work beyond an entitlement in the forecast

Cause: the forecast by shares left out the waiting work of all jobs beyond their entitlement, but a scheduling pass starts those of more urgent queues before the jobs of less urgent ones. Less urgent jobs were accepted with too short a wait. Change: waiting work beyond an entitlement is left out only within the job's own priority. Result: workOfMoreUrgentQueuesCountsInFullAlsoBeyondTheEntitlement failed before and passes; BacklogForecastTest 3 of 3, AccountShareLoadTest 3 of 3.

--- a/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
@@ -33,7 +33,7 @@
      * @param priority priority of the job's queue; all work of more urgent ones comes first
      * @param newCoreMillis work of the job itself
      * @param isExcess returns whether a job exceeds its account's entitlement; its waiting tasks
-     *     start after this job's
+     *     start after this job's unless its queue is more urgent
      */
     static BacklogForecast byShares(
             Collection<JobEntry> jobsAhead,
@@ -45,9 +45,10 @@
         Map<String, Long> backlogs = new HashMap<>();
         long urgent = 0;
         for (JobEntry job : jobsAhead) {
-            long work =
-                    job.runningCoreMillis() + (isExcess.test(job) ? 0 : job.waitingCoreMillis());
-            if (job.priority() < priority) {
+            boolean isUrgent = job.priority() < priority;
+            boolean startsLater = !isUrgent && isExcess.test(job);
+            long work = job.runningCoreMillis() + (startsLater ? 0 : job.waitingCoreMillis());
+            if (isUrgent) {
                 urgent += work;
             } else {
                 backlogs.merge(job.job().account(), work, Long::sum);
--- a/core/src/test/java/org/marigoldturn/scheduling/BacklogForecastTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/BacklogForecastTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import net.jqwik.api.Example;
 
@@ -28,4 +29,17 @@
                         Map.of("small", 10L, "large", 5_000L), "large", 30, 0, WEIGHTS);
         assertThat(forecast).isEqualTo(new BacklogForecast(40, 5_000));
     }
+
+    @Example
+    void workOfMoreUrgentQueuesCountsInFullAlsoBeyondTheEntitlement() {
+        JobEntry urgent =
+                new JobEntry(
+                        SchedulerFixture.job("urgent", "large", SchedulerFixture.step(8, 1_000)),
+                        0,
+                        0,
+                        false);
+        BacklogForecast forecast =
+                BacklogForecast.byShares(List.of(urgent), "small", 1, 0, WEIGHTS, job -> true);
+        assertThat(forecast).isEqualTo(new BacklogForecast(8_000, 0));
+    }
 }
