Let tasks beyond an account's limit claim no free room

Cause: a submission fits now if the free room suffices beside the ready tasks ahead of it. Ready tasks of an account at its limit counted, although they cannot start until its own runs end. Jobs of other accounts were refused for overload while the room for them stayed idle. Change: a job ahead claims room only if its account's limit allows one more task of a startable step. Ruled out: capping the claim at what the limit leaves, since it needs sums over the account's jobs for each submission. The forecast of the wait still counts the backlog of such an account in full. Result: readyTasksOfAnAccountAtItsLimitClaimNoRoom failed before (32 cores free, a job of 16 refused) and passes.

--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.marigoldturn.jobs.AccountSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
@@ -295,7 +296,17 @@
                 queue,
                 new SubmissionRules.Call(timeLeftMillis, nowMillis, epochMillis),
                 this::serviceOf,
-                entry -> !entry.isRestored() || restored.mayStart(queue.service()));
+                entry ->
+                        (!entry.isRestored() || restored.mayStart(queue.service()))
+                                && isWithinLimit(entry, epochMillis));
+    }
+
+    /** Returns whether the limit of a job's account allows one more task of a startable step. */
+    private boolean isWithinLimit(JobEntry job, long epochMillis) {
+        Optional<AccountSettings> account = mCatalog.account(job.job().account());
+        return account.isEmpty()
+                || job.startableSteps(epochMillis).stream()
+                        .anyMatch(step -> mUsage.allows(account, step.spec(), 1));
     }
 
     /** Records that a job's durable record exists; its tasks may start. */
