Round up the delay until an entitlement allows a job

Cause: Retry-After has whole seconds, and the time until an account's bucket holds a job again was rounded down. With a weight below one job a second, a client that kept to it came back before the bucket held a job. Change: that time is rounded up before the spread is added. The client's deadline still bounds it. Ruled out: rounding up the time until the backlog leaves room, which is an estimate; RetryAdviceTest states the delays that follow from it.

--- a/core/src/main/java/org/marigoldturn/scheduling/RetryAdvice.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RetryAdvice.java
@@ -19,6 +19,14 @@
 
     private RetryAdvice() {}
 
+    /**
+     * Returns a time rounded up to whole seconds, for a client that is certain to be refused
+     * before.
+     */
+    static long wholeSeconds(long millis) {
+        return (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND * MILLIS_PER_SECOND;
+    }
+
     /**
      * Returns the delay in whole seconds, at least 1.
      *
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -158,7 +158,8 @@
         long allowedMillis =
                 mMeter.orElseThrow().millisUntilAllowed(job.account(), rate, call.nowMillis());
         return Admission.refuse(
-                RetryAdvice.seconds(job.id(), allowedMillis, call.timeLeftMillis()),
+                RetryAdvice.seconds(
+                        job.id(), RetryAdvice.wholeSeconds(allowedMillis), call.timeLeftMillis()),
                 Admission.OVER_ENTITLEMENT,
                 admission.forecast());
     }
--- a/core/src/test/java/org/marigoldturn/scheduling/SubmissionRulesTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SubmissionRulesTest.java
@@ -38,4 +38,19 @@
 
         assertThat(mFixture.accept(job("other", "", 16)).accepted()).isTrue();
     }
+
+    /** Guards against a retry that comes before the entitlement allows it. */
+    @Example
+    void retryComesOnceTheEntitlementAllowsAJob() {
+        setWeight(0.5);
+        mFixture.mScheduler.setEntitlementWindow(1_000);
+        mFixture.addTarget("t", 8 * CORE_MILLICORES);
+        mFixture.accept(job("within", "account", 8));
+
+        mFixture.mNowMillis += 100;
+        Admission admission = mFixture.accept(job("b", "account", 8));
+
+        assertThat(admission.reason()).isEqualTo(Admission.OVER_ENTITLEMENT);
+        assertThat(admission.retryAfterSeconds()).isGreaterThanOrEqualTo(2);
+    }
 }
