Treat a refused job as new once it is no longer useful

Cause: a job's slack counts from its first submission, and each refusal renews the memory of it. A client that kept the job's id and returned within 5 s each time was refused for as long as the service was busy, while new jobs of the same size were accepted. Change: after three times its objective, up to which a job is late but useful, a job that returns counts as submitted now. Ruled out: forgetting it at the end of its objective, since a job that is late and let in makes another one late in a burst.

--- a/core/src/main/java/org/marigoldturn/scheduling/RefusedJobs.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RefusedJobs.java
@@ -18,6 +18,9 @@
      */
     static final long MAX_AGE_MILLIS = 5_000;
 
+    /** Up to this multiple of its objective, a job is late but still useful to its client. */
+    private static final long USEFUL_OBJECTIVES = 3;
+
     static final int MAX_JOBS = 10_000;
 
     /** By id, in the order of the latest refusal. */
@@ -29,6 +32,7 @@
      * @param firstMillis monotonic time of its first submission
      * @param refusedMillis monotonic time of its latest refusal
      * @param objectiveMillis monotonic time until which it must start to meet its objective
+     * @param usefulMillis monotonic time until which its first submission orders it
      */
     private record Refused(
             String account,
@@ -36,19 +40,27 @@
             long firstMillis,
             long refusedMillis,
             long objectiveMillis,
+            long usefulMillis,
             long coreMillis) {}
 
-    /** Returns when a job was submitted first: now if it is not known. */
+    /**
+     * Returns when a job was submitted first: now if it is not known. A job that is no longer
+     * useful to a client in a hurry counts as new, since a client that still returns would
+     * otherwise be refused for as long as the service is busy.
+     */
     long firstSubmittedMillis(String jobId, long nowMillis) {
         forgetOld(nowMillis);
         Refused refused = mJobs.get(jobId);
-        return refused == null ? nowMillis : refused.firstMillis();
+        return refused == null || nowMillis >= refused.usefulMillis()
+                ? nowMillis
+                : refused.firstMillis();
     }
 
     /**
      * Records a refusal.
      *
      * @param slackMillis time after its first submission at which the job must start
+     * @param objectiveMillis time after its first submission at which the job should be completed
      * @param coreMillis work of the job, in thousandths of a core-second
      */
     void recordRefusal(
@@ -57,6 +69,7 @@
             String service,
             long firstMillis,
             long slackMillis,
+            long objectiveMillis,
             long coreMillis,
             long nowMillis) {
         mJobs.remove(jobId);
@@ -68,6 +81,7 @@
                         firstMillis,
                         nowMillis,
                         firstMillis + slackMillis,
+                        firstMillis + USEFUL_OBJECTIVES * objectiveMillis,
                         coreMillis));
         forgetOld(nowMillis);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -145,6 +145,7 @@
                 queue.service(),
                 firstMillis,
                 AdmissionForecast.slackMillis(job.spec(), queue),
+                queue.objectiveMillis(job.spec().longestChainMillis()),
                 job.spec().estimatedCoreMillis(),
                 call.nowMillis());
         if (entitled) {
--- a/core/src/test/java/org/marigoldturn/scheduling/RefusedJobsTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RefusedJobsTest.java
@@ -9,7 +9,7 @@
     private final RefusedJobs mRefused = new RefusedJobs();
 
     private void refuse(String id, long firstMillis, long nowMillis) {
-        mRefused.recordRefusal(id, "a", "service", firstMillis, 1_000, 50, nowMillis);
+        mRefused.recordRefusal(id, "a", "service", firstMillis, 1_000, 2_000, 50, nowMillis);
     }
 
     @Example
--- a/core/src/test/java/org/marigoldturn/scheduling/SubmissionRulesTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/SubmissionRulesTest.java
@@ -11,6 +11,7 @@
 /** Guards against refusals that never end, that room contradicts, or that name a useless delay. */
 class SubmissionRulesTest {
     private static final long CORE_MILLICORES = 1_000;
+    private static final long MAX_TRIES = 20;
 
     private final SchedulerFixture mFixture = new SchedulerFixture();
 
@@ -28,6 +29,24 @@
                                 new ResourceAmounts(8 * CORE_MILLICORES, 0, 0))));
     }
 
+    /** Guards against a job that is refused for good because it was refused once. */
+    @Example
+    void jobThatReturnsAfterItWasUsefulIsServedLikeANewOne() {
+        mFixture.addTarget("t", 8 * CORE_MILLICORES);
+        mFixture.accept(job("burst", "", 8));
+        assertThat(mFixture.accept(job("returning", "", 8)).accepted()).isFalse();
+        mFixture.mScheduler.cancel("burst", mFixture.mNowMillis);
+        assertThat(mFixture.accept(job("steady", "", 4)).accepted()).isTrue();
+
+        boolean accepted = false;
+        for (int i = 0; i < MAX_TRIES && !accepted; i++) {
+            mFixture.mNowMillis += 1_000;
+            accepted = mFixture.accept(job("returning", "", 8)).accepted();
+        }
+
+        assertThat(accepted).isTrue();
+    }
+
     /** Guards against room that stays idle for an account whose limit keeps it from using it. */
     @Example
     void readyTasksOfAnAccountAtItsLimitClaimNoRoom() {
