Remember refused jobs for longer than the longest Retry-After

Cause: refused jobs were forgotten after 5 s, which is also the longest Retry-After. A client that was told 5 s and kept to it was always forgotten, so it lost its place among the jobs of its account. Change: they are remembered for 2 s longer, the time that a call may take. Ruled out: a shorter Retry-After, which the load decides. Result: clientThatKeepsToTheLongestDelayIsRemembered failed before and passes; RefusedJobsTest 4 of 4.

--- a/core/src/main/java/org/marigoldturn/scheduling/RefusedJobs.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RefusedJobs.java
@@ -15,8 +15,9 @@
 final class RefusedJobs {
     /**
      * Clients that have not come back within this time have given up, or their deadline is over.
+     * Longer than the longest Retry-After by the time that a call may take.
      */
-    static final long MAX_AGE_MILLIS = 5_000;
+    static final long MAX_AGE_MILLIS = Admission.MAX_RETRY_AFTER_SECONDS * 1_000L + 2_000;
 
     /** Up to this multiple of its objective, a job is late but still useful to its client. */
     private static final long USEFUL_OBJECTIVES = 3;
--- a/core/src/test/java/org/marigoldturn/scheduling/RefusedJobsTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/RefusedJobsTest.java
@@ -29,6 +29,15 @@
         assertThat(mRefused.expectedCoreMillis("a", "service", 1_200, 1_200)).isZero();
     }
 
+    @Example
+    void clientThatKeepsToTheLongestDelayIsRemembered() {
+        refuse("x", 0, 0);
+        assertThat(
+                        mRefused.firstSubmittedMillis(
+                                "x", Admission.MAX_RETRY_AFTER_SECONDS * 1_000L + 500))
+                .isZero();
+    }
+
     @Example
     void memoryIsBoundedInAgeAndNumber() {
         refuse("old", 0, 0);
