--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -145,6 +145,7 @@
                 queue.service(),
                 firstMillis,
                 AdmissionForecast.slackMillis(job.spec(), queue),
+                queue.objectiveMillis(job.spec().longestChainMillis()),
                 job.spec().estimatedCoreMillis(),
                 call.nowMillis());
         if (entitled) {
@@ -158,7 +159,8 @@
         long allowedMillis =
                 mMeter.orElseThrow().millisUntilAllowed(job.account(), rate, call.nowMillis());
         return Admission.refuse(
-                RetryAdvice.seconds(job.id(), allowedMillis, call.timeLeftMillis()),
+                RetryAdvice.seconds(
+                        job.id(), RetryAdvice.wholeSeconds(allowedMillis), call.timeLeftMillis()),
                 Admission.OVER_ENTITLEMENT,
                 admission.forecast());
     }
