Count only entitled short work in shares and returns

Change: RefusedJobs holds jobs within the entitlement of accounts with a weight. Returning work is part of the account's backlog in the fluid model. Shares count the runs of short jobs.

--- a/core/src/main/java/org/marigoldturn/scheduling/AccountUsage.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AccountUsage.java
@@ -8,22 +8,26 @@
 import org.marigoldturn.jobs.StepSpec;
 
 /**
- * Sums up the resources that the runs of each client account request, in all and by service,
- * including runs that are being started or stopped. Confined to the control thread.
+ * Sums up the resources that the runs of each client account request, including runs that are being
+ * started or stopped: of all runs, for its limit, and of runs of short jobs by service, for its
+ * share. Long-running tasks start before all others and do not compete for shares. Confined to the
+ * control thread.
  */
 final class AccountUsage {
     private final Map<String, ResourceAmounts> mRunning = new HashMap<>();
-    private final Map<String, Map<String, ResourceAmounts>> mRunningByService = new HashMap<>();
+    private final Map<String, Map<String, ResourceAmounts>> mShortRuns = new HashMap<>();
 
-    void add(String account, String service, ResourceAmounts needs) {
+    void add(String account, Run run, ResourceAmounts needs) {
         mRunning.merge(account, needs, ResourceAmounts::plus);
-        mRunningByService
-                .computeIfAbsent(service, name -> new HashMap<>())
-                .merge(account, needs, ResourceAmounts::plus);
+        if (!run.isLongRunning()) {
+            mShortRuns
+                    .computeIfAbsent(run.service(), name -> new HashMap<>())
+                    .merge(account, needs, ResourceAmounts::plus);
+        }
     }
 
-    void remove(String account, String service, ResourceAmounts needs) {
-        add(account, service, needs.times(-1));
+    void remove(String account, Run run, ResourceAmounts needs) {
+        add(account, run, needs.times(-1));
     }
 
     /** Returns whether the account's limit allows {@code count} more tasks of a step. */
@@ -36,9 +40,9 @@
         return mRunning.getOrDefault(account, ResourceAmounts.NONE);
     }
 
-    /** Returns what the runs of an account at the targets of a service request. */
+    /** Returns what the runs of an account at the targets of a service request, by short jobs. */
     ResourceAmounts running(String account, String service) {
-        return mRunningByService
+        return mShortRuns
                 .getOrDefault(service, Map.of())
                 .getOrDefault(account, ResourceAmounts.NONE);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
@@ -30,6 +30,7 @@
     /**
      * Returns the forecast for a job of an account within its entitlement.
      *
+     * @param returningCoreMillis work of refused jobs of the account that come back before the job
      * @param priority priority of the job's queue; all work of more urgent ones comes first
      * @param newCoreMillis work of the job itself
      * @param isExcess returns whether a job exceeds its account's entitlement; its waiting tasks
@@ -38,11 +39,13 @@
     static BacklogForecast byShares(
             Collection<JobEntry> jobsAhead,
             String account,
+            long returningCoreMillis,
             int priority,
             long newCoreMillis,
             AccountWeights weights,
             Predicate<JobEntry> isExcess) {
         Map<String, Long> backlogs = new HashMap<>();
+        backlogs.put(account, returningCoreMillis);
         long urgent = 0;
         for (JobEntry job : jobsAhead) {
             boolean isUrgent = job.priority() < priority;
@@ -79,11 +82,6 @@
         return new BacklogForecast(Math.round(other), own);
     }
 
-    /** Returns this forecast with more work of the job's own account. */
-    BacklogForecast withOwn(long coreMillis) {
-        return new BacklogForecast(otherCoreMillis, ownCoreMillis + coreMillis);
-    }
-
     /** Returns the time after which processors of the given capacity begin with the job. */
     long waitMillis(long capacityMillicores) {
         return (otherCoreMillis + ownCoreMillis) * 1_000 / Math.max(1, capacityMillicores);
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -140,13 +140,14 @@
     }
 
     /**
-     * Returns the part of a service's usable capacity that an account's runs request, by its
-     * dominant resource.
+     * Returns the part of a service's usable capacity that each account's short jobs request, by
+     * the dominant resource, in the order of the accounts.
      */
-    public double share(String account, String service, long nowMillis) {
-        return AccountShares.dominantShare(
-                mUsage.running(account, service),
-                TargetTable.capacityOf(mTargets.usable(service, nowMillis)));
+    public List<Double> shares(List<String> accounts, String service, long nowMillis) {
+        ResourceAmounts capacity = TargetTable.capacityOf(mTargets.usable(service, nowMillis));
+        return accounts.stream()
+                .map(name -> AccountShares.dominantShare(mUsage.running(name, service), capacity))
+                .toList();
     }
 
     /** Sets the availability zones in which no task starts. */
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -244,7 +244,7 @@
             task.runs().add(run);
             task.recordRunNumber(run.number());
             job.markStarted();
-            mUsage.add(job.job().account(), run.service(), job.step(run.task()).spec().needs());
+            mUsage.add(job.job().account(), run, job.step(run.task()).spec().needs());
         }
     }
 
@@ -253,7 +253,7 @@
         TaskState task = mJobs.task(run.task());
         if (task != null && task.runs().remove(run)) {
             JobEntry job = mJobs.job(run.task().jobId());
-            mUsage.remove(job.job().account(), run.service(), job.step(run.task()).spec().needs());
+            mUsage.remove(job.job().account(), run, job.step(run.task()).spec().needs());
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -99,19 +99,19 @@
         boolean entitled = meter.map(m -> m.allows(job.account(), rate, nowMillis)).orElse(true);
         boolean byShares = mWeights.isEnabled() && entitled;
         long firstMillis = mRefused.firstSubmittedMillis(job.id(), nowMillis);
+        long returningCoreMillis =
+                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         BacklogForecast backlog =
                 byShares
-                        ? backlogByShares(job, queue, jobsAhead, nowMillis)
+                        ? backlogByShares(job, queue, jobsAhead, returningCoreMillis, nowMillis)
                         : BacklogForecast.ofAll(jobsAhead);
-        long returningCoreMillis =
-                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         Admission admission =
                 AdmissionForecast.decide(
                         new AdmissionForecast.Submission(
                                 job.spec(),
                                 queue,
                                 nowMillis - firstMillis,
-                                backlog.withOwn(returningCoreMillis),
+                                backlog,
                                 byShares
                                         ? startedBefore(job, queue, view, jobsAhead, nowMillis)
                                         : jobsAhead,
@@ -139,16 +139,18 @@
             Admission admission,
             boolean entitled,
             long firstMillis) {
-        mRefused.recordRefusal(
-                job.id(),
-                job.account(),
-                queue.service(),
-                firstMillis,
-                AdmissionForecast.slackMillis(job.spec(), queue),
-                queue.objectiveMillis(job.spec().longestChainMillis()),
-                job.spec().estimatedCoreMillis(),
-                call.nowMillis());
         if (entitled) {
+            if (mWeights.hasEntitlement(job.account())) {
+                mRefused.recordRefusal(
+                        job.id(),
+                        job.account(),
+                        queue.service(),
+                        firstMillis,
+                        AdmissionForecast.slackMillis(job.spec(), queue),
+                        queue.objectiveMillis(job.spec().longestChainMillis()),
+                        job.spec().estimatedCoreMillis(),
+                        call.nowMillis());
+            }
             // What exceeds an entitlement is no reason to move a host.
             mLoads.recordRefusal(queue.service(), call.nowMillis());
             return admission.retryAfter(
@@ -180,10 +182,15 @@
     }
 
     private BacklogForecast backlogByShares(
-            Job job, QueueSettings queue, Collection<JobEntry> jobsAhead, long nowMillis) {
+            Job job,
+            QueueSettings queue,
+            Collection<JobEntry> jobsAhead,
+            long returningCoreMillis,
+            long nowMillis) {
         return BacklogForecast.byShares(
                 jobsAhead,
                 job.account(),
+                returningCoreMillis,
                 queue.priority(),
                 job.spec().estimatedCoreMillis(),
                 mWeights,
