Delay the late write of a test by more than a pause of the client

Cause: the store stand-in answered 2 s after a call whose time limit is 1 s. Client and stand-in share a process. If the client's event loop does not run until both the time limit and the response are due, it reads the response first and the call succeeds, which is correct. Change: the response is delayed by ten times the limit. The test still requires that the call times out with an unknown outcome and that the write takes effect afterwards. Ruled out: a fault of EtcdJsonStore, which sets the limit for each call; accepting a success, which would no longer test the time limit. The failure itself was not reproduced in the test.

--- a/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/StoreFaultsTest.java
@@ -44,6 +44,13 @@
 /** Guards against faults of the store service that its adapter or the repository mishandle. */
 class StoreFaultsTest {
     private static final int TIMEOUT_MILLIS = 1_000;
+
+    /**
+     * Delay of a response that comes after the time limit. A client whose event loop does not run
+     * until both are due reads the response first, so the delay exceeds such pauses.
+     */
+    private static final int LATE_WRITE_MILLIS = 10 * TIMEOUT_MILLIS;
+
     private static final String PREFIX = "/marigoldturn/";
 
     private final StoreServer mServer = new StoreServer(0);
@@ -83,7 +90,7 @@
 
     @Example
     void writeThatTimedOutMayStillTakeEffect() throws Exception {
-        mServer.setFaults("{\"delayMillis\": %d}".formatted(2 * TIMEOUT_MILLIS));
+        mServer.setFaults("{\"delayMillis\": %d}".formatted(LATE_WRITE_MILLIS));
         assertThatThrownBy(() -> mStore.commit(put("late", "v")).join())
                 .hasCauseInstanceOf(StoreOutcomeUnknownException.class);
         mServer.setFaults("{\"delayMillis\": 0}");
