Await a session at each operator port before a fleet test

Cause: three tests failed once, under load, with "connection established, but session creation timed out". The client is that of the fixture; its connect limit of 2 s covers the TCP connection, which the kernel accepts, and then the HTTP session, for which the daemon must run. The fixture's first call to a daemon that has just started was made in a wait, but its exception ended the wait and the test. A trial with a listening socket on which nobody accepts gave the same message after 2.5 s. Change: the fixture waits until each daemon responds at its operator port. The limit of 2 s and the checks of the tests stay as they are. A new test pauses a daemon, sees the failure, and requires that the wait outlasts it. Ruled out: a longer limit, which would hide a daemon that does not respond.

--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -231,6 +231,19 @@
         }
     }
 
+    /**
+     * Returns whether a daemon responds at its operator port; false also if it does not run for so
+     * long that no session with it can be opened.
+     */
+    public boolean respondsToOperators(int daemon) {
+        try {
+            return callOperatorPort(daemon, HttpMethod.GET, "/v1/daemons", "").status().code()
+                    == 200;
+        } catch (CompletionException e) {
+            return false;
+        }
+    }
+
     /** Closes the connections of this fleet's clients; no request can be sent afterwards. */
     public void closeClients() {
         mClients.close();
--- a/standins/src/test/java/org/marigoldturn/standins/FleetUnderTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/FleetUnderTest.java
@@ -69,6 +69,11 @@
             yaml.host(host, "desk", "z" + i % DAEMONS, port, 8);
         }
         mFleet.startDaemons(relayed ? relayedPeers() : Collections.nCopies(DAEMONS, ""));
+        for (int i = 0; i < DAEMONS; i++) {
+            int daemon = i;
+            // A daemon that has just started may get no processor for longer than a session waits.
+            await(() -> mFleet.respondsToOperators(daemon));
+        }
         await(() -> members(0) == DAEMONS);
         AggregatedHttpResponse applied =
                 mFleet.callOperatorPort(0, HttpMethod.PUT, "/v1/settings", yaml.text());
--- a/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
+++ b/standins/src/test/java/org/marigoldturn/standins/ProcessFailureTest.java
@@ -1,7 +1,9 @@
 package org.marigoldturn.standins;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.linecorp.armeria.client.SessionProtocolNegotiationException;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import java.util.ArrayList;
@@ -179,6 +181,23 @@
         }
     }
 
+    /**
+     * Guards against a start of the fleet that fails because a daemon gets no processor for 2 s.
+     */
+    @Example
+    void daemonThatDoesNotRunForAWhileIsAwaited() throws Exception {
+        try (ProcessFleet fleet = new ProcessFleet("stalled")) {
+            int daemon = fleet.startDaemon();
+            fleet.daemon(daemon).pause();
+            assertThatThrownBy(
+                            () -> fleet.callOperatorPort(daemon, HttpMethod.GET, "/v1/daemons", ""))
+                    .hasRootCauseInstanceOf(SessionProtocolNegotiationException.class);
+            assertThat(fleet.respondsToOperators(daemon)).isFalse();
+            fleet.daemon(daemon).resume();
+            FleetUnderTest.await(() -> fleet.respondsToOperators(daemon));
+        }
+    }
+
     /** Guards against a planned stop that fails requests or loses rights. */
     @Example
     void terminationUnderLoadFailsNoCaller() throws Exception {
