--- a/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ChildProcess.java
@@ -26,7 +26,14 @@
     /** Starts a main class with this process's class path and waits until it is ready. */
     public static ChildProcess start(Path log, String mainClass, String... args)
             throws IOException {
-        Process process = launch(log, mainClass, args);
+        return start(log, List.of(), mainClass, args);
+    }
+
+    /** Starts a main class with additional JVM options and waits until it is ready. */
+    public static ChildProcess start(
+            Path log, List<String> jvmOptions, String mainClass, String... args)
+            throws IOException {
+        Process process = launch(log, jvmOptions, mainClass, args);
         BufferedReader output = process.inputReader(StandardCharsets.UTF_8);
         String line = output.readLine();
         while (line != null && !line.startsWith("ready")) {
@@ -40,7 +47,7 @@
 
     /** Runs a main class to its end, which must succeed, and returns its standard output. */
     public static String run(Path log, String mainClass, String... args) throws IOException {
-        Process process = launch(log, mainClass, args);
+        Process process = launch(log, List.of(), mainClass, args);
         try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
             String text = String.join("\n", output.lines().toList());
             int code = process.waitFor();
@@ -62,20 +69,23 @@
      */
     public static Result runAndCapture(Path log, String mainClass, String... args)
             throws IOException, InterruptedException {
-        Process process = launch(log, mainClass, args);
+        Process process = launch(log, List.of(), mainClass, args);
         try (BufferedReader output = process.inputReader(StandardCharsets.UTF_8)) {
             String text = String.join("\n", output.lines().toList());
             return new Result(process.waitFor(), text, Files.readString(log));
         }
     }
 
-    private static Process launch(Path log, String mainClass, String... args) throws IOException {
+    private static Process launch(
+            Path log, List<String> jvmOptions, String mainClass, String... args)
+            throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("@" + optionsFile());
         command.add(
                 "-Dcom.linecorp.armeria.numCommonWorkers="
                         + Runtime.getRuntime().availableProcessors());
+        command.addAll(jvmOptions);
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
         command.add(mainClass);
@@ -118,6 +128,11 @@
         return mProcess.pid();
     }
 
+    /** Returns whether the process has not ended. */
+    public boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
     /** Ends the process at once (SIGKILL). */
     public void kill() {
         mProcess.destroyForcibly().onExit().join();
--- a/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/platform/PlatformFleet.java
@@ -41,6 +41,8 @@
     private final StandInPlatform mPlatform = new StandInPlatform();
     private final Path mDirectory;
     private final int mFirstAddressByte;
+    private final List<String> mJvmOptions;
+    private final String mAdditionalSettings;
     private final List<ChildProcess> mDaemons = new ArrayList<>();
     private final WebClient mClient = WebClient.builder().responseTimeoutMillis(10_000).build();
 
@@ -52,6 +54,19 @@
      *     the same time need different ranges
      */
     public PlatformFleet(Path directory, int firstAddressByte) {
+        this(directory, firstAddressByte, List.of(), "");
+    }
+
+    /**
+     * Creates the platform with a configuration, and daemons with other limits.
+     *
+     * @param jvmOptions additional options of the daemons' JVM
+     * @param settings additional lines of the daemons' settings
+     */
+    public PlatformFleet(
+            Path directory, int firstAddressByte, List<String> jvmOptions, String settings) {
+        mJvmOptions = List.copyOf(jvmOptions);
+        mAdditionalSettings = settings;
         mDirectory = directory;
         mFirstAddressByte = firstAddressByte;
         configure(1, "secret");
@@ -136,17 +151,19 @@
                 Bounds.status_s=120
                 Bounds.GraceS=6
                 """
-                        .formatted(
-                                node(index),
-                                ip,
-                                ip,
-                                ip,
-                                mPlatform.storeAddress(node(index)),
-                                mPlatform.hostsAddress(),
-                                mPlatform.policyService().address(),
-                                StandInLease.MAX_HOLD_MILLIS));
+                                .formatted(
+                                        node(index),
+                                        ip,
+                                        ip,
+                                        ip,
+                                        mPlatform.storeAddress(node(index)),
+                                        mPlatform.hostsAddress(),
+                                        mPlatform.policyService().address(),
+                                        StandInLease.MAX_HOLD_MILLIS)
+                        + mAdditionalSettings);
         return ChildProcess.start(
                 mDirectory.resolve("daemon-" + index + ".log"),
+                mJvmOptions,
                 MAIN,
                 "--settings",
                 settings.toString());
@@ -207,7 +224,8 @@
         }
     }
 
-    private String ip(int index) {
+    /** Returns the loopback address of a daemon. */
+    public String ip(int index) {
         return "127.0.0." + (mFirstAddressByte + index);
     }
 
