Bound what clients make the adapter and the entry server hold

Cause: the server goes on reading from a connection whose client reads no responses, limits heads in bytes but not in lines, and the adapter limited neither connections nor the time for a body. Clients thus decide how much memory and how many descriptors a process takes.

Change: the package clientlimits guards each connection of Listen.Front, Listen.Readiness and the entry server's caller port. Reading pauses at 16 requests without a response or 256 KB of unread responses; a head of more than 128 lines, a slow head or body, and a client that reads nothing for 30 s end the connection. Connections to the readiness port have a limit of their own. A memory budget closes the connections that hold the most. Each limit has a counter and a rate-limited log line, and, in the adapter, a setting. The adapter now permits the published 16,384 header bytes; the server's default, which applied before, is 8,192.

Ruled out: counting in a decorator, which does not see unfinished heads; Netty's write watermark, which the server sets to its maximum.

--- a/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
+++ b/core/src/main/java/org/marigoldturn/daemon/EntryDaemon.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import org.marigoldturn.clientlimits.ClientGuard;
+import org.marigoldturn.clientlimits.ClientLimits;
 import org.marigoldturn.entry.DrainState;
 import org.marigoldturn.entry.EntryDependencies;
 import org.marigoldturn.entry.EntryServer;
@@ -312,9 +314,12 @@
     }
 
     private Server callerServer() {
-        ServerBuilder builder =
-                builder(mConfig.callerPort()).maxNumConnections(mConfig.maxConnections());
+        ServerBuilder builder = builder(mConfig.callerPort());
         mEntry.register(builder);
+        ClientLimits limits =
+                ClientLimits.defaults(mConfig.maxConnections(), Runtime.getRuntime().maxMemory());
+        // Readiness is checked at the callers' port, so no port is reserved.
+        new ClientGuard(limits, mMetrics, System::nanoTime).register(builder, 0);
         return builder.build();
     }
 
--- a/core/src/main/java/org/marigoldturn/entry/EntryServer.java
+++ b/core/src/main/java/org/marigoldturn/entry/EntryServer.java
@@ -5,12 +5,13 @@
 import com.linecorp.armeria.server.ServerBuilder;
 import java.security.cert.X509Certificate;
 import java.util.List;
+import org.marigoldturn.clientlimits.ClientLimits;
 import org.marigoldturn.settings.VersionedState;
 
 /** Sets up the caller port: routes, limits and health checks around a {@link CallerService}. */
 public final class EntryServer implements AutoCloseable {
-    static final int MAX_HEADER_BYTES = 16_384;
-    static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    static final int MAX_HEADER_BYTES = ClientLimits.MAX_HEADER_BYTES;
+    static final int MAX_REQUEST_LINE_BYTES = ClientLimits.MAX_REQUEST_LINE_BYTES;
     static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
     private final EntryDependencies mDependencies;
--- a/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
+++ b/core/src/test/java/org/marigoldturn/PackageDependencyTest.java
@@ -36,6 +36,7 @@
                     "peer",
                     "settings",
                     "store",
+                    "clientlimits",
                     "hashing");
 
     @Example
