Test an entry daemon with hostile callers

Cause: ClientLimitsProcessTest covers only the adapter's server.

Change: EntryClientLimitsProcessTest lets a crowd pipeline without reading and send unfinished heads of 5,000 lines, with a heap of 64 MB. ProcessFleet takes JVM options for it.

Ruled out: nothing.

--- a/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
+++ b/standins/src/main/java/org/marigoldturn/standins/ProcessFleet.java
@@ -132,12 +132,17 @@
 
     /** Starts an entry daemon with additional lines in its configuration and returns its index. */
     public int startDaemon(String additionalConfig) throws IOException {
+        return startDaemon(additionalConfig, List.of());
+    }
+
+    /** Starts an entry daemon with additional configuration lines and JVM options. */
+    public int startDaemon(String additionalConfig, List<String> jvmOptions) throws IOException {
         int index = mDaemons.size();
-        mDaemons.add(launch(index, additionalConfig));
+        mDaemons.add(launch(index, additionalConfig, jvmOptions));
         return index;
     }
 
-    private ChildProcess launch(int index, String additionalConfig) {
+    private ChildProcess launch(int index, String additionalConfig, List<String> jvmOptions) {
         Path config = mDirectory.resolve("entry-" + index + ".yaml");
         String text =
                 """
@@ -156,7 +161,8 @@
         Path log = mDirectory.resolve("entry-" + index + ".log");
         try {
             Files.writeString(config, text + additionalConfig);
-            return ChildProcess.start(log, MAIN, "entry", "--config", config.toString());
+            return ChildProcess.start(
+                    log, jvmOptions, MAIN, "entry", "--config", config.toString());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -174,7 +180,9 @@
         for (int i = 0; i < additionalConfigs.size(); i++) {
             int index = first + i;
             String additionalConfig = additionalConfigs.get(i);
-            launches.add(CompletableFuture.supplyAsync(() -> launch(index, additionalConfig)));
+            launches.add(
+                    CompletableFuture.supplyAsync(
+                            () -> launch(index, additionalConfig, List.of())));
         }
         launches.forEach(launch -> mDaemons.add(launch.join()));
     }
