Wait for a preferred placement while that pays off, and learn durations

Cause: Placer prefers the rack of a task's data but never waits for it, so tasks run the far factor times as long on other racks although room near their data is about to come. Forecasts use the clients' estimates, which are off by 20% to 90%, so they can't tell when.

Change: LearnedDurations keeps the ratio of the durations of runs to their estimates, by queue and size of the estimate. The work of jobs and the expected ends of runs follow it. PlacementWait decides whether a task that fits only away from its preferred rack starts there or waits, and PlacementWaits applies it in TaskStarter, also to gangs that prefer one rack. PlacementLog has the metrics and the bounded log lines.

--- a/core/src/main/java/org/marigoldturn/coordination/JobLimits.java
+++ b/core/src/main/java/org/marigoldturn/coordination/JobLimits.java
@@ -7,9 +7,14 @@
  * @param endedJobRetentionMillis how long the state of an ended job can be queried
  * @param entitlementWindowMillis time over which a client account may save up the jobs that it is
  *     entitled to submit; 0 if entitlements are not metered
+ * @param farFactor how many times as long a task takes away from its preferred rack; 1 if it makes
+ *     no difference
  */
 public record JobLimits(
-        long maxLeaseMillis, long endedJobRetentionMillis, long entitlementWindowMillis) {
+        long maxLeaseMillis,
+        long endedJobRetentionMillis,
+        long entitlementWindowMillis,
+        double farFactor) {
     /**
      * Allows three polls without the last of them in time, and frees a lost target's tasks soon.
      */
@@ -28,11 +33,15 @@
                             + entitlementWindowMillis
                             + " ms; it must not be negative");
         }
+        if (!(farFactor >= 1 && Double.isFinite(farFactor))) {
+            throw new IllegalArgumentException(
+                    "the far factor is " + farFactor + "; it must be at least 1");
+        }
     }
 
-    /** Creates limits without metered entitlements. */
+    /** Creates limits without metered entitlements and without a far factor. */
     public JobLimits(long maxLeaseMillis, long endedJobRetentionMillis) {
-        this(maxLeaseMillis, endedJobRetentionMillis, 0);
+        this(maxLeaseMillis, endedJobRetentionMillis, 0, 1);
     }
 
     /** Returns the length of the leases that the owner grants. */
--- a/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
+++ b/core/src/main/java/org/marigoldturn/coordination/OwnerRole.java
@@ -57,6 +57,7 @@
     private WaitLog mWaitLog;
     private TargetLog mTargetLog;
     private AccountShareMetrics mShareMetrics;
+    private PlacementLog mPlacementLog;
     private boolean mTargetListComplete;
     private boolean mServing;
     private boolean mLoggedMayAct = true;
@@ -105,6 +106,7 @@
             mWaitLog.close(now);
             mTargetLog.close(now);
             mShareMetrics.close();
+            mPlacementLog.close(now);
         }
     }
 
@@ -184,6 +186,8 @@
                         mUnknownRuns.longestMillis(),
                         TargetLeases.longestMillis(mContext.limits().maxLeaseMillis()));
         mScheduler.setEntitlementWindow(mContext.limits().entitlementWindowMillis());
+        mScheduler.setFarFactor(mContext.limits().farFactor());
+        mPlacementLog = new PlacementLog(mScheduler, mContext.term(), mContext.metrics());
         mShareMetrics = new AccountShareMetrics(mScheduler, mContext.metrics());
         mScheduler.setClosedZones(mOperator.closedZones());
         mScheduler.holdRestoredJobsUntil(mContext.storeRegainedMillis() + ENTRY_RECOVERY_MILLIS);
@@ -357,6 +361,7 @@
         mUnreadCheck.tick(now);
         mWaitLog.tick(mayStart(), now, mContext.clocks().epoch());
         mTargetLog.tick(now);
+        mPlacementLog.tick(now);
         mOperator.catalog().ifPresent(catalog -> mShareMetrics.tick(catalog, now));
         mTargetList.updateRecords(now);
         if (!FencingToken.hasNext(mScheduler.countContacts())) {
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -20,6 +20,7 @@
     /**
      * A submission and what competes with it.
      *
+     * @param coreMillis expected work of the job, in thousandths of a core-second
      * @param elapsedMillis time since the first submission of the job
      * @param backlog work that is served before the job
      * @param jobsAhead jobs whose waiting tasks start before those of the job
@@ -28,6 +29,7 @@
     record Submission(
             JobSpec spec,
             QueueSettings queue,
+            long coreMillis,
             long elapsedMillis,
             BacklogForecast backlog,
             Collection<JobEntry> jobsAhead,
@@ -64,7 +66,7 @@
                         submission.mayStart(),
                         epochMillis);
         return needsForecast && !startsNow
-                ? decideByForecast(spec, forecast)
+                ? decideByForecast(submission.coreMillis(), forecast)
                 : Admission.accept(forecast);
     }
 
@@ -74,9 +76,8 @@
         return queue.objectiveMillis(chainMillis) - chainMillis;
     }
 
-    private static Admission decideByForecast(JobSpec spec, Admission.Forecast forecast) {
-        long ownMillis =
-                spec.estimatedCoreMillis() * 1_000 / Math.max(1, forecast.capacityMillicores());
+    private static Admission decideByForecast(long coreMillis, Admission.Forecast forecast) {
+        long ownMillis = coreMillis * 1_000 / Math.max(1, forecast.capacityMillicores());
         if (forecast.waitMillis() + ownMillis / 2 <= forecast.slackMillis()) {
             return Admission.accept(forecast);
         }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -5,6 +5,7 @@
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
 
 /** State of one accepted job and of all its tasks. Confined to the control thread. */
@@ -15,6 +16,7 @@
     private final boolean mRestored;
     private final List<List<StepState>> mOccurrences = new ArrayList<>();
     private final List<StepState> mAllSteps = new ArrayList<>();
+    private LearnedDurations mDurations = new LearnedDurations();
     private int mPriority;
     private boolean mStored;
     private boolean mStarted;
@@ -59,6 +61,11 @@
         }
     }
 
+    /** Sets the durations by which work is expected; before, the clients' estimates hold. */
+    void setDurations(LearnedDurations durations) {
+        mDurations = durations;
+    }
+
     Job job() {
         return mJob;
     }
@@ -212,7 +219,7 @@
     }
 
     /**
-     * Returns the estimated work of waiting tasks except long-running ones, in thousandths of a
+     * Returns the expected work of waiting tasks except long-running ones, in thousandths of a
      * core-second.
      */
     long waitingCoreMillis() {
@@ -221,10 +228,7 @@
             if (step.spec().traits().longRunning() || step.isDone()) {
                 continue;
             }
-            long each =
-                    step.spec().reservedResources().cpuMillicores()
-                            * step.spec().estimateMillis()
-                            / 1_000;
+            long each = coreMillis(step.spec());
             for (TaskState task : step.tasks()) {
                 sum += task.isWaiting() ? each : 0;
             }
@@ -233,7 +237,7 @@
     }
 
     /**
-     * Returns the estimated work left in tasks with a run except long-running ones, in thousandths
+     * Returns the expected work left in tasks with a run except long-running ones, in thousandths
      * of a core-second; half of a running task's work counts as done.
      */
     long runningCoreMillis() {
@@ -242,10 +246,7 @@
             if (step.spec().traits().longRunning() || step.isDone()) {
                 continue;
             }
-            long each =
-                    step.spec().reservedResources().cpuMillicores()
-                            * step.spec().estimateMillis()
-                            / 1_000;
+            long each = coreMillis(step.spec());
             for (TaskState task : step.tasks()) {
                 sum += task.isDone() || task.runs().isEmpty() ? 0 : each / 2;
             }
@@ -253,6 +254,11 @@
         return sum;
     }
 
+    /** Returns the expected work of one task of a step, in thousandths of a core-second. */
+    private long coreMillis(StepSpec step) {
+        return mDurations.coreMillis(mJob.queue(), step);
+    }
+
     JobProgress progress() {
         List<JobProgress.TaskProgress> tasks = new ArrayList<>();
         for (StepState step : allSteps()) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
+import org.marigoldturn.jobs.JobSpec;
 import org.marigoldturn.jobs.JobState;
 import org.marigoldturn.jobs.QueueCatalog;
 import org.marigoldturn.jobs.QueueSettings;
@@ -34,6 +35,8 @@
     private final InterruptionRules mInterruptions;
     private final AccountUsage mUsage = new AccountUsage();
     private final RunTracker mRuns = new RunTracker(mJobs, mUsage, this::maxAttempts);
+    private final PlacementWaits mPlacementWaits =
+            new PlacementWaits(mJobs.durations(), this::objectiveMillis);
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final SubmissionRules mSubmissions;
@@ -58,7 +61,9 @@
             long longestLeaseMillis,
             long longestHeldLeaseMillis) {
         mCatalog = catalog;
-        mStarter = new TaskStarter(term, mRuns, mUsage, account -> mCatalog.account(account));
+        mStarter =
+                new TaskStarter(
+                        term, mRuns, mUsage, account -> mCatalog.account(account), mPlacementWaits);
         mTargets = new TargetTable(mRuns, nowMillis, longestLeaseMillis, longestHeldLeaseMillis);
         mLoads = new ServiceLoads(mJobs, mTargets);
         mSubmissions =
@@ -138,6 +143,28 @@
         mSubmissions.setEntitlementWindow(windowMillis);
     }
 
+    /**
+     * Sets how many times as long a task takes away from its preferred rack, or a gang on more than
+     * one rack. With a factor above 1, tasks may wait for their preferred placement, and durations
+     * are forecast by what earlier runs took.
+     *
+     * @param farFactor the factor, at least 1
+     */
+    public void setFarFactor(double farFactor) {
+        mRuns.setFarFactor(farFactor);
+        mPlacementWaits.setFarFactor(farFactor);
+    }
+
+    /** Returns the waits of tasks for their preferred placement. */
+    public PlacementWaits placementWaits() {
+        return mPlacementWaits;
+    }
+
+    /** Returns the durations that were learned from runs. */
+    public LearnedDurations durations() {
+        return mJobs.durations();
+    }
+
     /**
      * Returns the part of a service's usable capacity that an account's runs request, by its
      * dominant resource.
@@ -458,6 +485,16 @@
         mAdvice.record(request, tickets, sentMillis);
     }
 
+    /** Returns the monotonic time of a job's objective; the maximum if it has none. */
+    private long objectiveMillis(JobEntry job) {
+        JobSpec spec = job.job().spec();
+        Optional<QueueSettings> queue = mCatalog.queue(job.job().queue());
+        if (spec.scheduled() || queue.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        return job.firstSubmittedMillis() + queue.get().objectiveMillis(spec.longestChainMillis());
+    }
+
     private Optional<String> serviceOf(JobEntry job) {
         return mCatalog.queue(job.job().queue()).map(QueueSettings::service);
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobState;
+import org.marigoldturn.jobs.StepSpec;
 import org.marigoldturn.jobs.TaskId;
 
 /**
@@ -33,14 +34,33 @@
 
     private final Map<String, JobEntry> mJobs = new HashMap<>();
     private final TreeSet<JobEntry> mActive = new TreeSet<>(ORDER);
+    private final LearnedDurations mDurations = new LearnedDurations();
+
+    /** Returns the durations of tasks, as learned from the runs of all jobs. */
+    LearnedDurations durations() {
+        return mDurations;
+    }
 
     void add(JobEntry entry) {
+        entry.setDurations(mDurations);
         mJobs.put(entry.job().id(), entry);
         if (entry.isActive()) {
             mActive.add(entry);
         }
     }
 
+    /**
+     * Returns the expected work of one occurrence of a job that need not be in the table, in
+     * thousandths of a core-second.
+     */
+    long expectedCoreMillis(Job job) {
+        long sum = 0;
+        for (StepSpec step : job.spec().steps()) {
+            sum += step.taskCount() * mDurations.coreMillis(job.queue(), step);
+        }
+        return sum;
+    }
+
     /**
      * Changes the priorities of active jobs.
      *
--- a/core/src/main/java/org/marigoldturn/scheduling/Placer.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Placer.java
@@ -111,15 +111,29 @@
      */
     List<TargetState> chooseForGang(StepState step, List<TargetState> candidates) {
         if (step.spec().placement().sameRack()) {
-            Set<String> racks = new HashSet<>();
-            candidates.forEach(target -> racks.add(target.entry().rack()));
-            for (String rack : racks) {
-                List<TargetState> chosen = chooseMembers(step, candidates, rack);
-                if (!chosen.isEmpty()) {
-                    return chosen;
-                }
+            List<TargetState> chosen = chooseInOneRack(step, candidates);
+            if (!chosen.isEmpty()) {
+                return chosen;
             }
         }
+        return chooseInAnyRacks(step, candidates);
+    }
+
+    /** Chooses targets in one rack for all members of a gang, or returns an empty list. */
+    List<TargetState> chooseInOneRack(StepState step, List<TargetState> candidates) {
+        Set<String> racks = new HashSet<>();
+        candidates.forEach(target -> racks.add(target.entry().rack()));
+        for (String rack : racks) {
+            List<TargetState> chosen = chooseMembers(step, candidates, rack);
+            if (!chosen.isEmpty()) {
+                return chosen;
+            }
+        }
+        return List.of();
+    }
+
+    /** Chooses targets for all members of a gang in whatever racks, or returns an empty list. */
+    List<TargetState> chooseInAnyRacks(StepState step, List<TargetState> candidates) {
         return chooseMembers(step, candidates, "");
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/Run.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/Run.java
@@ -1,5 +1,6 @@
 package org.marigoldturn.scheduling;
 
+import java.util.OptionalLong;
 import org.marigoldturn.jobs.ResourceAmounts;
 import org.marigoldturn.jobs.TaskId;
 
@@ -56,6 +57,10 @@
     private long mOrderEndTargetMillis = Long.MAX_VALUE;
     private boolean mOrderSent;
     private boolean mListed;
+    private boolean mStartUnknown;
+    private long mExpectedMillis;
+    private long mTailMillis;
+    private OptionalLong mBeganMillis = OptionalLong.empty();
 
     Run(
             TaskId task,
@@ -81,6 +86,8 @@
         Run run = new Run(mTask, mNumber, next, mReservedResources, mLongRunning, mDecidedMillis);
         run.mPhase = Phase.OUT_OF_DATE;
         run.mOrderSent = true;
+        run.mStartUnknown = true;
+        run.expect(mExpectedMillis, mTailMillis);
         if (mStopRequest == StopRequest.FINAL) {
             run.mStopRequest = StopRequest.FINAL;
         }
@@ -210,7 +217,43 @@
         }
     }
 
+    /** Sets the duration that is expected of it, and one that it hardly exceeds. */
+    void expect(long expectedMillis, long tailMillis) {
+        mExpectedMillis = expectedMillis;
+        mTailMillis = tailMillis;
+    }
+
+    /**
+     * Returns the monotonic time at which its end is expected: first the expected duration and then
+     * the tail counts; {@link Long#MAX_VALUE} once it has outlasted both, or if nothing is
+     * expected.
+     */
+    long expectedEndMillis(long nowMillis) {
+        long startMillis = mBeganMillis.orElse(mDecidedMillis);
+        if (mExpectedMillis == 0 || nowMillis >= startMillis + mTailMillis) {
+            return Long.MAX_VALUE;
+        }
+        long endMillis = startMillis + mExpectedMillis;
+        return nowMillis < endMillis ? endMillis : startMillis + mTailMillis;
+    }
+
+    /** Records that it may have begun before this owner knew of it. */
+    void markStartUnknown() {
+        mStartUnknown = true;
+    }
+
+    /**
+     * Returns the monotonic time at which it was first listed or accepted; empty if it was not, or
+     * may have begun before.
+     */
+    OptionalLong beganMillis() {
+        return mStartUnknown ? OptionalLong.empty() : mBeganMillis;
+    }
+
     void onStarted(long nowMillis) {
+        if (mBeganMillis.isEmpty()) {
+            mBeganMillis = OptionalLong.of(nowMillis);
+        }
         if (mPhase != Phase.RUNNING) {
             mPhase = Phase.RUNNING;
             mConfirmedMillis = nowMillis;
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -26,6 +26,7 @@
     private final Function<JobEntry, Optional<Integer>> mMaxAttempts;
     private final Set<String> mChanged = new LinkedHashSet<>();
     private final Map<TaskState, Long> mHeldSinceMillis = new HashMap<>();
+    private double mFarFactor = 1;
 
     /**
      * Creates a tracker without runs.
@@ -40,6 +41,15 @@
         mMaxAttempts = maxAttempts;
     }
 
+    /**
+     * Sets how many times as long a task runs away from its data or its gang; with a factor above
+     * 1, learned durations are used.
+     */
+    void setFarFactor(double farFactor) {
+        mFarFactor = farFactor;
+        mJobs.durations().setEnabled(farFactor > 1);
+    }
+
     /** Returns and clears the ids of jobs whose durable progress has changed. */
     Set<String> takeChangedJobIds() {
         Set<String> changed = new LinkedHashSet<>(mChanged);
@@ -123,6 +133,7 @@
                         spec == null ? ResourceAmounts.NONE : spec.reservedResources(),
                         spec != null && spec.traits().longRunning(),
                         nowMillis);
+        run.markStartUnknown();
         boolean needed = task != null && job.isActive() && !task.isDone() && task.runs().isEmpty();
         if (!needed) {
             run.requestStop();
@@ -178,6 +189,9 @@
             return EndEffect.IGNORED_TASK_DONE;
         }
         if (end.kind() == EndKind.DONE) {
+            if (run != null) {
+                recordDuration(run, step, nowMillis);
+            }
             members.forEach(TaskState::markDone);
             onTaskDone(job, members, epochMillis);
             return EndEffect.DONE;
@@ -198,6 +212,34 @@
         }
     }
 
+    /** Records how long a run took, corrected by the far factor if it ran away from its data. */
+    private void recordDuration(Run run, StepState step, long nowMillis) {
+        boolean far = isFar(run, step);
+        if (run.beganMillis().isEmpty() || far && mFarFactor <= 1) {
+            return;
+        }
+        long durationMillis = nowMillis - run.beganMillis().getAsLong();
+        mJobs.durations()
+                .record(
+                        step.job().job().queue(),
+                        step.spec().estimateMillis(),
+                        far ? Math.round(durationMillis / mFarFactor) : durationMillis,
+                        nowMillis);
+    }
+
+    /** Returns whether a run is away from its data, or from other members of its gang. */
+    private static boolean isFar(Run run, StepState step) {
+        StepSpec.Placement placement = step.spec().placement();
+        String rack = run.target().entry().rack();
+        if (!placement.preferredRack().isEmpty() && !placement.preferredRack().equals(rack)) {
+            return true;
+        }
+        return placement.sameRack()
+                && step.tasks().stream()
+                        .flatMap(member -> member.runs().stream())
+                        .anyMatch(other -> !other.target().entry().rack().equals(rack));
+    }
+
     private EndEffect onTaskFailed(
             JobEntry job, StepState step, TaskState task, long runNumber, long epochMillis) {
         if (!task.addFailure(runNumber)) {
@@ -244,8 +286,23 @@
             task.runs().add(run);
             task.recordRunNumber(run.number());
             job.markStarted();
-            mUsage.add(job.job().account(), run.service(), job.step(run.task()).spec().needs());
+            StepState step = job.step(run.task());
+            mUsage.add(job.job().account(), run.service(), step.spec().needs());
+            expectDuration(run, step);
+        }
+    }
+
+    private void expectDuration(Run run, StepState step) {
+        if (step.spec().traits().longRunning()) {
+            return;
         }
+        double factor = isFar(run, step) ? mFarFactor : 1;
+        String queue = step.job().job().queue();
+        long estimateMillis = step.spec().estimateMillis();
+        LearnedDurations durations = mJobs.durations();
+        run.expect(
+                Math.round(factor * durations.expectedMillis(queue, estimateMillis)),
+                Math.round(factor * durations.tailMillis(queue, estimateMillis)));
     }
 
     void removeRun(Run run) {
--- a/core/src/main/java/org/marigoldturn/scheduling/SchedulingPass.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SchedulingPass.java
@@ -107,7 +107,9 @@
             if (mRuns.finishIfOutOfAttempts(step, step.waitingTasks(), mEpochMillis)) {
                 return;
             }
-            mOrders.addAll(mStarter.start(step, allowed, mNowMillis));
+            mOrders.addAll(
+                    mStarter.start(
+                            step, allowed, new PlacementWaits.Now(mNowMillis, mEpochMillis)));
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -110,6 +110,7 @@
                         new AdmissionForecast.Submission(
                                 job.spec(),
                                 queue,
+                                mJobs.expectedCoreMillis(job),
                                 nowMillis - firstMillis,
                                 backlog.withOwn(returningCoreMillis),
                                 byShares
@@ -145,7 +146,7 @@
                 queue.service(),
                 firstMillis,
                 AdmissionForecast.slackMillis(job.spec(), queue),
-                job.spec().estimatedCoreMillis(),
+                mJobs.expectedCoreMillis(job),
                 call.nowMillis());
         if (entitled) {
             // What exceeds an entitlement is no reason to move a host.
@@ -183,7 +184,7 @@
                 jobsAhead,
                 job.account(),
                 queue.priority(),
-                job.spec().estimatedCoreMillis(),
+                mJobs.expectedCoreMillis(job),
                 mWeights,
                 entry -> entry.isExcess(nowMillis));
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskStarter.java
@@ -30,6 +30,7 @@
     private final RunTracker mRuns;
     private final AccountUsage mUsage;
     private final Function<String, Optional<AccountSettings>> mAccounts;
+    private final PlacementWaits mPlacementWaits;
     private final HeldBackCapacity mHeldBack = new HeldBackCapacity();
     private final Placer mPlacer = new Placer(mHeldBack);
 
@@ -42,27 +43,33 @@
             long term,
             RunTracker runs,
             AccountUsage usage,
-            Function<String, Optional<AccountSettings>> accounts) {
+            Function<String, Optional<AccountSettings>> accounts,
+            PlacementWaits placementWaits) {
         mTerm = term;
         mRuns = runs;
         mUsage = usage;
         mAccounts = accounts;
+        mPlacementWaits = placementWaits;
     }
 
     /** Decides on the waiting tasks of a step and returns the orders that start them. */
-    List<Order> start(StepState step, Candidates candidates, long nowMillis) {
+    List<Order> start(StepState step, Candidates candidates, PlacementWaits.Now now) {
         List<TaskState> waiting = step.waitingTasks();
         if (waiting.isEmpty() || !isWithinLimit(step)) {
             return List.of();
         }
-        return step.spec().traits().gang()
-                ? startGang(step, candidates.usable(), nowMillis)
-                : startTasks(step, waiting, candidates, nowMillis);
+        if (step.spec().traits().gang()) {
+            return startGang(step, candidates, now);
+        }
+        return mPlacementWaits.mayWait(step)
+                ? startTasksPreferringRack(step, waiting, candidates, now)
+                : startTasks(step, waiting, candidates, now.millis());
     }
 
     /** Ends the scheduling pass; the next one decides anew where capacity is held back. */
     void endPass() {
         mHeldBack.release();
+        mPlacementWaits.endPass();
     }
 
     HeldBackCapacity heldBack() {
@@ -78,9 +85,7 @@
             }
             TargetState target = choose(step, candidates, nowMillis);
             if (target == null) {
-                if (mayHoldBackCapacity(step, nowMillis)) {
-                    mPlacer.holdBack(step, candidates.usable(), nowMillis);
-                }
+                holdBackIfOld(step, candidates, nowMillis);
                 return orders;
             }
             orders.add(start(step, task, target, nextRunNumber(task), nowMillis));
@@ -88,6 +93,55 @@
         return orders;
     }
 
+    /**
+     * Starts tasks in their preferred rack, and those that have no room there elsewhere unless they
+     * wait. The targets outside of the rack are searched only for a task that may start there.
+     */
+    private List<Order> startTasksPreferringRack(
+            StepState step,
+            List<TaskState> waiting,
+            Candidates candidates,
+            PlacementWaits.Now now) {
+        RackFigures racks = mPlacementWaits.figures(candidates, now.millis());
+        String rack = step.spec().placement().preferredRack();
+        List<Order> orders = new ArrayList<>();
+        boolean rackFull = false;
+        TargetState elsewhere = null;
+        for (int i = 0; i < waiting.size() && isWithinLimit(step); i++) {
+            TaskState task = waiting.get(i);
+            TargetState near = rackFull ? null : mPlacer.choose(step, racks.targets(rack));
+            rackFull = near == null;
+            boolean decided = rackFull && task.placementWaitSinceMillis().isPresent();
+            if (decided && mPlacementWaits.waits(step, task, racks, now)) {
+                continue;
+            }
+            if (rackFull && elsewhere == null) {
+                elsewhere = mPlacer.choose(step, candidates.usable());
+                if (elsewhere == null) {
+                    int left = waiting.size() - i;
+                    racks.addQueued(rack, left * step.spec().reservedResources().cpuMillicores());
+                    holdBackIfOld(step, candidates, now.millis());
+                    return orders;
+                }
+            }
+            if (rackFull && !decided && mPlacementWaits.waits(step, task, racks, now)) {
+                continue;
+            }
+            TargetState target = rackFull ? elsewhere : near;
+            elsewhere = null;
+            mPlacementWaits.onStart(task, !rackFull, now.millis());
+            mPlacementWaits.addLoad(step, racks, now.millis());
+            orders.add(start(step, task, target, nextRunNumber(task), now.millis()));
+        }
+        return orders;
+    }
+
+    private void holdBackIfOld(StepState step, Candidates candidates, long nowMillis) {
+        if (mayHoldBackCapacity(step, nowMillis)) {
+            mPlacer.holdBack(step, candidates.usable(), nowMillis);
+        }
+    }
+
     private TargetState choose(StepState step, Candidates candidates, long nowMillis) {
         TargetState target = mPlacer.choose(step, candidates.usable());
         if (target != null || !step.spec().traits().longRunning()) {
@@ -99,10 +153,16 @@
                 : null;
     }
 
-    private List<Order> startGang(StepState step, List<TargetState> candidates, long nowMillis) {
+    private List<Order> startGang(StepState step, Candidates candidates, PlacementWaits.Now now) {
+        if (!step.isGangIdle()
+                || !mUsage.allows(accountOf(step), step.spec(), step.tasks().size())) {
+            return List.of();
+        }
         List<TargetState> chosen =
-                step.isGangIdle() ? mPlacer.chooseForGang(step, candidates) : List.of();
-        if (chosen.isEmpty() || !mUsage.allows(accountOf(step), step.spec(), chosen.size())) {
+                mPlacementWaits.mayWait(step)
+                        ? chooseForGangOrWait(step, candidates, now)
+                        : mPlacer.chooseForGang(step, candidates.usable());
+        if (chosen.isEmpty()) {
             return List.of();
         }
         long number = 0;
@@ -111,11 +171,32 @@
         }
         List<Order> orders = new ArrayList<>();
         for (int i = 0; i < chosen.size(); i++) {
-            orders.add(start(step, step.tasks().get(i), chosen.get(i), number, nowMillis));
+            orders.add(start(step, step.tasks().get(i), chosen.get(i), number, now.millis()));
         }
         return orders;
     }
 
+    /** Chooses targets in one rack; in several only for a gang that does not wait. */
+    private List<TargetState> chooseForGangOrWait(
+            StepState step, Candidates candidates, PlacementWaits.Now now) {
+        TaskState first = step.tasks().get(0);
+        List<TargetState> chosen = mPlacer.chooseInOneRack(step, candidates.usable());
+        boolean preferred = !chosen.isEmpty();
+        if (!preferred) {
+            RackFigures racks = mPlacementWaits.figures(candidates, now.millis());
+            boolean decided = first.placementWaitSinceMillis().isPresent();
+            if (decided && mPlacementWaits.gangWaits(step, racks, now)) {
+                return List.of();
+            }
+            chosen = mPlacer.chooseInAnyRacks(step, candidates.usable());
+            if (chosen.isEmpty() || !decided && mPlacementWaits.gangWaits(step, racks, now)) {
+                return List.of();
+            }
+        }
+        mPlacementWaits.onStart(first, preferred, now.millis());
+        return chosen;
+    }
+
     private Order start(
             StepState step, TaskState task, TargetState target, long number, long nowMillis) {
         Run run =
--- a/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/TaskState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.marigoldturn.jobs.TaskId;
 
@@ -19,6 +20,8 @@
     private final Set<Long> mFailedRuns = new HashSet<>(2);
     private long mLastRunNumber;
     private String mCheckpoint = "";
+    private OptionalLong mPlacementWaitSinceMillis = OptionalLong.empty();
+    private boolean mPlacementWaitEnded;
 
     TaskState(TaskId id, Runnable onDone) {
         mId = id;
@@ -50,6 +53,25 @@
         mHeld = held;
     }
 
+    /**
+     * Returns the monotonic time at which it first waited for its preferred placement although it
+     * had room elsewhere; empty if it never did.
+     */
+    OptionalLong placementWaitSinceMillis() {
+        return mPlacementWaitSinceMillis;
+    }
+
+    void beginPlacementWait(long nowMillis) {
+        mPlacementWaitSinceMillis = OptionalLong.of(nowMillis);
+    }
+
+    /** Ends the wait for its preferred placement; returns whether there was one. */
+    boolean endPlacementWait() {
+        boolean waited = mPlacementWaitSinceMillis.isPresent() && !mPlacementWaitEnded;
+        mPlacementWaitEnded = mPlacementWaitSinceMillis.isPresent();
+        return waited;
+    }
+
     /** Returns the numbers of the runs that failed. */
     Set<Long> failedRuns() {
         return mFailedRuns;
