Bound what one task adds to the load of a rack

Cause: a task that started counted with all its work within one second, so one long task of an account over its share took the gain of waiting from a task of an account below it, which then started far from its data (PlacementWaitTest.accountBelowItsShareGetsTheRoomFirst).

Change: a task adds its processors for one averaging period at most.

Ruled out: loads from running work alone, which hide the demand of tasks that went elsewhere.

--- a/core/src/main/java/org/marigoldturn/scheduling/PlacementWaits.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/PlacementWaits.java
@@ -234,16 +234,16 @@
     /** Records that a task that prefers a rack starts, there or elsewhere. */
     void addLoad(StepState step, RackFigures racks, long nowMillis) {
         String rack = step.spec().placement().preferredRack();
-        // Racks without targets are not recorded, which bounds the number of entries.
-        racks.service(rack)
-                .ifPresent(
-                        service ->
-                                mLoads.computeIfAbsent(
-                                                new RackKey(service, rack), key -> new RackLoad())
-                                        .add(
-                                                mDurations.coreMillis(
-                                                        step.job().job().queue(), step.spec()),
-                                                nowMillis));
+        String service = racks.service(rack).orElse(null);
+        if (service == null) {
+            // Racks without targets are not recorded, which bounds the number of entries.
+            return;
+        }
+        // One long task is no more demand than its processors for the whole period.
+        long millis = Math.min(expectedMillis(step.job(), step.spec()), LOAD_PERIOD_MILLIS);
+        long coreMillis = step.spec().reservedResources().cpuMillicores() * millis / 1_000;
+        mLoads.computeIfAbsent(new RackKey(service, rack), key -> new RackLoad())
+                .add(coreMillis, nowMillis);
     }
 
     private Loads loads(String preferred, RackFigures racks, long nowMillis) {
