--- a/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
@@ -30,24 +30,28 @@
     /**
      * Returns the forecast for a job of an account within its entitlement.
      *
+     * @param returningCoreMillis work of refused jobs of the account that come back before the job
      * @param priority priority of the job's queue; all work of more urgent ones comes first
      * @param newCoreMillis work of the job itself
      * @param isExcess returns whether a job exceeds its account's entitlement; its waiting tasks
-     *     start after this job's
+     *     start after this job's unless its queue is more urgent
      */
     static BacklogForecast byShares(
             Collection<JobEntry> jobsAhead,
             String account,
+            long returningCoreMillis,
             int priority,
             long newCoreMillis,
             AccountWeights weights,
             Predicate<JobEntry> isExcess) {
         Map<String, Long> backlogs = new HashMap<>();
+        backlogs.put(account, returningCoreMillis);
         long urgent = 0;
         for (JobEntry job : jobsAhead) {
-            long work =
-                    job.runningCoreMillis() + (isExcess.test(job) ? 0 : job.waitingCoreMillis());
-            if (job.priority() < priority) {
+            boolean isUrgent = job.priority() < priority;
+            boolean startsLater = !isUrgent && isExcess.test(job);
+            long work = job.runningCoreMillis() + (startsLater ? 0 : job.waitingCoreMillis());
+            if (isUrgent) {
                 urgent += work;
             } else {
                 backlogs.merge(job.job().account(), work, Long::sum);
@@ -78,11 +82,6 @@
         return new BacklogForecast(Math.round(other), own);
     }
 
-    /** Returns this forecast with more work of the job's own account. */
-    BacklogForecast withOwn(long coreMillis) {
-        return new BacklogForecast(otherCoreMillis, ownCoreMillis + coreMillis);
-    }
-
     /** Returns the time after which processors of the given capacity begin with the job. */
     long waitMillis(long capacityMillicores) {
         return (otherCoreMillis + ownCoreMillis) * 1_000 / Math.max(1, capacityMillicores);
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.marigoldturn.jobs.AccountSettings;
 import org.marigoldturn.jobs.Job;
 import org.marigoldturn.jobs.JobProgress;
 import org.marigoldturn.jobs.JobSpec;
@@ -166,13 +167,14 @@
     }
 
     /**
-     * Returns the part of a service's usable capacity that an account's runs request, by its
-     * dominant resource.
+     * Returns the part of a service's usable capacity that each account's short jobs request, by
+     * the dominant resource, in the order of the accounts.
      */
-    public double share(String account, String service, long nowMillis) {
-        return AccountShares.dominantShare(
-                mUsage.running(account, service),
-                TargetTable.capacityOf(mTargets.usable(service, nowMillis)));
+    public List<Double> shares(List<String> accounts, String service, long nowMillis) {
+        ResourceAmounts capacity = TargetTable.capacityOf(mTargets.usable(service, nowMillis));
+        return accounts.stream()
+                .map(name -> AccountShares.dominantShare(mUsage.running(name, service), capacity))
+                .toList();
     }
 
     /** Sets the availability zones in which no task starts. */
@@ -322,7 +324,17 @@
                 queue,
                 new SubmissionRules.Call(timeLeftMillis, nowMillis, epochMillis),
                 this::serviceOf,
-                entry -> !entry.isRestored() || restored.mayStart(queue.service()));
+                entry ->
+                        (!entry.isRestored() || restored.mayStart(queue.service()))
+                                && isWithinLimit(entry, epochMillis));
+    }
+
+    /** Returns whether the limit of a job's account allows one more task of a startable step. */
+    private boolean isWithinLimit(JobEntry job, long epochMillis) {
+        Optional<AccountSettings> account = mCatalog.account(job.job().account());
+        return account.isEmpty()
+                || job.startableSteps(epochMillis).stream()
+                        .anyMatch(step -> mUsage.allows(account, step.spec(), 1));
     }
 
     /** Records that a job's durable record exists; its tasks may start. */
--- a/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/RunTracker.java
@@ -287,7 +287,7 @@
             task.recordRunNumber(run.number());
             job.markStarted();
             StepState step = job.step(run.task());
-            mUsage.add(job.job().account(), run.service(), step.spec().needs());
+            mUsage.add(job.job().account(), run, step.spec().needs());
             expectDuration(run, step);
         }
     }
@@ -310,7 +310,7 @@
         TaskState task = mJobs.task(run.task());
         if (task != null && task.runs().remove(run)) {
             JobEntry job = mJobs.job(run.task().jobId());
-            mUsage.remove(job.job().account(), run.service(), job.step(run.task()).spec().needs());
+            mUsage.remove(job.job().account(), run, job.step(run.task()).spec().needs());
         }
     }
 
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -99,12 +99,12 @@
         boolean entitled = meter.map(m -> m.allows(job.account(), rate, nowMillis)).orElse(true);
         boolean byShares = mWeights.isEnabled() && entitled;
         long firstMillis = mRefused.firstSubmittedMillis(job.id(), nowMillis);
+        long returningCoreMillis =
+                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         BacklogForecast backlog =
                 byShares
-                        ? backlogByShares(job, queue, jobsAhead, nowMillis)
+                        ? backlogByShares(job, queue, jobsAhead, returningCoreMillis, nowMillis)
                         : BacklogForecast.ofAll(jobsAhead);
-        long returningCoreMillis =
-                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         Admission admission =
                 AdmissionForecast.decide(
                         new AdmissionForecast.Submission(
@@ -112,7 +112,7 @@
                                 queue,
                                 mJobs.expectedCoreMillis(job),
                                 nowMillis - firstMillis,
-                                backlog.withOwn(returningCoreMillis),
+                                backlog,
                                 byShares
                                         ? startedBefore(job, queue, view, jobsAhead, nowMillis)
                                         : jobsAhead,
@@ -140,15 +140,18 @@
             Admission admission,
             boolean entitled,
             long firstMillis) {
-        mRefused.recordRefusal(
-                job.id(),
-                job.account(),
-                queue.service(),
-                firstMillis,
-                AdmissionForecast.slackMillis(job.spec(), queue),
-                mJobs.expectedCoreMillis(job),
-                call.nowMillis());
         if (entitled) {
+            if (mWeights.hasEntitlement(job.account())) {
+                mRefused.recordRefusal(
+                        job.id(),
+                        job.account(),
+                        queue.service(),
+                        firstMillis,
+                        AdmissionForecast.slackMillis(job.spec(), queue),
+                        queue.objectiveMillis(job.spec().longestChainMillis()),
+                        mJobs.expectedCoreMillis(job),
+                        call.nowMillis());
+            }
             // What exceeds an entitlement is no reason to move a host.
             mLoads.recordRefusal(queue.service(), call.nowMillis());
             return admission.retryAfter(
@@ -159,7 +162,8 @@
         long allowedMillis =
                 mMeter.orElseThrow().millisUntilAllowed(job.account(), rate, call.nowMillis());
         return Admission.refuse(
-                RetryAdvice.seconds(job.id(), allowedMillis, call.timeLeftMillis()),
+                RetryAdvice.seconds(
+                        job.id(), RetryAdvice.wholeSeconds(allowedMillis), call.timeLeftMillis()),
                 Admission.OVER_ENTITLEMENT,
                 admission.forecast());
     }
@@ -179,10 +183,15 @@
     }
 
     private BacklogForecast backlogByShares(
-            Job job, QueueSettings queue, Collection<JobEntry> jobsAhead, long nowMillis) {
+            Job job,
+            QueueSettings queue,
+            Collection<JobEntry> jobsAhead,
+            long returningCoreMillis,
+            long nowMillis) {
         return BacklogForecast.byShares(
                 jobsAhead,
                 job.account(),
+                returningCoreMillis,
                 queue.priority(),
                 mJobs.expectedCoreMillis(job),
                 mWeights,
