--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -110,6 +110,7 @@
                         new AdmissionForecast.Submission(
                                 job.spec(),
                                 queue,
+                                mJobs.expectedCoreMillis(job),
                                 nowMillis - firstMillis,
                                 backlog,
                                 byShares
@@ -148,7 +149,7 @@
                         firstMillis,
                         AdmissionForecast.slackMillis(job.spec(), queue),
                         queue.objectiveMillis(job.spec().longestChainMillis()),
-                        job.spec().estimatedCoreMillis(),
+                        mJobs.expectedCoreMillis(job),
                         call.nowMillis());
             }
             // What exceeds an entitlement is no reason to move a host.
@@ -192,7 +193,7 @@
                 job.account(),
                 returningCoreMillis,
                 queue.priority(),
-                job.spec().estimatedCoreMillis(),
+                mJobs.expectedCoreMillis(job),
                 mWeights,
                 entry -> entry.isExcess(nowMillis));
     }
