--- a/core/src/main/java/org/marigoldturn/scheduling/AccountShares.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AccountShares.java
@@ -113,7 +113,7 @@
         PriorityQueue<AccountJobs> byShare =
                 new PriorityQueue<>(
                         Comparator.<AccountJobs>comparingDouble(a -> a.mRelativeShare)
-                                .thenComparingLong(a -> a.mJobs.element().firstSubmittedMillis())
+                                .thenComparingLong(a -> a.mJobs.element().acceptedMillis())
                                 .thenComparing(a -> a.mAccount));
         List<AccountJobs> all = new ArrayList<>(accounts);
         all.forEach(AccountJobs::updateShare);
--- a/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/AdmissionForecast.java
@@ -21,7 +21,6 @@
      * A submission and what competes with it.
      *
      * @param coreMillis expected work of the job, in thousandths of a core-second
-     * @param elapsedMillis time since the first submission of the job
      * @param backlog work that is served before the job
      * @param jobsAhead jobs whose waiting tasks start before those of the job
      * @param mayStart returns whether the tasks of a job may start now
@@ -30,7 +29,6 @@
             JobSpec spec,
             QueueSettings queue,
             long coreMillis,
-            long elapsedMillis,
             BacklogForecast backlog,
             Collection<JobEntry> jobsAhead,
             Predicate<JobEntry> mayStart) {}
@@ -46,7 +44,7 @@
         Admission.Forecast forecast =
                 new Admission.Forecast(
                         submission.backlog().waitMillis(capacityMillicores),
-                        slackMillis(spec, submission.queue()) - submission.elapsedMillis(),
+                        slackMillis(spec, submission.queue()),
                         view.freeMillicores(),
                         capacityMillicores,
                         view.unread().size(),
@@ -70,8 +68,8 @@
                 : Admission.accept(forecast);
     }
 
-    /** Returns for how long after its first submission a job may wait and meet its objective. */
-    static long slackMillis(JobSpec spec, QueueSettings queue) {
+    /** Returns for how long a job may wait and meet its objective. */
+    private static long slackMillis(JobSpec spec, QueueSettings queue) {
         long chainMillis = spec.longestChainMillis();
         return queue.objectiveMillis(chainMillis) - chainMillis;
     }
--- a/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/BacklogForecast.java
@@ -30,7 +30,6 @@
     /**
      * Returns the forecast for a job of an account within its entitlement.
      *
-     * @param returningCoreMillis work of refused jobs of the account that come back before the job
      * @param priority priority of the job's queue; all work of more urgent ones comes first
      * @param newCoreMillis work of the job itself
      * @param isExcess returns whether a job exceeds its account's entitlement; its waiting tasks
@@ -39,13 +38,11 @@
     static BacklogForecast byShares(
             Collection<JobEntry> jobsAhead,
             String account,
-            long returningCoreMillis,
             int priority,
             long newCoreMillis,
             AccountWeights weights,
             Predicate<JobEntry> isExcess) {
         Map<String, Long> backlogs = new HashMap<>();
-        backlogs.put(account, returningCoreMillis);
         long urgent = 0;
         for (JobEntry job : jobsAhead) {
             boolean isUrgent = job.priority() < priority;
--- a/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobEntry.java
@@ -12,7 +12,6 @@
 final class JobEntry {
     private final Job mJob;
     private final long mAcceptedMillis;
-    private final long mFirstSubmittedMillis;
     private final boolean mRestored;
     private final List<List<StepState>> mOccurrences = new ArrayList<>();
     private final List<StepState> mAllSteps = new ArrayList<>();
@@ -31,23 +30,8 @@
      *     its tasks
      */
     JobEntry(Job job, int priority, long acceptedMillis, boolean restored) {
-        this(job, priority, acceptedMillis, acceptedMillis, restored);
-    }
-
-    /**
-     * Creates the entry of a job that may have been refused before.
-     *
-     * @param firstSubmittedMillis monotonic time of its first submission
-     */
-    JobEntry(
-            Job job,
-            int priority,
-            long firstSubmittedMillis,
-            long acceptedMillis,
-            boolean restored) {
         mJob = job;
         mPriority = priority;
-        mFirstSubmittedMillis = firstSubmittedMillis;
         mAcceptedMillis = acceptedMillis;
         mRestored = restored;
         mStored = restored;
@@ -83,14 +67,6 @@
         return mAcceptedMillis;
     }
 
-    /**
-     * Returns the monotonic time at which the job was submitted first, by which the jobs of one
-     * account are ordered.
-     */
-    long firstSubmittedMillis() {
-        return mFirstSubmittedMillis;
-    }
-
     /**
      * Records that the job exceeds its account's entitlement; until the given monotonic time it
      * starts after jobs that do not.
--- a/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobScheduler.java
@@ -504,7 +504,7 @@
         if (spec.scheduled() || queue.isEmpty()) {
             return Long.MAX_VALUE;
         }
-        return job.firstSubmittedMillis() + queue.get().objectiveMillis(spec.longestChainMillis());
+        return job.acceptedMillis() + queue.get().objectiveMillis(spec.longestChainMillis());
     }
 
     private Optional<String> serviceOf(JobEntry job) {
--- a/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/JobTable.java
@@ -24,12 +24,12 @@
 final class JobTable {
     /**
      * Jobs with long-running tasks come first, since these serve users; then the operator's
-     * priorities and the order of the first submissions decide.
+     * priorities and the order of acceptance decide.
      */
     private static final Comparator<JobEntry> ORDER =
             Comparator.<JobEntry, Boolean>comparing(e -> !e.job().spec().isLongRunning())
                     .thenComparing(JobEntry::priority)
-                    .thenComparing(JobEntry::firstSubmittedMillis)
+                    .thenComparing(JobEntry::acceptedMillis)
                     .thenComparing(e -> e.job().id());
 
     private final Map<String, JobEntry> mJobs = new HashMap<>();
--- a/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
+++ b/core/src/main/java/org/marigoldturn/scheduling/SubmissionRules.java
@@ -25,7 +25,6 @@
     private final TargetTable mTargets;
     private final ServiceLoads mLoads;
     private final AccountUsage mUsage;
-    private final RefusedJobs mRefused = new RefusedJobs();
     private Optional<EntitlementMeter> mMeter = Optional.empty();
     private AccountWeights mWeights;
 
@@ -98,12 +97,9 @@
         double rate = mWeights.weight(job.account());
         boolean entitled = meter.map(m -> m.allows(job.account(), rate, nowMillis)).orElse(true);
         boolean byShares = mWeights.isEnabled() && entitled;
-        long firstMillis = mRefused.firstSubmittedMillis(job.id(), nowMillis);
-        long returningCoreMillis =
-                mRefused.expectedCoreMillis(job.account(), queue.service(), firstMillis, nowMillis);
         BacklogForecast backlog =
                 byShares
-                        ? backlogByShares(job, queue, jobsAhead, returningCoreMillis, nowMillis)
+                        ? backlogByShares(job, queue, jobsAhead, nowMillis)
                         : BacklogForecast.ofAll(jobsAhead);
         Admission admission =
                 AdmissionForecast.decide(
@@ -111,7 +107,6 @@
                                 job.spec(),
                                 queue,
                                 mJobs.expectedCoreMillis(job),
-                                nowMillis - firstMillis,
                                 backlog,
                                 byShares
                                         ? startedBefore(job, queue, view, jobsAhead, nowMillis)
@@ -120,38 +115,21 @@
                         view,
                         call.epochMillis());
         if (admission.accepted()) {
-            mRefused.recordAccepted(job.id());
-            accept(job, queue, entitled, firstMillis, nowMillis);
+            accept(job, queue, entitled, nowMillis);
             if (entitled) {
                 meter.ifPresent(m -> m.recordAccepted(job.account(), rate, nowMillis));
             }
             return admission.entitled(entitled);
         }
         return admission.reason().equals(Admission.OVERLOAD)
-                ? refuse(job, queue, call, admission, entitled, firstMillis)
+                ? refuse(job, queue, call, admission, entitled)
                 : admission;
     }
 
     /** Records a refusal for overload and says when the client should come back. */
     private Admission refuse(
-            Job job,
-            QueueSettings queue,
-            Call call,
-            Admission admission,
-            boolean entitled,
-            long firstMillis) {
+            Job job, QueueSettings queue, Call call, Admission admission, boolean entitled) {
         if (entitled) {
-            if (mWeights.hasEntitlement(job.account())) {
-                mRefused.recordRefusal(
-                        job.id(),
-                        job.account(),
-                        queue.service(),
-                        firstMillis,
-                        AdmissionForecast.slackMillis(job.spec(), queue),
-                        queue.objectiveMillis(job.spec().longestChainMillis()),
-                        mJobs.expectedCoreMillis(job),
-                        call.nowMillis());
-            }
             // What exceeds an entitlement is no reason to move a host.
             mLoads.recordRefusal(queue.service(), call.nowMillis());
             return admission.retryAfter(
@@ -172,9 +150,8 @@
         return !job.spec().scheduled() && !job.spec().isLongRunning();
     }
 
-    private void accept(
-            Job job, QueueSettings queue, boolean entitled, long firstMillis, long nowMillis) {
-        JobEntry entry = new JobEntry(job, queue.priority(), firstMillis, nowMillis, false);
+    private void accept(Job job, QueueSettings queue, boolean entitled, long nowMillis) {
+        JobEntry entry = new JobEntry(job, queue.priority(), nowMillis, false);
         if (!entitled) {
             entry.setExcessUntil(
                     nowMillis + queue.objectiveMillis(job.spec().longestChainMillis()));
@@ -183,15 +160,10 @@
     }
 
     private BacklogForecast backlogByShares(
-            Job job,
-            QueueSettings queue,
-            Collection<JobEntry> jobsAhead,
-            long returningCoreMillis,
-            long nowMillis) {
+            Job job, QueueSettings queue, Collection<JobEntry> jobsAhead, long nowMillis) {
         return BacklogForecast.byShares(
                 jobsAhead,
                 job.account(),
-                returningCoreMillis,
                 queue.priority(),
                 mJobs.expectedCoreMillis(job),
                 mWeights,
--- a/core/src/test/java/org/marigoldturn/scheduling/BacklogForecastTest.java
+++ b/core/src/test/java/org/marigoldturn/scheduling/BacklogForecastTest.java
@@ -39,7 +39,7 @@
                         0,
                         false);
         BacklogForecast forecast =
-                BacklogForecast.byShares(List.of(urgent), "small", 0, 1, 0, WEIGHTS, job -> true);
+                BacklogForecast.byShares(List.of(urgent), "small", 1, 0, WEIGHTS, job -> true);
         assertThat(forecast).isEqualTo(new BacklogForecast(8_000, 0));
     }
 }
